Start the workspace: vocabulary, messages, wire protocol, design

The design page records the processes, their state, the protocols between them and what happens when a part fails. base, proto and wire are the crates that all others build on. pgwire's decoders panic on short bodies (get_u8 past the end), so wire reads incoming bodies with its own bounds-checked cursor and uses pgwire for encoding only.

--- /dev/null
+++ b/crates/agree/src/lib.rs
@@ -0,0 +1,1 @@
+//! Agreement protocol and durable log of the control hosts.
--- /dev/null
+++ b/crates/base/src/document.rs
@@ -0,0 +1,335 @@
+//! The configuration document: the one record of what operators have put in force.
+
+use std::fmt::{self, Write as _};
+
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+
+use crate::{GroupName, ServiceName, Set};
+
+/// Whole configuration, written as TOML.
+///
+/// ```
+/// use base::document::Document;
+///
+/// let text = "[entries]\nmax = 9\n[[service]]\nname = \"orders\"\ngroup = \"orders\"\n";
+/// let document = Document::parse(text).unwrap();
+/// assert_eq!(document.service("orders").unwrap().confirmations, 2);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Limits of the set of entry processes.
+    #[serde(default)]
+    pub entries: Entries,
+    /// Services that callers can reach.
+    #[serde(default, rename = "service")]
+    pub services: Vec<Service>,
+}
+
+/// Limits of the set of entry processes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Entries {
+    /// Most entry processes that run at once; divides the connection limit into base shares.
+    pub max: u32,
+}
+
+impl Default for Entries {
+    fn default() -> Self {
+        Self { max: 9 }
+    }
+}
+
+/// One service: a named group of databases with its rules.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name that callers give as the database name.
+    pub name: ServiceName,
+    /// Group that serves it.
+    pub group: GroupName,
+    /// Databases of the group.
+    #[serde(default = "three")]
+    pub databases: u32,
+    /// Members, the primary included, that must hold a write before it is acknowledged.
+    #[serde(default = "two")]
+    pub confirmations: u32,
+    /// Connections that one database accepts.
+    #[serde(default = "sixteen")]
+    pub connections: u32,
+    /// Statements that one database runs at once.
+    #[serde(default = "two")]
+    pub slots: u32,
+    /// How fresh reads must be.
+    #[serde(default)]
+    pub freshness: Freshness,
+    /// Queue and deadline limits.
+    #[serde(default)]
+    pub limits: Limits,
+    /// Requests that must not run twice.
+    #[serde(default)]
+    pub non_idempotent: Vec<Rule>,
+}
+
+const fn two() -> u32 {
+    2
+}
+
+const fn three() -> u32 {
+    3
+}
+
+const fn sixteen() -> u32 {
+    16
+}
+
+/// How fresh reads must be.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Freshness {
+    /// Greatest `goldcrestrail.max_age` that a caller may ask for, in milliseconds.
+    pub max_age_ms: u64,
+    /// How long a read waits for a replica to catch up before it goes on to the next, in
+    /// milliseconds.
+    pub wait_ms: u64,
+}
+
+impl Default for Freshness {
+    fn default() -> Self {
+        Self {
+            max_age_ms: 60_000,
+            wait_ms: 500,
+        }
+    }
+}
+
+/// Queue and deadline limits.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Requests that may wait for one database in one entry process.
+    pub queue: u32,
+    /// Deadline of a request whose caller states none, in milliseconds.
+    pub deadline_ms: u64,
+    /// Largest message that a caller may send, in bytes.
+    pub message_bytes: u32,
+    /// How long the record of a key is kept, in hours.
+    pub key_hours: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            queue: 1_000,
+            deadline_ms: 30_000,
+            message_bytes: 16 << 20,
+            key_hours: 24,
+        }
+    }
+}
+
+/// Marks statements as non-idempotent.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rule {
+    /// Table name without schema.
+    pub table: String,
+    /// Verbs that the rule covers.
+    pub verbs: Vec<Verb>,
+    /// Whether a key must be given.
+    #[serde(default)]
+    pub key: KeyRule,
+}
+
+/// Verb of a statement that writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Verb {
+    /// INSERT.
+    Insert,
+    /// UPDATE.
+    Update,
+    /// DELETE.
+    Delete,
+}
+
+/// Whether a non-idempotent request needs a key.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum KeyRule {
+    /// A key is used when given.
+    #[default]
+    Optional,
+    /// A request without a key is refused as not run.
+    Required,
+}
+
+/// A field that keeps a document from being accepted.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Invalid {
+    /// Path of the field, for example `service[1].slots`; `document` when it can't be parsed.
+    pub field: String,
+    /// What is wrong.
+    pub cause: String,
+    /// How to fix it.
+    pub mend: String,
+}
+
+impl fmt::Display for Invalid {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}; {}", self.field, self.cause, self.mend)
+    }
+}
+
+impl std::error::Error for Invalid {}
+
+impl Document {
+    /// Parses and checks a document.
+    ///
+    /// # Errors
+    /// The first field that is wrong.
+    pub fn parse(text: &str) -> Result<Self, Invalid> {
+        let document: Self = toml::from_str(text).map_err(|cause| Invalid {
+            field: "document".into(),
+            cause: cause.to_string(),
+            mend: "correct the line named above".into(),
+        })?;
+        document.check()?;
+        Ok(document)
+    }
+
+    /// Checks all values and their combinations.
+    ///
+    /// # Errors
+    /// The first field that is wrong.
+    pub fn check(&self) -> Result<(), Invalid> {
+        if self.entries.max == 0 {
+            return Err(invalid(
+                "entries.max",
+                "is 0",
+                "set the number of entry hosts",
+            ));
+        }
+        let mut names = Set::default();
+        let mut groups = Set::default();
+        for (i, service) in self.services.iter().enumerate() {
+            service.check(i, self.entries.max)?;
+            if !names.insert(&service.name) {
+                return Err(invalid(
+                    &format!("service[{i}].name"),
+                    "is used twice",
+                    "give each service its own name",
+                ));
+            }
+            if !groups.insert(&service.group) {
+                return Err(invalid(
+                    &format!("service[{i}].group"),
+                    "belongs to another service already",
+                    "give each service its own group",
+                ));
+            }
+        }
+        Ok(())
+    }
+
+    /// Finds a service by name.
+    #[must_use]
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
+
+impl Service {
+    fn check(&self, i: usize, entries: u32) -> Result<(), Invalid> {
+        let field = |name: &str| format!("service[{i}].{name}");
+        if !is_name(&self.name) {
+            return Err(invalid(&field("name"), NAME_CAUSE, NAME_MEND));
+        }
+        if !is_name(&self.group) {
+            return Err(invalid(&field("group"), NAME_CAUSE, NAME_MEND));
+        }
+        if self.databases == 0 {
+            return Err(invalid(
+                &field("databases"),
+                "is 0",
+                "name at least one database",
+            ));
+        }
+        if self.confirmations == 0 || self.confirmations > self.databases {
+            return Err(invalid(
+                &field("confirmations"),
+                "is not between 1 and databases",
+                "use a majority of databases, for example 2 of 3",
+            ));
+        }
+        if self.databases > 1 && self.confirmations < 2 {
+            return Err(invalid(
+                &field("confirmations"),
+                "is 1 with several databases, so that the loss of one host loses writes",
+                "use at least 2",
+            ));
+        }
+        if self.connections < entries {
+            return Err(invalid(
+                &field("connections"),
+                "is less than entries.max, so that some entry process could hold none",
+                "raise connections or lower entries.max",
+            ));
+        }
+        if self.slots == 0 {
+            return Err(invalid(&field("slots"), "is 0", "use at least 1"));
+        }
+        if self.limits.queue == 0 {
+            return Err(invalid(&field("limits.queue"), "is 0", "use at least 1"));
+        }
+        if self.limits.deadline_ms < 100 {
+            return Err(invalid(
+                &field("limits.deadline_ms"),
+                "is under 100 ms, less than one round trip between regions with its work",
+                "use at least 100",
+            ));
+        }
+        if self.limits.key_hours == 0 {
+            return Err(invalid(
+                &field("limits.key_hours"),
+                "is 0",
+                "use at least 1",
+            ));
+        }
+        Ok(())
+    }
+}
+
+const NAME_CAUSE: &str = "is not a name of 1 to 63 lower-case letters, digits, - or _";
+const NAME_MEND: &str = "use for example orders-1";
+
+fn is_name(text: &str) -> bool {
+    (1..=63).contains(&text.len())
+        && text
+            .bytes()
+            .all(|b| b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'_')
+}
+
+fn invalid(field: &str, cause: &str, mend: &str) -> Invalid {
+    Invalid {
+        field: field.into(),
+        cause: cause.into(),
+        mend: mend.into(),
+    }
+}
+
+/// SHA-256 of a document's bytes in lower-case hexadecimal.
+///
+/// ```
+/// assert!(base::document::digest("").starts_with("e3b0c44298fc1c14"));
+/// ```
+#[must_use]
+pub fn digest(text: &str) -> String {
+    Sha256::digest(text.as_bytes())
+        .iter()
+        .fold(String::new(), |mut hex, byte| {
+            let _infallible = write!(hex, "{byte:02x}");
+            hex
+        })
+}
--- /dev/null
+++ b/crates/base/src/http.rs
@@ -0,0 +1,77 @@
+//! HTTP side of every process: `/metrics`, `/dump` and `/ready`.
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use axum::{
+    Router,
+    http::{StatusCode, header},
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use compio::net::TcpListener;
+use prometheus::{Encoder, Registry, TextEncoder};
+use send_wrapper::SendWrapper;
+use serde_json::Value;
+
+/// What a process tells about itself.
+#[derive(Clone)]
+pub struct Report {
+    /// Metrics of the process.
+    pub metrics: Registry,
+    /// Whole state of the process.
+    pub dump: Rc<dyn Fn() -> Value>,
+    /// Whether a balancer may send new work.
+    pub ready: Rc<dyn Fn() -> bool>,
+}
+
+impl std::fmt::Debug for Report {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Report").finish_non_exhaustive()
+    }
+}
+
+/// Routes that every process serves; a daemon merges its own into them.
+///
+/// A process runs on one thread, so that the state may sit behind [`SendWrapper`].
+pub fn routes(report: Report) -> Router {
+    let report = SendWrapper::new(report);
+    let (metrics, dump, ready) = (report.clone(), report.clone(), report);
+    Router::new()
+        .route(
+            "/metrics",
+            get(move || std::future::ready(metrics_text(&metrics.metrics))),
+        )
+        .route(
+            "/dump",
+            get(move || std::future::ready(axum::Json((dump.dump)()))),
+        )
+        .route(
+            "/ready",
+            get(move || std::future::ready(ready_status((ready.ready)()))),
+        )
+}
+
+fn metrics_text(registry: &Registry) -> Response {
+    let mut text = Vec::new();
+    match TextEncoder::new().encode(&registry.gather(), &mut text) {
+        Ok(()) => ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], text).into_response(),
+        Err(cause) => (StatusCode::INTERNAL_SERVER_ERROR, cause.to_string()).into_response(),
+    }
+}
+
+fn ready_status(ready: bool) -> (StatusCode, &'static str) {
+    if ready {
+        (StatusCode::OK, "ready\n")
+    } else {
+        (StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+    }
+}
+
+/// Serves `router` at `address` until the process ends.
+///
+/// # Errors
+/// The address can't be bound, or the listener fails.
+pub async fn serve(address: SocketAddr, router: Router) -> io::Result<()> {
+    let listener = TcpListener::bind(address).await?;
+    cyper_axum::serve(listener, router.into_make_service()).await
+}
--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,36 @@
+//! Shared vocabulary of all goldcrestrail processes: ids, positions, settings, logs, metrics and
+//! state dumps.
+
+pub mod document;
+pub mod exit;
+pub mod http;
+pub mod log;
+pub mod map;
+pub mod net;
+pub mod position;
+pub mod settings;
+
+pub use exit::Exit;
+pub use map::{Map, Set};
+pub use position::Position;
+
+/// Name of a service, which callers give as the database name.
+pub type ServiceName = String;
+/// Name of a database group.
+pub type GroupName = String;
+/// Name of one database of a group.
+pub type MemberName = String;
+/// Random id of a member's data folder; a member that lost its disk has a new one.
+pub type StoreId = String;
+/// Name of an availability zone.
+pub type ZoneName = String;
+/// Name of a region.
+pub type RegionName = String;
+/// Name of an entry process.
+pub type EntryName = String;
+/// Name of a control host.
+pub type HostName = String;
+/// Term of a database group.
+pub type Term = u64;
+/// Log index of the control hosts; used as the version of group records.
+pub type Version = u64;
--- /dev/null
+++ b/crates/base/src/net.rs
@@ -0,0 +1,24 @@
+//! Outgoing connections that start from the host's own address.
+
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+
+use compio::net::TcpStream;
+
+/// Connects to `to` from the address `from`, with `TCP_NODELAY`.
+///
+/// A fixed source address lets network rules and the test relay tell hosts apart.
+///
+/// # Errors
+/// The connection was refused or is not made within `timeout` (kind `TimedOut`).
+pub async fn connect(from: IpAddr, to: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    let connecting = TcpStream::bind_and_connect(SocketAddr::new(from, 0), to);
+    let stream = compio::time::timeout(timeout, connecting)
+        .await
+        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,2 @@
+//! Operator's command line.
+fn main() {}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control daemon: configuration, group records, leases, promotion and administration.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Entry daemon: serves callers, routes statements and acknowledges writes.
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,1 @@
+//! Experiment tools: deployments, network relay, load, history checker and scenarios.
--- /dev/null
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -0,0 +1,244 @@
+@0xd4b1a6f0c2e97a35;
+
+# Messages between the processes of goldcrestrail.
+# Durations are milliseconds, sizes are bytes, ids are text unless said otherwise.
+
+struct Position {
+  term @0 :UInt64;
+  offset @1 :UInt64;
+}
+
+# One (host, boot) pair of a control host. A higher boot replaces a lower one; the same boot with
+# another nonce means that the disk is older than what the peer has seen.
+struct Identity {
+  host @0 :Text;
+  incarnation @1 :UInt64;
+  boot @2 :UInt64;
+  nonce @3 :UInt64;
+}
+
+struct LogEntry {
+  index @0 :UInt64;
+  term @1 :UInt64;
+  payload @2 :Data;
+}
+
+struct VoteRequest {
+  from @0 :Identity;
+  term @1 :UInt64;
+  lastIndex @2 :UInt64;
+  lastTerm @3 :UInt64;
+  preVote @4 :Bool;
+}
+
+struct VoteReply {
+  from @0 :Identity;
+  term @1 :UInt64;
+  granted @2 :Bool;
+  # The receiver has seen a newer boot of the sender, which must become a learner.
+  stale @3 :Bool;
+}
+
+struct AppendRequest {
+  from @0 :Identity;
+  term @1 :UInt64;
+  prevIndex @2 :UInt64;
+  prevTerm @3 :UInt64;
+  commit @4 :UInt64;
+  entries @5 :List(LogEntry);
+}
+
+struct AppendReply {
+  from @0 :Identity;
+  term @1 :UInt64;
+  success @2 :Bool;
+  # Highest index that the receiver holds on disk and that matches the sender's log.
+  matched @3 :UInt64;
+  stale @4 :Bool;
+  # The receiver has no vote and asks to be readmitted.
+  learner @5 :Bool;
+}
+
+struct SnapshotRequest {
+  from @0 :Identity;
+  term @1 :UInt64;
+  lastIndex @2 :UInt64;
+  lastTerm @3 :UInt64;
+  offset @4 :UInt64;
+  chunk @5 :Data;
+  done @6 :Bool;
+}
+
+struct SnapshotReply {
+  from @0 :Identity;
+  term @1 :UInt64;
+  # Offset that the receiver wants next.
+  next @2 :UInt64;
+}
+
+struct UpstreamStatus {
+  member @0 :Text;
+  store @1 :Text;
+  primary @2 :Bool;
+  position @3 :Position;
+  # Address of the primary that a replica follows, or empty.
+  following @4 :Text;
+}
+
+# Calls between control hosts.
+interface Peer {
+  vote @0 (request :VoteRequest) -> (reply :VoteReply);
+  append @1 (request :AppendRequest) -> (reply :AppendReply);
+  snapshot @2 (request :SnapshotRequest) -> (reply :SnapshotReply);
+  # Answers whether this host holds no unexpired lease grant older than the record version.
+  grants @3 (version :UInt64) -> (clear :Bool, known :Bool);
+  # Reads the status of an upstream on behalf of a host that can't reach it.
+  probe @4 (address :Text) -> (reached :Bool, status :UpstreamStatus);
+  # Sends a PROMOTE or FOLLOW statement to an upstream on behalf of a host that can't reach it.
+  order @5 (address :Text, statement :Text) -> (done :Bool, cause :Text);
+  # Forwards a proposal to the leader.
+  propose @6 (payload :Data) -> (accepted :Bool, index :UInt64, answer :Data, leader :Text);
+}
+
+struct Announcement {
+  member @0 :Text;
+  group @1 :Text;
+  store @2 :Text;
+  address @3 :Text;
+  zone @4 :Text;
+  region @5 :Text;
+  connections @6 :UInt32;
+  slots @7 :UInt32;
+  leaving @8 :Bool;
+  # Milliseconds since the announcement was heard.
+  age @9 :UInt32;
+}
+
+enum Health {
+  ok @0;
+  refused @1;
+  silent @2;
+}
+
+# What one entry process sees of one member.
+struct Sighting {
+  group @0 :Text;
+  member @1 :Text;
+  health @2 :Health;
+  # Milliseconds since the last good answer.
+  since @3 :UInt32;
+  position @4 :Position;
+  primary @5 :Bool;
+}
+
+struct PermitDemand {
+  member @0 :Text;
+  # Connections in use now, base share included.
+  used @1 :UInt32;
+  # Requests that wait for a connection.
+  waiting @2 :UInt32;
+  # Connections that the entry process would like to hold, base share included.
+  wanted @3 :UInt32;
+}
+
+struct Permit {
+  member @0 :Text;
+  # Lent connections beyond the base share.
+  lent @1 :UInt32;
+}
+
+struct RenewRequest {
+  entry @0 :Text;
+  zone @1 :Text;
+  # Random id of the process run, so that a restarted process is told from its former self.
+  run @2 :UInt64;
+  # Record version that the entry process has applied.
+  recordVersion @3 :UInt64;
+  configVersion @4 :UInt64;
+  announcements @5 :List(Announcement);
+  sightings @6 :List(Sighting);
+  demands @7 :List(PermitDemand);
+  # HTTP address of the entry process, for operators.
+  http @8 :Text;
+  stopping @9 :Bool;
+}
+
+struct RenewReply {
+  # The write lease is granted by this host.
+  granted @0 :Bool;
+  # Duration of the grant from the receipt of the request.
+  duration @1 :UInt32;
+  recordVersion @2 :UInt64;
+  configVersion @3 :UInt64;
+  directoryVersion @4 :UInt64;
+  host @5 :Text;
+  leader @6 :Bool;
+  # Only from the leader: the whole list of lent connections, valid for permitDuration.
+  permits @7 :List(Permit);
+  permitDuration @8 :UInt32;
+}
+
+enum GroupState {
+  stable @0;
+  fencing @1;
+  promoting @2;
+}
+
+struct MemberRecord {
+  member @0 :Text;
+  store @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  region @4 :Text;
+}
+
+struct GroupRecord {
+  group @0 :Text;
+  # Term in force, or the term that is ended while state is not stable.
+  term @1 :UInt64;
+  state @2 :GroupState;
+  # Next term while state is not stable.
+  next @3 :UInt64;
+  # Member that is primary, or that is being promoted.
+  primary @4 :Text;
+  members @5 :List(MemberRecord);
+  # Log index of the last change.
+  version @6 :UInt64;
+}
+
+struct WatchRequest {
+  entry @0 :Text;
+  recordVersion @1 :UInt64;
+  configVersion @2 :UInt64;
+  # Version of the directory that the caller has from this host and run of this host.
+  directoryVersion @3 :UInt64;
+  directoryRun @4 :UInt64;
+}
+
+struct WatchReply {
+  recordVersion @0 :UInt64;
+  # Records that changed after the version asked.
+  records @1 :List(GroupRecord);
+  configVersion @2 :UInt64;
+  # Document text when the version is newer than asked, else empty.
+  document @3 :Text;
+  directoryVersion @4 :UInt64;
+  directoryRun @5 :UInt64;
+  # Announcements heard or changed since the directory version asked.
+  announcements @6 :List(Announcement);
+  # Milliseconds since this host last heard from a leader with a majority.
+  age @7 :UInt32;
+}
+
+# Calls from an entry process to a control host.
+interface Control {
+  renew @0 (request :RenewRequest) -> (reply :RenewReply);
+  # Answers when something is newer than asked, or after one second.
+  watch @1 (request :WatchRequest) -> (reply :WatchReply);
+}
+
+# The interface that every control host offers on its one RPC address.
+interface Gate {
+  control @0 () -> (control :Control);
+  peer @1 () -> (peer :Peer);
+}
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing decisions: freshness, confirmation, leases, connection shares and queues.
--- /dev/null
+++ b/crates/wire/src/client.rs
@@ -0,0 +1,161 @@
+//! Client side of a connection to an upstream.
+
+use std::{collections::BTreeMap, fmt};
+
+use base::Map;
+use compio::net::TcpStream;
+use pgwire::messages::{
+    cancel::CancelRequest,
+    simplequery::Query,
+    startup::{SecretKey, Startup},
+};
+
+use crate::{Cursor, Frame, Reader, WireError, Writer};
+
+/// Longest message accepted from an upstream, in bytes.
+const LIMIT_BYTES: usize = 64 << 20;
+
+/// Rows of a simple query as text; `None` stands for NULL.
+pub type Rows = Vec<Vec<Option<String>>>;
+
+/// Why a request to an upstream failed.
+#[derive(Debug)]
+pub enum Failure {
+    /// The connection failed; what was sent may have run.
+    Wire(WireError),
+    /// The upstream refused, with SQLSTATE and message.
+    Refused(String, String),
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Wire(cause) => cause.fmt(f),
+            Self::Refused(sqlstate, message) => write!(f, "{sqlstate}: {message}"),
+        }
+    }
+}
+
+impl std::error::Error for Failure {}
+
+impl From<WireError> for Failure {
+    fn from(cause: WireError) -> Self {
+        Self::Wire(cause)
+    }
+}
+
+/// A session with an upstream.
+#[derive(Debug)]
+pub struct Client {
+    /// Messages from the upstream.
+    pub reader: Reader,
+    /// Messages to the upstream.
+    pub writer: Writer,
+    /// Parameters that the upstream reported at startup.
+    pub parameters: Map<String, String>,
+    /// Process number and secret for cancel requests.
+    pub key: (i32, i32),
+}
+
+impl Client {
+    /// Logs in over a fresh stream, with trust authentication.
+    ///
+    /// # Errors
+    /// The stream failed, or the upstream refused the login or wants a password.
+    pub async fn open(stream: TcpStream, user: &str, database: &str) -> Result<Self, Failure> {
+        let (read, write) = stream.into_split();
+        let mut client = Self {
+            reader: Reader::new(read, LIMIT_BYTES),
+            writer: Writer::new(write),
+            parameters: Map::default(),
+            key: (0, 0),
+        };
+        let mut startup = Startup::new();
+        startup.parameters = BTreeMap::from([
+            ("user".to_owned(), user.to_owned()),
+            ("database".to_owned(), database.to_owned()),
+        ]);
+        client.writer.message(&startup)?;
+        client.writer.flush().await?;
+        client.login().await?;
+        Ok(client)
+    }
+
+    async fn login(&mut self) -> Result<(), Failure> {
+        loop {
+            let frame = self.frame().await?;
+            let mut cursor = Cursor::new(&frame.body);
+            match frame.tag {
+                b'R' if cursor.int()? != 0 => {
+                    return Err(Failure::Wire(WireError::Malformed(
+                        "upstream asks for an authentication that is not spoken here",
+                    )));
+                }
+                b'K' => self.key = (cursor.int()?, cursor.int()?),
+                b'S' => {
+                    if let Some((name, value)) = frame.parameter() {
+                        self.parameters.insert(name.to_owned(), value.to_owned());
+                    }
+                }
+                b'E' => return Err(refusal(&frame)),
+                b'Z' => return Ok(()),
+                _ => {}
+            }
+        }
+    }
+
+    /// Runs one simple query and returns its rows.
+    ///
+    /// # Errors
+    /// The connection failed, or the upstream refused; after a refusal the session goes on.
+    pub async fn query(&mut self, sql: &str) -> Result<Rows, Failure> {
+        self.writer.message(&Query::new(sql.to_owned()))?;
+        self.writer.flush().await?;
+        let mut rows = Rows::new();
+        let mut refused = None;
+        loop {
+            let frame = self.frame().await?;
+            match frame.tag {
+                b'D' => rows.push(row(&frame)?),
+                b'E' => refused = Some(refusal(&frame)),
+                b'Z' => return refused.map_or(Ok(rows), Err),
+                _ => {}
+            }
+        }
+    }
+
+    /// Waits for the next frame; the end of the connection is an error here.
+    ///
+    /// # Errors
+    /// The connection failed or ended.
+    pub async fn frame(&mut self) -> Result<Frame, WireError> {
+        self.reader.next().await?.ok_or(WireError::Cut)
+    }
+}
+
+/// Asks an upstream, over a fresh stream, to cancel what the session with `key` runs.
+///
+/// # Errors
+/// The stream failed.
+pub async fn cancel(stream: TcpStream, key: (i32, i32)) -> Result<(), WireError> {
+    let (_read, write) = stream.into_split();
+    let mut writer = Writer::new(write);
+    writer.message(&CancelRequest::new(key.0, SecretKey::I32(key.1)))?;
+    writer.flush().await
+}
+
+fn refusal(frame: &Frame) -> Failure {
+    let text = |code| frame.field(code).unwrap_or_default().to_owned();
+    Failure::Refused(text(b'C'), text(b'M'))
+}
+
+fn row(frame: &Frame) -> Result<Vec<Option<String>>, WireError> {
+    let mut cursor = Cursor::new(&frame.body);
+    (0..cursor.short()?)
+        .map(|_| {
+            Ok(cursor
+                .value()?
+                .map(|bytes| String::from_utf8_lossy(bytes).into_owned()))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,23 @@
+//! PostgreSQL wire protocol 3.0 over compio streams: framing, server and client sides.
+//!
+//! Messages are encoded with the types of `pgwire` ([`pg`]). Incoming bytes are read with the
+//! bounds-checked [`Cursor`] instead, because the decoders of that crate panic on short bodies.
+
+pub mod client;
+pub mod cursor;
+pub mod error;
+pub mod frame;
+pub mod front;
+pub mod reader;
+pub mod reply;
+pub mod writer;
+
+pub use pgwire::messages as pg;
+
+pub use client::{Client, Failure, Rows};
+pub use cursor::Cursor;
+pub use error::WireError;
+pub use frame::Frame;
+pub use front::{Front, Opening, Target};
+pub use reader::Reader;
+pub use writer::Writer;
--- /dev/null
+++ b/crates/wire/src/reader.rs
@@ -0,0 +1,165 @@
+//! Reading messages from a stream.
+
+use bytes::{Buf, BytesMut};
+use compio::{
+    buf::BufResult,
+    io::AsyncReadExt,
+    net::{OwnedReadHalf, TcpStream},
+};
+
+use crate::{Frame, Opening, WireError};
+
+/// Space offered to one read on an idle connection, in bytes. Thousands of idle callers hold one
+/// buffer each, so that it is small and grows only while a connection is busy.
+const IDLE_BYTES: usize = 1 << 10;
+/// Space offered to one read on a busy connection, in bytes.
+const BUSY_BYTES: usize = 16 << 10;
+/// Longest first message, in bytes.
+const OPENING_BYTES: usize = 10_000;
+/// Bytes of type and length before a body.
+const HEAD_BYTES: usize = 5;
+
+/// Reads frames from one end of a connection.
+///
+/// A dropped `next` future may lose bytes: after a timeout the connection must not be read again.
+#[derive(Debug)]
+pub struct Reader {
+    half: OwnedReadHalf<TcpStream>,
+    buffer: BytesMut,
+    limit: usize,
+    busy: bool,
+}
+
+impl Reader {
+    /// Reads from `half`, refusing messages over `limit` bytes.
+    #[must_use]
+    pub fn new(half: OwnedReadHalf<TcpStream>, limit: usize) -> Self {
+        Self {
+            half,
+            buffer: BytesMut::new(),
+            limit,
+            busy: false,
+        }
+    }
+
+    /// Changes the longest length accepted, in bytes.
+    pub fn set_limit(&mut self, limit: usize) {
+        self.limit = limit;
+    }
+
+    /// Takes a frame that has arrived in full, without waiting.
+    ///
+    /// # Errors
+    /// The length field is impossible or over the limit.
+    pub fn buffered(&mut self) -> Result<Option<Frame>, WireError> {
+        if self.buffer.len() < HEAD_BYTES {
+            return Ok(None);
+        }
+        let tag = self.buffer[0];
+        let claimed = i32::from_be_bytes([
+            self.buffer[1],
+            self.buffer[2],
+            self.buffer[3],
+            self.buffer[4],
+        ]);
+        let length = usize::try_from(claimed)
+            .map_err(|_negative| WireError::Malformed("negative length"))?;
+        if length < 4 {
+            return Err(WireError::Malformed("length under 4"));
+        }
+        if length > self.limit {
+            return Err(WireError::TooLarge {
+                length,
+                limit: self.limit,
+            });
+        }
+        if self.buffer.len() < length + 1 {
+            return Ok(None);
+        }
+        self.buffer.advance(HEAD_BYTES);
+        let body = self.buffer.split_to(length - 4).freeze();
+        Ok(Some(Frame { tag, body }))
+    }
+
+    /// Waits for the next frame; `None` when the peer closed the connection between messages.
+    ///
+    /// # Errors
+    /// The transport failed, the peer left in mid-message, or the bytes are no message.
+    pub async fn next(&mut self) -> Result<Option<Frame>, WireError> {
+        loop {
+            if let Some(frame) = self.buffered()? {
+                return Ok(Some(frame));
+            }
+            if !self.fill().await? {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(WireError::Cut)
+                };
+            }
+        }
+    }
+
+    /// Waits for the first message of a connection; `None` when the peer closed it.
+    ///
+    /// # Errors
+    /// As [`Reader::next`].
+    pub async fn opening(&mut self) -> Result<Option<Opening>, WireError> {
+        loop {
+            if self.buffer.len() >= 4 {
+                let claimed = i32::from_be_bytes([
+                    self.buffer[0],
+                    self.buffer[1],
+                    self.buffer[2],
+                    self.buffer[3],
+                ]);
+                let length = usize::try_from(claimed)
+                    .map_err(|_negative| WireError::Malformed("negative length"))?;
+                if length < 8 {
+                    return Err(WireError::Malformed("first message too short"));
+                }
+                if length > OPENING_BYTES {
+                    return Err(WireError::TooLarge {
+                        length,
+                        limit: OPENING_BYTES,
+                    });
+                }
+                if self.buffer.len() >= length {
+                    self.buffer.advance(4);
+                    let body = self.buffer.split_to(length - 4);
+                    return Opening::parse(&body).map(Some);
+                }
+            }
+            if !self.fill().await? {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(WireError::Cut)
+                };
+            }
+        }
+    }
+
+    /// Whether bytes have arrived that are not taken yet.
+    #[must_use]
+    pub fn has_bytes(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    async fn fill(&mut self) -> Result<bool, WireError> {
+        let want = if self.busy { BUSY_BYTES } else { IDLE_BYTES };
+        let mut buffer = std::mem::take(&mut self.buffer);
+        if buffer.is_empty() {
+            // Frames handed out keep the old block alive; a fresh one lets it go with them.
+            buffer = BytesMut::with_capacity(want);
+        } else {
+            buffer.reserve(want);
+        }
+        let space = buffer.capacity() - buffer.len();
+        let BufResult(result, buffer) = self.half.append(buffer).await;
+        self.buffer = buffer;
+        let count = result?;
+        self.busy = count == space;
+        Ok(count > 0)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/reply.rs
@@ -0,0 +1,57 @@
+//! Messages that a server sends, built from plain values.
+
+use pgwire::messages::{
+    response::{CommandComplete, ErrorResponse, ReadyForQuery, TransactionStatus},
+    startup::{BackendKeyData, ParameterStatus, SecretKey},
+};
+
+/// An error that leaves the session open.
+///
+/// `mend` becomes the hint; leave it empty for none.
+#[must_use]
+pub fn error(sqlstate: &str, message: &str, mend: &str) -> ErrorResponse {
+    failure("ERROR", sqlstate, message, mend)
+}
+
+/// An error that ends the session.
+#[must_use]
+pub fn fatal(sqlstate: &str, message: &str, mend: &str) -> ErrorResponse {
+    failure("FATAL", sqlstate, message, mend)
+}
+
+fn failure(severity: &str, sqlstate: &str, message: &str, mend: &str) -> ErrorResponse {
+    let mut fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', sqlstate.to_owned()),
+        (b'M', message.to_owned()),
+    ];
+    if !mend.is_empty() {
+        fields.push((b'H', mend.to_owned()));
+    }
+    ErrorResponse::new(fields)
+}
+
+/// Ready for the next request, with the transaction status.
+#[must_use]
+pub fn ready(status: TransactionStatus) -> ReadyForQuery {
+    ReadyForQuery::new(status)
+}
+
+/// A reported parameter.
+#[must_use]
+pub fn parameter(name: &str, value: &str) -> ParameterStatus {
+    ParameterStatus::new(name.to_owned(), value.to_owned())
+}
+
+/// End of a statement with its command tag.
+#[must_use]
+pub fn complete(tag: &str) -> CommandComplete {
+    CommandComplete::new(tag.to_owned())
+}
+
+/// Numbers that a cancel request must carry.
+#[must_use]
+pub fn key(pid: i32, secret: i32) -> BackendKeyData {
+    BackendKeyData::new(pid, SecretKey::I32(secret))
+}
--- /dev/null
+++ b/crates/wire/src/writer.rs
@@ -0,0 +1,93 @@
+//! Writing messages to a stream.
+
+use bytes::BytesMut;
+use compio::{
+    buf::BufResult,
+    io::AsyncWriteExt,
+    net::{OwnedWriteHalf, TcpStream},
+};
+use pgwire::messages::Message;
+
+use crate::{Frame, WireError};
+
+/// Capacity kept between flushes, in bytes; more is given back.
+const KEPT_BYTES: usize = 1 << 10;
+
+/// Gathers messages and writes them in one go.
+#[derive(Debug)]
+pub struct Writer {
+    half: OwnedWriteHalf<TcpStream>,
+    out: BytesMut,
+}
+
+impl Writer {
+    /// Writes to `half`.
+    #[must_use]
+    pub fn new(half: OwnedWriteHalf<TcpStream>) -> Self {
+        Self {
+            half,
+            out: BytesMut::new(),
+        }
+    }
+
+    /// Adds a message.
+    ///
+    /// # Errors
+    /// The message is longer than the protocol allows.
+    pub fn message<M: Message>(&mut self, message: &M) -> Result<(), WireError> {
+        message
+            .encode(&mut self.out)
+            .map_err(|_too_large| WireError::Malformed("message can't be encoded"))
+    }
+
+    /// Adds a frame as it came.
+    pub fn frame(&mut self, frame: &Frame) {
+        encode(&mut self.out, frame.tag, &frame.body);
+    }
+
+    /// Adds a message from its parts.
+    pub fn parts(&mut self, tag: u8, body: &[u8]) {
+        encode(&mut self.out, tag, body);
+    }
+
+    /// Adds bytes that are messages already.
+    pub fn bytes(&mut self, bytes: &[u8]) {
+        self.out.extend_from_slice(bytes);
+    }
+
+    /// Bytes that wait for the next flush.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.out.len()
+    }
+
+    /// Writes everything that was added.
+    ///
+    /// # Errors
+    /// The transport failed; what was added is lost.
+    pub async fn flush(&mut self) -> Result<(), WireError> {
+        if self.out.is_empty() {
+            return Ok(());
+        }
+        let out = std::mem::take(&mut self.out);
+        let BufResult(result, mut out) = self.half.write_all(out).await;
+        result?;
+        if out.capacity() <= KEPT_BYTES {
+            out.clear();
+            self.out = out;
+        }
+        Ok(())
+    }
+}
+
+/// Appends one message to `out`.
+///
+/// # Panics
+/// The body is longer than 2 GiB, which no reader of this crate lets in.
+pub fn encode(out: &mut BytesMut, tag: u8, body: &[u8]) {
+    let length = i32::try_from(body.len() + 4).expect("bodies are under 2 GiB");
+    out.reserve(body.len() + 5);
+    out.extend_from_slice(&[tag]);
+    out.extend_from_slice(&length.to_be_bytes());
+    out.extend_from_slice(body);
+}
--- /dev/null
+++ b/crates/wire/tests/parse.rs
@@ -0,0 +1,57 @@
+//! Parsing of messages that come from outside.
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use rstest::rstest;
+use wire::{Frame, Front, Opening, Target};
+
+fn frame(tag: u8, body: &[u8]) -> Frame {
+    Frame {
+        tag,
+        body: Bytes::copy_from_slice(body),
+    }
+}
+
+/// Guards against a message that is read as another one.
+#[rstest]
+#[case::query(b'Q', b"select 1\0", Front::Query("select 1".into()))]
+#[case::sync(b'S', b"", Front::Sync)]
+#[case::close(b'C', b"Ss1\0", Front::Close(Target::Statement("s1".into())))]
+#[case::execute(b'E', b"\0\0\0\0\x05", Front::Execute { portal: String::new(), rows: 5 })]
+fn reads_each_message(#[case] tag: u8, #[case] body: &[u8], #[case] expected: Front) {
+    let message = frame(tag, body);
+
+    let found = Front::parse(&message).unwrap();
+
+    assert_eq!(found, expected);
+}
+
+/// Guards against a short or garbled body that is taken for a whole message.
+#[rstest]
+#[case::no_end(b'Q', b"select 1")]
+#[case::short_bind(b'B', b"\0\0\0\x01")]
+#[case::unknown(b'!', b"")]
+#[case::negative_value(b'B', b"\0\0\0\0\0\x01\xff\xff\xff\xfe\0\0")]
+fn refuses_malformed(#[case] tag: u8, #[case] body: &[u8]) {
+    let message = frame(tag, body);
+
+    let found = Front::parse(&message);
+
+    assert!(found.is_err(), "{found:?}");
+}
+
+proptest! {
+    /// Guards against a panic on bytes from outside.
+    #[test]
+    fn never_panics_on_messages(tag: u8, body: Vec<u8>) {
+        let _outcome = Front::parse(&frame(tag, &body));
+        let garbage = frame(tag, &body);
+        let _fields = (garbage.parameter(), garbage.sqlstate(), garbage.command(), garbage.ready());
+    }
+
+    /// Guards against a panic on the first bytes of a connection.
+    #[test]
+    fn never_panics_on_openings(body: Vec<u8>) {
+        let _outcome = Opening::parse(&body);
+    }
+}
