Add the experiment tools: deployments, relay, load and checker

A deployment runs as plain processes on loopback addresses, one network per zone. The relay carries all traffic between hosts, so that latency, the narrow link and cuts act on every connection; it ends connections with a reset only through both whole streams, because dropping an owned write half sends an orderly end first.

--- /dev/null
+++ b/crates/lab/src/experiment.rs
@@ -0,0 +1,162 @@
+//! What is read off a run: verdict, failover gaps, replica share and added latency.
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use hdrhistogram::Histogram;
+
+use crate::{
+    admin::get_text,
+    caller::{Outcome, Session},
+    checker::{Action, Event, Verdict, check},
+    deployment::Deployment,
+    error::LabError,
+    site::Host,
+    stores,
+};
+
+/// How long the databases may take to reach one position after the load.
+const CONVERGE: Duration = Duration::from_secs(20);
+
+/// Checks all services after a load ended.
+///
+/// Also compares the members of each group with one another; a member that differs from the
+/// primary counts as a lost write.
+///
+/// # Errors
+/// A database can't be read.
+pub async fn verdict(deployment: &Deployment, events: &[Event]) -> Result<Verdict, LabError> {
+    let mut total = Verdict::default();
+    for (service, name) in (0_u8..).zip(&deployment.site.services) {
+        let addresses: Vec<SocketAddr> = deployment
+            .site
+            .members(service)
+            .map(Host::address)
+            .collect();
+        let converged = stores::converge(&addresses, name, CONVERGE).await;
+        let primary = deployment
+            .primary(service)?
+            .ok_or_else(|| LabError::NotReady(format!("primary of {name}")))?;
+        let store = stores::read(primary.address(), name).await?;
+        let own: Vec<Event> = events
+            .iter()
+            .filter(|event| event.service == usize::from(service))
+            .cloned()
+            .collect();
+        add(&mut total, &check(&own, &store));
+        for address in addresses {
+            if !converged || stores::read(address, name).await? != store {
+                eprintln!("{name}: the database at {address} differs from the primary");
+                total.lost += 1;
+            }
+        }
+    }
+    Ok(total)
+}
+
+fn add(total: &mut Verdict, one: &Verdict) {
+    total.acknowledged += one.acknowledged;
+    total.lost += one.lost;
+    total.duplicated += one.duplicated;
+    total.stale_reads += one.stale_reads;
+    total.crossed += one.crossed;
+    total.mixed += one.mixed;
+    total.false_not_run += one.false_not_run;
+    total.phantom_reads += one.phantom_reads;
+    total.unknown += one.unknown;
+    total.reads += one.reads;
+}
+
+/// Longest time without an acknowledged write of a service, among the pauses that end after `from`.
+///
+/// `from` is the moment of the fault in microseconds since the start of the run; a pause counts
+/// from the fault at the earliest. `None` when no write was acknowledged after it.
+#[must_use]
+pub fn gap(events: &[Event], service: usize, from: u64, until: u64) -> Option<Duration> {
+    let mut ends: Vec<u64> = events
+        .iter()
+        .filter(|event| event.service == service)
+        .filter(|event| matches!(event.action, Action::Write { .. }))
+        .filter(|event| event.outcome == Outcome::Done && (from..until).contains(&event.end))
+        .map(|event| event.end)
+        .collect();
+    if ends.is_empty() {
+        return None;
+    }
+    ends.push(from);
+    ends.sort_unstable();
+    ends.windows(2)
+        .map(|pair| pair[1] - pair[0])
+        .max()
+        .map(Duration::from_micros)
+}
+
+/// Sum of a counter over all entry processes, by the value of one label.
+///
+/// # Errors
+/// An entry process does not answer.
+pub fn counter(
+    deployment: &Deployment,
+    metric: &str,
+    label: &str,
+) -> Result<base::Map<String, f64>, LabError> {
+    let mut sums = base::Map::default();
+    for entry in deployment.site.entries() {
+        for line in get_text(entry.http(), "/metrics")?.lines() {
+            let Some(rest) = line.strip_prefix(metric) else {
+                continue;
+            };
+            let Some((labels, value)) = rest.rsplit_once(' ') else {
+                continue;
+            };
+            let key = labels
+                .split([',', '{', '}'])
+                .find_map(|pair| pair.strip_prefix(label)?.strip_prefix("=\""))
+                .map(|text| text.trim_end_matches('"').to_owned())
+                .unwrap_or_default();
+            *sums.entry(key).or_insert(0.0) += value.parse::<f64>().unwrap_or(0.0);
+        }
+    }
+    Ok(sums)
+}
+
+/// Share of reads outside transactions that replicas served, from the entries' own counters.
+///
+/// # Errors
+/// An entry process does not answer.
+pub fn replica_share(deployment: &Deployment) -> Result<f64, LabError> {
+    let reads = counter(deployment, "goldcrestrail_reads_total", "served")?;
+    let replica = reads.get("replica").copied().unwrap_or(0.0);
+    let all: f64 = reads.values().sum();
+    Ok(if all > 0.0 { replica / all } else { 0.0 })
+}
+
+/// Latencies in microseconds of `count` point reads, one after the other.
+///
+/// # Errors
+/// The host refuses.
+///
+/// # Panics
+/// Never: three significant digits are a valid precision.
+pub async fn latencies(
+    address: SocketAddr,
+    database: &str,
+    caller: i64,
+    count: u32,
+) -> Result<Histogram<u64>, LabError> {
+    let mut histogram = Histogram::new(3).expect("3 digits are allowed");
+    let failed = |outcome: Outcome| LabError::Admin(format!("{address}: {outcome:?}"));
+    let session = Session::open(address, database, None)
+        .await
+        .map_err(failed)?;
+    session.counter(caller).await.map_err(failed)?;
+    for _ in 0..count {
+        let start = Instant::now();
+        session.counter(caller).await.map_err(failed)?;
+        let micros = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
+        histogram.saturating_record(micros);
+    }
+    Ok(histogram)
+}
--- /dev/null
+++ b/crates/lab/tests/relay.rs
@@ -0,0 +1,109 @@
+//! The relay delays, cuts and silences connections between zones, and only those.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use lab::{
+    relay::{Fault, Relay},
+    site::{Host, Role, Site, Zone},
+};
+use rstest::rstest;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::timeout,
+};
+
+const SHORT: Duration = Duration::from_millis(300);
+const LONG: Duration = Duration::from_secs(5);
+
+/// A site without services on loopback networks that the other test sites do not use.
+fn site() -> Site {
+    let zone = |name| Zone {
+        name,
+        region: "here",
+        entries: 0,
+    };
+    Site {
+        services: Vec::new(),
+        zones: vec![zone("a"), zone("b")],
+        ..Site::teichwert()
+    }
+}
+
+fn far_host() -> Host {
+    Host {
+        zone: 2,
+        role: Role::Control,
+    }
+}
+
+async fn echo(listener: TcpListener) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        tokio::spawn(async move {
+            let (mut read, mut write) = stream.split();
+            let _ended = tokio::io::copy(&mut read, &mut write).await;
+        });
+    }
+}
+
+async fn connect() -> TcpStream {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket
+        .bind(SocketAddr::new(
+            IpAddr::V4(Ipv4Addr::new(127, 0, 1, 200)),
+            0,
+        ))
+        .unwrap();
+    socket.connect(far_host().relayed()).await.unwrap()
+}
+
+async fn round_trip(stream: &mut TcpStream, limit: Duration) -> Option<Duration> {
+    let start = Instant::now();
+    let exchange = async {
+        stream.write_all(b"x").await.ok()?;
+        stream.read_exact(&mut [0]).await.ok()
+    };
+    timeout(limit, exchange)
+        .await
+        .ok()
+        .flatten()
+        .map(|_| start.elapsed())
+}
+
+/// Guards against experiments whose cuts and silences do not happen.
+#[rstest]
+fn faults_act_on_the_connections_they_are_meant_for() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let site = site();
+        tokio::spawn(echo(TcpListener::bind(far_host().address()).await.unwrap()));
+        let relay = Relay::start(&site).await.unwrap();
+        let mut stream = connect().await;
+        assert!(round_trip(&mut stream, LONG).await.unwrap() >= site.near * 2);
+
+        relay.set(1, 2, Fault::Cut);
+        assert!(round_trip(&mut stream, SHORT).await.is_none());
+        relay.heal();
+        timeout(LONG, stream.read_exact(&mut [0]))
+            .await
+            .unwrap()
+            .unwrap();
+
+        relay.silence();
+        assert!(round_trip(&mut stream, SHORT).await.is_none());
+        let mut fresh = connect().await;
+        assert!(round_trip(&mut fresh, LONG).await.is_some());
+
+        relay.set(1, 2, Fault::Reset);
+        timeout(LONG, fresh.read(&mut [0]))
+            .await
+            .unwrap()
+            .unwrap_err();
+    });
+}
