--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -82,14 +82,10 @@
         eprintln!("demo: no deployment {name}; use teichwert or watchrolls");
         return Exit::Usage;
     };
-    let runtime = match tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()
-    {
+    let runtime = match crate::runtime() {
         Ok(runtime) => runtime,
         Err(cause) => {
-            eprintln!("demo: no runtime: {cause}");
+            eprintln!("demo: {cause}");
             return Exit::Failed;
         }
     };
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! own processes start none.
 
 pub mod admin;
+pub mod bench;
 pub mod caller;
 pub mod checker;
 pub mod demo;
@@ -11,9 +12,24 @@
 pub mod error;
 pub mod experiment;
 pub mod load;
+pub mod measure;
 pub mod process;
 pub mod relay;
+pub mod scenario;
 pub mod site;
 pub mod stores;
+pub mod usage;
 
 pub use error::LabError;
+
+/// Runtime of an experiment, which shares the machine with the deployment.
+///
+/// # Errors
+/// The operating system refuses threads.
+pub fn runtime() -> Result<tokio::runtime::Runtime, LabError> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .map_err(|cause| LabError::Io("no runtime".into(), cause))
+}
