Add a measurement of the cost of control per thing controlled

Fake members and fake entry processes are cheap enough to run by the hundred on one thread, so that slopes of the real processes can be read at three sizes or more.

--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -22,7 +22,6 @@
     experiment,
     load::{self, Load},
     site::{Host, Role, Site, Zone},
-    usage::{Usage, usage},
 };
 
 /// Callers of the throughput comparison.
@@ -114,9 +113,9 @@
     };
     let length = Duration::from_secs(arguments.seconds);
 
-    let idle_before = process_usage(&mut deployment, entry)?;
+    let idle_before = deployment.usage(entry)?;
     tokio::time::sleep(length).await;
-    let idle_after = process_usage(&mut deployment, entry)?;
+    let idle_after = deployment.usage(entry)?;
     let control_share = idle_after
         .busy
         .saturating_sub(idle_before.busy)
@@ -126,9 +125,9 @@
 
     let through = experiment::latencies(entry.address(), &service, 0, SAMPLES).await?;
     let straight = experiment::latencies(near.address(), &service, 0, SAMPLES).await?;
-    let busy_before = process_usage(&mut deployment, entry)?;
+    let busy_before = deployment.usage(entry)?;
     let (through_rate, through_many) = throughput(entry.address(), &service, length).await?;
-    let busy_after = process_usage(&mut deployment, entry)?;
+    let busy_after = deployment.usage(entry)?;
     let (straight_rate, straight_many) = throughput(near.address(), &service, length).await?;
     let busy = busy_after
         .busy
@@ -137,13 +136,13 @@
 
     let mut memory = Vec::new();
     let mut open = Vec::new();
-    let empty = process_usage(&mut deployment, entry)?.resident;
+    let empty = deployment.usage(entry)?.resident;
     for count in IDLE {
         while open.len() < count {
             let session = Session::open(entry.address(), &service, None).await;
             open.push(session.map_err(|cause| LabError::Admin(format!("{cause:?}")))?);
         }
-        let resident = process_usage(&mut deployment, entry)?.resident;
+        let resident = deployment.usage(entry)?.resident;
         memory.push(json!({
             "callers": count,
             "resident_bytes": resident,
@@ -183,14 +182,6 @@
     float(a) / float(b)
 }
 
-fn process_usage(deployment: &mut Deployment, host: Host) -> Result<Usage, LabError> {
-    let process = deployment.process(host);
-    let id = process
-        .id()
-        .ok_or_else(|| LabError::NotReady(process.name().to_owned()))?;
-    usage(id)
-}
-
 async fn control_rate(deployment: &Deployment, length: Duration) -> Result<f64, LabError> {
     let sum = || {
         experiment::counter(deployment, "goldcrestrail_control_bytes_total", "direction")
--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -15,6 +15,7 @@
     error::{Context, LabError},
     process::{Plan, Process},
     site::{Host, Role, Site},
+    usage::{Usage, usage},
 };
 
 /// How long a process may take to be ready.
@@ -115,6 +116,15 @@
             .expect("host of this deployment")
     }
 
+    /// Processor time and memory of a host's process.
+    ///
+    /// # Errors
+    /// The process doesn't run.
+    pub fn usage(&self, host: Host) -> Result<Usage, LabError> {
+        let id = self.processes.get(&host).and_then(Process::id);
+        usage(id.ok_or_else(|| LabError::NotReady(self.site.process_name(host)))?)
+    }
+
     /// Data folder of a host.
     #[must_use]
     pub fn data(&self, host: Host) -> PathBuf {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,12 +11,14 @@
 pub mod deployment;
 pub mod error;
 pub mod experiment;
+pub mod fake;
 pub mod load;
 pub mod measure;
 pub mod process;
 pub mod relay;
 pub mod scenario;
 pub mod site;
+pub mod slopes;
 pub mod stores;
 pub mod usage;
 
--- /dev/null
+++ b/crates/lab/tests/slopes.rs
@@ -0,0 +1,19 @@
+//! Lines through readings.
+
+use lab::slopes::line;
+use rstest::rstest;
+
+/// Guards against a curve that is passed off as a straight line.
+#[rstest]
+#[case::straight(&[(0.0, 1.0), (1.0, 3.0), (2.0, 5.0)], 2.0, 0.0)]
+#[case::bent(&[(0.0, 0.0), (1.0, 0.0), (2.0, 6.0)], 3.0, 1.0 / 3.0)]
+fn finds_slope_and_deviation(
+    #[case] points: &[(f64, f64)],
+    #[case] slope: f64,
+    #[case] deviation: f64,
+) {
+    let found = line(points);
+
+    assert!((found.0 - slope).abs() < 1e-9, "{found:?}");
+    assert!((found.1 - deviation).abs() < 1e-9, "{found:?}");
+}
