--- a/crates/lab/src/fake.rs
+++ b/crates/lab/src/fake.rs
@@ -203,7 +203,7 @@
             request.set_zone("fake");
             request.set_run(u64::from(number));
             request.set_record_version(records);
-            request.set_config_version(config)
+            request.set_config_version(config);
         };
         call.send().promise.await?;
         compio::time::sleep(RENEWAL).await;
@@ -226,7 +226,7 @@
             request.set_record_version(records);
             request.set_config_version(config);
             request.set_directory_version(directory);
-            request.set_directory_run(run)
+            request.set_directory_run(run);
         };
         let answer = call.send().promise.await?;
         let reply = answer.get()?.get_reply()?;
