--- /dev/null
+++ b/crates/agree/src/election.rs
@@ -0,0 +1,181 @@
+//! Elections: who leads, and when a leader gives up.
+
+use std::rc::Rc;
+
+use futures_util::{StreamExt as _, stream::FuturesUnordered};
+use slog::info;
+
+use crate::{
+    environment::{Environment, Network as _},
+    log::Payload,
+    message::VoteRequest,
+    node::{Machine, Mechanism, Node},
+    state::{Role, State},
+};
+
+impl<M: Machine, E: Environment> Node<M, E> {
+    pub(crate) async fn elect(self: Rc<Self>) {
+        self.saved().await;
+        self.postpone(&mut self.state.borrow_mut());
+        loop {
+            let now = self.environment.now();
+            let wait = {
+                let state = self.state.borrow();
+                match state.role {
+                    Role::Leader => self.tuning.heartbeat,
+                    _ if !state.is_voter() && !self.lacks(Mechanism::LearnerExclusion) => {
+                        self.tuning.heartbeat
+                    }
+                    _ => state.deadline.saturating_duration_since(now),
+                }
+            };
+            if wait.is_zero() {
+                self.campaign().await;
+                self.postpone(&mut self.state.borrow_mut());
+            } else {
+                self.environment
+                    .sleep(wait.min(self.tuning.heartbeat))
+                    .await;
+                self.check_quorum();
+            }
+        }
+    }
+
+    /// A leader without a majority steps down: it can commit nothing, and another may lead.
+    fn check_quorum(&self) {
+        let now = self.environment.now();
+        {
+            let mut state = self.state.borrow_mut();
+            let lost = state.role == Role::Leader
+                && !self.lacks(Mechanism::QuorumCheck)
+                && self
+                    .quorum_contact(&state, now)
+                    .is_none_or(|contact| now.duration_since(contact) > self.tuning.election.1);
+            if !lost {
+                return;
+            }
+            info!(self.options.log, "stepping down: no majority"; "term" => state.hard.term);
+            state.step_down();
+            self.postpone(&mut state);
+        };
+        self.signal.notify();
+        self.news.notify();
+    }
+
+    fn vote_request(state: &State, pre_vote: bool) -> VoteRequest {
+        VoteRequest {
+            from: state.hard.identity.clone(),
+            term: state.hard.term + u64::from(pre_vote),
+            last_index: state.log.last(),
+            last_term: state.log.last_term(),
+            pre_vote,
+        }
+    }
+
+    async fn campaign(&self) {
+        self.saved().await;
+        if !self.lacks(Mechanism::PreVote) {
+            let request = Self::vote_request(&self.state.borrow(), true);
+            let start = self.environment.now();
+            if !self.poll(&request).await {
+                return;
+            }
+            let state = self.state.borrow();
+            let heard = state.heard.is_some_and(|heard| heard >= start);
+            if heard || state.hard.term + 1 != request.term || state.hard.identity != request.from {
+                return;
+            }
+        }
+        let request = {
+            let mut state = self.state.borrow_mut();
+            state.hard.term += 1;
+            state.hard.vote = Some(self.options.name.clone());
+            state.touch();
+            state.role = Role::Candidate;
+            state.leader = None;
+            Self::vote_request(&state, false)
+        };
+        self.signal.notify();
+        self.saved().await;
+        if self.poll(&request).await {
+            self.lead(&request);
+        }
+    }
+
+    /// Collects votes; true when a majority granted them.
+    async fn poll(&self, request: &VoteRequest) -> bool {
+        let all = self.lacks(Mechanism::LearnerExclusion);
+        let (mut votes, majority, others) = {
+            let state = self.state.borrow();
+            let others: Vec<_> = state.peers.keys().cloned().collect();
+            (
+                usize::from(all || state.is_voter()),
+                state.majority(),
+                others,
+            )
+        };
+        let mut calls: FuturesUnordered<_> = others
+            .iter()
+            .map(|to| {
+                self.environment
+                    .network()
+                    .vote(to, request.clone(), self.tuning.call)
+            })
+            .collect();
+        while votes < majority {
+            let reply = match calls.next().await {
+                None => return false,
+                Some(Err(_lost)) => continue,
+                Some(Ok(reply)) => reply,
+            };
+            if reply.stale {
+                self.demote(&request.from);
+                return false;
+            }
+            if !self.hear(&reply.from).await {
+                continue;
+            }
+            let mut state = self.state.borrow_mut();
+            if reply.term > state.hard.term && !(request.pre_vote && reply.granted) {
+                state.adopt(reply.term);
+                drop(state);
+                self.signal.notify();
+                return false;
+            }
+            let counts = all || state.counts(&reply.from.host, reply.from.incarnation);
+            votes += usize::from(reply.granted && counts);
+        }
+        true
+    }
+
+    fn lead(&self, request: &VoteRequest) {
+        {
+            let mut state = self.state.borrow_mut();
+            let valid = state.role == Role::Candidate
+                && state.hard.term == request.term
+                && state.hard.identity == request.from;
+            if !valid {
+                return;
+            }
+            info!(self.options.log, "leading"; "term" => request.term);
+            state.role = Role::Leader;
+            state.leader = Some(self.options.name.clone());
+            let next = state.log.last() + 1;
+            let now = self.environment.now();
+            for progress in state.peers.values_mut() {
+                progress.next = next;
+                progress.matched = 0;
+                progress.round = 0;
+                progress.sent_round = 0;
+                progress.sent_commit = 0;
+                progress.sent = None;
+                progress.contact = Some(now);
+                progress.asked = None;
+            }
+            state.round += 1;
+            state.first = state.lead_entry(&Payload::Noop);
+        };
+        self.signal.notify();
+        self.news.notify();
+    }
+}
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -1,1 +1,35 @@
-//! Agreement protocol and durable log of the control hosts.
+//! Consensus protocol and durable log of the control hosts.
+//!
+//! A [`Node`] is one control host. It elects a leader among the configured hosts, replicates a log
+//! of opaque payloads to them, and applies committed entries to a [`Machine`] in log order. Every
+//! vote and entry is synced to disk before it is answered. A host that lost its disk, or that runs
+//! on an outdated one, is a learner until a committed entry readmits it.
+//!
+//! All tasks of a node run on the thread that started it.
+
+mod codec;
+mod election;
+pub mod environment;
+pub mod error;
+mod files;
+mod handle;
+mod hard;
+mod host;
+mod log;
+pub mod message;
+pub mod node;
+mod recover;
+mod replicate;
+mod rpc;
+mod signal;
+mod state;
+mod writer;
+
+pub use codec::{Frame, LogFile, parse_log};
+pub use error::{BarrierError, ProposeError, StartError};
+pub use files::{Directory, format};
+pub use hard::Hard;
+pub use host::Host;
+pub use log::Entry;
+pub use node::{Machine, Node, Options, Safety, Tuning};
+pub use rpc::Remote;
--- /dev/null
+++ b/crates/agree/src/log.rs
@@ -0,0 +1,175 @@
+//! Log entries in memory and the kinds of their payloads.
+
+use std::{collections::VecDeque, rc::Rc};
+
+use base::HostName;
+
+/// One entry of the replicated log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Position in the log, from 1.
+    pub index: u64,
+    /// Term of the leader that created the entry.
+    pub term: u64,
+    /// Kind byte followed by the content.
+    pub payload: Rc<[u8]>,
+}
+
+const NOOP: u8 = 0;
+const READMIT: u8 = 1;
+const COMMAND: u8 = 2;
+
+/// Content of an entry.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Payload<'a> {
+    /// Entry at the start of a leadership.
+    Noop,
+    /// The named host is a voter with this incarnation from here on.
+    Readmit(HostName, u64),
+    /// Command for the machine.
+    Command(&'a [u8]),
+    /// Kind that this version does not know.
+    Unknown,
+}
+
+impl Payload<'_> {
+    pub fn parse(bytes: &[u8]) -> Payload<'_> {
+        match bytes.split_first() {
+            Some((&NOOP, _)) => Payload::Noop,
+            Some((&COMMAND, rest)) => Payload::Command(rest),
+            Some((&READMIT, rest)) => readmit(rest).unwrap_or(Payload::Unknown),
+            _ => Payload::Unknown,
+        }
+    }
+
+    pub fn encode(&self) -> Rc<[u8]> {
+        let mut bytes = Vec::new();
+        match self {
+            Self::Noop | Self::Unknown => bytes.push(NOOP),
+            Self::Readmit(name, incarnation) => {
+                bytes.push(READMIT);
+                bytes.extend(incarnation.to_le_bytes());
+                bytes.extend(name.as_bytes());
+            }
+            Self::Command(content) => {
+                bytes.reserve_exact(content.len() + 1);
+                bytes.push(COMMAND);
+                bytes.extend(*content);
+            }
+        }
+        bytes.into()
+    }
+}
+
+fn readmit(bytes: &[u8]) -> Option<Payload<'static>> {
+    let (incarnation, name) = bytes.split_first_chunk()?;
+    let name = std::str::from_utf8(name).ok()?;
+    Some(Payload::Readmit(
+        name.to_owned(),
+        u64::from_le_bytes(*incarnation),
+    ))
+}
+
+/// Consecutive entries after a snapshot.
+#[derive(Debug, Default)]
+pub struct Log {
+    /// Index and term of the entry before the first one held.
+    base: (u64, u64),
+    entries: VecDeque<Entry>,
+    bytes: usize,
+}
+
+impl Log {
+    pub fn new(base: (u64, u64)) -> Self {
+        Self {
+            base,
+            ..Self::default()
+        }
+    }
+
+    /// Index of the last entry, held or not.
+    pub fn last(&self) -> u64 {
+        self.base.0 + self.entries.len() as u64
+    }
+
+    /// Index of the first entry that is held.
+    pub const fn first(&self) -> u64 {
+        self.base.0 + 1
+    }
+
+    pub fn last_term(&self) -> u64 {
+        self.entries.back().map_or(self.base.1, |entry| entry.term)
+    }
+
+    /// Size of the payloads held.
+    pub const fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    fn slot(&self, index: u64) -> Option<usize> {
+        let slot = index.checked_sub(self.first())?;
+        usize::try_from(slot)
+            .ok()
+            .filter(|slot| *slot < self.entries.len())
+    }
+
+    pub fn get(&self, index: u64) -> Option<&Entry> {
+        self.entries.get(self.slot(index)?)
+    }
+
+    /// Term of an entry, if it is held or directly before the first one held.
+    pub fn term(&self, index: u64) -> Option<u64> {
+        if index == self.base.0 {
+            return Some(self.base.1);
+        }
+        self.get(index).map(|entry| entry.term)
+    }
+
+    /// Appends the entry that follows the last one.
+    pub fn push(&mut self, entry: Entry) {
+        assert_eq!(entry.index, self.last() + 1, "log entries are consecutive");
+        self.bytes += entry.payload.len();
+        self.entries.push_back(entry);
+    }
+
+    /// Drops all entries after `index`.
+    pub fn truncate(&mut self, index: u64) {
+        while self.last() > index {
+            let Some(entry) = self.entries.pop_back() else {
+                return;
+            };
+            self.bytes -= entry.payload.len();
+        }
+    }
+
+    /// Drops all entries up to `index`.
+    pub fn compact(&mut self, index: u64) {
+        while self.base.0 < index {
+            let Some(entry) = self.entries.pop_front() else {
+                return;
+            };
+            self.bytes -= entry.payload.len();
+            self.base = (entry.index, entry.term);
+        }
+    }
+
+    /// Entries from `index` on, up to about `limit` bytes, at least one if there is one.
+    pub fn batch(&self, index: u64, limit: usize) -> Vec<Entry> {
+        let Some(start) = self.slot(index) else {
+            return Vec::new();
+        };
+        let mut size = 0;
+        let mut batch = Vec::new();
+        for entry in self.entries.range(start..) {
+            if !batch.is_empty() && size + entry.payload.len() > limit {
+                break;
+            }
+            size += entry.payload.len() + ENTRY_OVERHEAD;
+            batch.push(entry.clone());
+        }
+        batch
+    }
+}
+
+/// Bytes of an entry beside its payload, in the file and in a message.
+const ENTRY_OVERHEAD: usize = 32;
--- /dev/null
+++ b/crates/agree/src/node.rs
@@ -0,0 +1,764 @@
+//! A control host in the agreement.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    fmt,
+    net::{IpAddr, SocketAddr},
+    path::PathBuf,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::HostName;
+use futures_channel::oneshot;
+use futures_util::{
+    FutureExt as _,
+    future::{AbortHandle, Either, abortable, select},
+};
+use serde_json::json;
+use slog::{Logger, info, warn};
+
+use crate::{
+    codec::{Members, Snapshot},
+    environment::{CallError, Environment, Network as _},
+    error::{BarrierError, ProposeError, StartError},
+    hard::Hard,
+    host::Host,
+    log::Payload,
+    message::{Identity, ProposeReply},
+    recover::recover,
+    signal::Signal,
+    state::{Image, Progress, Role, State, Waiter},
+};
+
+/// State machine that every host applies the same commands to.
+pub trait Machine: 'static {
+    /// Applies a committed command and returns its answer. Must be deterministic.
+    fn apply(&mut self, index: u64, payload: &[u8]) -> Vec<u8>;
+    /// The whole state.
+    fn snapshot(&self) -> Vec<u8>;
+    /// Replaces the whole state.
+    fn restore(&mut self, bytes: &[u8]);
+}
+
+/// Settings of a node.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of this host.
+    pub name: HostName,
+    /// Every control host, this one included.
+    pub peers: Vec<(HostName, SocketAddr)>,
+    /// Source address of outgoing connections.
+    pub host: IpAddr,
+    /// Data directory.
+    pub data: PathBuf,
+    /// Logger.
+    pub log: Logger,
+}
+
+/// Safety mechanism that a test can switch off to show that its checks find the fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mechanism {
+    /// Learners count for nothing.
+    LearnerExclusion,
+    /// A learner is readmitted only when it holds what was committed when it asked.
+    CatchUp,
+    /// Outdated disks are detected by boot number and nonce.
+    BootCheck,
+    /// Only entries of the leader's own term are committed by counting.
+    OwnTerm,
+    /// A vote goes only to a candidate whose log is at least as new.
+    LogCheck,
+    /// A term starts only after a majority would vote for the candidate.
+    PreVote,
+    /// A leader that hears no majority steps down.
+    QuorumCheck,
+    /// A strong read waits for a heartbeat round.
+    ReadRound,
+    /// Votes and entries are synced before they are answered.
+    Sync,
+}
+
+/// Mechanisms that are switched off. Empty outside tests.
+pub type Safety = Vec<Mechanism>;
+
+/// Times and sizes of the protocol.
+#[derive(Debug, Clone)]
+pub struct Tuning {
+    /// Bounds of the randomised election timeout.
+    pub election: (Duration, Duration),
+    /// Interval of heartbeats.
+    pub heartbeat: Duration,
+    /// Deadline of a vote or append call. Below the election timeout, so that one lost message
+    /// does not cause an election.
+    pub call: Duration,
+    /// Deadline of one snapshot chunk.
+    pub transfer: Duration,
+    /// Deadline of a proposal or barrier.
+    pub propose: Duration,
+    /// Payload bytes applied between two snapshots; at least the size of the last snapshot.
+    pub compact: usize,
+    /// Entries kept before the snapshot for followers that are slightly behind.
+    pub keep: u64,
+    /// Payload bytes in one append call: about 70 ms on the link between regions.
+    pub batch: usize,
+    /// Bytes in one snapshot chunk.
+    pub chunk: usize,
+    /// Mechanisms that are switched off, in tests only.
+    pub without: Safety,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            election: (Duration::from_millis(600), Duration::from_millis(1_200)),
+            heartbeat: Duration::from_millis(150),
+            call: Duration::from_millis(500),
+            transfer: Duration::from_secs(5),
+            propose: Duration::from_secs(3),
+            compact: 4 << 20,
+            keep: 256,
+            batch: 256 << 10,
+            chunk: 256 << 10,
+            without: Vec::new(),
+        }
+    }
+}
+
+/// Largest payload of a proposal. A message of the RPC layer may have 64 MiB.
+pub const PAYLOAD_MAX: usize = 16 << 20;
+
+/// One control host. Its tasks run on the thread that started it until it stops or fails.
+pub struct Node<M, E: Environment = Host> {
+    pub(crate) options: Options,
+    pub(crate) tuning: Tuning,
+    pub(crate) environment: E,
+    pub(crate) machine: Rc<RefCell<M>>,
+    pub(crate) state: RefCell<State>,
+    /// Any change of `state` that a task may wait for.
+    pub(crate) signal: Signal,
+    /// Newly applied entries and changes of leadership.
+    pub(crate) news: Signal,
+    tasks: RefCell<Vec<AbortHandle>>,
+}
+
+impl<M, E: Environment> fmt::Debug for Node<M, E> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Node")
+            .field("name", &self.options.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl<M: Machine> Node<M> {
+    /// Recovers the data directory and starts the tasks of the node. The machine must be empty.
+    ///
+    /// # Errors
+    /// The options are wrong, or the data directory is in use, damaged or of another host.
+    pub fn start(options: Options, machine: Rc<RefCell<M>>) -> Result<Rc<Self>, StartError> {
+        let host = Host::open(&options)?;
+        Self::launch(options, Tuning::default(), host, machine)
+    }
+}
+
+impl<M: Machine, E: Environment> Node<M, E> {
+    /// Starts a node in the given surroundings.
+    ///
+    /// # Errors
+    /// The options are wrong, or the data directory is damaged or of another host.
+    pub fn launch(
+        options: Options,
+        tuning: Tuning,
+        environment: E,
+        machine: Rc<RefCell<M>>,
+    ) -> Result<Rc<Self>, StartError> {
+        let state = prepare(&options, &environment, &machine)?;
+        let node = Rc::new(Self {
+            options,
+            tuning,
+            environment,
+            machine,
+            state: RefCell::new(state),
+            signal: Signal::default(),
+            news: Signal::default(),
+            tasks: RefCell::default(),
+        });
+        let commit = std::mem::take(&mut node.state.borrow_mut().commit);
+        node.advance(commit);
+        node.run(Rc::clone(&node).write());
+        node.run(Rc::clone(&node).elect());
+        let others: Vec<_> = node.state.borrow().peers.keys().cloned().collect();
+        for peer in others {
+            node.run(Rc::clone(&node).replicate(peer));
+        }
+        Ok(node)
+    }
+
+    fn run(&self, task: impl Future<Output = ()> + 'static) {
+        let (task, handle) = abortable(task);
+        self.tasks.borrow_mut().push(handle);
+        self.environment.spawn(task.map(drop).boxed_local());
+    }
+
+    /// Proposes a command on the leader. Returns its log index and the machine's answer once it is
+    /// applied on this host.
+    ///
+    /// # Errors
+    /// This host is not the leader, or the outcome did not become known in time.
+    pub async fn propose(&self, payload: Vec<u8>) -> Result<(u64, Vec<u8>), ProposeError> {
+        if payload.len() > PAYLOAD_MAX {
+            return Err(ProposeError::Lost);
+        }
+        let (index, answer) = {
+            let mut state = self.state.borrow_mut();
+            if state.role != Role::Leader || state.stopping {
+                return Err(ProposeError::NotLeader(state.leader.clone()));
+            }
+            let index = state.lead_entry(&Payload::Command(&payload));
+            let (sender, answer) = oneshot::channel();
+            let term = state.hard.term;
+            state.waiting.insert(
+                index,
+                Waiter {
+                    term,
+                    answer: sender,
+                },
+            );
+            (index, answer)
+        };
+        self.signal.notify();
+        match self.within(self.tuning.propose, answer).await {
+            Some(Ok(Some(answer))) => Ok((index, answer)),
+            Some(Ok(None)) => Err(ProposeError::Lost),
+            Some(Err(_)) | None => Err(ProposeError::Unknown),
+        }
+    }
+
+    /// Proposes a command here or on the leader that this host knows.
+    ///
+    /// # Errors
+    /// No leader is known, or the outcome did not become known in time.
+    pub async fn forward(&self, payload: Vec<u8>) -> Result<(u64, Vec<u8>), ProposeError> {
+        let other = {
+            let state = self.state.borrow();
+            state.leader.clone().filter(|_| state.role != Role::Leader)
+        };
+        let Some(leader) = other else {
+            return self.propose(payload).await;
+        };
+        // The leader gives up after `propose`; its answer needs some time on top.
+        let timeout = self.tuning.propose + self.tuning.call;
+        match self
+            .environment
+            .network()
+            .propose(&leader, payload, timeout)
+            .await
+        {
+            Ok(reply) if reply.accepted => Ok((reply.index, reply.answer)),
+            Ok(reply) => Err(ProposeError::NotLeader(
+                Some(reply.leader).filter(|name| !name.is_empty()),
+            )),
+            Err(CallError::Unsent) => Err(ProposeError::NotLeader(None)),
+            Err(CallError::Unanswered) => Err(ProposeError::Unknown),
+        }
+    }
+
+    /// Handles `Peer.propose`. Nothing means that the outcome is unknown; the server answers the
+    /// call with an error then.
+    pub async fn on_propose(&self, payload: Vec<u8>) -> Option<ProposeReply> {
+        let refused = |leader: Option<HostName>| ProposeReply {
+            accepted: false,
+            index: 0,
+            answer: Vec::new(),
+            leader: leader.unwrap_or_default(),
+        };
+        match self.propose(payload).await {
+            Ok((index, answer)) => Some(ProposeReply {
+                accepted: true,
+                index,
+                answer,
+                leader: self.options.name.clone(),
+            }),
+            Err(ProposeError::NotLeader(leader)) => Some(refused(leader)),
+            Err(ProposeError::Lost) => Some(refused(None)),
+            Err(ProposeError::Unknown) => None,
+        }
+    }
+
+    /// Strong read point: when it completes, everything that was committed before the call is
+    /// applied here, and this host was the leader during the call. Returns the applied index.
+    ///
+    /// # Errors
+    /// This host is not the leader, or no majority answered a heartbeat in time.
+    pub async fn barrier(&self) -> Result<u64, BarrierError> {
+        let (term, round, first) = {
+            let mut state = self.state.borrow_mut();
+            if state.role != Role::Leader {
+                return Err(BarrierError::NotLeader(state.leader.clone()));
+            }
+            state.round += 1;
+            (state.hard.term, state.round, state.first)
+        };
+        self.signal.notify();
+        let all = self.lacks(Mechanism::LearnerExclusion);
+        let skip = self.lacks(Mechanism::ReadRound);
+        let passed = self.until(|state| {
+            if state.role != Role::Leader || state.hard.term != term {
+                return Some(Err(BarrierError::NotLeader(state.leader.clone())));
+            }
+            // Entries of earlier terms are known to be committed once one of this term is.
+            let heard = skip || state.agreed(round, |peer| peer.round, all) >= Some(round);
+            (heard && state.commit >= first).then_some(Ok(state.commit))
+        });
+        let index = self
+            .within(self.tuning.propose, passed)
+            .await
+            .unwrap_or(Err(BarrierError::NoMajority))?;
+        self.until(|state| (state.applied >= index).then_some(()))
+            .await;
+        Ok(index)
+    }
+
+    /// Whether this host leads and heard from a majority recently enough that no other host can
+    /// have been elected in the meantime, except over a clock jump. Use [`Node::barrier`] where
+    /// this must be certain.
+    pub fn is_leader(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        state.role == Role::Leader
+            && (self.lacks(Mechanism::QuorumCheck)
+                || self
+                    .quorum_contact(&state, now)
+                    .is_some_and(|contact| now.duration_since(contact) < self.tuning.election.0))
+    }
+
+    /// Leader that this host knows.
+    pub fn leader(&self) -> Option<HostName> {
+        self.state.borrow().leader.clone()
+    }
+
+    /// Index of the last applied entry.
+    pub fn applied(&self) -> u64 {
+        self.state.borrow().applied
+    }
+
+    /// Index of the last entry on disk.
+    pub fn stored(&self) -> u64 {
+        self.state.borrow().stored
+    }
+
+    /// Time since a leader was heard; on the leader, since a majority was. A leader without a
+    /// majority steps down, so the value can be too low by at most the election timeout.
+    pub fn contact(&self, now: Instant) -> Option<Duration> {
+        let state = self.state.borrow();
+        let contact = if state.role == Role::Leader {
+            self.quorum_contact(&state, now)
+        } else {
+            state.heard
+        };
+        contact.map(|contact| now.saturating_duration_since(contact))
+    }
+
+    /// Newest term that this host knows.
+    pub fn term(&self) -> u64 {
+        self.state.borrow().hard.term
+    }
+
+    /// Whether this host has no vote and waits to be readmitted.
+    pub fn is_learner(&self) -> bool {
+        !self.state.borrow().is_voter()
+    }
+
+    /// Why the node stopped taking part, after a disk error.
+    pub fn failure(&self) -> Option<String> {
+        self.state.borrow().failure.clone()
+    }
+
+    /// Completes when an entry is applied or the leadership changes after this call.
+    pub fn changed(&self) -> impl Future<Output = ()> + '_ {
+        self.news.changed()
+    }
+
+    /// State for operators.
+    pub fn dump(&self) -> serde_json::Value {
+        let now = self.environment.now();
+        let contact = self.contact(now).map(|since| since.as_millis());
+        let state = self.state.borrow();
+        let identity = &state.hard.identity;
+        let peers: serde_json::Map<_, _> = state
+            .peers
+            .iter()
+            .map(|(name, peer)| {
+                let since = peer
+                    .contact
+                    .map(|at| now.saturating_duration_since(at).as_millis());
+                let value = json!({
+                    "next": peer.next,
+                    "matched": peer.matched,
+                    "contact_ms": since,
+                    "identity": peer.identity,
+                    "waiting_for": peer.asked,
+                });
+                (name.clone(), value)
+            })
+            .collect();
+        json!({
+            "name": identity.host,
+            "incarnation": identity.incarnation,
+            "boot": identity.boot,
+            "learner": !state.is_voter(),
+            "role": format!("{:?}", state.role).to_lowercase(),
+            "term": state.hard.term,
+            "vote": state.hard.vote,
+            "leader": state.leader,
+            "contact_ms": contact,
+            "first": state.log.first(),
+            "last": state.log.last(),
+            "stored": state.stored,
+            "commit": state.commit,
+            "applied": state.applied,
+            "snapshot": state.image.index,
+            "log_bytes": state.log.bytes(),
+            "waiting": state.waiting.len(),
+            "members": state.members,
+            "seen": state.hard.seen,
+            "peers": peers,
+            "failure": state.failure,
+        })
+    }
+
+    /// Writes what is waiting to disk and ends all tasks. Proposals without an answer end with
+    /// [`ProposeError::Unknown`].
+    pub async fn stop(&self) {
+        self.state.borrow_mut().stopping = true;
+        self.signal.notify();
+        let closed = self.until(|state| state.closed.then_some(()));
+        let finished = self.within(self.tuning.propose, closed).await;
+        if finished.is_none() {
+            warn!(self.options.log, "stopped before the disk finished a write");
+        }
+        self.abort();
+        let mut state = self.state.borrow_mut();
+        state.step_down();
+        state.waiting.clear();
+        drop(state);
+        self.news.notify();
+    }
+
+    /// Ends all tasks at once, as a crash would.
+    pub fn abort(&self) {
+        for task in self.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+    }
+
+    pub(crate) fn lacks(&self, mechanism: Mechanism) -> bool {
+        self.tuning.without.contains(&mechanism)
+    }
+
+    /// Waits until the state satisfies a condition.
+    pub(crate) async fn until<T>(&self, mut found: impl FnMut(&mut State) -> Option<T>) -> T {
+        loop {
+            let changed = self.signal.changed();
+            if let Some(value) = found(&mut self.state.borrow_mut()) {
+                return value;
+            }
+            changed.await;
+        }
+    }
+
+    /// The value of `task`, or nothing after `duration`.
+    pub(crate) async fn within<T>(
+        &self,
+        duration: Duration,
+        task: impl Future<Output = T>,
+    ) -> Option<T> {
+        let sleep = std::pin::pin!(self.environment.sleep(duration));
+        match select(std::pin::pin!(task), sleep).await {
+            Either::Left((value, _)) => Some(value),
+            Either::Right(_) => None,
+        }
+    }
+
+    /// When a majority was last in contact with this leader.
+    pub(crate) fn quorum_contact(&self, state: &State, now: Instant) -> Option<Instant> {
+        let all = self.lacks(Mechanism::LearnerExclusion);
+        state.agreed(Some(now), |peer| peer.contact, all).flatten()
+    }
+
+    /// Draws the time of the next election.
+    pub(crate) fn postpone(&self, state: &mut State) {
+        let (low, high) = self.tuning.election;
+        let span = u64::try_from(high.checked_sub(low).unwrap().as_micros())
+            .unwrap_or(u64::MAX)
+            .max(1);
+        let extra = Duration::from_micros(self.environment.random() % span);
+        state.deadline = self.environment.now() + low + extra;
+    }
+
+    /// Compares a sender with the newest boot seen. False means that it has an outdated disk.
+    pub(crate) async fn hear(&self, from: &Identity) -> bool {
+        if self.lacks(Mechanism::BootCheck) {
+            return true;
+        }
+        let verdict = {
+            let mut state = self.state.borrow_mut();
+            let verdict = state.hard.judge(from);
+            if verdict == crate::hard::Verdict::Newer {
+                state.touch();
+            }
+            verdict
+        };
+        self.signal.notify();
+        self.saved().await;
+        verdict != crate::hard::Verdict::Stale
+    }
+
+    /// Becomes a learner because a peer has seen a newer boot than the one it was sent. The log is
+    /// kept: the leader replaces whatever differs, and nothing in it counts until readmission.
+    pub(crate) fn demote(&self, sent: &Identity) {
+        {
+            let mut state = self.state.borrow_mut();
+            if state.hard.identity != *sent {
+                return;
+            }
+            warn!(
+                self.options.log,
+                "the disk is older than what a peer has seen; asking to be readmitted as a learner"
+            );
+            state.hard.identity.incarnation = incarnation(self.environment.random());
+            state.hard.identity.boot = 1;
+            state.hard.identity.nonce = self.environment.random();
+            state.touch();
+            state.step_down();
+        };
+        self.signal.notify();
+        self.news.notify();
+    }
+
+    /// Applies entries up to a new commit index.
+    pub(crate) fn advance(&self, commit: u64) {
+        let mut outdated = None;
+        {
+            let mut state = self.state.borrow_mut();
+            state.commit = state.commit.max(commit.min(state.log.last()));
+        };
+        let mut progress = false;
+        loop {
+            let entry = {
+                let state = self.state.borrow();
+                if state.applied >= state.commit {
+                    break;
+                }
+                state.log.get(state.applied + 1).cloned()
+            };
+            let Some(entry) = entry else {
+                self.fail("a committed log entry is missing in memory".into());
+                return;
+            };
+            let mut answer = Vec::new();
+            match Payload::parse(&entry.payload) {
+                Payload::Noop => {}
+                Payload::Command(command) => {
+                    answer = self.machine.borrow_mut().apply(entry.index, command);
+                }
+                Payload::Readmit(name, number) => {
+                    outdated = self.readmitted(&name, number).or(outdated);
+                }
+                Payload::Unknown => {
+                    self.fail(format!("log entry {} is of an unknown kind; install the version that the other hosts run", entry.index));
+                    return;
+                }
+            }
+            let mut state = self.state.borrow_mut();
+            state.readmits.remove(&entry.index);
+            state.applied = entry.index;
+            state.since += entry.payload.len();
+            if let Some(waiter) = state.waiting.remove(&entry.index) {
+                let same = waiter.term == entry.term;
+                // The proposer may have given up.
+                let _sent = waiter.answer.send(same.then_some(answer));
+            }
+            progress = true;
+        }
+        if progress {
+            self.compact();
+            self.signal.notify();
+            self.news.notify();
+        }
+        if let Some(identity) = outdated {
+            self.demote(&identity);
+        }
+    }
+
+    /// Records a readmission. Returns this host's identity if another disk took its place.
+    fn readmitted(&self, name: &str, incarnation: u64) -> Option<Identity> {
+        let mut state = self.state.borrow_mut();
+        let former = state.members.insert(name.to_owned(), incarnation);
+        info!(self.options.log, "host readmitted"; "host" => name, "incarnation" => incarnation);
+        let identity = &state.hard.identity;
+        let replaced = identity.host == name
+            && former == Some(identity.incarnation)
+            && incarnation != identity.incarnation;
+        replaced.then(|| identity.clone())
+    }
+
+    /// Replaces the applied part of the log by a snapshot when enough was applied.
+    fn compact(&self) {
+        let mut state = self.state.borrow_mut();
+        if state.since <= self.tuning.compact.max(state.image.bytes.len()) {
+            return;
+        }
+        let Some(term) = state.log.term(state.applied) else {
+            return;
+        };
+        let snapshot = Snapshot {
+            index: state.applied,
+            term,
+            members: state.members.clone(),
+            machine: self.machine.borrow().snapshot(),
+        };
+        state.image = Image {
+            index: snapshot.index,
+            term,
+            bytes: snapshot.encode().into(),
+        };
+        state.since = 0;
+        let keep = state.applied.saturating_sub(self.tuning.keep);
+        state.log.compact(keep);
+    }
+
+    /// Commits what a majority has on disk.
+    pub(crate) fn settle(&self) {
+        loop {
+            let commit = {
+                let state = self.state.borrow();
+                if state.role != Role::Leader {
+                    return;
+                }
+                let all = self.lacks(Mechanism::LearnerExclusion);
+                let agreed = state
+                    .agreed(state.stored, |peer| peer.matched, all)
+                    .unwrap_or(0);
+                let own = self.lacks(Mechanism::OwnTerm)
+                    || state.log.term(agreed) == Some(state.hard.term);
+                if agreed <= state.commit || !own {
+                    return;
+                }
+                agreed
+            };
+            // A readmission that is applied here changes who counts.
+            self.advance(commit);
+        }
+    }
+}
+
+/// Incarnation 0 is reserved for founding hosts.
+const fn incarnation(random: u64) -> u64 {
+    if random == 0 { 1 } else { random }
+}
+
+fn prepare<M: Machine, E: Environment>(
+    options: &Options,
+    environment: &E,
+    machine: &Rc<RefCell<M>>,
+) -> Result<State, StartError> {
+    let mut peers = BTreeMap::new();
+    let mut members = Members::new();
+    for (name, _address) in &options.peers {
+        if members.insert(name.clone(), 0).is_some() {
+            return Err(StartError::Options(format!(
+                "control host `{name}` is listed twice; list each host once"
+            )));
+        }
+        peers.insert(name.clone(), Progress::default());
+    }
+    if peers.remove(&options.name).is_none() {
+        return Err(StartError::Options(format!(
+            "`{}` is not among the control hosts; list every control host, this one included",
+            options.name
+        )));
+    }
+    let found = recover(environment.disk(), &options.data)?;
+    if found.torn {
+        warn!(
+            options.log,
+            "dropping a record that was not written completely before the last stop"
+        );
+    }
+    let fresh = found.hard.is_none();
+    let mut hard = found
+        .hard
+        .unwrap_or_else(|| Hard::new(options.name.clone(), incarnation(environment.random())));
+    if hard.identity.host != options.name {
+        return Err(StartError::Options(format!(
+            "the data directory {} belongs to control host `{}`, not `{}`; correct `name` or `data`",
+            options.data.display(),
+            hard.identity.host,
+            options.name
+        )));
+    }
+    if fresh {
+        warn!(
+            options.log,
+            "empty data directory: starting as a learner until readmitted; founding hosts are formatted with `--format` first"
+        );
+    }
+    hard.identity.boot += 1;
+    hard.identity.nonce = environment.random();
+    let mut image = Image::default();
+    if let Some((snapshot, bytes)) = found.snapshot {
+        machine.borrow_mut().restore(&snapshot.machine);
+        for (name, incarnation) in &snapshot.members {
+            if let Some(known) = members.get_mut(name) {
+                *known = *incarnation;
+            }
+        }
+        image = Image {
+            index: snapshot.index,
+            term: snapshot.term,
+            bytes,
+        };
+    }
+    let mut readmits = BTreeMap::new();
+    for index in found.log.first().max(image.index + 1)..=found.log.last() {
+        let payload = found
+            .log
+            .get(index)
+            .map(|entry| Payload::parse(&entry.payload));
+        if let Some(Payload::Readmit(name, incarnation)) = payload {
+            readmits.insert(index, (name, incarnation));
+        }
+    }
+    let now = environment.now();
+    Ok(State {
+        hard,
+        changes: 1,
+        saved: 0,
+        log: found.log,
+        image_saved: image.index,
+        // Writing the log anew syncs what a killed process wrote last and drops a torn end.
+        rewrite: true,
+        stored: 0,
+        floor: u64::MAX,
+        recorded: 0,
+        commit: found.commit,
+        applied: image.index,
+        image,
+        since: 0,
+        members,
+        readmits,
+        role: Role::Follower,
+        leader: None,
+        heard: None,
+        deadline: now,
+        peers,
+        round: 0,
+        first: 0,
+        waiting: BTreeMap::new(),
+        incoming: None,
+        failure: None,
+        stopping: false,
+        closed: false,
+    })
+}
--- /dev/null
+++ b/crates/agree/src/recover.rs
@@ -0,0 +1,133 @@
+//! Reads the data directory at start.
+
+use std::{path::Path, rc::Rc};
+
+use crate::{
+    codec::{Snapshot, parse_log},
+    environment::{Disk, File},
+    error::StartError,
+    hard::Hard,
+    log::{Entry, Log},
+};
+
+pub struct Recovered {
+    /// Absent on an empty data directory.
+    pub hard: Option<Hard>,
+    pub snapshot: Option<(Snapshot, Rc<[u8]>)>,
+    pub log: Log,
+    pub commit: u64,
+    /// Whether the log ended with a torn frame.
+    pub torn: bool,
+}
+
+fn corrupt(file: File) -> impl Fn(String) -> StartError {
+    move |cause| StartError::Corrupt {
+        file: file.name().to_owned(),
+        cause,
+    }
+}
+
+pub fn recover(disk: &impl Disk, data: &Path) -> Result<Recovered, StartError> {
+    let read = |file: File| {
+        disk.read(file).map_err(|cause| StartError::Disk {
+            path: data.join(file.name()),
+            cause,
+        })
+    };
+    let (state, image, bytes) = (read(File::State)?, read(File::Snapshot)?, read(File::Log)?);
+    let Some(state) = state else {
+        if image.is_some() || bytes.is_some() {
+            return Err(corrupt(File::State)(
+                "the file is missing beside a log".into(),
+            ));
+        }
+        return Ok(Recovered {
+            hard: None,
+            snapshot: None,
+            log: Log::default(),
+            commit: 0,
+            torn: false,
+        });
+    };
+    let hard = Hard::decode(&state).map_err(corrupt(File::State))?;
+    let snapshot = match image {
+        None => None,
+        Some(image) => {
+            let snapshot = Snapshot::decode(&image).map_err(corrupt(File::Snapshot))?;
+            Some((snapshot, Rc::from(image)))
+        }
+    };
+    let base = snapshot
+        .as_ref()
+        .map_or((0, 0), |(found, _)| (found.index, found.term));
+    let file = parse_log(&bytes.unwrap_or_default()).map_err(corrupt(File::Log))?;
+    let mut commit = base.0;
+    let mut entries: Vec<Entry> = Vec::new();
+    for frame in file.frames {
+        commit = commit.max(frame.commit);
+        replay(&mut entries, frame.entries).map_err(corrupt(File::Log))?;
+    }
+    let log = join(base, entries).map_err(corrupt(File::Log))?;
+    if log.last_term() > hard.term {
+        let cause = "it is older than the log, so a vote may be lost".to_owned();
+        return Err(corrupt(File::State)(cause));
+    }
+    Ok(Recovered {
+        hard: Some(hard),
+        commit: commit.min(log.last()),
+        snapshot,
+        log,
+        torn: file.torn,
+    })
+}
+
+/// Applies one write: its entries replace everything from the first of them on.
+fn replay(entries: &mut Vec<Entry>, written: Vec<Entry>) -> Result<(), String> {
+    let (Some(first), Some(begin)) = (written.first(), entries.first()) else {
+        entries.extend(written);
+        return Ok(());
+    };
+    let end = begin.index + entries.len() as u64;
+    if first.index > end {
+        return Err(format!("entries {end} to {} are missing", first.index - 1));
+    }
+    let keep = first.index.saturating_sub(begin.index);
+    entries.truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+    entries.extend(written);
+    Ok(())
+}
+
+/// Attaches the log to the snapshot.
+fn join(base: (u64, u64), entries: Vec<Entry>) -> Result<Log, String> {
+    let Some(first) = entries.first() else {
+        return Ok(Log::new(base));
+    };
+    if first.index > base.0 + 1 {
+        return Err(format!(
+            "entries {} to {} are missing",
+            base.0 + 1,
+            first.index - 1
+        ));
+    }
+    let follows = first.index == base.0 + 1;
+    let matches = entries
+        .iter()
+        .any(|entry| entry.index == base.0 && entry.term == base.1);
+    if !follows && !matches {
+        // A snapshot from the leader replaced this log, and the process ended before the log file
+        // was written anew.
+        return Ok(Log::new(base));
+    }
+    // The term before the first entry is only known from the snapshot.
+    let mut entries = entries.into_iter();
+    let start = if follows {
+        Some(base)
+    } else {
+        entries.next().map(|entry| (entry.index, entry.term))
+    };
+    let mut log = Log::new(start.unwrap_or(base));
+    for entry in entries {
+        log.push(entry);
+    }
+    Ok(log)
+}
--- /dev/null
+++ b/crates/agree/src/rpc.rs
@@ -0,0 +1,168 @@
+//! Calls to peers over Cap'n Proto RPC.
+
+use std::{
+    cell::RefCell,
+    collections::BTreeMap,
+    fmt,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::HostName;
+use capnp::ErrorKind;
+use proto::schema::{gate, peer};
+
+use crate::{
+    environment::{CallError, Network},
+    message::{
+        AppendReply, AppendRequest, ProposeReply, SnapshotReply, SnapshotRequest, VoteReply,
+        VoteRequest,
+    },
+};
+
+/// A peer in another region is 30 ms away; a connection that takes longer than this is not made.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// Connections to the other control hosts, opened when first needed and again after a failure.
+pub struct Remote {
+    host: IpAddr,
+    addresses: BTreeMap<HostName, SocketAddr>,
+    open: RefCell<BTreeMap<HostName, Rc<Connection>>>,
+}
+
+struct Connection {
+    peer: peer::Client,
+    /// Drives the connection; dropping it closes the connection.
+    _driver: compio::runtime::Task<Result<(), Box<dyn std::any::Any + Send>>>,
+}
+
+impl fmt::Debug for Remote {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Remote")
+            .field("host", &self.host)
+            .field("addresses", &self.addresses)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Remote {
+    /// Calls the given peers from the address `host`.
+    #[must_use]
+    pub fn new(host: IpAddr, peers: &[(HostName, SocketAddr)]) -> Self {
+        Self {
+            host,
+            addresses: peers.iter().cloned().collect(),
+            open: RefCell::default(),
+        }
+    }
+
+    async fn connection(&self, to: &HostName) -> Result<Rc<Connection>, CallError> {
+        if let Some(open) = self.open.borrow().get(to) {
+            return Ok(Rc::clone(open));
+        }
+        let address = *self.addresses.get(to).ok_or(CallError::Unsent)?;
+        let stream = base::net::connect(self.host, address, CONNECT)
+            .await
+            .map_err(|_cause| CallError::Unsent)?;
+        let (gate, driver) = proto::rpc::open::<gate::Client>(stream);
+        let connection = Rc::new(Connection {
+            peer: gate.peer_request().send().pipeline.get_peer(),
+            _driver: compio::runtime::spawn(async move {
+                // The calls in flight report the end of the connection.
+                let _ended = driver.await;
+            }),
+        });
+        self.open
+            .borrow_mut()
+            .insert(to.clone(), Rc::clone(&connection));
+        Ok(connection)
+    }
+
+    /// Makes one call; a connection that fails or is silent is replaced at the next call.
+    async fn call<T>(
+        &self,
+        to: &HostName,
+        timeout: Duration,
+        call: impl AsyncFnOnce(&peer::Client) -> capnp::Result<T>,
+    ) -> Result<T, CallError> {
+        let connection = self.connection(to).await?;
+        let outcome = compio::time::timeout(timeout, call(&connection.peer)).await;
+        let broken = match &outcome {
+            Ok(Ok(_)) => false,
+            Ok(Err(cause)) => cause.kind != ErrorKind::Failed,
+            Err(_elapsed) => true,
+        };
+        if broken {
+            let mut open = self.open.borrow_mut();
+            if open
+                .get(to)
+                .is_some_and(|current| Rc::ptr_eq(current, &connection))
+            {
+                open.remove(to);
+            }
+        }
+        outcome
+            .ok()
+            .and_then(Result::ok)
+            .ok_or(CallError::Unanswered)
+    }
+}
+
+impl Network for Remote {
+    async fn vote(
+        &self,
+        to: &HostName,
+        request: VoteRequest,
+        timeout: Duration,
+    ) -> Result<VoteReply, CallError> {
+        self.call(to, timeout, async |peer| {
+            let mut call = peer.vote_request();
+            request.write(call.get().init_request());
+            VoteReply::read(call.send().promise.await?.get()?.get_reply()?)
+        })
+        .await
+    }
+
+    async fn append(
+        &self,
+        to: &HostName,
+        request: AppendRequest,
+        timeout: Duration,
+    ) -> Result<AppendReply, CallError> {
+        self.call(to, timeout, async |peer| {
+            let mut call = peer.append_request();
+            request.write(call.get().init_request());
+            AppendReply::read(call.send().promise.await?.get()?.get_reply()?)
+        })
+        .await
+    }
+
+    async fn snapshot(
+        &self,
+        to: &HostName,
+        request: SnapshotRequest,
+        timeout: Duration,
+    ) -> Result<SnapshotReply, CallError> {
+        self.call(to, timeout, async |peer| {
+            let mut call = peer.snapshot_request();
+            request.write(call.get().init_request());
+            SnapshotReply::read(call.send().promise.await?.get()?.get_reply()?)
+        })
+        .await
+    }
+
+    async fn propose(
+        &self,
+        to: &HostName,
+        payload: Vec<u8>,
+        timeout: Duration,
+    ) -> Result<ProposeReply, CallError> {
+        self.call(to, timeout, async |peer| {
+            let mut call = peer.propose_request();
+            call.get().set_payload(&payload);
+            ProposeReply::read(call.send().promise.await?.get()?)
+        })
+        .await
+    }
+}
