--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -40,8 +40,10 @@
                     self.send_snapshot(&peer, &image, &from, term).await
                 }
                 Some(Plan::Introduce(request)) => {
-                    introduced = Some((request.from.clone(), now));
-                    self.introduce(&peer, request).await
+                    let identity = request.from.clone();
+                    let done = self.introduce(&peer, request).await;
+                    introduced = done.then_some((identity, now)).or(introduced);
+                    done
                 }
             };
             if !done {
