--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -31,5 +31,5 @@
 pub use hard::Hard;
 pub use host::Host;
 pub use log::Entry;
-pub use node::{Machine, Node, Options, Safety, Tuning};
+pub use node::{Machine, Mechanism, Node, Options, Safety, Tuning};
 pub use rpc::Remote;
