--- /dev/null
+++ b/crates/standin/src/session.rs
@@ -0,0 +1,837 @@
+//! A session over the PostgreSQL protocol, from its first message to its end.
+
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Map, Position};
+use bytes::{Bytes, BytesMut};
+use compio::net::TcpStream;
+use futures_util::future::{Either, select};
+use slog::debug;
+use wire::{
+    Front, Opening, Reader, Target, WireError, Writer,
+    pg::{response::TransactionStatus, startup::Authentication},
+    reply,
+};
+
+use crate::{
+    answer,
+    command::Command,
+    eval::Scope,
+    exec::{self, Outcome, Rows, Work},
+    feed,
+    manage::Order,
+    member::{Handle, Member},
+    prepared::{Formats, Portal, Prepared},
+    refusal::Refusal,
+    tx::{Tx, read_only},
+    types::{self, Field},
+    value::{Type, Value},
+};
+
+/// Version reported to clients.
+pub const VERSION: &str = "16.0 (goldcrestrail stand-in)";
+/// Time for a client to log in.
+const LOGIN: Duration = Duration::from_secs(10);
+/// Longest message, in bytes.
+const MESSAGE_BYTES: usize = 64 << 20;
+/// Bytes of answers gathered before they are written.
+const ANSWER_BYTES: usize = 64 << 10;
+/// Prepared statements and portals of a session, together.
+const NAMES: usize = 10_000;
+
+/// Serves one connection until it ends.
+pub async fn serve(member: Rc<Member>, stream: TcpStream) {
+    let (read, write) = stream.into_split();
+    let mut reader = Reader::new(read, MESSAGE_BYTES);
+    let mut writer = Writer::new(write);
+    let login = compio::time::timeout(LOGIN, opening(&member, &mut reader, &mut writer));
+    let outcome = match login.await {
+        Ok(Ok(Some(parameters))) => start(&member, reader, writer, parameters).await,
+        Ok(Ok(None)) | Err(_) => Ok(()),
+        Ok(Err(cause)) => refuse(&mut writer, &cause).await,
+    };
+    if let Err(cause) = outcome {
+        debug!(member.log, "connection ended"; "cause" => %cause);
+    }
+}
+
+/// Handles the messages before a session; `None` when there will be no session.
+async fn opening(
+    member: &Member,
+    reader: &mut Reader,
+    writer: &mut Writer,
+) -> Result<Option<Map<String, String>>, WireError> {
+    // A client may ask for each kind of encryption once.
+    for _ in 0..3 {
+        let opening = reader.opening().await?;
+        member.faults.thaw().await;
+        match opening {
+            None => return Ok(None),
+            Some(Opening::Ssl | Opening::Gss) => {
+                writer.bytes(b"N");
+                writer.flush().await?;
+            }
+            Some(Opening::Cancel { pid, secret }) => {
+                member.cancel(pid, secret);
+                return Ok(None);
+            }
+            Some(Opening::Startup(parameters)) => return Ok(Some(parameters)),
+            Some(Opening::Version(major, minor)) => {
+                let message = format!("protocol {major}.{minor} is not supported; use 3.0");
+                writer.message(&reply::fatal("0A000", &message, ""))?;
+                writer.flush().await?;
+                return Ok(None);
+            }
+        }
+    }
+    Err(WireError::Malformed("too many requests for encryption"))
+}
+
+async fn refuse(writer: &mut Writer, cause: &WireError) -> Result<(), WireError> {
+    let state = match cause {
+        WireError::Io(_) | WireError::Cut => return Ok(()),
+        WireError::TooLarge { .. } => "54000",
+        WireError::Malformed(_) => "08P01",
+    };
+    writer.message(&reply::fatal(state, &cause.to_string(), ""))?;
+    writer.flush().await
+}
+
+/// What a session is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Purpose {
+    Data,
+    Manage,
+    Replicate,
+}
+
+/// Counts a session as long as it lives.
+struct Place {
+    member: Rc<Member>,
+    pid: i32,
+    counted: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.member.sessions.borrow_mut().remove(&self.pid);
+        self.member.feeds.borrow_mut().remove(&self.pid);
+        if self.counted {
+            let left = self.member.connections.get() - 1;
+            self.member.connections.set(left);
+            self.member.metrics.connections.set(left.into());
+        }
+    }
+}
+
+async fn start(
+    member: &Rc<Member>,
+    mut reader: Reader,
+    mut writer: Writer,
+    parameters: Map<String, String>,
+) -> Result<(), WireError> {
+    let user = parameters.get("user").map(String::as_str);
+    let database = parameters.get("database").map(String::as_str);
+    let purpose = match user {
+        Some("monitor") => Purpose::Manage,
+        Some("replication") => Purpose::Replicate,
+        _ => Purpose::Data,
+    };
+    let refusal = if user.is_none_or(str::is_empty) {
+        Some(("28000", "no user name is given"))
+    } else if purpose != Purpose::Data {
+        None
+    } else if database.or(user) != Some(&member.settings.group) {
+        Some(("3D000", "the database is not the group of this member"))
+    } else if member.closing.get() {
+        Some(("57P03", "the database system is shutting down"))
+    } else if member.connections.get() >= member.settings.connections {
+        Some(("53300", "sorry, too many clients already"))
+    } else {
+        None
+    };
+    if let Some((state, message)) = refusal {
+        member.metrics.errors.with_label_values(&[state]).inc();
+        writer.message(&reply::fatal(state, message, ""))?;
+        return writer.flush().await;
+    }
+    let counted = purpose == Purpose::Data;
+    if counted {
+        let connections = member.connections.get() + 1;
+        member.connections.set(connections);
+        member.metrics.connections.set(connections.into());
+    }
+    let (pid, handle) = member.enter();
+    let _place = Place {
+        member: Rc::clone(member),
+        pid,
+        counted,
+    };
+    if member.settings.connect_ms > 0 {
+        compio::time::sleep(Duration::from_millis(member.settings.connect_ms)).await;
+    }
+    writer.message(&Authentication::Ok)?;
+    for (name, value) in [
+        ("server_version", VERSION),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("TimeZone", "UTC"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ] {
+        writer.message(&reply::parameter(name, value))?;
+    }
+    writer.message(&reply::key(pid, handle.secret))?;
+    writer.message(&reply::ready(TransactionStatus::Idle))?;
+    writer.flush().await?;
+    if purpose == Purpose::Replicate {
+        return feed::serve(member, pid, &mut reader, &mut writer).await;
+    }
+    let mut session = Session {
+        member: Rc::clone(member),
+        reader,
+        writer,
+        handle,
+        managing: purpose == Purpose::Manage,
+        statements: Map::default(),
+        portals: Map::default(),
+        variables: parameters,
+        tx: None,
+        skipping: false,
+        seen: None,
+        reported: None,
+        scratch: BytesMut::new(),
+    };
+    match session.run().await {
+        Ok(()) => Ok(()),
+        Err(cause) => refuse(&mut session.writer, &cause).await,
+    }
+}
+
+struct Session {
+    member: Rc<Member>,
+    reader: Reader,
+    writer: Writer,
+    handle: Rc<Handle>,
+    managing: bool,
+    statements: Map<String, Rc<Prepared>>,
+    portals: Map<String, Portal>,
+    variables: Map<String, String>,
+    tx: Option<Tx>,
+    /// After an error in an extended query, until Sync.
+    skipping: bool,
+    /// Position that the last statement saw.
+    seen: Option<Position>,
+    /// Position last reported.
+    reported: Option<Position>,
+    scratch: BytesMut,
+}
+
+impl Session {
+    async fn run(&mut self) -> Result<(), WireError> {
+        loop {
+            let frame = match self.reader.buffered()? {
+                Some(frame) if self.writer.pending() < ANSWER_BYTES => Some(frame),
+                Some(frame) => {
+                    self.writer.flush().await?;
+                    Some(frame)
+                }
+                None => {
+                    self.writer.flush().await?;
+                    match self.wait().await? {
+                        Either::Left(frame) => frame,
+                        Either::Right(()) => {
+                            let message = "terminating connection due to administrator command";
+                            self.writer.message(&reply::fatal("57P01", message, ""))?;
+                            return self.writer.flush().await;
+                        }
+                    }
+                }
+            };
+            let Some(frame) = frame else {
+                return Ok(());
+            };
+            self.member.faults.thaw().await;
+            let front = Front::parse(&frame)?;
+            if self.skipping && !matches!(front, Front::Sync | Front::Terminate) {
+                continue;
+            }
+            if front == Front::Terminate {
+                return Ok(());
+            }
+            if let Err(refusal) = self.handle(front).await? {
+                self.fail(&refusal)?;
+                self.skipping = true;
+            }
+            self.member.faults.thaw().await;
+        }
+    }
+
+    /// Waits for a message, or for the end of the process while no transaction is open.
+    async fn wait(&mut self) -> Result<Either<Option<wire::Frame>, ()>, WireError> {
+        let idle = self.tx.is_none() && !self.skipping && !self.reader.has_bytes();
+        if !idle {
+            return self.reader.next().await.map(Either::Left);
+        }
+        // A dropped read loses its place, so that the same one is awaited until the end.
+        let mut next = pin!(self.reader.next());
+        loop {
+            let stop = self.member.stop.listen();
+            if self.member.closing.get() {
+                return Ok(Either::Right(()));
+            }
+            if let Either::Left((frame, _stop)) = select(next.as_mut(), stop).await {
+                return frame.map(Either::Left);
+            }
+        }
+    }
+
+    /// Handles one message; a refusal of an extended query skips the rest up to Sync.
+    async fn handle(&mut self, front: Front) -> Result<Result<(), Refusal>, WireError> {
+        Ok(match front {
+            Front::Query(sql) => {
+                self.query(&sql).await?;
+                Ok(())
+            }
+            Front::Parse { name, query, types } => self.parse(name, &query, &types),
+            Front::Bind {
+                portal,
+                statement,
+                rest,
+            } => self.bind(portal, &statement, &rest),
+            Front::Describe(target) => self.describe(&target),
+            Front::Close(target) => {
+                match target {
+                    Target::Statement(name) => drop(self.statements.remove(&name)),
+                    Target::Portal(name) => drop(self.portals.remove(&name)),
+                }
+                self.writer.parts(b'3', &[]);
+                Ok(())
+            }
+            Front::Execute { portal, rows } => self.execute(portal, rows).await?,
+            Front::Flush => {
+                self.writer.flush().await?;
+                Ok(())
+            }
+            Front::Sync => {
+                self.skipping = false;
+                self.finish()?;
+                Ok(())
+            }
+            Front::Terminate | Front::CopyData(_) | Front::CopyDone | Front::CopyFail(_) => Ok(()),
+            Front::Password(_) => {
+                return Err(WireError::Malformed("a password was not asked for"));
+            }
+        })
+    }
+
+    async fn query(&mut self, sql: &str) -> Result<(), WireError> {
+        if let Err(refusal) = self.simple(sql).await? {
+            self.fail(&refusal)?;
+        }
+        self.finish()
+    }
+
+    async fn simple(&mut self, sql: &str) -> Result<Result<(), Refusal>, WireError> {
+        if self.managing {
+            match Order::parse(sql) {
+                Ok(None) => {}
+                Ok(Some(order)) => {
+                    return match order.run(&self.member) {
+                        Ok(outcome) => self.answer(&outcome).await.map(Ok),
+                        Err(refusal) => Ok(Err(refusal)),
+                    };
+                }
+                Err(refusal) => return Ok(Err(refusal)),
+            }
+        }
+        let commands = match self.member.parse(sql) {
+            Ok(commands) => commands,
+            Err(refusal) => return Ok(Err(refusal)),
+        };
+        if commands.is_empty() {
+            self.writer.parts(b'I', &[]);
+        }
+        for command in &*commands {
+            match self.statement(command, &[], &[]).await {
+                Ok(outcome) => self.answer(&outcome).await?,
+                Err(refusal) => return Ok(Err(refusal)),
+            }
+        }
+        Ok(Ok(()))
+    }
+
+    async fn answer(&mut self, outcome: &Outcome) -> Result<(), WireError> {
+        let Some(rows) = &outcome.rows else {
+            return self.writer.message(&reply::complete(&outcome.tag));
+        };
+        let formats = Formats::default();
+        answer::description(&mut self.writer, &rows.fields, &formats);
+        let tag = counted(&outcome.tag, rows.rows.len());
+        self.rows(rows, 0..rows.rows.len(), &formats).await?;
+        self.writer.message(&reply::complete(&tag))
+    }
+
+    async fn rows(
+        &mut self,
+        rows: &Rows,
+        range: std::ops::Range<usize>,
+        formats: &Formats,
+    ) -> Result<(), WireError> {
+        for i in range {
+            answer::row(&mut self.writer, rows, i, formats, &mut self.scratch);
+            if self.writer.pending() >= ANSWER_BYTES {
+                self.writer.flush().await?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Reports an error; a transaction block fails, a transaction without block is rolled back.
+    fn fail(&mut self, refusal: &Refusal) -> Result<(), WireError> {
+        let metrics = &self.member.metrics;
+        metrics.errors.with_label_values(&[refusal.state]).inc();
+        match &mut self.tx {
+            Some(tx) if tx.block => {
+                tx.failed = true;
+                tx.held = None;
+            }
+            _ => self.tx = None,
+        }
+        self.writer
+            .message(&reply::error(refusal.state, &refusal.message, ""))
+    }
+
+    /// Ends a message or a batch: commits what has no block, reports the position and readiness.
+    fn finish(&mut self) -> Result<(), WireError> {
+        if self.tx.as_ref().is_some_and(|tx| !tx.block)
+            && let Err(refusal) = self.commit()
+        {
+            self.fail(&refusal)?;
+        }
+        if self.tx.is_none() {
+            self.portals.clear();
+        }
+        if let Some(seen) = self.seen
+            && self.reported != self.seen
+            && !self.managing
+        {
+            self.reported = self.seen;
+            self.writer
+                .message(&reply::parameter("upstream_position", &seen.to_string()))?;
+        }
+        let status = match &self.tx {
+            None => TransactionStatus::Idle,
+            Some(tx) if tx.failed => TransactionStatus::Error,
+            Some(_) => TransactionStatus::Transaction,
+        };
+        self.writer.message(&reply::ready(status))
+    }
+
+    fn commit(&mut self) -> Result<(), Refusal> {
+        let Some(tx) = self.tx.take() else {
+            return Ok(());
+        };
+        let mut store = self.member.store.borrow_mut();
+        if tx.commit(&mut store)? {
+            self.seen = Some(store.position());
+            drop(store);
+            self.member.metrics.commits.inc();
+            self.member.announce_change();
+        }
+        Ok(())
+    }
+
+    fn parse(&mut self, name: String, sql: &str, oids: &[i32]) -> Result<(), Refusal> {
+        if !name.is_empty() && self.statements.contains_key(&name) {
+            let message = format!("prepared statement \"{name}\" already exists");
+            return Err(Refusal::new("42P05", message));
+        }
+        if self.statements.len() + self.portals.len() >= NAMES {
+            return Err(Refusal::new("54000", "too many prepared statements"));
+        }
+        let commands = self.member.parse(sql)?;
+        let command = match &*commands {
+            [] => None,
+            [command] => Some(Rc::clone(command)),
+            _ => {
+                let message = "cannot insert multiple commands into a prepared statement";
+                return Err(Refusal::new("42601", message));
+            }
+        };
+        if let Some(command) = &command {
+            self.check_failed(command)?;
+        }
+        let given = oids
+            .iter()
+            .map(|oid| Type::from_oid(*oid))
+            .collect::<Result<Vec<_>, _>>()?;
+        let types = match &command {
+            Some(command) => {
+                self.with_tables(|tables| types::parameters(command, tables, &given))?
+            }
+            None => Vec::new(),
+        };
+        self.statements
+            .insert(name, Rc::new(Prepared { command, types }));
+        self.writer.parts(b'1', &[]);
+        Ok(())
+    }
+
+    fn with_tables<T>(&self, f: impl FnOnce(&crate::table::Tables) -> T) -> T {
+        match self.tx.as_ref().and_then(Tx::tables) {
+            Some(tables) => f(tables),
+            None => f(self.member.store.borrow().tables()),
+        }
+    }
+
+    fn check_failed(&self, command: &Command) -> Result<(), Refusal> {
+        if self.tx.as_ref().is_some_and(|tx| tx.failed)
+            && !matches!(command, Command::Commit | Command::Rollback)
+        {
+            let message =
+                "current transaction is aborted, commands ignored until end of transaction block";
+            return Err(Refusal::new("25P02", message));
+        }
+        Ok(())
+    }
+
+    fn bind(&mut self, portal: String, statement: &str, rest: &Bytes) -> Result<(), Refusal> {
+        let prepared = self.prepared(statement)?;
+        if let Some(command) = &prepared.command {
+            self.check_failed(command)?;
+        }
+        if !portal.is_empty() && self.portals.contains_key(&portal) {
+            let message = format!("cursor \"{portal}\" already exists");
+            return Err(Refusal::new("42P03", message));
+        }
+        let bound = Portal::bind(&prepared, rest)?;
+        self.portals.insert(portal, bound);
+        self.writer.parts(b'2', &[]);
+        Ok(())
+    }
+
+    fn prepared(&self, name: &str) -> Result<Rc<Prepared>, Refusal> {
+        self.statements.get(name).cloned().ok_or_else(|| {
+            Refusal::new(
+                "26000",
+                format!("prepared statement \"{name}\" does not exist"),
+            )
+        })
+    }
+
+    fn describe(&mut self, target: &Target) -> Result<(), Refusal> {
+        let (prepared, formats) = match target {
+            Target::Statement(name) => {
+                let prepared = self.prepared(name)?;
+                answer::parameters(&mut self.writer, &prepared.types);
+                (prepared, Formats::default())
+            }
+            Target::Portal(name) => {
+                let portal = self.portals.get(name).ok_or_else(|| no_portal(name))?;
+                (Rc::clone(&portal.statement), portal.formats.clone())
+            }
+        };
+        match self.fields(&prepared)? {
+            Some(fields) => answer::description(&mut self.writer, &fields, &formats),
+            None => self.writer.parts(b'n', &[]),
+        }
+        Ok(())
+    }
+
+    fn fields(&self, prepared: &Prepared) -> Result<Option<Vec<Field>>, Refusal> {
+        match &prepared.command {
+            Some(command) => {
+                self.with_tables(|tables| types::fields(command, tables, &prepared.types))
+            }
+            None => Ok(None),
+        }
+    }
+
+    async fn execute(&mut self, name: String, most: i32) -> Result<Result<(), Refusal>, WireError> {
+        // The portal is out of the map while it runs, and goes back unless it failed.
+        let Some(mut portal) = self.portals.remove(&name) else {
+            return Ok(Err(no_portal(&name)));
+        };
+        let Some(command) = portal.statement.command.clone() else {
+            self.writer.parts(b'I', &[]);
+            self.portals.insert(name, portal);
+            return Ok(Ok(()));
+        };
+        if portal.tag.is_none() {
+            let types = Rc::clone(&portal.statement);
+            let outcome = self.statement(&command, &portal.params, &types.types).await;
+            match outcome {
+                Ok(outcome) => {
+                    portal.rest = outcome.rows.map(|rows| (rows, 0));
+                    portal.tag = Some(outcome.tag);
+                }
+                Err(refusal) => return Ok(Err(refusal)),
+            }
+        }
+        let tag = portal.tag.clone().unwrap_or_default();
+        if let Some((rows, sent)) = &mut portal.rest {
+            let left = rows.rows.len() - *sent;
+            let count = usize::try_from(most)
+                .ok()
+                .filter(|most| *most > 0)
+                .map_or(left, |most| most.min(left));
+            self.rows(rows, *sent..*sent + count, &portal.formats)
+                .await?;
+            *sent += count;
+            if *sent < rows.rows.len() {
+                self.writer.parts(b's', &[]);
+            } else {
+                self.writer
+                    .message(&reply::complete(&counted(&tag, count)))?;
+            }
+        } else {
+            self.writer.message(&reply::complete(&tag))?;
+        }
+        // COMMIT and ROLLBACK end every portal, this one included.
+        if self.tx.is_some() {
+            self.portals.insert(name, portal);
+        }
+        Ok(Ok(()))
+    }
+
+    /// Runs one statement.
+    async fn statement(
+        &mut self,
+        command: &Rc<Command>,
+        params: &[Value],
+        types: &[Type],
+    ) -> Result<Outcome, Refusal> {
+        self.check_failed(command)?;
+        let metrics = &self.member.metrics;
+        metrics
+            .statements
+            .with_label_values(&[command.verb()])
+            .inc();
+        match &**command {
+            Command::Begin(read_only) => {
+                let tx = self.tx.get_or_insert_default();
+                tx.block = true;
+                tx.read_only |= *read_only;
+                Ok(Outcome::tag("BEGIN"))
+            }
+            Command::Commit if self.tx.as_ref().is_some_and(|tx| tx.failed) => {
+                self.tx = None;
+                Ok(Outcome::tag("ROLLBACK"))
+            }
+            Command::Commit => self.commit().map(|()| Outcome::tag("COMMIT")),
+            Command::Rollback => {
+                self.tx = None;
+                Ok(Outcome::tag("ROLLBACK"))
+            }
+            Command::Set(name, value) => {
+                match value {
+                    Some(value) => self.variables.insert(name.clone(), value.clone()),
+                    None => self.variables.remove(name),
+                };
+                Ok(Outcome::tag("SET"))
+            }
+            Command::Show(name) => self.show(name),
+            Command::Discard => {
+                if self.tx.as_ref().is_some_and(|tx| tx.block) {
+                    let message = "DISCARD ALL cannot run inside a transaction block";
+                    return Err(Refusal::new("25001", message));
+                }
+                self.statements.clear();
+                self.portals.clear();
+                self.variables.clear();
+                Ok(Outcome::tag("DISCARD ALL"))
+            }
+            Command::Deallocate(name) => {
+                match name {
+                    Some(name) => drop(self.statements.remove(name)),
+                    None => self.statements.clear(),
+                }
+                Ok(Outcome::tag("DEALLOCATE"))
+            }
+            _ => self.on_tables(command, params, types).await,
+        }
+    }
+
+    fn show(&self, name: &str) -> Result<Outcome, Refusal> {
+        let value = match (self.variables.get(name), name) {
+            (Some(value), _) => value.as_str(),
+            (None, "server_version") => VERSION,
+            (None, "server_encoding" | "client_encoding") => "UTF8",
+            (None, "standard_conforming_strings" | "integer_datetimes") => "on",
+            (None, "transaction_isolation" | "default_transaction_isolation") => "serializable",
+            (None, "transaction_read_only") => {
+                let read_only = self.tx.as_ref().is_some_and(|tx| tx.read_only)
+                    || !self.member.store.borrow().is_primary();
+                if read_only { "on" } else { "off" }
+            }
+            (None, "timezone") => "UTC",
+            (None, "search_path" | "application_name") => "",
+            (None, _) => {
+                let message = format!("unrecognized configuration parameter \"{name}\"");
+                return Err(Refusal::new("42704", message));
+            }
+        };
+        Ok(Outcome {
+            tag: "SHOW".to_owned(),
+            rows: Some(Rows {
+                fields: vec![Field::new(name, Type::Text)],
+                rows: vec![vec![Value::text(value)]],
+            }),
+        })
+    }
+
+    /// Runs a statement that reads or writes tables, in a slot.
+    async fn on_tables(
+        &mut self,
+        command: &Command,
+        params: &[Value],
+        types: &[Type],
+    ) -> Result<Outcome, Refusal> {
+        let member = Rc::clone(&self.member);
+        let writes = command.writes();
+        let tx = self.tx.get_or_insert_default();
+        let is_primary = member.store.borrow().is_primary();
+        if writes && (tx.read_only || tx.snapshot.is_some() || !is_primary) {
+            return Err(read_only(command.verb()));
+        }
+        if tx.block && tx.held.is_none() && (tx.read_only || !is_primary) && tx.snapshot.is_none() {
+            tx.snapshot = Some(member.store.borrow().snapshot());
+        }
+        let locking = matches!(command, Command::Select(select) if select.update);
+        let need = if tx.snapshot.is_none() && (writes || locking || tx.block) {
+            let store = member.store.borrow();
+            exec::need(command, tx.tables().unwrap_or(store.tables()), params)
+        } else {
+            None
+        };
+        if need.is_some() {
+            tx.enter(member.store.borrow().epoch());
+        }
+        let mut pause = if self.managing {
+            Duration::ZERO
+        } else {
+            member.cost()
+        };
+        if let Command::Sleep(seconds) = command {
+            pause += duration(&Scope::bare(params).eval(seconds)?)?;
+        }
+        let free = match &need {
+            Some(need) => {
+                let held = tx.held.get_or_insert_with(|| member.locks.owner());
+                held.take(need)?.is_none()
+            }
+            None => true,
+        };
+        let mut slot = (free && !self.managing)
+            .then(|| member.slots.take())
+            .flatten();
+        if !free || (slot.is_none() && !self.managing) || !pause.is_zero() {
+            // Earlier answers must not wait for this statement.
+            if let Err(cause) = self.writer.flush().await {
+                return Err(Refusal::new("08006", cause.to_string()));
+            }
+            let exempt = self.managing;
+            let waiting = async {
+                if let (false, Some(need), Some(held)) = (free, &need, &mut tx.held) {
+                    held.wait(need).await?;
+                }
+                if slot.is_none() && !exempt {
+                    slot = Some(member.slots.wait().await);
+                }
+                if !pause.is_zero() {
+                    compio::time::sleep_until(Instant::now() + pause).await;
+                }
+                Ok::<_, Refusal>(slot)
+            };
+            let cancel = self.handle.cancel.listen();
+            slot = match select(pin!(waiting), cancel).await {
+                Either::Left((slot, _cancel)) => slot?,
+                Either::Right(_) => {
+                    let message = "canceling statement due to user request";
+                    return Err(Refusal::new("57014", message));
+                }
+            };
+        }
+        let outcome = {
+            let mut store = member.store.borrow_mut();
+            if writes && !store.is_primary() {
+                return Err(read_only(command.verb()));
+            }
+            tx.check(&store)?;
+            self.seen = Some(
+                tx.snapshot
+                    .as_ref()
+                    .map_or_else(|| store.position(), |snapshot| snapshot.position),
+            );
+            if let Command::Sleep(_) = command {
+                Ok(slept())
+            } else if let Some(snapshot) = &tx.snapshot {
+                on_copy(&snapshot.tables, command, params, types)
+            } else if !writes && tx.tables().is_none() {
+                on_copy(store.tables(), command, params, types)
+            } else {
+                let mut next_row = *store.next_row();
+                let work = tx.refresh(&store);
+                let outcome = work.run(command, params, types, &mut next_row);
+                *store.next_row() = next_row;
+                outcome
+            }
+        };
+        drop(slot);
+        outcome
+    }
+}
+
+fn on_copy(
+    tables: &crate::table::Tables,
+    command: &Command,
+    params: &[Value],
+    types: &[Type],
+) -> Result<Outcome, Refusal> {
+    let mut work = Work {
+        tables: tables.clone(),
+        changes: Vec::new(),
+    };
+    work.run(command, params, types, &mut 0)
+}
+
+fn slept() -> Outcome {
+    Outcome {
+        tag: "SELECT".to_owned(),
+        rows: Some(Rows {
+            fields: vec![Field::new("pg_sleep", Type::Void)],
+            rows: vec![vec![Value::text("")]],
+        }),
+    }
+}
+
+fn duration(value: &Value) -> Result<Duration, Refusal> {
+    let seconds: f64 = match value {
+        Value::Null => 0.0,
+        value => match value.clone().cast(Type::Float8)? {
+            Value::Text(text) => text.parse().unwrap_or_default(),
+            _ => 0.0,
+        },
+    };
+    Duration::try_from_secs_f64(seconds.max(0.0))
+        .map_err(|_range| Refusal::new("22003", "pg_sleep is out of range"))
+}
+
+fn no_portal(name: &str) -> Refusal {
+    Refusal::new("34000", format!("portal \"{name}\" does not exist"))
+}
+
+/// Command tag with the count of returned rows where PostgreSQL gives one.
+fn counted(tag: &str, rows: usize) -> String {
+    if tag == "SELECT" {
+        format!("SELECT {rows}")
+    } else {
+        tag.to_owned()
+    }
+}
