--- /dev/null
+++ b/crates/route/src/budget.rs
@@ -0,0 +1,36 @@
+//! Retry budget: retries stay a fixed part of the requests.
+
+/// Tokens that a request adds; ten requests pay for one retry.
+const EARNED: f64 = 0.1;
+/// Tokens kept at most, so that a quiet hour does not pay for a burst of retries.
+const KEPT: f64 = 10.0;
+
+/// Allows one retry per ten requests.
+///
+/// ```
+/// let mut budget = route::Budget::default();
+/// assert!(!budget.withdraw());
+/// (0..10).for_each(|_| budget.deposit());
+/// assert!(budget.withdraw());
+/// ```
+#[derive(Debug, Clone, Default)]
+pub struct Budget {
+    tokens: f64,
+}
+
+impl Budget {
+    /// Counts a request.
+    pub fn deposit(&mut self) {
+        self.tokens = (self.tokens + EARNED).min(KEPT);
+    }
+
+    /// Takes the tokens of one retry; `false` when the budget is spent.
+    pub fn withdraw(&mut self) -> bool {
+        // The sum of ten tenths is slightly under one in binary.
+        let enough = self.tokens > 1.0 - 1e-6;
+        if enough {
+            self.tokens = (self.tokens - 1.0).max(0.0);
+        }
+        enough
+    }
+}
--- /dev/null
+++ b/crates/route/src/detect.rs
@@ -0,0 +1,83 @@
+//! Detection of refused and silent members from probe results.
+
+use std::time::{Duration, Instant};
+
+/// A member without a good answer for this long is silent: three probe intervals of 250 ms.
+pub const SILENT_AFTER: Duration = Duration::from_millis(750);
+
+/// State of a member as the probes see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Health {
+    /// It answers.
+    Ok,
+    /// Its address refuses connections.
+    Refused,
+    /// It does not answer.
+    Silent,
+}
+
+/// Results of the probes of one member.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use route::{Detector, Health};
+///
+/// let now = Instant::now();
+/// let mut member = Detector::new(now);
+/// member.answered(now);
+/// assert_eq!(member.health(now), Health::Ok);
+/// assert_eq!(member.health(now + Duration::from_secs(1)), Health::Silent);
+/// ```
+#[derive(Debug, Clone)]
+pub struct Detector {
+    good: Instant,
+    refused: bool,
+    answered: bool,
+}
+
+impl Detector {
+    /// Starts with a member that has not answered yet.
+    #[must_use]
+    pub const fn new(now: Instant) -> Self {
+        Self {
+            good: now,
+            refused: false,
+            answered: false,
+        }
+    }
+
+    /// Notes a good answer to a probe.
+    pub const fn answered(&mut self, now: Instant) {
+        self.good = now;
+        self.refused = false;
+        self.answered = true;
+    }
+
+    /// Notes that the address refused the connection or the probe.
+    pub const fn refused(&mut self) {
+        self.refused = true;
+    }
+
+    /// Notes a probe that got no answer before its deadline.
+    pub const fn silent(&mut self) {
+        self.refused = false;
+    }
+
+    /// State at `now`. A member that has never answered is silent.
+    #[must_use]
+    pub fn health(&self, now: Instant) -> Health {
+        if self.refused {
+            Health::Refused
+        } else if !self.answered || self.since(now) >= SILENT_AFTER {
+            Health::Silent
+        } else {
+            Health::Ok
+        }
+    }
+
+    /// Time since the last good answer, or since the start when there was none.
+    #[must_use]
+    pub fn since(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.good)
+    }
+}
--- /dev/null
+++ b/crates/route/src/lease.rs
@@ -0,0 +1,85 @@
+//! Write lease of an entry process, granted by a majority of the control hosts.
+
+use std::time::{Duration, Instant};
+
+use base::{HostName, Map, Version};
+
+/// Duration of a grant on the grantor's clock.
+pub const GRANT: Duration = Duration::from_secs(2);
+/// Duration of a grant on the holder's clock: 1% less, the bound on the drift between two clocks
+/// while a grant lasts.
+pub const HELD: Duration = Duration::from_millis(1_980);
+
+#[derive(Debug, Clone, Copy)]
+struct Grant {
+    requested: Instant,
+    version: Version,
+}
+
+/// Grants by control host.
+///
+/// Each grant counts from the moment of its request, so that a reply that is read after the process
+/// was frozen gives nothing.
+///
+/// ```
+/// use std::time::{Duration, Instant};
+/// use route::WriteLease;
+///
+/// let now = Instant::now();
+/// let mut lease = WriteLease::new(3);
+/// lease.granted("a", now, 7);
+/// assert!(!lease.valid(7, now));
+/// lease.granted("b", now, 7);
+/// assert!(lease.valid(7, now));
+/// assert!(!lease.valid(8, now));
+/// assert!(!lease.valid(7, now + Duration::from_secs(2)));
+/// ```
+#[derive(Debug, Clone)]
+pub struct WriteLease {
+    hosts: usize,
+    grants: Map<HostName, Grant>,
+}
+
+impl WriteLease {
+    /// Starts without grants; `hosts` is the number of all control hosts.
+    #[must_use]
+    pub fn new(hosts: usize) -> Self {
+        Self {
+            hosts,
+            grants: Map::default(),
+        }
+    }
+
+    /// Notes a grant of `host` for a request made at `requested` with the record version
+    /// `version`. A reply that is older than a known one changes nothing.
+    pub fn granted(&mut self, host: &str, requested: Instant, version: Version) {
+        let grant = Grant { requested, version };
+        self.grants
+            .entry(host.to_owned())
+            .and_modify(|known| {
+                if known.requested < requested {
+                    *known = grant;
+                }
+            })
+            .or_insert(grant);
+    }
+
+    /// When the lease for records up to `version` ends; `None` when no majority granted it.
+    #[must_use]
+    pub fn until(&self, version: Version) -> Option<Instant> {
+        let mut times: Vec<Instant> = self
+            .grants
+            .values()
+            .filter(|grant| grant.version >= version)
+            .map(|grant| grant.requested + HELD)
+            .collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(self.hosts / 2).copied()
+    }
+
+    /// Whether the lease for records up to `version` is valid at `now`.
+    #[must_use]
+    pub fn valid(&self, version: Version, now: Instant) -> bool {
+        self.until(version).is_some_and(|until| now < until)
+    }
+}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,1 +1,23 @@
-//! Routing decisions: freshness, confirmation, leases, connection shares and queues.
+//! Routing decisions without I/O: freshness, confirmation, write lease, connection shares, queues,
+//! failure detection and the directory of members.
+//!
+//! Every function that decides by time takes the time as an argument.
+
+pub mod budget;
+pub mod confirm;
+pub mod detect;
+pub mod directory;
+pub mod freshness;
+pub mod lease;
+pub mod observers;
+pub mod queue;
+pub mod share;
+
+pub use budget::Budget;
+pub use confirm::Confirmation;
+pub use detect::{Detector, Health};
+pub use directory::{Announcement, Directory};
+pub use freshness::{Nearness, Place, Samples};
+pub use lease::WriteLease;
+pub use queue::{Queue, QueueError};
+pub use share::Share;
--- /dev/null
+++ b/crates/route/tests/confirm.rs
@@ -0,0 +1,203 @@
+//! Confirmation, write lease, permits and the retry budget.
+
+use std::time::{Duration, Instant};
+
+use base::{MemberName, Position, StoreId};
+use route::{Budget, Confirmation, Share, WriteLease};
+use rstest::rstest;
+
+fn pairs(names: &[&str]) -> Vec<(MemberName, StoreId)> {
+    let pair = |name: &&str| ((*name).to_owned(), format!("store-{name}"));
+    names.iter().map(pair).collect()
+}
+
+fn group(needed: usize) -> Confirmation {
+    let mut group = Confirmation::new(2, pairs(&["a", "b", "c"]), needed);
+    group.note("a", "store-a", Position::new(2, 30));
+    group.note("b", "store-b", Position::new(2, 20));
+    group.note("c", "store-c", Position::new(2, 10));
+    group
+}
+
+/// Guards the number of members that must hold a position.
+#[rstest]
+#[case(1, 30)]
+#[case(2, 20)]
+#[case(3, 10)]
+fn enough_members(#[case] needed: usize, #[case] offset: u64) {
+    assert_eq!(group(needed).confirmed(), Some(Position::new(2, offset)));
+}
+
+/// A member that lost its disk holds nothing, although it held the position before.
+#[test]
+fn lost_store() {
+    let mut group = group(2);
+    group.note("b", "store-new", Position::new(2, 40));
+    assert_eq!(group.confirmed(), Some(Position::new(2, 10)));
+}
+
+/// A member that is not recorded, or that is in another term, counts for nothing.
+#[rstest]
+#[case("d", "store-d", Position::new(2, 40))]
+#[case("c", "store-c", Position::new(1, 40))]
+#[case("c", "store-c", Position::new(3, 40))]
+fn counts_for_nothing(#[case] member: &str, #[case] store: &str, #[case] position: Position) {
+    let mut group = group(2);
+    group.note(member, store, position);
+    assert_eq!(group.confirmed(), Some(Position::new(2, 20)));
+}
+
+/// What was held in an older term says nothing about the new one.
+#[test]
+fn new_term() {
+    let mut group = group(2);
+    group.record(3, pairs(&["a", "b", "c"]), 2);
+    assert_eq!(group.confirmed(), None);
+}
+
+/// A replaced store in the record withdraws what the old store held, and no more.
+#[test]
+fn new_record() {
+    let mut group = group(2);
+    let mut changed = pairs(&["a", "b", "c"]);
+    changed[1].1 = "store-new".into();
+    group.record(2, changed, 2);
+    assert_eq!(group.confirmed(), Some(Position::new(2, 10)));
+}
+
+/// A late status must not take back what is confirmed.
+#[test]
+fn late_status() {
+    let mut group = group(2);
+    group.note("b", "store-b", Position::new(2, 5));
+    assert_eq!(group.confirmed(), Some(Position::new(2, 20)));
+}
+
+/// One host of three is no majority, two are; five hosts need three.
+#[rstest]
+#[case(3, 1, false)]
+#[case(3, 2, true)]
+#[case(5, 2, false)]
+#[case(5, 3, true)]
+#[case(1, 1, true)]
+fn majority(#[case] hosts: usize, #[case] grants: usize, #[case] valid: bool) {
+    let now = Instant::now();
+    let mut lease = WriteLease::new(hosts);
+    for i in 0..grants {
+        lease.granted(&i.to_string(), now, 1);
+    }
+    assert_eq!(lease.valid(1, now), valid);
+}
+
+/// The lease must end 1% before two seconds have passed since the request, although the reply came
+/// later and the process was frozen in between.
+#[rstest]
+#[case(1_979, true)]
+#[case(1_980, false)]
+#[case(10_000, false)]
+fn counts_from_request(#[case] millis: u64, #[case] valid: bool) {
+    let requested = Instant::now();
+    let mut lease = WriteLease::new(3);
+    lease.granted("a", requested, 1);
+    lease.granted("b", requested, 1);
+    let now = requested + Duration::from_millis(millis);
+    assert_eq!(lease.valid(1, now), valid);
+}
+
+/// The lease ends with the older grant of a bare majority, and grants of one host count once.
+#[test]
+fn oldest_of_majority() {
+    let start = Instant::now();
+    let mut lease = WriteLease::new(3);
+    lease.granted("a", start, 1);
+    lease.granted("b", start + Duration::from_secs(1), 1);
+    lease.granted("b", start + Duration::from_millis(1_500), 1);
+    assert_eq!(lease.until(1), Some(start + Duration::from_millis(1_980)));
+}
+
+/// Grants for an older record version say nothing about a newer record.
+#[test]
+fn record_version() {
+    let now = Instant::now();
+    let mut lease = WriteLease::new(3);
+    lease.granted("a", now, 4);
+    lease.granted("b", now, 5);
+    assert!(lease.valid(4, now));
+    assert!(!lease.valid(5, now));
+}
+
+/// A reply that overtook a later one must not shorten or stretch the lease.
+#[test]
+fn crossed_replies() {
+    let start = Instant::now();
+    let mut lease = WriteLease::new(1);
+    lease.granted("a", start + Duration::from_millis(300), 2);
+    lease.granted("a", start, 1);
+    assert_eq!(lease.until(2), Some(start + Duration::from_millis(2_280)));
+}
+
+/// The base share always holds; lent connections end with their permit, 1% early.
+#[test]
+fn permit_ends() {
+    let start = Instant::now();
+    let mut share = Share::new(16, 9);
+    assert_eq!((share.base(), share.lendable()), (1, 7));
+    share.permit(5, start, Duration::from_secs(4));
+    let at = |millis| start + Duration::from_millis(millis);
+    assert_eq!(share.target(at(3_959)), 6);
+    assert_eq!(share.target(at(3_960)), 1);
+    let margin = Duration::from_millis(200);
+    assert_eq!(share.limit(at(3_759), margin), 6);
+    assert_eq!(share.limit(at(3_760), margin), 1);
+}
+
+/// A smaller permit lowers what may be opened at once, and what may exist when the larger one ends.
+#[test]
+fn smaller_permit() {
+    let start = Instant::now();
+    let mut share = Share::new(16, 9);
+    share.permit(5, start, Duration::from_secs(4));
+    share.permit(2, start + Duration::from_secs(1), Duration::from_secs(4));
+    let at = |millis| start + Duration::from_millis(millis);
+    assert_eq!(share.target(at(1_000)), 3);
+    assert_eq!(share.limit(at(1_000), Duration::ZERO), 6);
+    assert_eq!(share.limit(at(4_000), Duration::ZERO), 3);
+}
+
+/// All entry processes together never hold more than the database accepts.
+#[rstest]
+#[case(16, 9)]
+#[case(30, 9)]
+#[case(30, 7)]
+#[case(9, 9)]
+fn whole_limit(#[case] connections: u32, #[case] entries: u32) {
+    let share = Share::new(connections, entries);
+    assert!(share.base() >= 1);
+    assert_eq!(share.base() * entries + share.lendable(), connections);
+}
+
+/// Each process may run at least one statement, and the only user of a database all.
+#[rstest]
+#[case(0, 1)]
+#[case(7, 4)]
+fn slots(#[case] lent: u32, #[case] expected: u32) {
+    let now = Instant::now();
+    let mut share = Share::new(16, 9);
+    share.permit(lent, now, Duration::from_secs(4));
+    assert_eq!(share.slots(4, now), expected);
+}
+
+/// Retries stay at a tenth of the requests, also after a quiet time.
+#[test]
+fn retry_budget() {
+    let mut budget = Budget::default();
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit();
+        retries += u32::from(budget.withdraw());
+    }
+    assert!((99..=100).contains(&retries), "{retries}");
+    (0..100_000).for_each(|_| budget.deposit());
+    let burst = std::iter::repeat_with(|| budget.withdraw()).take_while(|&paid| paid);
+    assert_eq!(burst.count(), 10);
+}
--- /dev/null
+++ b/crates/route/tests/freshness.rs
@@ -0,0 +1,151 @@
+//! Freshness: ages without synchronised clocks and the choice of a replica.
+
+use std::time::{Duration, Instant};
+
+use base::Position;
+use route::{
+    Nearness, Place, Samples,
+    freshness::{Choice, Demand, Replica, choose},
+};
+use rstest::rstest;
+
+const PATIENCE: Duration = Duration::from_millis(500);
+
+fn at(offset: u64) -> Position {
+    Position::new(1, offset)
+}
+
+fn replica(index: usize, offset: u64, nearness: Nearness) -> Replica {
+    Replica {
+        index,
+        position: at(offset),
+        age: Some(Duration::from_millis(100)),
+        nearness,
+        waiting: 0,
+    }
+}
+
+fn place(zone: &str, region: &str) -> Place {
+    Place {
+        zone: zone.into(),
+        region: region.into(),
+    }
+}
+
+/// The age must count from the newest sample that the replica holds, never from a later one.
+#[test]
+fn age_by_samples() {
+    let start = Instant::now();
+    let second = |n| start + Duration::from_secs(n);
+    let mut samples = Samples::default();
+    samples.add(second(0), at(10));
+    samples.add(second(1), at(20));
+    samples.add(second(2), at(30));
+    assert_eq!(samples.age(at(9), second(3)), None);
+    assert_eq!(samples.age(at(25), second(3)), Some(Duration::from_secs(2)));
+    assert_eq!(samples.age(at(30), second(3)), Some(Duration::from_secs(1)));
+}
+
+/// A replica of an older term may lack data of the same offset, so that it has no age.
+#[test]
+fn age_by_term() {
+    let start = Instant::now();
+    let mut samples = Samples::default();
+    samples.add(start, Position::new(2, 10));
+    assert_eq!(samples.age(Position::new(1, 15), start), None);
+}
+
+/// Samples that arrive faster than they are kept must not make data look younger than it is, and
+/// their number must stay bounded over the greatest age that may be asked for.
+#[test]
+fn bounded_samples() {
+    let start = Instant::now();
+    let mut samples = Samples::default();
+    for n in 0..60_000 {
+        samples.add(start + Duration::from_millis(n), at(n));
+    }
+    let now = start + Duration::from_mins(1);
+    for n in (0..60_000).step_by(997) {
+        let age = samples.age(at(n), now).unwrap();
+        let exact = Duration::from_millis(60_000 - n);
+        assert!(age >= exact, "{n}: {age:?} under {exact:?}");
+        assert!(age <= exact + Duration::from_millis(250), "{n}: {age:?}");
+    }
+}
+
+/// An unchanged position gets younger with each sample.
+#[test]
+fn unchanged_position() {
+    let start = Instant::now();
+    let mut samples = Samples::default();
+    for n in 0..100 {
+        samples.add(start + Duration::from_secs(n), at(10));
+    }
+    let age = samples.age(at(10), start + Duration::from_secs(100));
+    assert_eq!(age, Some(Duration::from_secs(1)));
+}
+
+/// Guards the order zone, region, others.
+#[rstest]
+#[case("a", "r", Nearness::Zone)]
+#[case("b", "r", Nearness::Region)]
+#[case("a", "s", Nearness::Far)]
+fn nearness(#[case] zone: &str, #[case] region: &str, #[case] expected: Nearness) {
+    assert_eq!(place("a", "r").nearness(&place(zone, region)), expected);
+}
+
+/// Guards that each read goes to the nearest fresh replica, waits for one that lags, and goes to
+/// the primary only when no replica serves it.
+#[rstest]
+#[case::nearest(vec![replica(0, 9, Nearness::Region), replica(1, 9, Nearness::Zone)], 0, Choice::Replica(1))]
+#[case::lagging_zone(vec![replica(0, 9, Nearness::Region), replica(1, 4, Nearness::Zone)], 0, Choice::Replica(0))]
+#[case::waits(vec![replica(0, 4, Nearness::Zone)], 0, Choice::Wait)]
+#[case::waits_before_far(vec![replica(0, 4, Nearness::Zone), replica(1, 9, Nearness::Far)], 0, Choice::Wait)]
+#[case::far_after_wait(vec![replica(0, 4, Nearness::Zone), replica(1, 9, Nearness::Far)], 500, Choice::Replica(1))]
+#[case::waited_enough(vec![replica(0, 4, Nearness::Zone)], 500, Choice::Primary)]
+#[case::no_replica(vec![], 0, Choice::Primary)]
+fn by_token(#[case] replicas: Vec<Replica>, #[case] waited: u64, #[case] expected: Choice) {
+    let waited = Duration::from_millis(waited);
+    let choice = choose(&replicas, Demand::Token(at(5)), 1, waited, PATIENCE);
+    assert_eq!(choice, expected);
+}
+
+/// A replica that lags by more than the wait allowed is skipped at once.
+#[test]
+fn far_behind() {
+    let mut behind = replica(0, 4, Nearness::Zone);
+    behind.age = Some(Duration::from_secs(5));
+    let choice = choose(&[behind], Demand::Token(at(5)), 1, Duration::ZERO, PATIENCE);
+    assert_eq!(choice, Choice::Primary);
+}
+
+/// A replica that follows a primary of an older term serves nothing.
+#[test]
+fn older_term() {
+    let fresh = replica(0, 9, Nearness::Zone);
+    let choice = choose(&[fresh], Demand::Token(at(5)), 2, Duration::ZERO, PATIENCE);
+    assert_eq!(choice, Choice::Primary);
+}
+
+/// A replica without queue is preferred to a nearer one with a queue.
+#[test]
+fn queue_in_zone() {
+    let mut busy = replica(0, 9, Nearness::Zone);
+    busy.waiting = 3;
+    let replicas = [busy, replica(1, 9, Nearness::Region)];
+    let choice = choose(&replicas, Demand::Token(at(5)), 1, Duration::ZERO, PATIENCE);
+    assert_eq!(choice, Choice::Replica(1));
+}
+
+/// A replica of unknown or greater age must not serve a read by age.
+#[rstest]
+#[case(Some(100), Choice::Replica(0))]
+#[case(Some(400), Choice::Wait)]
+#[case(None, Choice::Wait)]
+fn by_age(#[case] age: Option<u64>, #[case] expected: Choice) {
+    let mut one = replica(0, 9, Nearness::Zone);
+    one.age = age.map(Duration::from_millis);
+    let demand = Demand::Age(Duration::from_millis(200));
+    let choice = choose(&[one], demand, 1, Duration::ZERO, PATIENCE);
+    assert_eq!(choice, expected);
+}
--- /dev/null
+++ b/crates/route/tests/queue.rs
@@ -0,0 +1,124 @@
+//! The bounded queue: order, deadlines and goodput under overload.
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap,
+    time::{Duration, Instant},
+};
+
+use route::{Queue, QueueError};
+use rstest::rstest;
+
+fn millis(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// Requests are served in the order in which they came, so that a caller that comes back at once
+/// does not pass others.
+#[test]
+fn first_come() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10);
+    for caller in ["a", "b", "c"] {
+        queue.push(caller, now + millis(100), now).unwrap();
+    }
+    let mut order = Vec::new();
+    for _ in 0..6 {
+        let caller = queue.pop(now, |_| {}).unwrap();
+        order.push(caller);
+        queue.push(caller, now + millis(100), now).unwrap();
+    }
+    assert_eq!(order, ["a", "b", "c", "a", "b", "c"]);
+}
+
+/// A full queue refuses at once.
+#[test]
+fn full() {
+    let now = Instant::now();
+    let mut queue = Queue::new(2);
+    queue.push(1, now + millis(100), now).unwrap();
+    queue.push(2, now + millis(100), now).unwrap();
+    let third = queue.push(3, now + millis(100), now);
+    assert_eq!(third, Err(QueueError::Full));
+}
+
+/// A request whose deadline passed in the queue must not be served.
+#[test]
+fn deadline_in_queue() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10);
+    queue.push(1, now + millis(10), now).unwrap();
+    queue.push(2, now + millis(100), now).unwrap();
+    let mut late = Vec::new();
+    let served = queue.pop(now + millis(10), |item| late.push(item));
+    assert_eq!((served, late), (Some(2), vec![1]));
+}
+
+/// A request whose expected wait exceeds its deadline is refused at once, and requests are accepted
+/// again when the queue has drained.
+#[test]
+fn expected_wait() {
+    let start = Instant::now();
+    let mut queue = Queue::new(100);
+    for i in 0..20 {
+        queue.push(i, start + millis(10_000), start).unwrap();
+    }
+    for n in 0..10 {
+        queue.pop(start + millis(n * 20), |_| {});
+    }
+    let now = start + millis(200);
+    assert_eq!(queue.push(90, now + millis(50), now), Err(QueueError::Late));
+    queue.push(91, now + millis(1_000), now).unwrap();
+    while queue.pop(now, |_| {}).is_some() {}
+    queue.push(92, now + millis(50), now).unwrap();
+}
+
+/// Simulates one database with two slots of 10 ms and callers that arrive at `load` times its
+/// capacity, and counts the requests that finish before their deadline.
+fn goodput(load: f64) -> u64 {
+    let start = Instant::now();
+    let end = start + Duration::from_secs(20);
+    let deadline = millis(200);
+    let service = millis(10);
+    let gap = Duration::from_secs_f64(0.005 / load);
+    let mut queue = Queue::new(1_000);
+    let mut busy: BinaryHeap<Reverse<Instant>> = BinaryHeap::new();
+    let mut arrival = start;
+    let mut good = 0;
+    while arrival < end {
+        while let Some(&Reverse(done)) = busy.peek()
+            && done <= arrival
+        {
+            busy.pop();
+            queue.finished(service);
+            if let Some(until) = queue.pop(done, |_| {}) {
+                good += u64::from(done + service <= until);
+                busy.push(Reverse(done + service));
+            }
+        }
+        let until = arrival + deadline;
+        if queue.push(until, until, arrival).is_ok()
+            && busy.len() < 2
+            && let Some(until) = queue.pop(arrival, |_| {})
+        {
+            good += u64::from(arrival + service <= until);
+            busy.push(Reverse(arrival + service));
+        }
+        arrival += gap;
+    }
+    good
+}
+
+/// Overload must not turn into work for requests that are already late.
+#[rstest]
+#[case(2.0)]
+#[case(3.0)]
+#[case(10.0)]
+fn overload(#[case] load: f64) {
+    let peak = goodput(1.0).max(goodput(0.9));
+    let overloaded = goodput(load);
+    assert!(
+        overloaded * 10 >= peak * 9,
+        "{overloaded} of {peak} at {load} times the capacity"
+    );
+}
