--- /dev/null
+++ b/crates/entry/src/member.rs
@@ -0,0 +1,283 @@
+//! One member of a group: its status probes and its pool.
+
+use std::{
+    cell::RefCell,
+    io,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{MemberName, Position};
+use compio::runtime::JoinHandle;
+use rand::RngExt as _;
+use route::{Detector, Health, Place};
+use wire::{Failure, WireError};
+
+use crate::{
+    group::{Group, Status},
+    metrics::Metrics,
+    pool::Pool,
+};
+
+/// Time between probes while nothing waits.
+const INTERVAL: Duration = Duration::from_millis(250);
+/// Limit on one probe, the connection included.
+const DEADLINE: Duration = Duration::from_secs(1);
+/// First and longest pause between urgent probes that bring nothing new. Without a pause a replica
+/// that lags would be asked as fast as it can answer.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(16));
+/// Pause after a refused probe, however urgent.
+const REFUSED_PAUSE: Duration = Duration::from_millis(50);
+/// User of management connections.
+const MONITOR: &str = "monitor";
+
+/// One member at one address.
+#[derive(Debug)]
+pub struct Member {
+    /// Name of the member.
+    pub name: MemberName,
+    /// Its group.
+    pub group: Rc<Group>,
+    /// Address of its database.
+    pub address: SocketAddr,
+    /// Where it stands.
+    pub place: Place,
+    /// Connections to it.
+    pub pool: Rc<Pool>,
+    status: RefCell<Option<(Status, Instant)>>,
+    detector: RefCell<Detector>,
+    probe: RefCell<Option<JoinHandle<()>>>,
+}
+
+impl Member {
+    /// Makes a member and starts its probes, which end when it is dropped.
+    #[must_use]
+    pub fn start(
+        name: &str,
+        group: Rc<Group>,
+        address: SocketAddr,
+        place: Place,
+        pool: Rc<Pool>,
+        from: IpAddr,
+        metrics: &Metrics,
+    ) -> Rc<Self> {
+        let member = Rc::new(Self {
+            name: name.to_owned(),
+            group,
+            address,
+            place,
+            pool,
+            status: RefCell::default(),
+            detector: RefCell::new(Detector::new(Instant::now())),
+            probe: RefCell::default(),
+        });
+        let probes = probe(Rc::clone(&member), from, metrics.clone());
+        *member.probe.borrow_mut() = Some(compio::runtime::spawn(probes));
+        member
+    }
+
+    /// Ends the probes and the pool; connections in use stay until they are released.
+    pub fn stop(&self) {
+        self.probe.borrow_mut().take();
+        self.pool.drain(true);
+    }
+
+    /// Last status and when it was asked for.
+    #[must_use]
+    pub fn status(&self) -> Option<(Status, Instant)> {
+        self.status.borrow().clone()
+    }
+
+    /// Position and role of the last status.
+    #[must_use]
+    pub fn position(&self) -> Option<(Position, bool)> {
+        self.status
+            .borrow()
+            .as_ref()
+            .map(|(status, _)| (status.position, status.primary))
+    }
+
+    /// Whether the last status came from this store.
+    #[must_use]
+    pub fn has_store(&self, store: &str) -> bool {
+        self.status
+            .borrow()
+            .as_ref()
+            .is_some_and(|(status, _)| status.store == store)
+    }
+
+    /// State as the probes see it, with the time since the last good answer.
+    #[must_use]
+    pub fn health(&self, now: Instant) -> (Health, Duration) {
+        let detector = self.detector.borrow();
+        (detector.health(now), detector.since(now))
+    }
+
+    /// Whether the record names this member as the primary in force.
+    fn is_primary(&self) -> bool {
+        self.group
+            .current()
+            .is_some_and(|record| record.primary == self.name)
+    }
+
+    fn answered(&self, status: Status, sent: Instant) -> bool {
+        self.detector.borrow_mut().answered(Instant::now());
+        let changed = self
+            .status
+            .borrow()
+            .as_ref()
+            .is_none_or(|(known, _)| *known != status);
+        self.group.note(&status, sent);
+        *self.status.borrow_mut() = Some((status, sent));
+        changed
+    }
+
+    fn failed(&self, refused: bool) {
+        if refused {
+            self.detector.borrow_mut().refused();
+        } else {
+            self.detector.borrow_mut().silent();
+        }
+        // The path may have gone silent for the connections of the pool too.
+        self.pool.close_idle();
+        self.pool.refuse_waiting();
+        self.group.notify();
+    }
+}
+
+enum Fault {
+    Refused,
+    Silent,
+    /// The connection ended; the address may still accept a fresh one.
+    Lost,
+}
+
+async fn probe(member: Rc<Member>, from: IpAddr, metrics: Metrics) {
+    let count = |result| metrics.probes.with_label_values(&[result]).inc();
+    let mut client = None;
+    let mut pause = Duration::ZERO;
+    loop {
+        let sent = Instant::now();
+        let fresh = client.is_none();
+        let asked = compio::time::timeout(DEADLINE, ask(&mut client, from, &member)).await;
+        let fault = match asked {
+            Ok(Ok(status)) => {
+                count("ok");
+                let changed = member.answered(status, sent);
+                pause = if changed {
+                    Duration::ZERO
+                } else {
+                    (pause * 2).clamp(PAUSE.0, PAUSE.1)
+                };
+                None
+            }
+            Ok(Err(Fault::Lost)) if !fresh => Some(Fault::Lost),
+            Ok(Err(Fault::Refused | Fault::Lost)) => Some(Fault::Refused),
+            Ok(Err(Fault::Silent)) | Err(_) => Some(Fault::Silent),
+        };
+        match fault {
+            None => wait(&member, pause).await,
+            Some(fault) => {
+                client = None;
+                match fault {
+                    Fault::Lost => {
+                        count("lost");
+                        member.pool.close_idle();
+                    }
+                    Fault::Refused => {
+                        count("refused");
+                        member.failed(true);
+                        let jitter = rand::rng().random_range(0.5..1.5);
+                        compio::time::sleep(REFUSED_PAUSE.mul_f64(jitter)).await;
+                    }
+                    Fault::Silent => {
+                        count("silent");
+                        member.failed(false);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Waits for the next probe: the interval, or less when something waits for this member.
+async fn wait(member: &Member, pause: Duration) {
+    if member.group.is_urgent(member.is_primary()) {
+        if !pause.is_zero() {
+            let urgent = member.group.listen_urgent();
+            let _elapsed = compio::time::timeout(pause, urgent).await;
+        }
+        return;
+    }
+    let end = Instant::now() + INTERVAL;
+    loop {
+        let urgent = member.group.listen_urgent();
+        if member.group.is_urgent(member.is_primary()) {
+            return;
+        }
+        if compio::time::timeout_at(end, urgent).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn ask(
+    client: &mut Option<wire::Client>,
+    from: IpAddr,
+    member: &Member,
+) -> Result<Status, Fault> {
+    let open = if let Some(open) = client {
+        open
+    } else {
+        let stream = base::net::connect(from, member.address, DEADLINE)
+            .await
+            .map_err(|cause| match cause.kind() {
+                io::ErrorKind::TimedOut => Fault::Silent,
+                _ => Fault::Refused,
+            })?;
+        let opened = wire::Client::open(stream, MONITOR, &member.group.name).await;
+        client.insert(opened.map_err(|failure| fault(&failure))?)
+    };
+    let rows = open
+        .query("SHOW upstream_status")
+        .await
+        .map_err(|failure| fault(&failure))?;
+    let status = rows
+        .into_iter()
+        .next()
+        .and_then(parse)
+        .ok_or(Fault::Refused)?;
+    // Another process took over the address.
+    if status.member == member.name {
+        Ok(status)
+    } else {
+        Err(Fault::Refused)
+    }
+}
+
+fn fault(failure: &Failure) -> Fault {
+    match failure {
+        Failure::Refused(..) => Fault::Refused,
+        Failure::Wire(WireError::Io(cause)) if cause.kind() == io::ErrorKind::TimedOut => {
+            Fault::Silent
+        }
+        Failure::Wire(_) => Fault::Lost,
+    }
+}
+
+/// Parses the row `member, store, role, term, offset, primary`.
+fn parse(row: Vec<Option<String>>) -> Option<Status> {
+    let mut values = row.into_iter().map(Option::unwrap_or_default);
+    let (member, store) = (values.next()?, values.next()?);
+    let role = values.next()?;
+    let term = values.next()?.parse().ok()?;
+    let offset = values.next()?.parse().ok()?;
+    Some(Status {
+        member,
+        store,
+        primary: role == "primary",
+        position: Position::new(term, offset),
+        following: values.next().unwrap_or_default(),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/network.rs
@@ -0,0 +1,608 @@
+//! Everything that this process knows about the deployment, and the members that it talks to.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{
+    GroupName, Map, MemberName, ServiceName, Set, Version,
+    document::{Document, Service},
+};
+use event_listener::Event;
+use route::{Announcement, Budget, Directory, Health, Place, WriteLease};
+use serde_json::{Value, json};
+use slog::{Logger, info, warn};
+
+use crate::{
+    group::{Group, Record},
+    member::Member,
+    metrics::Metrics,
+    pool::{Limits, Pool},
+    settings::Settings,
+};
+
+/// Members of a group are probed for this long after its last use.
+const USED: Duration = Duration::from_mins(1);
+/// Observers of one group; several in each zone, so that the loss of a few keeps a majority.
+const OBSERVERS: u32 = 12;
+/// Members not heard from for this long are forgotten.
+const FORGET: Duration = Duration::from_mins(10);
+/// A control host that answered within this time counts as reachable: three renewals.
+const REACHABLE: Duration = Duration::from_secs(1);
+/// Time between rounds of periodic work.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What is known about one control host.
+#[derive(Debug, Clone)]
+pub struct ControlHost {
+    /// Name that it gave, once it answered.
+    pub name: String,
+    /// Last answer.
+    pub heard: Option<Instant>,
+    /// Whether it leads.
+    pub leader: bool,
+    /// Age of its state when it last answered.
+    pub age: Duration,
+    /// Versions of its directory: (run, version).
+    pub directory: (u64, u64),
+}
+
+/// Configuration in force.
+#[derive(Debug, Default)]
+struct Config {
+    version: Version,
+    entries: u32,
+    services: Map<ServiceName, Rc<Service>>,
+    groups: Map<GroupName, Rc<Service>>,
+}
+
+/// State of an entry process.
+#[derive(Debug)]
+pub struct Network {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Random id of this run of the process.
+    pub run: u64,
+    /// Metrics of the process.
+    pub metrics: Metrics,
+    pub(crate) log: Logger,
+    pub(crate) directory: RefCell<Directory>,
+    /// Announcements that arrived here, for the control hosts.
+    pub(crate) heard: RefCell<Map<MemberName, (Announcement, Instant)>>,
+    pub(crate) lease: RefCell<WriteLease>,
+    pub(crate) hosts: RefCell<Map<SocketAddr, ControlHost>>,
+    /// Notified when a renewal should not wait for its interval.
+    pub(crate) renew: Event,
+    config: RefCell<Config>,
+    records: Cell<Version>,
+    unused: RefCell<Map<GroupName, Record>>,
+    groups: RefCell<Map<GroupName, Rc<Group>>>,
+    members: RefCell<Map<MemberName, Rc<Member>>>,
+    budget: RefCell<Budget>,
+    stopped: Cell<bool>,
+    stop: Event,
+}
+
+impl Network {
+    /// Makes the state of a process that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: Settings, log: Logger) -> Rc<Self> {
+        let lease = WriteLease::new(settings.control.len());
+        Rc::new(Self {
+            settings,
+            run: rand::random(),
+            metrics: Metrics::new(),
+            log,
+            directory: RefCell::default(),
+            heard: RefCell::default(),
+            lease: RefCell::new(lease),
+            hosts: RefCell::default(),
+            renew: Event::new(),
+            config: RefCell::default(),
+            records: Cell::default(),
+            unused: RefCell::default(),
+            groups: RefCell::default(),
+            members: RefCell::default(),
+            budget: RefCell::default(),
+            stopped: Cell::default(),
+            stop: Event::new(),
+        })
+    }
+
+    /// Starts the links to the control hosts and the periodic work.
+    pub fn start(self: &Rc<Self>) {
+        for &address in &self.settings.control {
+            compio::runtime::spawn(crate::link::run(Rc::clone(self), address)).detach();
+        }
+        compio::runtime::spawn(tick(Rc::clone(self))).detach();
+    }
+
+    /// Tells the process to stop.
+    pub fn stop(&self) {
+        self.stopped.set(true);
+        self.stop.notify(usize::MAX);
+        self.renew.notify(usize::MAX);
+    }
+
+    /// Whether the process was told to stop.
+    #[must_use]
+    pub fn is_stopped(&self) -> bool {
+        self.stopped.get()
+    }
+
+    /// Waits until the process is told to stop.
+    pub async fn stopped(&self) {
+        let listener = self.stop.listen();
+        if !self.stopped.get() {
+            listener.await;
+        }
+    }
+
+    /// Whether a balancer may send callers: a configuration is known and the process goes on.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopped() && self.config_version() > 0
+    }
+
+    /// Version of the configuration in force; 0 before the first.
+    #[must_use]
+    pub fn config_version(&self) -> Version {
+        self.config.borrow().version
+    }
+
+    /// Version up to which all record changes are known.
+    #[must_use]
+    pub fn record_version(&self) -> Version {
+        self.records.get()
+    }
+
+    /// Finds a service of the configuration in force.
+    #[must_use]
+    pub fn find(&self, name: &str) -> Option<Rc<Service>> {
+        self.config.borrow().services.get(name).cloned()
+    }
+
+    /// Counts a request, and allows a retry of a request that is known not to have run while
+    /// retries stay under a tenth of the requests.
+    pub fn may_retry(&self) -> bool {
+        self.budget.borrow_mut().withdraw()
+    }
+
+    pub(crate) fn count_request(&self) {
+        self.budget.borrow_mut().deposit();
+    }
+
+    /// Puts a newer configuration in force; an older or equal one changes nothing.
+    pub fn apply_config(&self, version: Version, text: &str) {
+        if version <= self.config_version() {
+            return;
+        }
+        let document = match Document::parse(text) {
+            Ok(document) => document,
+            Err(cause) => {
+                warn!(self.log, "configuration can't be used"; "version" => version, "cause" => %cause);
+                return;
+            }
+        };
+        let services = document.services.into_iter().map(Rc::new);
+        let services: Vec<_> = services.collect();
+        *self.config.borrow_mut() = Config {
+            version,
+            entries: document.entries.max,
+            services: services
+                .iter()
+                .map(|service| (service.name.clone(), Rc::clone(service)))
+                .collect(),
+            groups: services
+                .iter()
+                .map(|service| (service.group.clone(), Rc::clone(service)))
+                .collect(),
+        };
+        info!(self.log, "configuration in force"; "version" => version);
+        self.reconcile();
+        self.notify_groups();
+    }
+
+    /// Takes over record changes from a control host that has applied everything up to `version`.
+    pub fn apply_records(&self, version: Version, records: Vec<Record>) {
+        let mut changed = false;
+        for record in records {
+            changed |= self.apply_record(record);
+        }
+        if version > self.records.get() {
+            self.records.set(version);
+            self.renew.notify(usize::MAX);
+        }
+        if changed {
+            self.reconcile();
+        }
+    }
+
+    fn apply_record(&self, record: Record) -> bool {
+        if let Some(group) = self.groups.borrow().get(&record.group) {
+            let log = (record.group.clone(), record.term, record.primary.clone());
+            let phase = record.phase;
+            let newer = group.apply(record);
+            if newer {
+                info!(self.log, "group record changed"; "group" => log.0, "term" => log.1,
+                    "primary" => log.2, "phase" => format!("{phase:?}"));
+            }
+            return newer;
+        }
+        let mut unused = self.unused.borrow_mut();
+        let newer = unused
+            .get(&record.group)
+            .is_none_or(|known| known.version < record.version);
+        if newer {
+            unused.insert(record.group.clone(), record);
+        }
+        newer
+    }
+
+    /// Notes what a control host tells about a member that it heard from `age` ago.
+    pub fn told(&self, host: &str, announcement: Announcement, age: Duration, now: Instant) {
+        let mut directory = self.directory.borrow_mut();
+        let changed = directory.told(host, announcement, age, now);
+        drop(directory);
+        if changed {
+            self.reconcile();
+        }
+    }
+
+    /// Notes an announcement that arrived here, to be passed on to the control hosts.
+    pub fn announce_here(&self, announcement: Announcement, now: Instant) {
+        let urgent = announcement.leaving;
+        self.heard
+            .borrow_mut()
+            .insert(announcement.member.clone(), (announcement.clone(), now));
+        let changed = self.directory.borrow_mut().hear(announcement, now);
+        if changed {
+            self.reconcile();
+        }
+        if urgent {
+            self.renew.notify(usize::MAX);
+        }
+    }
+
+    /// Notes a grant of the write lease.
+    pub fn granted(&self, host: &str, requested: Instant, version: Version) {
+        self.lease.borrow_mut().granted(host, requested, version);
+        self.notify_groups();
+    }
+
+    /// Notes a permit for lent connections.
+    pub fn permit(&self, permits: &Map<MemberName, u32>, requested: Instant, term: Duration) {
+        for (name, member) in self.members.borrow().iter() {
+            let lent = permits.get(name).copied().unwrap_or(0);
+            member.pool.permit(lent, requested, term);
+        }
+    }
+
+    /// Notes which control hosts answered in the last second.
+    pub fn check_reachable(&self, now: Instant) {
+        let recent = |heard: Instant| now.saturating_duration_since(heard) < REACHABLE;
+        let mut directory = self.directory.borrow_mut();
+        for (address, host) in self.hosts.borrow().iter() {
+            let reachable = host.heard.is_some_and(recent);
+            directory.set_reachable(&address.to_string(), reachable, now);
+        }
+    }
+
+    fn notify_groups(&self) {
+        for group in self.groups.borrow().values() {
+            if group.is_awaited() {
+                group.notify();
+            }
+        }
+    }
+
+    /// Whether this process observes a group for the control hosts.
+    ///
+    /// Every process observes every group of a small deployment. In a larger one each process
+    /// decides by its rank alone, because it does not know the others.
+    fn observes(&self, group: &str) -> bool {
+        let entries = u64::from(self.config.borrow().entries.max(1));
+        let share = u64::MAX / entries;
+        route::observers::rank(group, &self.settings.name)
+            <= share.saturating_mul(u64::from(OBSERVERS))
+    }
+
+    /// Finds the group of a service, and has its members probed from now on.
+    pub(crate) fn enter(&self, service: &Service, now: Instant) -> Rc<Group> {
+        let group = self.group(service);
+        let used = group.used.replace(Some(now));
+        let fresh = used.is_some_and(|used| now.saturating_duration_since(used) < USED);
+        if !fresh {
+            self.reconcile();
+        }
+        group
+    }
+
+    /// Finds a member that is in use.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<Rc<Member>> {
+        self.members.borrow().get(name).cloned()
+    }
+
+    /// Members of a group that are in use.
+    #[must_use]
+    pub fn members(&self, group: &str) -> Vec<Rc<Member>> {
+        let members = self.members.borrow();
+        members
+            .values()
+            .filter(|member| member.group.name == group)
+            .cloned()
+            .collect()
+    }
+
+    /// Members of the groups that this process observes.
+    pub(crate) fn observed(&self) -> Vec<Rc<Member>> {
+        let members = self.members.borrow();
+        members
+            .values()
+            .filter(|member| self.observes(&member.group.name))
+            .cloned()
+            .collect()
+    }
+
+    pub(crate) fn all_members(&self) -> Vec<Rc<Member>> {
+        self.members.borrow().values().cloned().collect()
+    }
+
+    /// Brings groups and members in line with configuration, records and directory.
+    pub fn reconcile(&self) {
+        let now = Instant::now();
+        let services: Vec<_> = self.config.borrow().groups.values().cloned().collect();
+        let mut wanted = Set::default();
+        for service in &services {
+            let used = self
+                .groups
+                .borrow()
+                .get(&service.group)
+                .is_some_and(|group| {
+                    group.is_awaited()
+                        || group
+                            .used
+                            .get()
+                            .is_some_and(|used| now.saturating_duration_since(used) < USED)
+                });
+            if !used && !self.observes(&service.group) {
+                continue;
+            }
+            let group = self.group(service);
+            group.configure(service.confirmations);
+            let limits = Limits {
+                connections: service.connections,
+                entries: self.config.borrow().entries,
+                slots: service.slots,
+                queue: service.limits.queue,
+            };
+            for (name, address, place) in self.expected(&group) {
+                self.keep(&group, &name, address, place, limits);
+                wanted.insert(name);
+            }
+        }
+        let gone = |name: &MemberName, member: &Rc<Member>| {
+            // Writes of a removed service that wait for their confirmation still get it.
+            !wanted.contains(name) && member.group.pending() == 0
+        };
+        let stopped: Vec<_> = self
+            .members
+            .borrow_mut()
+            .extract_if(|name, member| gone(name, member))
+            .collect();
+        for (_, member) in stopped {
+            member.stop();
+        }
+    }
+
+    fn group(&self, service: &Service) -> Rc<Group> {
+        if let Some(group) = self.groups.borrow().get(&service.group) {
+            return Rc::clone(group);
+        }
+        let group = Group::new(&service.group, service.confirmations);
+        if let Some(record) = self.unused.borrow_mut().remove(&service.group) {
+            group.apply(record);
+        }
+        self.groups
+            .borrow_mut()
+            .insert(service.group.clone(), Rc::clone(&group));
+        group
+    }
+
+    /// Members that a group should have, with the latest known address of each.
+    fn expected(&self, group: &Group) -> Vec<(MemberName, SocketAddr, Place)> {
+        let mut found: Map<MemberName, (SocketAddr, Place)> = Map::default();
+        if let Some(record) = group.current() {
+            for known in &record.members {
+                if let Ok(address) = known.address.parse() {
+                    found.insert(known.member.clone(), (address, known.place.clone()));
+                }
+            }
+        }
+        for heard in self.directory.borrow().iter() {
+            let announced = &heard.announcement;
+            if announced.group == group.name {
+                let place = Place {
+                    zone: announced.zone.clone(),
+                    region: announced.region.clone(),
+                };
+                found.insert(announced.member.clone(), (announced.address, place));
+            }
+        }
+        let found = found.into_iter();
+        found
+            .map(|(name, (address, place))| (name, address, place))
+            .collect()
+    }
+
+    fn keep(
+        &self,
+        group: &Rc<Group>,
+        name: &str,
+        address: SocketAddr,
+        place: Place,
+        limits: Limits,
+    ) {
+        if let Some(known) = self.members.borrow().get(name)
+            && known.address == address
+            && Rc::ptr_eq(&known.group, group)
+        {
+            known.pool.configure(limits);
+            return;
+        }
+        let far = place.region != self.settings.region;
+        let from = self.settings.host;
+        let pool = Pool::new(name, &group.name, address, from, far, limits, &self.metrics);
+        let member = Member::start(
+            name,
+            Rc::clone(group),
+            address,
+            place,
+            pool,
+            from,
+            &self.metrics,
+        );
+        let before = self.members.borrow_mut().insert(name.to_owned(), member);
+        if let Some(before) = before {
+            before.stop();
+        }
+        group.notify();
+    }
+
+    fn maintain(&self, now: Instant) {
+        self.check_reachable(now);
+        self.directory.borrow_mut().prune(FORGET, now);
+        self.heard
+            .borrow_mut()
+            .retain(|_, (_, at)| now.saturating_duration_since(*at) < FORGET);
+        for member in self.all_members() {
+            let usable = self.directory.borrow().usable(&member.name, now);
+            member.pool.drain(!usable);
+            if member.health(now).0 != Health::Ok {
+                member.pool.close_idle();
+                member.pool.refuse_waiting();
+            }
+            member.pool.maintain(now);
+        }
+        for group in self.groups.borrow().values() {
+            group.prune();
+        }
+    }
+
+    /// Whole state, for the dump.
+    #[must_use]
+    pub fn dump(&self) -> Value {
+        let now = Instant::now();
+        let ago = |at: Instant| now.saturating_duration_since(at).as_millis();
+        let lease = self.lease.borrow();
+        let until = |version| {
+            lease
+                .until(version)
+                .map_or(0, |until| until.saturating_duration_since(now).as_millis())
+        };
+        let hosts: Map<_, _> = self
+            .hosts
+            .borrow()
+            .iter()
+            .map(|(address, host)| {
+                let state = json!({
+                    "name": host.name,
+                    "leader": host.leader,
+                    "heard_ms": host.heard.map(ago),
+                    "age_ms": host.age.as_millis(),
+                });
+                (address.to_string(), state)
+            })
+            .collect();
+        let groups: Map<_, _> = self
+            .groups
+            .borrow()
+            .values()
+            .map(|group| {
+                let record = group.current();
+                let state = json!({
+                    "term": record.as_ref().map(|record| record.term),
+                    "phase": record.as_ref().map(|record| format!("{:?}", record.phase)),
+                    "primary": record.as_ref().map(|record| record.primary.clone()),
+                    "version": record.as_ref().map(|record| record.version),
+                    "lease_ms": record.as_ref().map(|record| until(record.version)),
+                    "confirmed": group.confirmed(),
+                    "pending": group.pending(),
+                });
+                (group.name.clone(), state)
+            })
+            .collect();
+        let members: Map<_, _> = self
+            .members
+            .borrow()
+            .values()
+            .map(|member| {
+                let status = member.status();
+                let (health, since) = member.health(now);
+                let state = json!({
+                    "group": member.group.name,
+                    "address": member.address,
+                    "zone": member.place.zone,
+                    "region": member.place.region,
+                    "health": format!("{health:?}"),
+                    "since_ms": since.as_millis(),
+                    "store": status.as_ref().map(|(status, _)| status.store.clone()),
+                    "primary": status.as_ref().map(|(status, _)| status.primary),
+                    "position": status.as_ref().map(|(status, _)| status.position),
+                    "usable": self.directory.borrow().usable(&member.name, now),
+                    "pool": member.pool.dump(now),
+                });
+                (member.name.clone(), state)
+            })
+            .collect();
+        let directory: Map<_, _> = self
+            .directory
+            .borrow()
+            .iter()
+            .map(|heard| {
+                let state = json!({
+                    "announcement": heard.announcement,
+                    "heard_ms": ago(heard.at),
+                });
+                (heard.announcement.member.clone(), state)
+            })
+            .collect();
+        let services: Map<_, _> = self
+            .config
+            .borrow()
+            .services
+            .iter()
+            .map(|(name, service)| (name.clone(), json!(**service)))
+            .collect();
+        json!({
+            "name": self.settings.name,
+            "zone": self.settings.zone,
+            "region": self.settings.region,
+            "run": self.run,
+            "stopping": self.is_stopped(),
+            "config_version": self.config_version(),
+            "record_version": self.record_version(),
+            "control": hosts,
+            "services": services,
+            "groups": groups,
+            "members": members,
+            "directory": directory,
+        })
+    }
+}
+
+async fn tick(network: Rc<Network>) {
+    let mut round = 0_u32;
+    loop {
+        compio::time::sleep(TICK).await;
+        network.maintain(Instant::now());
+        round = round.wrapping_add(1);
+        if round.is_multiple_of(10) {
+            network.reconcile();
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/pool.rs
@@ -0,0 +1,567 @@
+//! Pooled connections to one member.
+
+use std::{
+    cell::RefCell,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{GroupName, Map, MemberName, Set, Term};
+use compio::net::TcpStream;
+use futures_channel::oneshot;
+use prometheus::{IntCounter, IntGauge};
+use rand::RngExt as _;
+use route::{Queue, QueueError, Share};
+use rustix::net::{RecvFlags, Shutdown};
+use serde_json::{Value, json};
+
+use crate::{fleet::Lease, metrics::Metrics};
+
+/// User of data connections.
+const USER: &str = "goldcrestrail";
+/// Limit on opening a connection, and on the answer to a health check.
+const OPEN: Duration = Duration::from_secs(1);
+/// An idle connection is checked when it was not used for this long.
+const CHECK_AFTER: Duration = Duration::from_secs(5);
+/// An idle connection of the base share is closed after this time.
+const IDLE: Duration = Duration::from_mins(1);
+/// A lent idle connection is given back after this time, so that others can have it.
+const IDLE_LENT: Duration = Duration::from_secs(2);
+/// Window of the peak demand.
+const PEAK: Duration = Duration::from_millis(500);
+/// Lent connections are closed this long before their permit ends.
+const MARGIN: Duration = Duration::from_millis(200);
+/// A lease that is held longer belongs to a transaction that waits for its caller most of the time,
+/// so that it no longer counts as a running statement.
+const STATEMENT: Duration = Duration::from_millis(100);
+/// First and longest wait after a failed attempt to connect.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+
+/// Why no connection was handed out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PoolError {
+    /// The queue is full, or the wait would exceed the deadline.
+    Full,
+    /// The deadline passed in the queue.
+    Deadline,
+    /// The member gets no new work or can't be connected to.
+    Closed,
+}
+
+#[derive(Debug)]
+struct Conn {
+    client: wire::Client,
+    stream: TcpStream,
+    prepared: Set<String>,
+    used: Instant,
+    checked: Instant,
+    counted: (u64, u64),
+}
+
+impl Conn {
+    /// Whether the peer neither closed the connection nor sent anything unasked.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [0_u8; 1];
+        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
+        let result = rustix::net::recv(&self.stream, &mut byte, flags);
+        matches!(result, Err(rustix::io::Errno::AGAIN)) && !self.client.reader.has_bytes()
+    }
+}
+
+#[derive(Debug)]
+struct Held {
+    stream: TcpStream,
+    since: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    idle: Vec<Conn>,
+    held: Map<u64, Held>,
+    pending: u32,
+    queue: Queue<oneshot::Sender<Result<Pooled, PoolError>>>,
+    share: Share,
+    slots: u32,
+    draining: bool,
+    failures: u32,
+    retry: Option<Instant>,
+    next: u64,
+    /// Most connections wanted at once in this and in the last window.
+    peaks: (u32, u32),
+    window: Instant,
+}
+
+impl State {
+    fn note_peak(&mut self) {
+        let wanted = count(self.held.len()) + count(self.queue.len());
+        self.peaks.0 = self.peaks.0.max(wanted);
+    }
+
+    fn total(&self) -> u32 {
+        count(self.idle.len()) + count(self.held.len()) + self.pending
+    }
+
+    fn running(&self, now: Instant) -> u32 {
+        let running = |held: &&Held| now.saturating_duration_since(held.since) < STATEMENT;
+        count(self.held.values().filter(running).count())
+    }
+
+    fn free_slots(&self, now: Instant) -> u32 {
+        let slots = self.share.slots(self.slots, now);
+        slots.saturating_sub(self.running(now))
+    }
+}
+
+fn count(number: usize) -> u32 {
+    u32::try_from(number).unwrap_or(u32::MAX)
+}
+
+/// Limits of a pool from the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Connections that the database accepts.
+    pub connections: u32,
+    /// Most entry processes that run at once.
+    pub entries: u32,
+    /// Statements that the database runs at once.
+    pub slots: u32,
+    /// Requests that may wait.
+    pub queue: u32,
+}
+
+/// Connections to one member within the share of this process.
+#[derive(Debug)]
+pub struct Pool {
+    member: MemberName,
+    group: GroupName,
+    address: SocketAddr,
+    from: IpAddr,
+    state: RefCell<State>,
+    open: IntGauge,
+    /// Counters of bytes sent and received, for a member of another region.
+    region: Option<(IntCounter, IntCounter)>,
+    wait: prometheus::Histogram,
+}
+
+impl Pool {
+    /// Makes a pool without connections. `far` tells whether the member is in another region.
+    #[must_use]
+    pub fn new(
+        member: &str,
+        group: &str,
+        address: SocketAddr,
+        from: IpAddr,
+        far: bool,
+        limits: Limits,
+        metrics: &Metrics,
+    ) -> Rc<Self> {
+        let bytes = |direction| metrics.region.with_label_values(&[member, direction]);
+        Rc::new(Self {
+            member: member.to_owned(),
+            group: group.to_owned(),
+            address,
+            from,
+            state: RefCell::new(State {
+                idle: Vec::new(),
+                held: Map::default(),
+                pending: 0,
+                queue: Queue::new(limits.queue as usize),
+                share: Share::new(limits.connections, limits.entries),
+                slots: limits.slots,
+                draining: false,
+                failures: 0,
+                retry: None,
+                next: 0,
+                peaks: (0, 0),
+                window: Instant::now(),
+            }),
+            open: metrics.connections.with_label_values(&[member]),
+            region: far.then(|| (bytes("sent"), bytes("received"))),
+            wait: metrics.queue.clone(),
+        })
+    }
+
+    /// Takes over changed limits.
+    pub fn configure(&self, limits: Limits) {
+        let mut state = self.state.borrow_mut();
+        state.share.configure(limits.connections, limits.entries);
+        state.slots = limits.slots;
+        state.queue.set_limit(limits.queue as usize);
+    }
+
+    /// Notes a permit for lent connections.
+    pub fn permit(&self, lent: u32, requested: Instant, term: Duration) {
+        self.state.borrow_mut().share.permit(lent, requested, term);
+    }
+
+    /// Connections in use, requests that wait, and connections wanted: the peak of the last second,
+    /// because requests are short against the time between renewals.
+    #[must_use]
+    pub fn demand(&self) -> (u32, u32, u32) {
+        let state = self.state.borrow();
+        let (held, waiting) = (count(state.held.len()), count(state.queue.len()));
+        let wanted = (held + waiting).max(state.peaks.0).max(state.peaks.1);
+        (held, waiting, wanted)
+    }
+
+    /// Requests that wait for a connection.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.state.borrow().queue.len()
+    }
+
+    /// Whether requests may be sent to this pool.
+    #[must_use]
+    pub fn is_usable(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        let failing = state.retry.is_some_and(|at| now < at);
+        let empty = state.idle.is_empty() && state.held.is_empty();
+        !(state.draining || failing && empty)
+    }
+
+    /// Takes a connection, waiting for its turn until the deadline.
+    ///
+    /// # Errors
+    /// None was handed out; nothing was sent to the member.
+    pub async fn acquire(self: &Rc<Self>, deadline: Instant) -> Result<Pooled, PoolError> {
+        let now = Instant::now();
+        let receiver = self.enqueue(deadline, now)?;
+        self.dispatch(now);
+        let granted = compio::time::timeout_at(deadline, receiver).await;
+        self.wait.observe(now.elapsed().as_secs_f64());
+        match granted {
+            Ok(Ok(granted)) => granted,
+            Ok(Err(oneshot::Canceled)) => Err(PoolError::Closed),
+            Err(_elapsed) => Err(PoolError::Deadline),
+        }
+    }
+
+    fn enqueue(
+        &self,
+        deadline: Instant,
+        now: Instant,
+    ) -> Result<oneshot::Receiver<Result<Pooled, PoolError>>, PoolError> {
+        let (sender, receiver) = oneshot::channel();
+        let mut state = self.state.borrow_mut();
+        if state.draining {
+            return Err(PoolError::Closed);
+        }
+        match state.queue.push(sender, deadline, now) {
+            Ok(()) => {}
+            Err(QueueError::Full | QueueError::Late) => return Err(PoolError::Full),
+        }
+        state.note_peak();
+        Ok(receiver)
+    }
+
+    /// Hands idle connections to waiting requests, and opens new ones when there are too few.
+    fn dispatch(self: &Rc<Self>, now: Instant) {
+        loop {
+            let mut late = Vec::new();
+            let next = self.next(now, &mut late);
+            for sender in late {
+                let _receiver_gave_up = sender.send(Err(PoolError::Deadline));
+            }
+            let Some((sender, pooled)) = next else { break };
+            // A request that gave up drops the connection, which returns unused to the pool.
+            if let Err(Ok(mut pooled)) = sender.send(Ok(pooled)) {
+                pooled.put_back(now);
+            }
+        }
+        self.open_needed(now);
+    }
+
+    fn next(
+        self: &Rc<Self>,
+        now: Instant,
+        late: &mut Vec<oneshot::Sender<Result<Pooled, PoolError>>>,
+    ) -> Option<(oneshot::Sender<Result<Pooled, PoolError>>, Pooled)> {
+        let mut state = self.state.borrow_mut();
+        if state.free_slots(now) == 0 {
+            return None;
+        }
+        while state.idle.last().is_some_and(|conn| !conn.is_quiet()) {
+            state.idle.pop();
+        }
+        if state.idle.is_empty() {
+            return None;
+        }
+        let sender = state.queue.pop(now, |sender| late.push(sender))?;
+        let conn = state.idle.pop()?;
+        let id = state.next;
+        state.next += 1;
+        let held = Held {
+            stream: conn.stream.clone(),
+            since: now,
+        };
+        state.held.insert(id, held);
+        let pooled = Pooled {
+            pool: Rc::clone(self),
+            id,
+            conn: Some(conn),
+            primary: None,
+            touched: false,
+            taken: now,
+        };
+        Some((sender, pooled))
+    }
+
+    fn open_needed(self: &Rc<Self>, now: Instant) {
+        let mut state = self.state.borrow_mut();
+        if state.draining || state.retry.is_some_and(|at| now < at) {
+            return;
+        }
+        let ready = count(state.idle.len()) + state.pending;
+        let wanted = count(state.queue.len()).min(state.free_slots(now));
+        let space = state.share.target(now).saturating_sub(state.total());
+        for _ in 0..wanted.saturating_sub(ready).min(space) {
+            state.pending += 1;
+            compio::runtime::spawn(Rc::clone(self).open_one()).detach();
+        }
+        self.open.set(i64::from(state.total()));
+    }
+
+    async fn open_one(self: Rc<Self>) {
+        let opened = compio::time::timeout(OPEN, async {
+            let stream = base::net::connect(self.from, self.address, OPEN)
+                .await
+                .map_err(wire::WireError::from)?;
+            let client = wire::Client::open(stream.clone(), USER, &self.group).await?;
+            Ok::<_, wire::Failure>((stream, client))
+        })
+        .await;
+        let now = Instant::now();
+        {
+            let mut state = self.state.borrow_mut();
+            state.pending -= 1;
+            if let Ok(Ok((stream, client))) = opened {
+                state.failures = 0;
+                state.retry = None;
+                if !state.draining {
+                    state.idle.push(Conn {
+                        client,
+                        stream,
+                        prepared: Set::default(),
+                        used: now,
+                        checked: now,
+                        counted: (0, 0),
+                    });
+                }
+            } else {
+                let longest = (BACKOFF.0 * (1 << state.failures.min(5))).min(BACKOFF.1);
+                state.failures += 1;
+                state.retry = Some(now + longest.mul_f64(rand::rng().random_range(0.5..1.0)));
+            }
+        }
+        if !self.is_usable(now) {
+            self.refuse_waiting();
+        }
+        self.dispatch(now);
+    }
+
+    /// Sends all waiting requests away, so that they look for another member.
+    pub fn refuse_waiting(&self) {
+        let mut state = self.state.borrow_mut();
+        let mut senders = Vec::new();
+        while let Some(sender) = state.queue.take() {
+            senders.push(sender);
+        }
+        drop(state);
+        for sender in senders {
+            let _receiver_gave_up = sender.send(Err(PoolError::Closed));
+        }
+    }
+
+    /// Closes the idle connections, because the member or the path to it failed.
+    pub fn close_idle(&self) {
+        let idle = std::mem::take(&mut self.state.borrow_mut().idle);
+        drop(idle);
+        self.open.set(i64::from(self.state.borrow().total()));
+    }
+
+    /// Stops or resumes new work. Connections in use stay until they are released.
+    pub fn drain(&self, draining: bool) {
+        let before = std::mem::replace(&mut self.state.borrow_mut().draining, draining);
+        if draining && !before {
+            self.close_idle();
+            self.refuse_waiting();
+        }
+    }
+
+    /// Periodic work: closes what is idle for too long or over the share, checks idle connections,
+    /// forgets requests that gave up.
+    pub fn maintain(self: &Rc<Self>, now: Instant) {
+        let mut closing = Vec::new();
+        let mut checking = Vec::new();
+        {
+            let mut state = self.state.borrow_mut();
+            state.queue.retain(|sender| !sender.is_canceled());
+            if now.saturating_duration_since(state.window) >= PEAK {
+                state.peaks = (count(state.held.len()), state.peaks.0);
+                state.window = now;
+            }
+            let base = state.share.base();
+            let mut total = state.total();
+            let mut kept = Vec::new();
+            for conn in std::mem::take(&mut state.idle) {
+                let idle = now.saturating_duration_since(conn.used);
+                let limit = if total > base { IDLE_LENT } else { IDLE };
+                if idle >= limit || total > state.share.target(now) {
+                    total -= 1;
+                    closing.push(conn);
+                } else if idle >= CHECK_AFTER && now - conn.checked >= CHECK_AFTER {
+                    checking.push(conn);
+                } else {
+                    kept.push(conn);
+                }
+            }
+            state.idle = kept;
+            state.pending += count(checking.len());
+            let over = total.saturating_sub(state.share.limit(now, MARGIN));
+            for held in state.held.values().take(over as usize) {
+                let _already_closed = rustix::net::shutdown(&held.stream, Shutdown::Both);
+            }
+        }
+        drop(closing);
+        for conn in checking {
+            compio::runtime::spawn(Rc::clone(self).check(conn)).detach();
+        }
+        self.dispatch(now);
+    }
+
+    /// Checks an idle connection with an empty exchange that uses no slot.
+    async fn check(self: Rc<Self>, mut conn: Conn) {
+        let answer = compio::time::timeout(OPEN, async {
+            conn.client.writer.parts(b'S', &[]);
+            conn.client.writer.flush().await?;
+            loop {
+                if conn.client.frame().await?.ready() == Some(b'I') {
+                    return Ok::<_, wire::WireError>(());
+                }
+            }
+        })
+        .await;
+        let now = Instant::now();
+        {
+            let mut state = self.state.borrow_mut();
+            state.pending -= 1;
+            if matches!(answer, Ok(Ok(()))) && !state.draining {
+                conn.checked = now;
+                state.idle.insert(0, conn);
+            }
+        }
+        self.dispatch(now);
+    }
+
+    /// State for the dump.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> Value {
+        let state = self.state.borrow();
+        json!({
+            "idle": state.idle.len(),
+            "held": state.held.len(),
+            "pending": state.pending,
+            "waiting": state.queue.len(),
+            "target": state.share.target(now),
+            "limit": state.share.limit(now, MARGIN),
+            "slots": state.share.slots(state.slots, now),
+            "draining": state.draining,
+            "failures": state.failures,
+        })
+    }
+
+    fn count_bytes(&self, conn: &mut Conn) {
+        if let Some((sent, received)) = &self.region {
+            let totals = (conn.client.writer.sent(), conn.client.reader.received());
+            sent.inc_by(totals.0 - conn.counted.0);
+            received.inc_by(totals.1 - conn.counted.1);
+            conn.counted = totals;
+        }
+    }
+}
+
+/// A connection that is held for one request or transaction.
+#[derive(Debug)]
+pub struct Pooled {
+    pool: Rc<Pool>,
+    id: u64,
+    conn: Option<Conn>,
+    primary: Option<Term>,
+    touched: bool,
+    taken: Instant,
+}
+
+impl Pooled {
+    /// Marks the member as primary of `term`.
+    pub(crate) fn set_primary(&mut self, term: Term) {
+        self.primary = Some(term);
+    }
+
+    /// Returns the connection to the pool without handing it on.
+    fn put_back(&mut self, now: Instant) {
+        let Some(mut conn) = self.conn.take() else {
+            return;
+        };
+        self.pool.count_bytes(&mut conn);
+        let mut state = self.pool.state.borrow_mut();
+        state.held.remove(&self.id);
+        let fits = state.total() < state.share.target(now);
+        if fits && !state.draining && !conn.client.reader.has_bytes() {
+            conn.used = now;
+            state.idle.push(conn);
+        }
+    }
+}
+
+impl Lease for Pooled {
+    fn member(&self) -> &MemberName {
+        &self.pool.member
+    }
+
+    fn primary(&self) -> Option<Term> {
+        self.primary
+    }
+
+    fn client(&mut self) -> &mut wire::Client {
+        self.touched = true;
+        &mut self
+            .conn
+            .as_mut()
+            .expect("a lease holds its connection until it is released")
+            .client
+    }
+
+    fn prepared(&mut self) -> &mut Set<String> {
+        &mut self
+            .conn
+            .as_mut()
+            .expect("a lease holds its connection until it is released")
+            .prepared
+    }
+
+    fn release(mut self) {
+        let now = Instant::now();
+        let busy = now.saturating_duration_since(self.taken);
+        self.put_back(now);
+        self.pool.state.borrow_mut().queue.finished(busy);
+        self.pool.dispatch(now);
+    }
+}
+
+impl Drop for Pooled {
+    fn drop(&mut self) {
+        if self.conn.is_none() {
+            return;
+        }
+        let now = Instant::now();
+        if !self.touched {
+            self.put_back(now);
+        }
+        if let Some(mut conn) = self.conn.take() {
+            self.pool.count_bytes(&mut conn);
+            self.pool.state.borrow_mut().held.remove(&self.id);
+        }
+        self.pool.dispatch(now);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/routing.rs
@@ -0,0 +1,397 @@
+//! Decisions for one request: [`Fleet`] over the known deployment.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Position, Term, document::Service};
+use rand::RngExt as _;
+use route::{
+    Health, Place,
+    freshness::{self, Choice, Demand, Replica},
+};
+
+use crate::{
+    fleet::{Fleet, Need},
+    group::{Group, Phase, Record, Wanted},
+    member::Member,
+    network::Network,
+    pool::{PoolError, Pooled},
+    refusal::Refusal,
+};
+
+/// Longest wait for a change before a decision is made again, because ages, leases and the health
+/// of members also change by time alone.
+const SLICE: Duration = Duration::from_millis(50);
+
+impl Fleet for Network {
+    type Lease = Pooled;
+
+    fn service(&self, name: &str) -> Option<Rc<Service>> {
+        self.find(name)
+    }
+
+    async fn read(
+        &self,
+        service: &Service,
+        need: Need,
+    ) -> Result<(Pooled, Option<Position>), Refusal> {
+        self.count_request();
+        let result = self.route_read(service, need).await;
+        if let Ok((lease, _)) = &result {
+            let kind = match crate::fleet::Lease::primary(lease) {
+                Some(_) => "primary",
+                None => "replica",
+            };
+            self.metrics.reads.with_label_values(&[kind]).inc();
+        }
+        self.counted(result)
+    }
+
+    async fn write(&self, service: &Service, deadline: Instant) -> Result<Pooled, Refusal> {
+        self.count_request();
+        let result = self.route_write(service, deadline).await;
+        if result.is_ok() {
+            self.metrics.writes.inc();
+        }
+        self.counted(result)
+    }
+
+    async fn confirm(
+        &self,
+        service: &Service,
+        term: Term,
+        position: Position,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        let start = Instant::now();
+        let result = self.await_confirm(service, term, position, deadline).await;
+        if result.is_ok() {
+            self.metrics.confirm.observe(start.elapsed().as_secs_f64());
+        }
+        self.counted(result)
+    }
+
+    async fn stopping(&self) {
+        self.stopped().await;
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.is_stopped()
+    }
+}
+
+impl Network {
+    fn counted<T>(&self, result: Result<T, Refusal>) -> Result<T, Refusal> {
+        if let Err(refusal) = &result {
+            let refusals = &self.metrics.refusals;
+            refusals.with_label_values(&[refusal.sqlstate()]).inc();
+        }
+        result
+    }
+
+    /// Whether the service is still configured with the same group.
+    fn check_service(&self, service: &Service) -> Result<(), Refusal> {
+        self.find(&service.name)
+            .filter(|known| known.group == service.group)
+            .map(|_| ())
+            .ok_or_else(|| Refusal::Service(service.name.clone()))
+    }
+
+    async fn route_read(
+        &self,
+        service: &Service,
+        need: Need,
+    ) -> Result<(Pooled, Option<Position>), Refusal> {
+        let start = Instant::now();
+        self.check_service(service)?;
+        let group = self.enter(service, start);
+        let patience = Duration::from_millis(service.freshness.wait_ms);
+        let mut token = need.token;
+        loop {
+            self.check_service(service)?;
+            let mut demand = token.map(Demand::Token);
+            if demand.is_none() {
+                let until = need.max_age.map_or(need.deadline, |_| {
+                    (Instant::now() + patience).min(need.deadline)
+                });
+                match self.read_barrier(&group, need, until).await {
+                    Ok(position) => {
+                        token = Some(position);
+                        demand = Some(Demand::Token(position));
+                    }
+                    Err(refusal) => {
+                        let age = need.max_age.ok_or(refusal)?;
+                        demand = Some(Demand::Age(age));
+                    }
+                }
+            }
+            let Some(demand) = demand else { continue };
+            let now = Instant::now();
+            if now >= need.deadline {
+                return Err(Refusal::Freshness);
+            }
+            // Statuses that arrive between the decision and the wait must not be missed.
+            let changed = group.listen();
+            let waited = now.saturating_duration_since(start);
+            let (choice, members) = self.choose(&group, demand, waited, patience, now);
+            let picked = match choice {
+                Choice::Replica(index) => Some((Rc::clone(&members[index]), None)),
+                Choice::Wait => None,
+                Choice::Primary => match demand {
+                    Demand::Token(_) => self
+                        .primary(&group, now)
+                        .ok()
+                        .map(|(member, record)| (member, Some(record.term))),
+                    Demand::Age(_) => None,
+                },
+            };
+            let Some((member, term)) = picked else {
+                let asked = match choice {
+                    Choice::Primary => Wanted::All,
+                    Choice::Wait | Choice::Replica(_) => Wanted::Replicas,
+                };
+                let _urgency = group.urge(asked);
+                let until = (now + SLICE).min(need.deadline);
+                let _changed = compio::time::timeout_at(until, changed).await;
+                continue;
+            };
+            self.metrics.freshness.observe(waited.as_secs_f64());
+            match member.pool.acquire(need.deadline).await {
+                Ok(mut lease) => {
+                    if let Some(term) = term {
+                        if !self.is_in_force(&group, term, Instant::now()) {
+                            continue;
+                        }
+                        lease.set_primary(term);
+                    }
+                    return Ok((lease, token));
+                }
+                Err(cause) => refuse(cause, need.deadline).await?,
+            }
+        }
+    }
+
+    /// Replicas that may serve a read, and the choice among them.
+    fn choose(
+        &self,
+        group: &Rc<Group>,
+        demand: Demand,
+        waited: Duration,
+        patience: Duration,
+        now: Instant,
+    ) -> (Choice, Vec<Rc<Member>>) {
+        let Some(record) = group.current() else {
+            return (Choice::Primary, Vec::new());
+        };
+        let here = Place {
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+        };
+        let members: Vec<_> = record
+            .members
+            .iter()
+            .filter_map(|known| self.member(&known.member).map(|member| (known, member)))
+            .filter(|(known, member)| {
+                member.has_store(&known.store)
+                    && member.health(now).0 == Health::Ok
+                    && member.pool.is_usable(now)
+                    && self.directory.borrow().usable(&member.name, now)
+            })
+            .map(|(_, member)| member)
+            .collect();
+        let samples = group.samples.borrow();
+        let replicas: Vec<_> = members
+            .iter()
+            .enumerate()
+            .filter_map(|(index, member)| {
+                let (position, primary) = member.position()?;
+                (!primary).then(|| Replica {
+                    index,
+                    position,
+                    age: samples.age(position, now),
+                    nearness: here.nearness(&member.place),
+                    waiting: member.pool.waiting(),
+                })
+            })
+            .collect();
+        let choice = freshness::choose(&replicas, demand, record.term, waited, patience);
+        (choice, members)
+    }
+
+    /// Reads a position of the primary after the session began, confirmed and under a lease.
+    async fn read_barrier(
+        &self,
+        group: &Rc<Group>,
+        need: Need,
+        until: Instant,
+    ) -> Result<Position, Refusal> {
+        loop {
+            let now = Instant::now();
+            if now >= until {
+                return Err(Refusal::Freshness);
+            }
+            let changed = group.listen();
+            if let Some(position) = group.barrier(need.since) {
+                let held = self.hold(group, position.term, position, until).await;
+                if held.is_ok() {
+                    return Ok(position);
+                }
+                continue;
+            }
+            let in_force = self.primary(group, now).is_ok();
+            if !in_force && need.max_age.is_some() {
+                return Err(Refusal::Freshness);
+            }
+            let _urgency = group.urge(if in_force {
+                Wanted::Primary
+            } else {
+                Wanted::All
+            });
+            let slice = (now + SLICE).min(until);
+            let _changed = compio::time::timeout_at(slice, changed).await;
+        }
+    }
+
+    async fn route_write(&self, service: &Service, deadline: Instant) -> Result<Pooled, Refusal> {
+        let start = Instant::now();
+        self.check_service(service)?;
+        let group = self.enter(service, start);
+        loop {
+            self.check_service(service)?;
+            let now = Instant::now();
+            if now >= deadline {
+                return Err(Refusal::Primary);
+            }
+            let changed = group.listen();
+            let Ok((member, record)) = self.primary(&group, now) else {
+                if group.gap.get().is_none() {
+                    group.gap.set(Some(now));
+                }
+                let _urgency = group.urge(Wanted::All);
+                let slice = (now + SLICE).min(deadline);
+                let _changed = compio::time::timeout_at(slice, changed).await;
+                continue;
+            };
+            match member.pool.acquire(deadline).await {
+                Ok(mut lease) => {
+                    // The record or the lease may have changed in the queue.
+                    if self.is_in_force(&group, record.term, Instant::now()) {
+                        lease.set_primary(record.term);
+                        return Ok(lease);
+                    }
+                }
+                Err(cause) => refuse(cause, deadline).await?,
+            }
+        }
+    }
+
+    /// The primary in force: recorded as stable, answering as primary of that term with the
+    /// recorded store, and under a valid lease of this process.
+    fn primary(&self, group: &Group, now: Instant) -> Result<(Rc<Member>, Rc<Record>), Refusal> {
+        let record = group.stable().ok_or(Refusal::Primary)?;
+        let member = self.member(&record.primary).ok_or(Refusal::Primary)?;
+        let leads = member
+            .position()
+            .is_some_and(|(position, primary)| primary && position.term == record.term);
+        let known = record
+            .store(&member.name)
+            .is_some_and(|store| member.has_store(store));
+        let usable = member.health(now).0 == Health::Ok
+            && member.pool.is_usable(now)
+            && self.directory.borrow().usable(&member.name, now);
+        if leads && known && usable && self.lease.borrow().valid(record.version, now) {
+            Ok((member, record))
+        } else {
+            Err(Refusal::Primary)
+        }
+    }
+
+    fn is_in_force(&self, group: &Group, term: Term, now: Instant) -> bool {
+        group.stable().is_some_and(|record| {
+            record.term == term && self.lease.borrow().valid(record.version, now)
+        })
+    }
+
+    async fn await_confirm(
+        &self,
+        service: &Service,
+        term: Term,
+        position: Position,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        fail::fail_point!("confirm-before");
+        if position.term != term {
+            let cause = format!("the primary of term {term} reported position {position}");
+            return Err(Refusal::Unknown(cause));
+        }
+        let group = self.enter(service, Instant::now());
+        group.note_primary(position);
+        self.hold(&group, term, position, deadline).await?;
+        if let Some(since) = group.gap.take() {
+            self.metrics.gap.observe(since.elapsed().as_secs_f64());
+        }
+        Ok(())
+    }
+
+    /// Waits until a position is confirmed and the lease is valid after that.
+    async fn hold(
+        &self,
+        group: &Rc<Group>,
+        term: Term,
+        position: Position,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        let late = |cause: &str| Err(Refusal::Unknown(format!("{cause} before the deadline")));
+        loop {
+            let changed = group.listen();
+            let record = group.current();
+            let Some(record) = record.filter(|record| record.term >= term) else {
+                // The term is newer than the record, which is on its way.
+                if compio::time::timeout_at(deadline, changed).await.is_err() {
+                    return late("the record of the new primary did not arrive");
+                }
+                continue;
+            };
+            if record.term != term || record.phase != Phase::Stable {
+                return Err(Refusal::Unknown(format!(
+                    "term {term} of the primary ended"
+                )));
+            }
+            if !group.is_confirmed(position) {
+                let _urgency = group.urge(Wanted::Replicas);
+                let confirmed = group.wait(position.offset);
+                if compio::time::timeout_at(deadline, confirmed).await.is_err() {
+                    return late("too few databases confirmed it");
+                }
+                continue;
+            }
+            fail::fail_point!("confirm-after");
+            // The time is read after the confirmation, however long this process was frozen.
+            let now = Instant::now();
+            if self.lease.borrow().valid(record.version, now) {
+                fail::fail_point!("lease-after");
+                return Ok(());
+            }
+            if now >= deadline {
+                return late("the write lease was not renewed");
+            }
+            let _changed = compio::time::timeout_at(deadline, changed).await;
+        }
+    }
+}
+
+/// Turns the failure of a pool into the refusal of the request, or lets it look for another member
+/// after a short pause.
+async fn refuse(cause: PoolError, deadline: Instant) -> Result<(), Refusal> {
+    match cause {
+        PoolError::Full => Err(Refusal::Queue),
+        PoolError::Deadline => Err(Refusal::Deadline),
+        PoolError::Closed => {
+            let pause = Duration::from_millis(rand::rng().random_range(2..10));
+            compio::time::sleep_until((Instant::now() + pause).min(deadline)).await;
+            Ok(())
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/run.rs
@@ -0,0 +1,118 @@
+//! Life of an entry process, from its settings to its graceful stop.
+
+use std::{io, os::unix::net::UnixStream as StdStream, path::Path, rc::Rc, time::Duration};
+
+use base::{Exit, http::Report, settings};
+use compio::{BufResult, io::AsyncRead, net::UnixStream};
+use futures_util::{FutureExt as _, pin_mut, select};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use slog::{error, info};
+
+use crate::{announce, network::Network, settings::Settings};
+
+/// A stop takes no longer than this; what still runs then is cut off.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+/// Runs the process with the settings in `file` until it is told to stop.
+#[must_use]
+pub fn run(file: &Path) -> Exit {
+    let settings = match settings::load::<Settings>(file) {
+        Ok(settings) => settings,
+        Err(cause) => {
+            eprintln!("entry: {cause}");
+            return Exit::Usage;
+        }
+    };
+    let runtime = match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime,
+        Err(cause) => {
+            eprintln!("entry: no runtime: {cause}");
+            return Exit::Failed;
+        }
+    };
+    let log = base::log::logger("entry", &settings.name);
+    let network = Network::new(settings, log);
+    match runtime.block_on(serve(&network)) {
+        Ok(()) => Exit::Done,
+        Err(cause) => {
+            error!(network.log, "process failed"; "cause" => %cause);
+            Exit::Failed
+        }
+    }
+}
+
+async fn serve(network: &Rc<Network>) -> io::Result<()> {
+    let settings = &network.settings;
+    let mut signals = Signals::new()?;
+    let listener = compio::net::TcpListener::bind(settings.address)
+        .await
+        .map_err(|cause| named("address", settings.address, &cause))?;
+    let (dump, ready) = (Rc::clone(network), Rc::clone(network));
+    let report = Report {
+        metrics: network.metrics.registry.clone(),
+        dump: Rc::new(move || dump.dump()),
+        ready: Rc::new(move || ready.is_ready()),
+    };
+    let router = base::http::routes(report).merge(announce::routes(Rc::clone(network)));
+    let http = base::http::serve(settings.http, router).fuse();
+    network.start();
+    info!(network.log, "process runs"; "address" => %settings.address, "http" => %settings.http);
+    let callers = sessions(listener, Rc::clone(network)).fuse();
+    let stop = async {
+        signals.next().await;
+        info!(network.log, "process stops");
+        network.stop();
+        let second = signals.next().fuse();
+        let limit = compio::time::sleep(STOP_LIMIT).fuse();
+        pin_mut!(second, limit);
+        select! {
+            () = second => {},
+            () = limit => {},
+        }
+    }
+    .fuse();
+    pin_mut!(http, callers, stop);
+    select! {
+        result = http => result.map_err(|cause| named("http", settings.http, &cause)),
+        result = callers => result,
+        () = stop => Ok(()),
+    }
+}
+
+fn named(field: &str, address: std::net::SocketAddr, cause: &io::Error) -> io::Error {
+    let text = format!("{field} {address}: {cause}; set a free address of this host");
+    io::Error::new(cause.kind(), text)
+}
+
+/// Serves callers until the process has stopped.
+async fn sessions(_listener: compio::net::TcpListener, network: Rc<Network>) -> io::Result<()> {
+    network.stopped().await;
+    Ok(())
+}
+
+/// Termination signals as bytes on a socket pair, which the runtime can wait for.
+struct Signals {
+    stream: UnixStream,
+}
+
+impl Signals {
+    fn new() -> io::Result<Self> {
+        let (read, write) = StdStream::pair()?;
+        read.set_nonblocking(true)?;
+        for signal in [SIGTERM, SIGINT] {
+            signal_hook::low_level::pipe::register(signal, write.try_clone()?)?;
+        }
+        Ok(Self {
+            stream: UnixStream::from_std(read)?,
+        })
+    }
+
+    /// Waits for the next signal.
+    async fn next(&mut self) {
+        let BufResult(result, _) = self.stream.read([0_u8; 1]).await;
+        if result.is_err() {
+            // Without signals the process runs until it is killed.
+            std::future::pending::<()>().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,132 @@
+//! Settings of an entry process.
+
+use std::net::{IpAddr, SocketAddr};
+
+use base::{EntryName, Map, RegionName, Set, ZoneName, settings::Check};
+use serde::Deserialize;
+
+/// Settings file of an entry process.
+///
+/// ```
+/// use std::path::Path;
+/// use entry::settings::Settings;
+///
+/// let text = r#"
+/// name = "entry-1"
+/// zone = "wien-nord"
+/// region = "ostalpen"
+/// host = "127.0.1.1"
+/// address = "127.0.1.1:6432"
+/// http = "127.0.1.1:8001"
+/// control = ["127.0.1.31:7000"]
+/// "#;
+/// let settings: Settings = base::settings::parse(Path::new("entry.toml"), text).unwrap();
+/// assert_eq!(settings.name, "entry-1");
+/// ```
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this process, unique in the deployment.
+    pub name: EntryName,
+    /// Availability zone of the host.
+    pub zone: ZoneName,
+    /// Region of the host.
+    pub region: RegionName,
+    /// Source address of outgoing connections.
+    pub host: IpAddr,
+    /// Address for callers.
+    pub address: SocketAddr,
+    /// Address for metrics, dump, readiness and announcements.
+    pub http: SocketAddr,
+    /// RPC addresses of all control hosts.
+    pub control: Vec<SocketAddr>,
+    /// Authentication of callers.
+    #[serde(default)]
+    pub auth: Auth,
+}
+
+/// Authentication of callers.
+#[derive(Debug, Clone, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Auth {
+    /// How a caller proves who it is.
+    pub method: Method,
+    /// Lower-case SHA-256 of the password by user, for [`Method::Password`].
+    pub users: Map<String, String>,
+}
+
+/// How a caller proves who it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Method {
+    /// Every caller is accepted.
+    #[default]
+    Trust,
+    /// The caller sends a password.
+    Password,
+}
+
+impl Check for Settings {
+    fn check(&self) -> Result<(), (String, String)> {
+        let wrong = |cause: &str, fix: &str| Err((cause.to_owned(), fix.to_owned()));
+        for (field, value) in [
+            ("name", &self.name),
+            ("zone", &self.zone),
+            ("region", &self.region),
+        ] {
+            if value.is_empty() || value.len() > 63 {
+                return wrong(
+                    &format!("{field} is not 1 to 63 characters long"),
+                    &format!("set {field}, for example {field} = \"a-1\""),
+                );
+            }
+        }
+        if self.address == self.http {
+            return wrong(
+                "address and http are the same",
+                "give callers and HTTP a port each",
+            );
+        }
+        if self.host.is_unspecified() {
+            return wrong(
+                "host is not the address of a host",
+                "set host to the IP number from which connections start",
+            );
+        }
+        if self.control.is_empty() || self.control.len().is_multiple_of(2) {
+            return wrong(
+                "control does not hold an odd number of addresses",
+                "name all control hosts, 3 or 5 of them",
+            );
+        }
+        let distinct: Set<_> = self.control.iter().collect();
+        if distinct.len() != self.control.len() {
+            return wrong(
+                "control holds an address twice",
+                "name each control host once",
+            );
+        }
+        if self.auth.method == Method::Password && self.auth.users.is_empty() {
+            return wrong(
+                "auth.method is \"password\" and auth.users is empty",
+                "add a user to [auth.users] or set method = \"trust\"",
+            );
+        }
+        if self.auth.method == Method::Trust && !self.auth.users.is_empty() {
+            return wrong(
+                "auth.users is set and auth.method is \"trust\", so that passwords are not checked",
+                "set method = \"password\" or remove [auth.users]",
+            );
+        }
+        let digest = |hex: &String| {
+            hex.len() == 64 && hex.bytes().all(|b| matches!(b, b'0'..=b'9' | b'a'..=b'f'))
+        };
+        if let Some((user, _)) = self.auth.users.iter().find(|(_, hex)| !digest(hex)) {
+            return wrong(
+                &format!("auth.users.{user} is not a lower-case SHA-256"),
+                "write the 64 hexadecimal digits of the password's SHA-256",
+            );
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/fakes/mod.rs
@@ -0,0 +1,537 @@
+//! Fakes at the interfaces of an entry process: control hosts over RPC and upstreams over the
+//! PostgreSQL protocol, all in the process of the test.
+#![allow(dead_code, reason = "each test file uses a part of the fakes")]
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Position, Version};
+use compio::net::TcpListener;
+use entry::{
+    fleet::{Fleet as _, Lease as _, Need},
+    group::{MemberRecord, Phase, Record},
+    network::Network,
+    pool::Pooled,
+    refusal::Refusal,
+    settings::Settings,
+};
+use event_listener::Event;
+use proto::schema::{self, control, gate};
+use route::{Announcement, Place};
+use wire::{Opening, Reader, Writer};
+
+/// Runs a test on a runtime of its own.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    compio::runtime::Runtime::new().unwrap().block_on(test)
+}
+
+pub fn soon(millis: u64) -> Instant {
+    Instant::now() + Duration::from_millis(millis)
+}
+
+pub async fn sleep(millis: u64) {
+    compio::time::sleep(Duration::from_millis(millis)).await;
+}
+
+/// Waits until `done` holds, for at most five seconds.
+pub async fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let end = soon(5_000);
+    while !done() {
+        assert!(Instant::now() < end, "not within 5 s: {what}");
+        sleep(2).await;
+    }
+}
+
+/// What all fake control hosts say.
+#[derive(Default)]
+pub struct Truth {
+    pub granting: Cell<bool>,
+    pub records: RefCell<Vec<Record>>,
+    pub record_version: Cell<Version>,
+    pub document: RefCell<String>,
+    pub config_version: Cell<Version>,
+    pub members: RefCell<Vec<(Announcement, u32)>>,
+    pub directory_version: Cell<u64>,
+    pub lent: RefCell<Vec<(String, u32)>>,
+    pub sightings: Cell<u32>,
+    pub heard: RefCell<Vec<String>>,
+    pub renewals: Cell<u32>,
+    changed: Event,
+}
+
+impl Truth {
+    pub fn put_record(&self, mut record: Record) {
+        let version = self.record_version.get() + 1;
+        record.version = version;
+        let mut records = self.records.borrow_mut();
+        records.retain(|known| known.group != record.group);
+        records.push(record);
+        self.record_version.set(version);
+        self.changed.notify(usize::MAX);
+    }
+
+    pub fn put_document(&self, text: &str) {
+        text.clone_into(&mut self.document.borrow_mut());
+        self.config_version.update(|version| version + 1);
+        self.changed.notify(usize::MAX);
+    }
+
+    pub fn put_member(&self, announcement: Announcement, age: u32) {
+        let mut members = self.members.borrow_mut();
+        members.retain(|(known, _)| known.member != announcement.member);
+        members.push((announcement, age));
+        self.directory_version.update(|version| version + 1);
+        self.changed.notify(usize::MAX);
+    }
+}
+
+/// One fake control host; dropping it cuts its connections.
+pub struct Control {
+    pub address: SocketAddr,
+    _server: compio::runtime::JoinHandle<()>,
+}
+
+impl Control {
+    pub async fn start(truth: Rc<Truth>, name: &str, leader: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let name = name.to_owned();
+        let server = compio::runtime::spawn(async move {
+            let mut open = Vec::new();
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let gate: gate::Client = capnp_rpc::new_client(Host {
+                    truth: Rc::clone(&truth),
+                    name: name.clone(),
+                    leader,
+                });
+                open.push(compio::runtime::spawn(async move {
+                    let _ended = proto::rpc::serve(stream, gate.client).await;
+                }));
+            }
+        });
+        Self {
+            address,
+            _server: server,
+        }
+    }
+}
+
+#[derive(Clone)]
+struct Host {
+    truth: Rc<Truth>,
+    name: String,
+    leader: bool,
+}
+
+impl gate::Server for Host {
+    async fn control(
+        self: Rc<Self>,
+        _: gate::ControlParams,
+        mut results: gate::ControlResults,
+    ) -> Result<(), capnp::Error> {
+        results
+            .get()
+            .set_control(capnp_rpc::new_client((*self).clone()));
+        Ok(())
+    }
+}
+
+impl control::Server for Host {
+    async fn renew(
+        self: Rc<Self>,
+        params: control::RenewParams,
+        mut results: control::RenewResults,
+    ) -> Result<(), capnp::Error> {
+        let request = params.get()?.get_request()?;
+        let truth = &self.truth;
+        truth.renewals.update(|count| count + 1);
+        truth
+            .sightings
+            .update(|count| count + request.get_sightings().unwrap().len());
+        for announced in request.get_announcements()? {
+            truth
+                .heard
+                .borrow_mut()
+                .push(announced.get_member()?.to_string()?);
+        }
+        let fenced = truth
+            .records
+            .borrow()
+            .iter()
+            .filter(|record| record.phase == Phase::Fencing)
+            .map(|record| record.version)
+            .max();
+        let granted = truth.granting.get()
+            && fenced.is_none_or(|version| request.get_record_version() >= version);
+        let mut reply = results.get().init_reply();
+        reply.set_granted(granted);
+        reply.set_duration(2_000);
+        reply.set_host(&self.name);
+        reply.set_leader(self.leader);
+        reply.set_permit_duration(4_000);
+        let lent = truth.lent.borrow();
+        let mut list = reply.init_permits(u32::try_from(lent.len()).unwrap());
+        for (i, (member, count)) in (0..).zip(lent.iter()) {
+            let mut permit = list.reborrow().get(i);
+            permit.set_member(member);
+            permit.set_lent(*count);
+        }
+        Ok(())
+    }
+
+    async fn watch(
+        self: Rc<Self>,
+        params: control::WatchParams,
+        mut results: control::WatchResults,
+    ) -> Result<(), capnp::Error> {
+        let request = params.get()?.get_request()?;
+        let truth = &self.truth;
+        let asked = (
+            request.get_record_version(),
+            request.get_config_version(),
+            request.get_directory_version(),
+        );
+        let changed = truth.changed.listen();
+        let news = truth.record_version.get() > asked.0
+            || truth.config_version.get() > asked.1
+            || truth.directory_version.get() > asked.2;
+        if !news {
+            let _late = compio::time::timeout(Duration::from_secs(1), changed).await;
+        }
+        let mut reply = results.get().init_reply();
+        reply.set_record_version(truth.record_version.get());
+        reply.set_config_version(truth.config_version.get());
+        reply.set_directory_version(truth.directory_version.get());
+        reply.set_directory_run(1);
+        if truth.config_version.get() > asked.1 {
+            reply.set_document(truth.document.borrow().as_str());
+        }
+        let records = truth.records.borrow();
+        let newer: Vec<_> = records
+            .iter()
+            .filter(|record| record.version > asked.0)
+            .collect();
+        let mut list = reply
+            .reborrow()
+            .init_records(u32::try_from(newer.len()).unwrap());
+        for (i, record) in (0..).zip(newer) {
+            fill(record, list.reborrow().get(i));
+        }
+        if truth.directory_version.get() > asked.2 {
+            let members = truth.members.borrow();
+            let mut list = reply.init_announcements(u32::try_from(members.len()).unwrap());
+            for (i, (announced, age)) in (0..).zip(members.iter()) {
+                let mut one = list.reborrow().get(i);
+                one.set_member(&announced.member);
+                one.set_group(&announced.group);
+                one.set_store(&announced.store);
+                one.set_address(announced.address.to_string());
+                one.set_zone(&announced.zone);
+                one.set_region(&announced.region);
+                one.set_connections(announced.connections);
+                one.set_slots(announced.slots);
+                one.set_leaving(announced.leaving);
+                one.set_age(*age);
+            }
+        }
+        Ok(())
+    }
+}
+
+fn fill(record: &Record, mut builder: schema::group_record::Builder<'_>) {
+    builder.set_group(&record.group);
+    builder.set_term(record.term);
+    builder.set_state(match record.phase {
+        Phase::Stable => schema::GroupState::Stable,
+        Phase::Fencing => schema::GroupState::Fencing,
+        Phase::Promoting => schema::GroupState::Promoting,
+    });
+    builder.set_primary(&record.primary);
+    builder.set_version(record.version);
+    let mut list = builder.init_members(u32::try_from(record.members.len()).unwrap());
+    for (i, member) in (0..).zip(&record.members) {
+        let mut one = list.reborrow().get(i);
+        one.set_member(&member.member);
+        one.set_store(&member.store);
+        one.set_address(&member.address);
+        one.set_zone(&member.place.zone);
+        one.set_region(&member.place.region);
+    }
+}
+
+/// State of one fake upstream.
+pub struct Upstream {
+    pub name: String,
+    pub address: SocketAddr,
+    pub store: RefCell<String>,
+    pub primary: Cell<bool>,
+    pub position: Cell<Position>,
+    /// Connections accepted before this number answer nothing.
+    pub silent: Cell<u32>,
+    pub accepted: Cell<u32>,
+    pub open: Cell<u32>,
+    pub most: Cell<u32>,
+    pub statuses: Cell<u32>,
+    pub queries: Cell<u32>,
+    /// Time that a query takes.
+    pub work: Cell<u64>,
+}
+
+impl Upstream {
+    pub async fn start(name: &str) -> Rc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = Rc::new(Self {
+            name: name.to_owned(),
+            address: listener.local_addr().unwrap(),
+            store: RefCell::new(format!("store-{name}")),
+            primary: Cell::new(false),
+            position: Cell::new(Position::new(1, 10)),
+            silent: Cell::new(0),
+            accepted: Cell::new(0),
+            open: Cell::new(0),
+            most: Cell::new(0),
+            statuses: Cell::new(0),
+            queries: Cell::new(0),
+            work: Cell::new(0),
+        });
+        let server = Rc::clone(&upstream);
+        compio::runtime::spawn(async move {
+            loop {
+                let (stream, _) = listener.accept().await.unwrap();
+                let number = server.accepted.get();
+                server.accepted.set(number + 1);
+                let server = Rc::clone(&server);
+                compio::runtime::spawn(async move {
+                    let (read, write) = stream.into_split();
+                    let mut reader = Reader::new(read, 1 << 20);
+                    let mut writer = Writer::new(write);
+                    let _ended = server.session(number, &mut reader, &mut writer).await;
+                })
+                .detach();
+            }
+        })
+        .detach();
+        upstream
+    }
+
+    async fn session(
+        &self,
+        number: u32,
+        reader: &mut Reader,
+        writer: &mut Writer,
+    ) -> Result<(), wire::WireError> {
+        let Some(Opening::Startup(parameters)) = reader.opening().await? else {
+            return Ok(());
+        };
+        let data = parameters["user"] != "monitor";
+        writer.parts(b'R', &[0, 0, 0, 0]);
+        writer.parts(b'Z', b"I");
+        writer.flush().await?;
+        if data {
+            self.open.update(|open| open + 1);
+            self.most.set(self.most.get().max(self.open.get()));
+        }
+        let result = self.serve(number, reader, writer).await;
+        if data {
+            self.open.update(|open| open - 1);
+        }
+        result
+    }
+
+    async fn serve(
+        &self,
+        number: u32,
+        reader: &mut Reader,
+        writer: &mut Writer,
+    ) -> Result<(), wire::WireError> {
+        while let Some(frame) = reader.next().await? {
+            if number < self.silent.get() {
+                std::future::pending::<()>().await;
+            }
+            if frame.tag == b'Q' && frame.body.starts_with(b"SHOW upstream_status") {
+                self.statuses.update(|count| count + 1);
+                self.status(writer);
+            } else if frame.tag == b'Q' {
+                self.queries.update(|count| count + 1);
+                sleep(self.work.get()).await;
+                writer.parts(b'C', b"OK\0");
+            }
+            writer.parts(b'Z', b"I");
+            writer.flush().await?;
+        }
+        Ok(())
+    }
+
+    fn status(&self, writer: &mut Writer) {
+        let position = self.position.get();
+        let role = if self.primary.get() {
+            "primary"
+        } else {
+            "replica"
+        };
+        let values = [
+            self.name.clone(),
+            self.store.borrow().clone(),
+            role.to_owned(),
+            position.term.to_string(),
+            position.offset.to_string(),
+            String::new(),
+        ];
+        let mut row = 6_u16.to_be_bytes().to_vec();
+        for value in values {
+            row.extend(u32::try_from(value.len()).unwrap().to_be_bytes());
+            row.extend(value.as_bytes());
+        }
+        writer.parts(b'D', &row);
+        writer.parts(b'C', b"SHOW\0");
+    }
+
+    pub fn announcement(&self) -> Announcement {
+        Announcement {
+            member: self.name.clone(),
+            group: "orders".into(),
+            store: self.store.borrow().clone(),
+            address: self.address,
+            zone: "north".into(),
+            region: "east".into(),
+            connections: 4,
+            slots: 4,
+            leaving: false,
+        }
+    }
+}
+
+pub const DOCUMENT: &str = "[entries]\nmax = 1\n[[service]]\nname = \"orders\"\n\
+    group = \"orders\"\nconnections = 4\nslots = 4\n";
+
+/// A deployment of one group with members a (primary), b and c, and one entry process.
+pub struct Deployment {
+    pub truth: Rc<Truth>,
+    pub controls: Vec<Control>,
+    pub upstreams: Vec<Rc<Upstream>>,
+    pub network: Rc<Network>,
+}
+
+impl Deployment {
+    pub async fn start(document: &str) -> Self {
+        let truth = Rc::new(Truth::default());
+        truth.granting.set(true);
+        let mut controls = Vec::new();
+        for (name, leader) in [("k1", true), ("k2", false), ("k3", false)] {
+            controls.push(Control::start(Rc::clone(&truth), name, leader).await);
+        }
+        let mut upstreams = Vec::new();
+        for name in ["a", "b", "c"] {
+            upstreams.push(Upstream::start(name).await);
+        }
+        upstreams[0].primary.set(true);
+        for upstream in &upstreams {
+            truth.put_member(upstream.announcement(), 0);
+        }
+        truth.put_record(record(&upstreams, 1, Phase::Stable, "a"));
+        truth.put_document(document);
+        let addresses: Vec<_> = controls
+            .iter()
+            .map(|control| format!("\"{}\"", control.address))
+            .collect();
+        let text = format!(
+            "name = \"entry-1\"\nzone = \"north\"\nregion = \"east\"\nhost = \"127.0.0.1\"\n\
+             address = \"127.0.0.1:1\"\nhttp = \"127.0.0.1:2\"\ncontrol = [{}]\n",
+            addresses.join(", ")
+        );
+        let settings: Settings =
+            base::settings::parse(std::path::Path::new("entry.toml"), &text).unwrap();
+        let network = Network::new(settings, base::log::silent());
+        network.start();
+        let deployment = Self {
+            truth,
+            controls,
+            upstreams,
+            network,
+        };
+        until("the service is known", || {
+            deployment.network.find("orders").is_some()
+        })
+        .await;
+        deployment
+    }
+
+    pub async fn ready() -> Self {
+        let deployment = Self::start(DOCUMENT).await;
+        drop(deployment.write(3_000).await.unwrap());
+        deployment
+    }
+
+    pub fn put(&self, term: u64, phase: Phase, primary: &str) {
+        let record = record(&self.upstreams, term, phase, primary);
+        self.truth.put_record(record);
+    }
+
+    pub async fn write(&self, millis: u64) -> Result<Pooled, Refusal> {
+        let service = self.network.service("orders").unwrap();
+        self.network.write(&service, soon(millis)).await
+    }
+
+    pub async fn read(
+        &self,
+        token: Option<Position>,
+        max_age: Option<u64>,
+        millis: u64,
+    ) -> Result<(Pooled, Option<Position>), Refusal> {
+        let service = self.network.service("orders").unwrap();
+        let need = Need {
+            token,
+            max_age: max_age.map(Duration::from_millis),
+            since: Instant::now(),
+            deadline: soon(millis),
+        };
+        self.network.read(&service, need).await
+    }
+
+    pub async fn confirm(&self, position: Position, millis: u64) -> Result<(), Refusal> {
+        let service = self.network.service("orders").unwrap();
+        self.network
+            .confirm(&service, position.term, position, soon(millis))
+            .await
+    }
+
+    /// Makes all members hold a position.
+    pub fn hold(&self, members: &[usize], position: Position) {
+        for &i in members {
+            self.upstreams[i].position.set(position);
+        }
+    }
+}
+
+pub fn record(upstreams: &[Rc<Upstream>], term: u64, phase: Phase, primary: &str) -> Record {
+    Record {
+        group: "orders".into(),
+        term,
+        phase,
+        primary: primary.into(),
+        members: upstreams
+            .iter()
+            .map(|upstream| MemberRecord {
+                member: upstream.name.clone(),
+                store: format!("store-{}", upstream.name),
+                address: upstream.address.to_string(),
+                place: Place {
+                    zone: "north".into(),
+                    region: "east".into(),
+                },
+            })
+            .collect(),
+        version: 0,
+    }
+}
+
+/// Runs a query on a leased connection and gives it back.
+pub async fn query(mut lease: Pooled) {
+    lease.client().query("SELECT 1").await.unwrap();
+    lease.release();
+}
--- /dev/null
+++ b/crates/entry/tests/write.rs
@@ -0,0 +1,205 @@
+//! Writes: the primary in force, confirmation and the write lease.
+
+mod fakes;
+
+use std::time::{Duration, Instant};
+
+use base::Position;
+use entry::{fleet::Lease as _, group::Phase, refusal::Refusal};
+use fakes::{Deployment, query, run, sleep, until};
+
+/// A write that two members hold is acknowledged, and the next write reuses the connection.
+#[test]
+fn confirmed_write() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let lease = deployment.write(1_000).await.unwrap();
+        assert_eq!((lease.member().as_str(), lease.primary()), ("a", Some(1)));
+        query(lease).await;
+        deployment.hold(&[0, 1], Position::new(1, 11));
+        let result = deployment.confirm(Position::new(1, 11), 1_000).await;
+        assert_eq!(result, Ok(()));
+    });
+}
+
+/// A write that only the primary holds must not be acknowledged.
+#[test]
+fn unconfirmed_write() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.hold(&[0], Position::new(1, 11));
+        let result = deployment.confirm(Position::new(1, 11), 300).await;
+        assert!(matches!(result, Err(Refusal::Unknown(_))), "{result:?}");
+    });
+}
+
+/// A member that lost its disk must not count for a confirmation, even at a high position.
+#[test]
+fn other_store() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        *deployment.upstreams[1].store.borrow_mut() = "store-new".into();
+        deployment.hold(&[0, 1], Position::new(1, 11));
+        let result = deployment.confirm(Position::new(1, 11), 500).await;
+        assert!(matches!(result, Err(Refusal::Unknown(_))), "{result:?}");
+    });
+}
+
+/// An old primary that goes on as primary of an older term must get no write.
+#[test]
+fn old_primary() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.upstreams[1].primary.set(true);
+        deployment.hold(&[1, 2], Position::new(2, 10));
+        deployment.put(2, Phase::Stable, "b");
+        until("the record arrives", || {
+            deployment.network.record_version() == 2
+        })
+        .await;
+        let lease = deployment.write(1_000).await.unwrap();
+        assert_eq!((lease.member().as_str(), lease.primary()), ("b", Some(2)));
+    });
+}
+
+/// A position of the old primary must not be acknowledged after the record names a new term.
+#[test]
+fn old_position() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.put(1, Phase::Fencing, "a");
+        until("the record arrives", || {
+            deployment.network.record_version() == 2
+        })
+        .await;
+        deployment.hold(&[0, 1], Position::new(1, 11));
+        let result = deployment.confirm(Position::new(1, 11), 300).await;
+        assert!(matches!(result, Err(Refusal::Unknown(_))), "{result:?}");
+    });
+}
+
+/// A write that waits for its confirmation learns at once that its term ended.
+#[test]
+fn record_changes_in_wait() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.hold(&[0], Position::new(1, 11));
+        let start = Instant::now();
+        let change = async {
+            sleep(100).await;
+            deployment.put(1, Phase::Fencing, "a");
+        };
+        let waiting = deployment.confirm(Position::new(1, 11), 5_000);
+        let (result, ()) = futures_util::join!(waiting, change);
+        assert!(matches!(result, Err(Refusal::Unknown(_))), "{result:?}");
+        assert!(start.elapsed() < Duration::from_secs(1));
+    });
+}
+
+/// A primary of a term that the record does not know yet must wait for the record.
+#[test]
+fn term_before_record() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.upstreams[0].primary.set(false);
+        deployment.upstreams[1].primary.set(true);
+        deployment.hold(&[0, 1, 2], Position::new(2, 10));
+        sleep(400).await;
+        let early = deployment.write(300).await;
+        assert_eq!(early.err(), Some(Refusal::Primary));
+        deployment.put(2, Phase::Stable, "b");
+        let lease = deployment.write(1_000).await.unwrap();
+        assert_eq!(lease.member(), "b");
+    });
+}
+
+/// Writes must stop when the lease ends, and a confirmed write without a lease is unknown.
+#[test]
+fn lease_lost() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.truth.granting.set(false);
+        sleep(2_100).await;
+        let write = deployment.write(100).await;
+        assert_eq!(write.err(), Some(Refusal::Primary));
+        deployment.hold(&[0, 1], Position::new(1, 11));
+        let result = deployment.confirm(Position::new(1, 11), 200).await;
+        assert!(matches!(result, Err(Refusal::Unknown(_))), "{result:?}");
+        let regrant = async {
+            sleep(100).await;
+            deployment.truth.granting.set(true);
+        };
+        let waiting = deployment.confirm(Position::new(1, 11), 2_000);
+        let (result, ()) = futures_util::join!(waiting, regrant);
+        assert_eq!(result, Ok(()));
+    });
+}
+
+/// The number of status queries must not grow with the number of waiting writes.
+#[test]
+fn shared_confirmation() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.hold(&[0], Position::new(1, 2_000));
+        let before = deployment.upstreams[1].statuses.get();
+        let waiting = (11..1_011).map(|offset| deployment.confirm(Position::new(1, offset), 4_000));
+        let advance = async {
+            sleep(200).await;
+            deployment.hold(&[1], Position::new(1, 1_500));
+        };
+        let all = futures_util::future::join_all(waiting);
+        let (results, ()) = futures_util::join!(all, advance);
+        assert!(results.iter().all(Result::is_ok));
+        let asked = deployment.upstreams[1].statuses.get() - before;
+        assert!(asked < 100, "{asked} status queries");
+    });
+}
+
+/// A service that is removed refuses at once, also requests that wait.
+#[test]
+fn removed_service() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.put(1, Phase::Fencing, "a");
+        until("the record arrives", || {
+            deployment.network.record_version() == 2
+        })
+        .await;
+        let start = Instant::now();
+        let remove = async {
+            sleep(100).await;
+            deployment.truth.put_document("[entries]\nmax = 1\n");
+        };
+        let (result, ()) = futures_util::join!(deployment.write(5_000), remove);
+        assert!(matches!(result, Err(Refusal::Service(_))));
+        assert!(start.elapsed() < Duration::from_secs(2));
+        assert!(deployment.network.find("orders").is_none());
+    });
+}
+
+/// A write that had to wait for a primary is counted as a failover gap once the next one is
+/// acknowledged.
+#[test]
+fn failover_gap() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.put(1, Phase::Fencing, "a");
+        until("the record arrives", || {
+            deployment.network.record_version() == 2
+        })
+        .await;
+        let early = deployment.write(200).await;
+        assert_eq!(early.err(), Some(Refusal::Primary));
+        deployment.upstreams[0].primary.set(false);
+        deployment.upstreams[1].primary.set(true);
+        deployment.hold(&[1, 2], Position::new(2, 11));
+        deployment.put(2, Phase::Stable, "b");
+        query(deployment.write(2_000).await.unwrap()).await;
+        deployment
+            .confirm(Position::new(2, 11), 2_000)
+            .await
+            .unwrap();
+        let gap = &deployment.network.metrics.gap;
+        assert!(gap.get_sample_sum() >= 0.2, "{}", gap.get_sample_sum());
+    });
+}
--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -28,6 +28,7 @@
     buffer: BytesMut,
     limit: usize,
     busy: bool,
+    received: u64,
 }
 
 impl Reader {
@@ -39,6 +40,7 @@
             buffer: BytesMut::new(),
             limit,
             busy: false,
+            received: 0,
         }
     }
 
@@ -146,6 +148,12 @@
         !self.buffer.is_empty()
     }
 
+    /// Bytes received so far.
+    #[must_use]
+    pub const fn received(&self) -> u64 {
+        self.received
+    }
+
     async fn fill(&mut self) -> Result<bool, WireError> {
         let want = if self.busy { BUSY_BYTES } else { IDLE_BYTES };
         let mut buffer = std::mem::take(&mut self.buffer);
@@ -160,6 +168,7 @@
         self.buffer = buffer;
         let count = result?;
         self.busy = count == space;
+        self.received += count as u64;
         Ok(count > 0)
     }
 }
--- a/crates/wire/src/writer.rs
+++ b/crates/wire/src/writer.rs
@@ -18,6 +18,7 @@
 pub struct Writer {
     half: OwnedWriteHalf<TcpStream>,
     out: BytesMut,
+    sent: u64,
 }
 
 impl Writer {
@@ -27,6 +28,7 @@
         Self {
             half,
             out: BytesMut::new(),
+            sent: 0,
         }
     }
 
@@ -61,6 +63,12 @@
         self.out.len()
     }
 
+    /// Bytes written so far.
+    #[must_use]
+    pub const fn sent(&self) -> u64 {
+        self.sent
+    }
+
     /// Writes everything that was added.
     ///
     /// # Errors
@@ -72,6 +80,7 @@
         let out = std::mem::take(&mut self.out);
         let BufResult(result, mut out) = self.half.write_all(out).await;
         result?;
+        self.sent += out.len() as u64;
         if out.capacity() <= KEPT_BYTES {
             out.clear();
             self.out = out;
