--- /dev/null
+++ b/crates/sql/src/inspect.rs
@@ -0,0 +1,173 @@
+//! Meaning of a parsed statement.
+
+use std::ops::ControlFlow;
+
+use base::document::Verb;
+use sqlparser::ast::{
+    Expr, FromTable, ObjectName, ObjectNamePart, OnInsert, Query, Select, SetExpr, Statement,
+    TableFactor, TableObject, TableWithJoins, TransactionAccessMode, TransactionMode, Visit,
+    Visitor,
+};
+
+use crate::{Change, Kind, functions};
+
+/// Classifies a statement and lists the tables that it changes.
+pub(crate) fn inspect(statement: &Statement) -> (Kind, Vec<Change>) {
+    let mut walk = Walk::default();
+    let _never_breaks: ControlFlow<()> = statement.visit(&mut walk);
+    let kind = match statement {
+        Statement::StartTransaction {
+            modes, statements, ..
+        } if statements.is_empty() => Kind::Begin {
+            read_only: modes.iter().rev().copied().find_map(access) == Some(true),
+        },
+        Statement::Commit { .. } => Kind::Commit,
+        Statement::Rollback { savepoint, .. } if savepoint.is_none() => Kind::Rollback,
+        Statement::Query(_) if walk.pure => Kind::Read,
+        Statement::Explain {
+            analyze: false,
+            statement,
+            ..
+        } if matches!(**statement, Statement::Query(_)) && walk.pure => Kind::Read,
+        Statement::Insert(_)
+        | Statement::Update(_)
+        | Statement::Delete(_)
+        | Statement::Merge(_)
+        | Statement::Truncate(_)
+        | Statement::CreateTable(_)
+        | Statement::CreateView(_)
+        | Statement::CreateIndex(_)
+        | Statement::AlterTable(_)
+        | Statement::Drop { .. } => Kind::Write,
+        _ => Kind::Unsure,
+    };
+    (kind, walk.changes)
+}
+
+fn access(mode: TransactionMode) -> Option<bool> {
+    match mode {
+        TransactionMode::AccessMode(mode) => Some(mode == TransactionAccessMode::ReadOnly),
+        TransactionMode::IsolationLevel(_) => None,
+    }
+}
+
+struct Walk {
+    pure: bool,
+    changes: Vec<Change>,
+}
+
+impl Default for Walk {
+    fn default() -> Self {
+        Self {
+            pure: true,
+            changes: Vec::new(),
+        }
+    }
+}
+
+impl Walk {
+    fn change(&mut self, table: &ObjectName, verbs: &[Verb]) {
+        self.pure = false;
+        let Some(ObjectNamePart::Identifier(ident)) = table.0.last() else {
+            return;
+        };
+        let table = if ident.quote_style.is_some() {
+            ident.value.clone()
+        } else {
+            ident.value.to_lowercase()
+        };
+        self.changes.extend(verbs.iter().map(|&verb| Change {
+            table: table.clone(),
+            verb,
+        }));
+    }
+
+    fn factor(&mut self, table: &TableFactor, verbs: &[Verb]) {
+        if let TableFactor::Table { name, .. } = table {
+            self.change(name, verbs);
+        }
+    }
+
+    fn joined(&mut self, tables: &[TableWithJoins], verb: Verb) {
+        for table in tables {
+            self.factor(&table.relation, &[verb]);
+        }
+    }
+}
+
+impl Visitor for Walk {
+    type Break = ();
+
+    fn pre_visit_statement(&mut self, statement: &Statement) -> ControlFlow<()> {
+        match statement {
+            Statement::Insert(insert) => {
+                let upsert = matches!(insert.on, Some(OnInsert::OnConflict(_)));
+                let verbs: &[Verb] = if upsert {
+                    &[Verb::Insert, Verb::Update]
+                } else {
+                    &[Verb::Insert]
+                };
+                self.pure = false;
+                if let TableObject::TableName(name) = &insert.table {
+                    self.change(name, verbs);
+                }
+            }
+            Statement::Update(update) => self.factor(&update.table.relation, &[Verb::Update]),
+            Statement::Delete(delete) => {
+                let (FromTable::WithFromKeyword(tables) | FromTable::WithoutKeyword(tables)) =
+                    &delete.from;
+                self.joined(tables, Verb::Delete);
+            }
+            Statement::Merge(merge) => {
+                self.factor(&merge.table, &[Verb::Insert, Verb::Update, Verb::Delete]);
+            }
+            Statement::Truncate(truncate) => {
+                for target in &truncate.table_names {
+                    self.change(&target.name, &[Verb::Delete]);
+                }
+            }
+            Statement::Query(_) | Statement::Explain { .. } => {}
+            _ => self.pure = false,
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_query(&mut self, query: &Query) -> ControlFlow<()> {
+        let writes = matches!(
+            *query.body,
+            SetExpr::Insert(_) | SetExpr::Update(_) | SetExpr::Delete(_) | SetExpr::Merge(_)
+        );
+        if !query.locks.is_empty() || writes {
+            self.pure = false;
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_select(&mut self, select: &Select) -> ControlFlow<()> {
+        if select.into.is_some() {
+            self.pure = false;
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_table_factor(&mut self, table: &TableFactor) -> ControlFlow<()> {
+        match table {
+            TableFactor::Table {
+                name,
+                args: Some(_),
+                ..
+            }
+            | TableFactor::Function { name, .. } => self.pure &= functions::is_pure(name),
+            TableFactor::TableFunction { .. } => self.pure = false,
+            _ => {}
+        }
+        ControlFlow::Continue(())
+    }
+
+    fn pre_visit_expr(&mut self, expr: &Expr) -> ControlFlow<()> {
+        if let Expr::Function(function) = expr {
+            self.pure &= functions::is_pure(&function.name);
+        }
+        ControlFlow::Continue(())
+    }
+}
--- /dev/null
+++ b/crates/sql/src/session.rs
@@ -0,0 +1,154 @@
+//! Statements about the session itself, recognised by their first words.
+
+use sqlparser::tokenizer::{Token, TokenWithSpan};
+
+use crate::{Kind, tokens::word};
+
+/// Recognises a statement that concerns the session; `None` for any other.
+pub(crate) fn recognise(tokens: &[TokenWithSpan]) -> Option<Kind> {
+    let (first, rest) = tokens.split_first()?;
+    match word(first)?.as_str() {
+        "SET" => set(rest),
+        "RESET" => reset(rest),
+        "SHOW" => Some(Kind::Show(name(rest)?.0)),
+        "COPY" => Some(Kind::Copy),
+        "DISCARD" => match word(rest.first()?)?.as_str() {
+            "ALL" => Some(Kind::Discard),
+            _ => Some(Kind::Sticky("DISCARD")),
+        },
+        "DEALLOCATE" => {
+            let rest = match word(rest.first()?).as_deref() {
+                Some("PREPARE") => &rest[1..],
+                _ => rest,
+            };
+            match word(rest.first()?).as_deref() {
+                Some("ALL") => Some(Kind::Deallocate(None)),
+                _ => Some(Kind::Deallocate(Some(part(rest.first()?)?))),
+            }
+        }
+        "LISTEN" => Some(Kind::Sticky("LISTEN")),
+        "UNLISTEN" => Some(Kind::Sticky("UNLISTEN")),
+        "PREPARE" if rest.first().and_then(word).as_deref() == Some("TRANSACTION") => {
+            Some(Kind::Sticky("PREPARE TRANSACTION"))
+        }
+        "PREPARE" => Some(Kind::Sticky("PREPARE")),
+        "EXECUTE" => Some(Kind::Sticky("EXECUTE")),
+        "LOAD" => Some(Kind::Sticky("LOAD")),
+        "CREATE" if temporary(rest) => Some(Kind::Sticky("CREATE TEMPORARY")),
+        _ => None,
+    }
+}
+
+fn temporary(rest: &[TokenWithSpan]) -> bool {
+    rest.iter()
+        .take(4)
+        .map_while(word)
+        .take_while(|word| !matches!(word.as_str(), "TABLE" | "VIEW" | "SEQUENCE"))
+        .any(|word| matches!(word.as_str(), "TEMP" | "TEMPORARY"))
+}
+
+fn set(mut rest: &[TokenWithSpan]) -> Option<Kind> {
+    let mut local = false;
+    match word(rest.first()?).as_deref() {
+        Some("LOCAL") => {
+            local = true;
+            rest = &rest[1..];
+        }
+        Some("SESSION") => {
+            rest = &rest[1..];
+            match word(rest.first()?).as_deref() {
+                Some("CHARACTERISTICS") => {
+                    return Some(Kind::Sticky("SET SESSION CHARACTERISTICS"));
+                }
+                Some("AUTHORIZATION") => return Some(Kind::Sticky("SET SESSION AUTHORIZATION")),
+                _ => {}
+            }
+        }
+        _ => {}
+    }
+    let (name, rest) = match word(rest.first()?).as_deref() {
+        // These two belong to the transaction that runs.
+        Some("TRANSACTION" | "CONSTRAINTS") => return Some(Kind::Unsure),
+        Some("ROLE") => return Some(Kind::Sticky("SET ROLE")),
+        Some("NAMES") => ("client_encoding".to_owned(), &rest[1..]),
+        Some("TIME") if word(rest.get(1)?).as_deref() == Some("ZONE") => {
+            ("timezone".to_owned(), &rest[2..])
+        }
+        _ => {
+            let (name, rest) = name(rest)?;
+            let (sign, rest) = rest.split_first()?;
+            if sign.token != Token::Eq && word(sign).as_deref() != Some("TO") {
+                return None;
+            }
+            (name, rest)
+        }
+    };
+    let default = matches!(rest, [only] if word(only).as_deref() == Some("DEFAULT"));
+    let value = if default { None } else { Some(value(rest)?) };
+    Some(Kind::Set { name, value, local })
+}
+
+fn reset(rest: &[TokenWithSpan]) -> Option<Kind> {
+    let (name, rest) = name(rest)?;
+    let name = match name.as_str() {
+        "time" if !rest.is_empty() => "timezone".to_owned(),
+        "role" | "session" => return Some(Kind::Sticky("RESET ROLE")),
+        _ if rest.is_empty() => name,
+        _ => return None,
+    };
+    Some(Kind::Set {
+        name,
+        value: None,
+        local: false,
+    })
+}
+
+/// Reads a name of one or more parts, and returns what follows.
+fn name(rest: &[TokenWithSpan]) -> Option<(String, &[TokenWithSpan])> {
+    let (first, mut rest) = rest.split_first()?;
+    let mut name = part(first)?;
+    while let [dot, next, tail @ ..] = rest {
+        if dot.token != Token::Period {
+            break;
+        }
+        name.push('.');
+        name.push_str(&part(next)?);
+        rest = tail;
+    }
+    Some((name.to_ascii_lowercase(), rest))
+}
+
+fn part(token: &TokenWithSpan) -> Option<String> {
+    match &token.token {
+        Token::Word(word) if word.quote_style.is_some() => Some(word.value.clone()),
+        Token::Word(word) => Some(word.value.to_ascii_lowercase()),
+        _ => None,
+    }
+}
+
+/// Reads the value of a SET: words, strings and numbers with commas between them.
+fn value(rest: &[TokenWithSpan]) -> Option<String> {
+    let mut text = String::new();
+    for (i, part) in rest.split(|token| token.token == Token::Comma).enumerate() {
+        if i > 0 {
+            text.push_str(", ");
+        }
+        let (minus, token) = match part {
+            [token] => (false, token),
+            [minus, token] if minus.token == Token::Minus => (true, token),
+            _ => return None,
+        };
+        if minus {
+            text.push('-');
+        }
+        match &token.token {
+            Token::SingleQuotedString(part) | Token::EscapedStringLiteral(part) => {
+                text.push_str(part);
+            }
+            Token::Number(number, _) => text.push_str(number),
+            Token::Word(word) => text.push_str(&word.value),
+            _ => return None,
+        }
+    }
+    Some(text)
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -1,6 +1,6 @@
 //! Client side of a connection to an upstream.
 
-use std::{collections::BTreeMap, fmt};
+use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
 use base::Map;
 use compio::net::TcpStream;
@@ -55,6 +55,8 @@
     pub parameters: Map<String, String>,
     /// Process number and secret for cancel requests.
     pub key: (i32, i32),
+    /// Own and remote address of the stream; a cancel request goes between the same two hosts.
+    pub route: Option<(SocketAddr, SocketAddr)>,
 }
 
 impl Client {
@@ -63,12 +65,14 @@
     /// # Errors
     /// The stream failed, or the upstream refused the login or wants a password.
     pub async fn open(stream: TcpStream, user: &str, database: &str) -> Result<Self, Failure> {
+        let route = stream.local_addr().ok().zip(stream.peer_addr().ok());
         let (read, write) = stream.into_split();
         let mut client = Self {
             reader: Reader::new(read, LIMIT_BYTES),
             writer: Writer::new(write),
             parameters: Map::default(),
             key: (0, 0),
+            route,
         };
         let mut startup = Startup::new();
         startup.parameters = BTreeMap::from([
--- a/crates/wire/src/writer.rs
+++ b/crates/wire/src/writer.rs
@@ -61,6 +61,11 @@
         self.out.len()
     }
 
+    /// Takes back what was added after `length` bytes were pending.
+    pub fn truncate(&mut self, length: usize) {
+        self.out.truncate(length);
+    }
+
     /// Writes everything that was added.
     ///
     /// # Errors
