--- /dev/null
+++ b/crates/entry/src/options.rs
@@ -0,0 +1,52 @@
+//! What the callers' side of the process is told at start.
+
+use std::time::Duration;
+
+use base::Map;
+use slog::Logger;
+
+/// How callers prove who they are.
+#[derive(Debug, Clone, Default)]
+pub enum Auth {
+    /// Everyone is let in.
+    #[default]
+    Trust,
+    /// Password in clear text, compared with the lower-case SHA-256 of the user's password.
+    Password(Map<String, String>),
+}
+
+/// Limits and ways of the callers' side.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// How callers prove who they are.
+    pub auth: Auth,
+    /// Time that a login may take.
+    pub login: Duration,
+    /// Callers served at once; further ones are refused with 53300.
+    pub callers: usize,
+    /// Largest answer of a primary that is held until it is confirmed, in bytes.
+    pub held_bytes: usize,
+    /// Time after which a caller that doesn't read its answer, or leaves a transaction idle, is
+    /// dropped: both hold a scarce connection.
+    pub stall: Duration,
+    /// Time between the order to stop and the first refusal, in which load balancers learn of it.
+    pub notice: Duration,
+    /// Where events are logged.
+    pub log: Logger,
+}
+
+impl Options {
+    /// Options with the default limits.
+    #[must_use]
+    pub fn new(auth: Auth, log: Logger) -> Self {
+        Self {
+            auth,
+            login: Duration::from_secs(10),
+            callers: 20_000,
+            held_bytes: 16 << 20,
+            stall: Duration::from_mins(1),
+            notice: Duration::from_secs(1),
+            log,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/registry.rs
@@ -0,0 +1,193 @@
+//! Cancel requests: which upstream connection runs the statement of a caller now.
+
+use std::{
+    cell::{Cell, RefCell},
+    future::poll_fn,
+    net::SocketAddr,
+    rc::Rc,
+    task::{Poll, Waker},
+    time::Duration,
+};
+
+use base::Map;
+use compio::{
+    BufResult,
+    io::{AsyncRead, AsyncWriteExt},
+};
+
+/// Time that a cancel request to an upstream may take.
+const CANCEL: Duration = Duration::from_secs(2);
+const CANCEL_CODE: i32 = 80_877_102;
+
+/// Upstream session that runs a statement.
+#[derive(Debug, Clone, Copy)]
+pub struct Target {
+    /// Own and remote address of its connection.
+    pub route: (SocketAddr, SocketAddr),
+    /// Process number and secret of the upstream session.
+    pub key: (i32, i32),
+}
+
+/// Place of one caller's session in the registry.
+#[derive(Debug, Default)]
+pub struct Slot {
+    secret: i32,
+    target: Cell<Option<Target>>,
+    /// Raised at each start and end, so that a cancel can't hit a later statement.
+    turn: Cell<u64>,
+    sending: Cell<u32>,
+    sent: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Slot {
+    /// Notes that a statement runs at `target` from now on.
+    pub fn start(&self, target: Option<Target>) {
+        self.turn.set(self.turn.get() + 1);
+        self.sent.set(false);
+        self.target.set(target);
+    }
+
+    /// Notes that the statement ended, and returns whether a cancel was sent for it.
+    ///
+    /// A cancel that is on its way to the upstream is waited for, because it must not hit the next
+    /// statement on that connection.
+    pub async fn end(&self) -> bool {
+        self.turn.set(self.turn.get() + 1);
+        self.target.set(None);
+        poll_fn(|cx| {
+            if self.sending.get() == 0 {
+                return Poll::Ready(());
+            }
+            self.waker.replace(Some(cx.waker().clone()));
+            Poll::Pending
+        })
+        .await;
+        self.sent.get()
+    }
+}
+
+/// Sessions by process number.
+#[derive(Debug, Default)]
+pub struct Registry {
+    slots: RefCell<Map<i32, Rc<Slot>>>,
+    last: Cell<i32>,
+}
+
+/// A session's entry in the registry, which ends with it.
+#[derive(Debug)]
+pub struct Entry {
+    /// Process number that the caller was told.
+    pub pid: i32,
+    /// Place of the session.
+    pub slot: Rc<Slot>,
+    registry: Rc<Registry>,
+}
+
+impl Entry {
+    /// Secret that the caller was told.
+    #[must_use]
+    pub fn secret(&self) -> i32 {
+        self.slot.secret
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        self.registry.slots.borrow_mut().remove(&self.pid);
+    }
+}
+
+impl Registry {
+    /// Adds a session under a free process number and a random secret.
+    #[must_use]
+    pub fn enter(self: &Rc<Self>) -> Entry {
+        let mut slots = self.slots.borrow_mut();
+        let mut pid = self.last.get();
+        loop {
+            pid = pid.checked_add(1).unwrap_or(1);
+            if !slots.contains_key(&pid) {
+                break;
+            }
+        }
+        self.last.set(pid);
+        let slot = Rc::new(Slot {
+            secret: rand::random(),
+            ..Slot::default()
+        });
+        slots.insert(pid, Rc::clone(&slot));
+        Entry {
+            pid,
+            slot,
+            registry: Rc::clone(self),
+        }
+    }
+
+    /// Number of sessions.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.slots.borrow().len()
+    }
+
+    /// Whether there is no session.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Cancels the statement that a session runs now; anything else is left alone.
+    pub async fn cancel(&self, pid: i32, secret: i32) {
+        let slot = self.slots.borrow().get(&pid).cloned();
+        let Some(slot) = slot.filter(|slot| slot.secret == secret) else {
+            return;
+        };
+        let turn = slot.turn.get();
+        let Some(target) = slot.target.get() else {
+            return;
+        };
+        let Ok(stream) = connect(target).await else {
+            return;
+        };
+        if slot.turn.get() != turn {
+            return;
+        }
+        slot.sent.set(true);
+        slot.sending.set(slot.sending.get() + 1);
+        let _outcome = compio::time::timeout(CANCEL, ask(stream, target.key)).await;
+        slot.sending.set(slot.sending.get() - 1);
+        if let Some(waker) = slot.waker.take() {
+            waker.wake();
+        }
+    }
+}
+
+/// Cancels what an upstream session runs, on a connection that nobody uses any longer.
+pub(crate) async fn send(target: Target) {
+    if let Ok(stream) = connect(target).await {
+        let _outcome = compio::time::timeout(CANCEL, ask(stream, target.key)).await;
+    }
+}
+
+async fn connect(target: Target) -> std::io::Result<compio::net::TcpStream> {
+    let (own, remote) = target.route;
+    base::net::connect(own.ip(), remote, CANCEL).await
+}
+
+/// Sends the request and waits until the upstream closes the connection, which it does once the
+/// request took effect.
+async fn ask(mut stream: compio::net::TcpStream, key: (i32, i32)) {
+    let mut request = Vec::with_capacity(16);
+    for part in [16, CANCEL_CODE, key.0, key.1] {
+        request.extend_from_slice(&part.to_be_bytes());
+    }
+    let BufResult(result, mut buffer) = stream.write_all(request).await;
+    if result.is_ok() {
+        loop {
+            let BufResult(result, back) = stream.read(buffer).await;
+            if !matches!(result, Ok(1..)) {
+                return;
+            }
+            buffer = back;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/request.rs
@@ -0,0 +1,589 @@
+//! Carrying out one request on an upstream.
+
+use std::{
+    mem,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{
+    Position, Term,
+    document::{Rule, Service},
+};
+use compio::time::{sleep, timeout_at};
+use sql::{Kind, Script, rules};
+use wire::{Failure, WireError, reply};
+
+use crate::{
+    answer::{Answer, Broken, Passing, Way, position},
+    batch::Batch,
+    fleet::{Fleet, Lease, Need},
+    refusal::Refusal,
+    registry::{self, Target},
+    session::{ABORTED, Gone, Open, Session, State},
+    statements::Prepared,
+};
+
+/// Parameter kept with a connection: the settings of the session that used it last.
+const SETTINGS: &str = "goldcrestrail.settings";
+/// A request up to this size is one packet to the socket's empty buffer, so that a failed write
+/// sent none of it.
+const WHOLE_BYTES: usize = 4 << 10;
+/// First and longest pause before another attempt.
+const PAUSE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(200));
+
+/// What is sent to the upstream.
+#[derive(Debug)]
+pub(crate) enum Request<'a> {
+    /// Body of a simple query.
+    Simple(&'a [u8]),
+    /// Batch of extended queries.
+    Extended(&'a Batch),
+}
+
+/// What a request means for its routing.
+#[derive(Debug, Default)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is a separate fact of the request"
+)]
+pub(crate) struct Meaning {
+    /// Whether it ends with `ReadyForQuery`.
+    pub(crate) sync: bool,
+    /// Whether only the primary may run it.
+    pub(crate) primary: bool,
+    /// Whether it runs a statement, rather than preparing or describing one.
+    pub(crate) executes: bool,
+    /// Whether it may change data.
+    pub(crate) writes: bool,
+    /// Whether it opens a transaction that may change data.
+    pub(crate) begins: bool,
+    /// Whether it may end a transaction.
+    pub(crate) ends: bool,
+    /// Key given by a leading comment.
+    pub(crate) key: Option<Box<str>>,
+    /// Table of a rule that wants a key.
+    pub(crate) ruled: Option<String>,
+    /// Parameters that it sets, with the statement for each or `None` for the default.
+    pub(crate) sets: Vec<(String, Option<String>)>,
+}
+
+impl Meaning {
+    /// Meaning of a simple query.
+    pub(crate) fn of(script: &Script, text: &str, rules: &[Rule]) -> Self {
+        let mut meaning = Self {
+            sync: true,
+            primary: !script.is_read(),
+            ..Self::default()
+        };
+        meaning.runs(script, text, rules);
+        meaning
+    }
+
+    /// Adds a statement that has to be known to the connection.
+    pub(crate) fn needs(&mut self, prepared: &Prepared) {
+        self.primary |= !prepared.script.is_read();
+    }
+
+    /// Adds a statement that runs.
+    pub(crate) fn runs(&mut self, script: &Script, text: &str, rules: &[Rule]) {
+        self.executes = true;
+        self.writes |= script.may_write();
+        if self.key.is_none() {
+            self.key = script.key.as_deref().map(Into::into);
+        }
+        if self.ruled.is_none() && !rules.is_empty() {
+            self.ruled = rules::wants_key(text, script, rules).map(|rule| rule.table.clone());
+        }
+        for statement in &script.statements {
+            match &statement.kind {
+                Kind::Begin { read_only: false } => self.begins = true,
+                Kind::Commit | Kind::Rollback => self.ends = true,
+                Kind::Set {
+                    name,
+                    value,
+                    local: false,
+                } => {
+                    let text = text.get(statement.range.clone()).unwrap_or_default();
+                    let text = value.as_ref().map(|_| text.trim().to_owned());
+                    self.sets.push((name.clone(), text));
+                }
+                _ => self.ends |= !statement.parsed,
+            }
+        }
+    }
+}
+
+/// Why a request has no answer of its own.
+#[derive(Debug)]
+pub(crate) enum Trouble {
+    /// The caller has to go.
+    Gone,
+    /// It gets an error instead, with SQLSTATE and message.
+    Error(&'static str, String),
+    /// It gets an error of the upstream that is not part of its answer.
+    Upstream(String, String),
+}
+
+impl From<Refusal> for Trouble {
+    fn from(refusal: Refusal) -> Self {
+        Self::Error(refusal.sqlstate(), refusal.to_string())
+    }
+}
+
+impl From<Gone> for Trouble {
+    fn from(_gone: Gone) -> Self {
+        Self::Gone
+    }
+}
+
+impl From<Broken> for Trouble {
+    fn from(broken: Broken) -> Self {
+        match broken {
+            Broken::Caller => Self::Gone,
+            _ => Refusal::Unknown(broken.to_string()).into(),
+        }
+    }
+}
+
+/// One attempt on one connection.
+pub(crate) struct Attempt {
+    /// Its answer.
+    pub(crate) answer: Result<Answer, Broken>,
+    /// Whether a cancel was sent to the connection, which must not be used by others then.
+    pub(crate) cancelled: bool,
+}
+
+impl<F: Fleet> Session<F> {
+    /// Carries out a request and answers it, whatever happens.
+    pub(crate) async fn perform(
+        &mut self,
+        request: &Request<'_>,
+        meaning: Meaning,
+    ) -> Result<(), Gone> {
+        self.shared.count_request();
+        let outcome = self.attempt(request, &meaning).await;
+        self.names.end_batch();
+        let failed = match outcome {
+            Ok(failed) => failed,
+            Err(Trouble::Gone) => return Err(Gone),
+            Err(Trouble::Error(sqlstate, message)) => {
+                self.error(sqlstate, &message);
+                true
+            }
+            Err(Trouble::Upstream(sqlstate, message)) => {
+                self.error(&sqlstate, &message);
+                true
+            }
+        };
+        if meaning.sync {
+            return self.ready().await;
+        }
+        self.skipping |= failed;
+        self.flush().await
+    }
+
+    /// Returns whether the answer is an error.
+    async fn attempt(&mut self, request: &Request<'_>, meaning: &Meaning) -> Result<bool, Trouble> {
+        let service = self.service()?;
+        let limit = self
+            .settings
+            .parameters
+            .deadline
+            .unwrap_or(Duration::from_millis(service.limits.deadline_ms));
+        let deadline = Instant::now() + limit;
+        match mem::replace(&mut self.state, State::Idle) {
+            State::Idle => self.alone(&service, request, meaning, deadline).await,
+            State::Open(open) => {
+                self.within(&service, open, request, meaning, deadline)
+                    .await
+            }
+            State::Lost => {
+                self.state = State::Lost;
+                Err(Trouble::Error(ABORTED.0, ABORTED.1.to_owned()))
+            }
+        }
+    }
+
+    /// Service of the session as configured now.
+    pub(crate) fn service(&self) -> Result<Rc<Service>, Refusal> {
+        self.shared
+            .fleet
+            .service(&self.settings.service)
+            .ok_or_else(|| Refusal::Service(self.settings.service.to_string()))
+    }
+
+    /// Carries out a request outside a transaction.
+    async fn alone(
+        &mut self,
+        service: &Service,
+        request: &Request<'_>,
+        meaning: &Meaning,
+        deadline: Instant,
+    ) -> Result<bool, Trouble> {
+        let mut primary = meaning.primary;
+        let mut pause = PAUSE.0;
+        let mark = self.writer.pending();
+        loop {
+            let mut lease = self.lease(service, primary, deadline).await?;
+            let refusal = match self.set_up(&mut lease, deadline).await {
+                Ok(()) => {
+                    let attempt = self.exchange(&mut lease, request, deadline).await;
+                    match attempt.answer {
+                        Err(Broken::Unsent(_)) => Refusal::Primary,
+                        Err(broken) => return Err(broken.into()),
+                        Ok(answer) => match refused_before(&answer) {
+                            Some(refusal) => {
+                                self.writer.truncate(mark);
+                                primary = true;
+                                give_back(lease, &answer, attempt.cancelled);
+                                refusal
+                            }
+                            None => {
+                                return self
+                                    .settle_alone(
+                                        service,
+                                        lease,
+                                        answer,
+                                        attempt.cancelled,
+                                        meaning,
+                                        mark,
+                                        deadline,
+                                    )
+                                    .await;
+                            }
+                        },
+                    }
+                }
+                Err(Failure::Wire(_)) => Refusal::Primary,
+                Err(Failure::Refused(sqlstate, message)) => {
+                    return Err(Trouble::Upstream(sqlstate, message));
+                }
+            };
+            if !self.pause(&mut pause, deadline).await {
+                return Err(refusal.into());
+            }
+        }
+    }
+
+    /// Waits before another attempt; false when there is no time or no budget for one.
+    pub(crate) async fn pause(&self, pause: &mut Duration, deadline: Instant) -> bool {
+        let wait = pause.mul_f64(rand::random_range(0.5..1.0));
+        *pause = (*pause * 2).min(PAUSE.1);
+        if Instant::now() + wait >= deadline || !self.shared.take_retry() {
+            return false;
+        }
+        sleep(wait).await;
+        true
+    }
+
+    /// Takes a connection that may run the request.
+    pub(crate) async fn lease(
+        &mut self,
+        service: &Service,
+        primary: bool,
+        deadline: Instant,
+    ) -> Result<F::Lease, Refusal> {
+        if primary {
+            return self.shared.fleet.write(service, deadline).await;
+        }
+        let own = &self.settings.parameters;
+        let longest = Duration::from_millis(service.freshness.max_age_ms);
+        let need = Need {
+            token: own.token,
+            max_age: own.max_age.map(|age| age.min(longest)),
+            since: self.since,
+            deadline,
+        };
+        let (lease, token) = self.shared.fleet.read(service, need).await?;
+        if token.is_some() {
+            self.settings.parameters.token = token;
+        }
+        Ok(lease)
+    }
+
+    /// Gives a connection the parameters of this session, where another session left others.
+    pub(crate) async fn set_up(
+        &self,
+        lease: &mut F::Lease,
+        deadline: Instant,
+    ) -> Result<(), Failure> {
+        let client = lease.client();
+        let wanted = self.settings.prelude.as_str();
+        let left = client.parameters.get(SETTINGS).map_or("", String::as_str);
+        if left == wanted {
+            return Ok(());
+        }
+        let text = format!("RESET ALL; {wanted}");
+        let running = timeout_at(deadline, client.query(text.trim_end_matches([';', ' '])));
+        running
+            .await
+            .map_err(|_elapsed| Failure::Wire(WireError::Cut))??;
+        client
+            .parameters
+            .insert(SETTINGS.to_owned(), wanted.to_owned());
+        Ok(())
+    }
+
+    /// Sends a request and passes its answer on.
+    pub(crate) async fn exchange(
+        &mut self,
+        lease: &mut F::Lease,
+        request: &Request<'_>,
+        deadline: Instant,
+    ) -> Attempt {
+        let mark = self.writer.pending();
+        let expects = match request {
+            Request::Simple(body) => {
+                lease.client().writer.parts(b'Q', body);
+                None
+            }
+            Request::Extended(batch) => Some(batch.send(lease)),
+        };
+        let way = if lease.primary().is_some() {
+            Way::Held(self.shared.options.held_bytes)
+        } else {
+            Way::Streamed
+        };
+        let client = lease.client();
+        let target = client.route.map(|route| Target {
+            route,
+            key: client.key,
+        });
+        let whole = expects.is_none() || client.writer.pending() <= WHOLE_BYTES;
+        self.entry.slot.start(target);
+        let mut written = false;
+        let answer = match timeout_at(deadline, client.writer.flush()).await {
+            Ok(Ok(())) => {
+                let mut passing = Passing {
+                    writer: &mut self.writer,
+                    names: &mut self.names,
+                    expects,
+                    way,
+                    deadline,
+                    stall: self.shared.options.stall,
+                    written: false,
+                };
+                let answer = passing.run(lease).await;
+                written = passing.written;
+                answer
+            }
+            Ok(Err(cause)) if whole => Err(Broken::Unsent(cause)),
+            Ok(Err(cause)) => Err(Broken::Upstream(cause)),
+            Err(_elapsed) => Err(Broken::Late),
+        };
+        let cancelled = self.entry.slot.end().await;
+        if answer.is_err() && !written {
+            self.writer.truncate(mark);
+        }
+        if let (Err(Broken::Late | Broken::Caller), Some(target)) = (&answer, target) {
+            // The statement would go on and hold one of the few slots for nobody.
+            compio::runtime::spawn(registry::send(target)).detach();
+        }
+        Attempt { answer, cancelled }
+    }
+
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "all of it is one attempt's result"
+    )]
+    async fn settle_alone(
+        &mut self,
+        service: &Service,
+        mut lease: F::Lease,
+        answer: Answer,
+        cancelled: bool,
+        meaning: &Meaning,
+        mark: usize,
+        deadline: Instant,
+    ) -> Result<bool, Trouble> {
+        let term = lease.primary();
+        let position = position(lease.client());
+        let failed = answer.sqlstate.is_some();
+        if answer.status == b'I' {
+            if !failed && !meaning.sets.is_empty() {
+                self.settings.keep(&meaning.sets);
+                let kept = self.settings.prelude.clone();
+                lease.client().parameters.insert(SETTINGS.to_owned(), kept);
+            }
+            give_back(lease, &answer, cancelled);
+        } else {
+            self.state = State::Open(Box::new(Open {
+                lease,
+                status: answer.status,
+                sets: if failed {
+                    Vec::new()
+                } else {
+                    meaning.sets.clone()
+                },
+                cancelled,
+            }));
+        }
+        self.acknowledge(
+            service,
+            term,
+            position,
+            &answer,
+            meaning.primary && (!failed || meaning.ends),
+            mark,
+            deadline,
+        )
+        .await?;
+        Ok(failed)
+    }
+
+    /// Carries out a request in the transaction at hand.
+    async fn within(
+        &mut self,
+        service: &Service,
+        mut open: Box<Open<F::Lease>>,
+        request: &Request<'_>,
+        meaning: &Meaning,
+        deadline: Instant,
+    ) -> Result<bool, Trouble> {
+        let mark = self.writer.pending();
+        let term = open.lease.primary();
+        let attempt = self.exchange(&mut open.lease, request, deadline).await;
+        let answer = match attempt.answer {
+            Ok(answer) => answer,
+            Err(broken) if meaning.ends || matches!(broken, Broken::Caller) => {
+                return Err(broken.into());
+            }
+            Err(broken) => {
+                self.state = State::Lost;
+                return Err(Trouble::Error(
+                    Refusal::Primary.sqlstate(),
+                    format!("not run: the transaction is rolled back: {broken}"),
+                ));
+            }
+        };
+        open.cancelled |= attempt.cancelled;
+        let position = position(open.lease.client());
+        let failed = answer.sqlstate.is_some();
+        if !failed {
+            open.sets.extend(meaning.sets.iter().cloned());
+        }
+        if answer.status == b'I' {
+            let mut lease = open.lease;
+            if !open.sets.is_empty() {
+                if !answer.rolled_back {
+                    self.settings.keep(&open.sets);
+                }
+                // What a rollback leaves depends on savepoints, so that the next user resets it.
+                lease
+                    .client()
+                    .parameters
+                    .insert(SETTINGS.to_owned(), "unknown".to_owned());
+            }
+            give_back(lease, &answer, open.cancelled);
+        } else {
+            open.status = answer.status;
+            self.state = State::Open(open);
+        }
+        let acknowledged = self
+            .acknowledge(
+                service,
+                term,
+                position,
+                &answer,
+                !failed || meaning.ends,
+                mark,
+                deadline,
+            )
+            .await;
+        if let Err(trouble) = acknowledged {
+            if answer.status != b'I' {
+                self.state = State::Lost;
+            }
+            return Err(trouble);
+        }
+        Ok(failed)
+    }
+
+    /// Holds an answer of a primary back until what it shows is confirmed.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "all of it is one attempt's result"
+    )]
+    pub(crate) async fn acknowledge(
+        &mut self,
+        service: &Service,
+        term: Option<Term>,
+        position: Option<Position>,
+        answer: &Answer,
+        writes: bool,
+        mark: usize,
+        deadline: Instant,
+    ) -> Result<(), Trouble> {
+        let ended = answer.status == b'I' && !answer.rolled_back;
+        let Some(term) = term.filter(|_| ended || answer.rows || answer.overflow) else {
+            return Ok(());
+        };
+        let outcome = match position {
+            Some(position) => {
+                let confirming = self.shared.fleet.confirm(service, term, position, deadline);
+                confirming.await.map(|()| Some(position))
+            }
+            // An upstream that refuses its first statement has not reported a position yet.
+            None if answer.sqlstate.is_some() && !answer.rows => Ok(None),
+            None => Err(Refusal::Unknown("the database reported no position".into())),
+        };
+        match outcome {
+            Ok(position) => {
+                if let Some(position) = position.filter(|_| writes && ended && answer.completed) {
+                    self.report(position);
+                }
+            }
+            Err(refusal) => {
+                self.writer.truncate(mark);
+                return Err(refusal.into());
+            }
+        }
+        if answer.overflow {
+            return Err(Trouble::Error(
+                "54000",
+                format!(
+                    "run, but its answer is over {} bytes, more than can be held until it is \
+                     confirmed; ask for less, or read in a READ ONLY transaction",
+                    self.shared.options.held_bytes
+                ),
+            ));
+        }
+        Ok(())
+    }
+
+    /// Tells the caller the token of its session.
+    pub(crate) fn report(&mut self, position: Position) {
+        let token = match self.settings.parameters.token {
+            Some(token) => token.join(position),
+            None => position,
+        };
+        self.settings.parameters.token = Some(token);
+        let message = reply::parameter("goldcrestrail.token", &token.to_string());
+        let _encoded = self.writer.message(&message);
+    }
+}
+
+/// Whether the upstream refused a request before it ran any of it, so that it may be sent again.
+pub(crate) fn refused_before(answer: &Answer) -> Option<Refusal> {
+    if answer.completed || answer.rows || answer.written || answer.status != b'I' {
+        return None;
+    }
+    match answer.sqlstate.as_deref()? {
+        "53300" => Some(Refusal::Deadline),
+        "25006" => Some(Refusal::Primary),
+        _ => None,
+    }
+}
+
+/// Gives a connection back when it is certain to be in a clean state, and closes it otherwise.
+pub(crate) fn give_back<L: Lease>(mut lease: L, answer: &Answer, cancelled: bool) {
+    // Errors that tell of prepared statements other than those that are noted.
+    let muddled = matches!(
+        answer.sqlstate.as_deref(),
+        Some("0A000" | "26000" | "42P05")
+    );
+    if answer.status == b'I' && !cancelled && !muddled && !lease.client().reader.has_bytes() {
+        lease.release();
+    }
+}
--- /dev/null
+++ b/crates/entry/src/session.rs
@@ -0,0 +1,450 @@
+//! A caller's session: its requests, one after the other.
+
+use std::{
+    mem,
+    pin::{Pin, pin},
+    rc::Rc,
+    time::Instant,
+};
+
+use compio::time::{sleep, timeout};
+use futures_util::future::{Either, FusedFuture, FutureExt, select};
+use sql::{Kind, Script};
+use wire::{Cursor, Frame, Front, Reader, WireError, Writer, reply};
+
+use crate::{
+    batch::message,
+    fleet::Fleet,
+    parameters::{self, Parameters},
+    registry::Entry,
+    request::{Meaning, Request},
+    shared::Shared,
+    statements::Names,
+};
+
+/// What a login settles for the session.
+#[derive(Debug)]
+pub struct Settings {
+    /// Service that the caller uses.
+    pub service: Box<str>,
+    /// Largest message that the caller may send, in bytes.
+    pub message_bytes: usize,
+    /// Own parameters.
+    pub parameters: Parameters,
+    /// Other parameters by name, with the statement that sets each on a connection.
+    pub sets: Vec<(String, String)>,
+    /// All statements of `sets` in one text, which a connection has to have run.
+    pub prelude: String,
+}
+
+impl Settings {
+    /// Keeps parameters that were set, each with its statement or `None` for the default.
+    pub fn keep(&mut self, sets: &[(String, Option<String>)]) {
+        for (name, statement) in sets {
+            if name == "all" {
+                self.sets.clear();
+            }
+            self.sets.retain(|(kept, _)| kept != name);
+            if let Some(statement) = statement {
+                self.sets.push((name.clone(), statement.clone()));
+            }
+        }
+        self.prelude.clear();
+        for (i, (_, statement)) in self.sets.iter().enumerate() {
+            self.prelude.push_str(if i == 0 { "" } else { "; " });
+            self.prelude.push_str(statement);
+        }
+    }
+}
+
+/// A transaction on a connection of its own.
+#[derive(Debug)]
+pub struct Open<L> {
+    /// Connection that is held until the transaction ends.
+    pub lease: L,
+    /// Transaction status that the upstream reported last: `b'T'` or `b'E'`.
+    pub status: u8,
+    /// Parameters set in the transaction, kept when it commits.
+    pub sets: Vec<(String, Option<String>)>,
+    /// Whether a cancel was sent to the connection, which must not be used by others then.
+    pub cancelled: bool,
+}
+
+/// Where the session stands between two requests.
+#[derive(Debug)]
+pub enum State<L> {
+    /// Outside a transaction, without a connection.
+    Idle,
+    /// In a transaction.
+    Open(Box<Open<L>>),
+    /// In a transaction that was rolled back with its connection.
+    Lost,
+}
+
+/// The caller is gone, or has to go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Gone;
+
+/// A caller's session.
+pub struct Session<F: Fleet> {
+    pub(crate) settings: Settings,
+    pub(crate) reader: Reader,
+    pub(crate) writer: Writer,
+    pub(crate) entry: Entry,
+    pub(crate) shared: Rc<Shared<F>>,
+    pub(crate) since: Instant,
+    pub(crate) names: Names,
+    pub(crate) state: State<F::Lease>,
+    /// Messages are skipped until the next `Sync`.
+    pub(crate) skipping: bool,
+    /// Messages since the last `Sync` or `Flush`.
+    gathered: Vec<Front>,
+    gathered_bytes: usize,
+}
+
+impl<F: Fleet> Session<F> {
+    /// Starts a session whose login is done.
+    #[must_use]
+    pub fn new(
+        settings: Settings,
+        reader: Reader,
+        writer: Writer,
+        entry: Entry,
+        shared: Rc<Shared<F>>,
+        now: Instant,
+    ) -> Self {
+        Self {
+            settings,
+            reader,
+            writer,
+            entry,
+            shared,
+            since: now,
+            names: Names::default(),
+            state: State::Idle,
+            skipping: false,
+            gathered: Vec::new(),
+            gathered_bytes: 0,
+        }
+    }
+
+    /// Serves the caller until it leaves or the process stops.
+    pub async fn serve(mut self: Box<Self>) {
+        let shared = Rc::clone(&self.shared);
+        let mut stop = pin!(
+            async {
+                shared.fleet.stopping().await;
+                sleep(shared.options.notice).await;
+            }
+            .fuse()
+        );
+        loop {
+            let frame = match self.wait(stop.as_mut()).await {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return,
+                Err(cause) => {
+                    self.end(&cause).await;
+                    return;
+                }
+            };
+            // Boxed, because an idle session must not hold the space that a request needs.
+            if Box::pin(self.frame(frame)).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits for the next message; `None` when the session is over.
+    async fn wait(
+        &mut self,
+        stop: Pin<&mut impl FusedFuture<Output = ()>>,
+    ) -> Result<Option<Frame>, WireError> {
+        if let Some(frame) = self.reader.buffered()? {
+            return Ok(Some(frame));
+        }
+        if matches!(self.state, State::Idle) && self.gathered.is_empty() && !self.skipping {
+            if stop.is_terminated() {
+                self.dismiss().await;
+                return Ok(None);
+            }
+            if let Either::Left((frame, _)) = select(pin!(self.reader.next()), stop).await {
+                return frame;
+            }
+            self.dismiss().await;
+            return Ok(None);
+        }
+        match timeout(self.shared.options.stall, self.reader.next()).await {
+            Ok(frame) => frame,
+            Err(_elapsed) => {
+                let _closing = self
+                    .fatal("25P03", "the transaction was idle for too long")
+                    .await;
+                Ok(None)
+            }
+        }
+    }
+
+    async fn dismiss(&mut self) {
+        let _closing = self
+            .fatal("57P01", "this process is stopping; connect again")
+            .await;
+    }
+
+    /// Tells the caller why its session ends.
+    async fn end(&mut self, cause: &WireError) {
+        let _closing = match cause {
+            WireError::TooLarge { .. } => self.fatal("54000", &cause.to_string()).await,
+            WireError::Malformed(_) => self.fatal("08P01", &cause.to_string()).await,
+            WireError::Io(_) | WireError::Cut => Gone,
+        };
+    }
+
+    pub(crate) async fn fatal(&mut self, sqlstate: &str, message: &str) -> Gone {
+        let _encoded = self.writer.message(&reply::fatal(sqlstate, message, ""));
+        let _flushed = timeout(self.shared.options.stall, self.writer.flush()).await;
+        Gone
+    }
+
+    async fn frame(&mut self, frame: Frame) -> Result<(), Gone> {
+        let length = frame.body.len();
+        let front = match Front::parse(&frame) {
+            Ok(front) => front,
+            Err(cause) => return Err(self.fatal("08P01", &cause.to_string()).await),
+        };
+        if self.skipping && !matches!(front, Front::Sync | Front::Terminate) {
+            return Ok(());
+        }
+        match front {
+            Front::Query(_) => {
+                if !self.gathered.is_empty() {
+                    self.batch(false).await?;
+                }
+                self.query(&frame).await
+            }
+            Front::Sync => {
+                self.skipping = false;
+                self.batch(true).await
+            }
+            Front::Flush => self.batch(false).await,
+            Front::Terminate => Err(Gone),
+            // Left over from a COPY that was refused, as the protocol allows.
+            Front::CopyData(_) | Front::CopyDone | Front::CopyFail(_) => Ok(()),
+            Front::Password(_) => Err(self.fatal("08P01", "no password was asked for").await),
+            front => {
+                self.gathered_bytes += length;
+                if self.gathered_bytes > self.settings.message_bytes {
+                    self.gathered = Vec::new();
+                    self.gathered_bytes = 0;
+                    self.error("54000", "too many messages before a Sync; send it earlier");
+                    self.skipping = true;
+                    return self.flush().await;
+                }
+                self.gathered.push(front);
+                Ok(())
+            }
+        }
+    }
+
+    /// Carries out the messages that were gathered.
+    async fn batch(&mut self, sync: bool) -> Result<(), Gone> {
+        let fronts = mem::take(&mut self.gathered);
+        self.gathered_bytes = 0;
+        self.extended(fronts, sync).await
+    }
+
+    async fn query(&mut self, frame: &Frame) -> Result<(), Gone> {
+        let Ok(text) = Cursor::new(&frame.body).text() else {
+            return Err(self.fatal("08P01", "query without end").await);
+        };
+        let script = self.shared.script(text);
+        let mut rest = 0;
+        for (i, statement) in script.statements.iter().enumerate() {
+            let Some(known) = self.known_kind(&statement.kind) else {
+                if script.statements[i..]
+                    .iter()
+                    .any(|statement| self.known_kind(&statement.kind).is_some())
+                {
+                    self.error(
+                        "0A000",
+                        "not run: statements about the session of the proxy must come first in a text",
+                    );
+                    return self.ready().await;
+                }
+                break;
+            };
+            match self.run_known(&known, true) {
+                Ok(messages) => self.writer.bytes(&messages),
+                Err((sqlstate, message)) => {
+                    self.error(sqlstate, &message);
+                    return self.ready().await;
+                }
+            }
+            rest = i + 1;
+        }
+        let Some(first) = script.statements.get(rest) else {
+            if script.statements.is_empty() {
+                self.writer.parts(b'I', &[]);
+            }
+            return self.ready().await;
+        };
+        if matches!(self.state, State::Lost) {
+            self.error(ABORTED.0, ABORTED.1);
+            return self.ready().await;
+        }
+        if let Some((sqlstate, message)) = refused(&script) {
+            self.error(sqlstate, &message);
+            return self.ready().await;
+        }
+        let service = match self.service() {
+            Ok(service) => service,
+            Err(refusal) => {
+                self.error(refusal.sqlstate(), &refusal.to_string());
+                return self.ready().await;
+            }
+        };
+        let meaning = Meaning::of(&script, text, &service.non_idempotent);
+        if rest == 0 {
+            self.perform(&Request::Simple(&frame.body), meaning).await
+        } else {
+            let tail = &frame.body[first.range.start..];
+            self.perform(&Request::Simple(tail), meaning).await
+        }
+    }
+
+    /// The statement as one that is answered here, if it is.
+    pub(crate) fn known_kind(&self, kind: &Kind) -> Option<Kind> {
+        let known = match kind {
+            Kind::Set { name, .. } | Kind::Show(name) => parameters::is_own(name),
+            Kind::Deallocate(_) | Kind::Discard => true,
+            Kind::Commit | Kind::Rollback => matches!(self.state, State::Lost),
+            _ => false,
+        };
+        known.then(|| kind.clone())
+    }
+
+    /// Runs a statement that is answered here, and returns its answer.
+    pub(crate) fn run_known(
+        &mut self,
+        kind: &Kind,
+        describe: bool,
+    ) -> Result<Vec<u8>, (&'static str, String)> {
+        let tag = match kind {
+            Kind::Set { name, value, .. } => {
+                self.settings.parameters.set(name, value.as_deref())?;
+                if value.is_some() { "SET" } else { "RESET" }
+            }
+            Kind::Show(name) => {
+                let value = self.settings.parameters.show(name)?;
+                let mut out = if describe { columns(name) } else { Vec::new() };
+                let mut row = vec![0, 1];
+                let length = i32::try_from(value.len()).unwrap_or_default();
+                row.extend_from_slice(&length.to_be_bytes());
+                row.extend_from_slice(value.as_bytes());
+                out.extend(message(b'D', &row));
+                out.extend(message(b'C', b"SHOW\0"));
+                return Ok(out);
+            }
+            Kind::Deallocate(None) => {
+                self.names.clear();
+                "DEALLOCATE ALL"
+            }
+            Kind::Deallocate(Some(name)) => {
+                if self.names.find(name).is_none() {
+                    return Err((
+                        "26000",
+                        format!("prepared statement \"{name}\" does not exist"),
+                    ));
+                }
+                self.names
+                    .apply(crate::statements::NameChange::Remove(name.clone()));
+                "DEALLOCATE"
+            }
+            Kind::Discard => {
+                if !matches!(self.state, State::Idle) {
+                    return Err(("25001", "DISCARD ALL cannot run in a transaction".into()));
+                }
+                self.names.clear();
+                self.settings.keep(&[("all".to_owned(), None)]);
+                "DISCARD ALL"
+            }
+            _ => {
+                self.state = State::Idle;
+                "ROLLBACK"
+            }
+        };
+        Ok(message(b'C', format!("{tag}\0").as_bytes()))
+    }
+
+    /// Adds an error to the answer.
+    pub(crate) fn error(&mut self, sqlstate: &str, message: &str) {
+        let _encoded = self.writer.message(&reply::error(sqlstate, message, ""));
+    }
+
+    /// Transaction status that the caller sees.
+    pub(crate) fn status(&self) -> u8 {
+        match &self.state {
+            State::Idle => b'I',
+            State::Open(open) => open.status,
+            State::Lost => b'E',
+        }
+    }
+
+    /// Ends the answer to a `Query` or `Sync`.
+    pub(crate) async fn ready(&mut self) -> Result<(), Gone> {
+        let status = self.status();
+        if status == b'I' {
+            self.names.portals = Vec::new();
+        }
+        self.writer.parts(b'Z', &[status]);
+        self.flush().await
+    }
+
+    pub(crate) async fn flush(&mut self) -> Result<(), Gone> {
+        match timeout(self.shared.options.stall, self.writer.flush()).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(Gone),
+        }
+    }
+}
+
+/// Error of a statement in a transaction that failed.
+pub(crate) const ABORTED: (&str, &str) = (
+    "25P02",
+    "current transaction is aborted, commands ignored until end of transaction block",
+);
+
+/// Why a text is refused whatever the service says.
+pub(crate) fn refused(script: &Script) -> Option<(&'static str, String)> {
+    script
+        .statements
+        .iter()
+        .find_map(|statement| match &statement.kind {
+            Kind::Copy => Some((
+                "0A000",
+                "not run: COPY is not passed through; use INSERT with several rows".to_owned(),
+            )),
+            Kind::Sticky(command) => Some((
+                "0A000",
+                format!(
+                    "not run: {command} leaves state in a database session, and connections are \
+                     shared here; connect to the database itself for it"
+                ),
+            )),
+            _ => None,
+        })
+}
+
+/// Description of the row that SHOW returns.
+pub(crate) fn columns(name: &str) -> Vec<u8> {
+    const TEXT_TYPE: i32 = 25;
+    let mut body = vec![0, 1];
+    body.extend_from_slice(name.as_bytes());
+    body.push(0);
+    body.extend_from_slice(&0_i32.to_be_bytes());
+    body.extend_from_slice(&0_i16.to_be_bytes());
+    body.extend_from_slice(&TEXT_TYPE.to_be_bytes());
+    body.extend_from_slice(&(-1_i16).to_be_bytes());
+    body.extend_from_slice(&(-1_i32).to_be_bytes());
+    body.extend_from_slice(&0_i16.to_be_bytes());
+    message(b'T', &body)
+}
--- /dev/null
+++ b/crates/entry/tests/common/fleet.rs
@@ -0,0 +1,196 @@
+//! A fleet of one primary and one replica with a pool each.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{
+    MemberName, Position, Set, Term,
+    document::{Document, Service},
+};
+use compio::{net::TcpStream, time::sleep};
+use entry::{
+    fleet::{Fleet, Lease, Need},
+    refusal::Refusal,
+};
+use wire::Client;
+
+use super::upstream::{Store, Upstream};
+
+type Pool = Rc<RefCell<Vec<(Client, Set<String>)>>>;
+
+/// How a confirmation ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Confirm {
+    Yes,
+    No,
+    /// Waits until it is set to another outcome.
+    Wait,
+}
+
+pub struct Fake {
+    pub service: RefCell<Rc<Service>>,
+    pub store: Rc<Store>,
+    pub primary: Rc<Upstream>,
+    pub replica: Rc<Upstream>,
+    /// Whether reads go to the replica.
+    pub replica_reads: Cell<bool>,
+    pub confirm: Cell<Confirm>,
+    pub confirmed: RefCell<Vec<Position>>,
+    pub needs: RefCell<Vec<Need>>,
+    pub stop: Cell<bool>,
+    /// Connections that were dropped rather than given back.
+    pub dropped: Rc<Cell<usize>>,
+    pools: [Pool; 2],
+}
+
+pub struct FakeLease {
+    member: MemberName,
+    term: Option<Term>,
+    held: Option<(Client, Set<String>)>,
+    pool: Pool,
+    dropped: Rc<Cell<usize>>,
+}
+
+impl Lease for FakeLease {
+    fn member(&self) -> &MemberName {
+        &self.member
+    }
+
+    fn primary(&self) -> Option<Term> {
+        self.term
+    }
+
+    fn client(&mut self) -> &mut Client {
+        &mut self.held.as_mut().unwrap().0
+    }
+
+    fn prepared(&mut self) -> &mut Set<String> {
+        &mut self.held.as_mut().unwrap().1
+    }
+
+    fn release(mut self) {
+        self.pool.borrow_mut().extend(self.held.take());
+    }
+}
+
+impl Drop for FakeLease {
+    fn drop(&mut self) {
+        if self.held.is_some() {
+            self.dropped.set(self.dropped.get() + 1);
+        }
+    }
+}
+
+impl Fake {
+    pub async fn new() -> Self {
+        let store = Rc::new(Store::default());
+        let text = "[[service]]\nname = \"orders\"\ngroup = \"orders\"\n\
+                    [service.limits]\ndeadline_ms = 2000\nmessage_bytes = 100000\n\
+                    [[service.non_idempotent]]\ntable = \"bills\"\nverbs = [\"insert\"]\nkey = \"required\"\n";
+        let document = Document::parse(text).unwrap();
+        let primary = Upstream::start(&store, false).await;
+        let replica = Upstream::start(&store, true).await;
+        Self {
+            service: RefCell::new(Rc::new(document.services[0].clone())),
+            store,
+            primary,
+            replica,
+            replica_reads: Cell::new(true),
+            confirm: Cell::new(Confirm::Yes),
+            confirmed: RefCell::default(),
+            needs: RefCell::default(),
+            stop: Cell::new(false),
+            dropped: Rc::default(),
+            pools: [Pool::default(), Pool::default()],
+        }
+    }
+
+    /// Connections that wait in the pool of the primary or the replica.
+    pub fn pooled(&self, primary: bool) -> usize {
+        self.pools[usize::from(primary)].borrow().len()
+    }
+
+    /// Statements prepared on the first pooled connection to the replica.
+    pub fn prepared(&self) -> usize {
+        self.pools[0]
+            .borrow()
+            .first()
+            .map_or(0, |(_, prepared)| prepared.len())
+    }
+
+    async fn lease(&self, primary: bool) -> Result<FakeLease, Refusal> {
+        let pool = Rc::clone(&self.pools[usize::from(primary)]);
+        let kept = pool.borrow_mut().pop();
+        let held = if let Some(kept) = kept {
+            kept
+        } else {
+            let upstream = if primary {
+                &self.primary
+            } else {
+                &self.replica
+            };
+            let stream = TcpStream::connect(upstream.address).await.unwrap();
+            let client = Client::open(stream, "anna", "orders").await;
+            (client.map_err(|_refused| Refusal::Primary)?, Set::default())
+        };
+        Ok(FakeLease {
+            member: if primary { "a" } else { "b" }.to_owned(),
+            term: primary.then_some(1),
+            held: Some(held),
+            pool,
+            dropped: Rc::clone(&self.dropped),
+        })
+    }
+}
+
+impl Fleet for Fake {
+    type Lease = FakeLease;
+
+    fn service(&self, name: &str) -> Option<Rc<Service>> {
+        (name == "orders").then(|| Rc::clone(&self.service.borrow()))
+    }
+
+    async fn read(
+        &self,
+        _service: &Service,
+        need: Need,
+    ) -> Result<(FakeLease, Option<Position>), Refusal> {
+        self.needs.borrow_mut().push(need);
+        let lease = self.lease(!self.replica_reads.get()).await?;
+        Ok((lease, need.token.or(Some(Position::new(1, 0)))))
+    }
+
+    async fn write(&self, _service: &Service, _deadline: Instant) -> Result<FakeLease, Refusal> {
+        self.lease(true).await
+    }
+
+    async fn confirm(
+        &self,
+        _service: &Service,
+        _term: Term,
+        position: Position,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        while self.confirm.get() == Confirm::Wait && Instant::now() < deadline {
+            sleep(Duration::from_millis(2)).await;
+        }
+        if self.confirm.get() != Confirm::Yes {
+            return Err(Refusal::Unknown("not confirmed".into()));
+        }
+        self.confirmed.borrow_mut().push(position);
+        Ok(())
+    }
+
+    async fn stopping(&self) {
+        while !self.stop.get() {
+            sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.stop.get()
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/common/upstream.rs
@@ -0,0 +1,492 @@
+//! An upstream that keeps one table of keys and values.
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{Map, Position};
+use bytes::Bytes;
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime::spawn,
+    time::sleep,
+};
+use wire::{Cursor, Front, Opening, Reader, Target, Writer, reply};
+
+/// What goes wrong with a statement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// The connection closes before the statement runs.
+    Before,
+    /// The statement runs, then the connection closes.
+    After,
+    /// The connection closes after half of the rows.
+    Middle,
+    /// No answer comes.
+    Silence,
+    /// The statement is refused with this SQLSTATE.
+    Refuse(&'static str),
+}
+
+/// Data that the members of a group share.
+#[derive(Debug, Default)]
+pub struct Store {
+    pub rows: RefCell<Map<String, String>>,
+    pub keys: RefCell<Option<Map<String, [String; 3]>>>,
+    pub offset: Cell<u64>,
+}
+
+/// An upstream over loopback.
+#[derive(Debug)]
+pub struct Upstream {
+    pub address: SocketAddr,
+    pub store: Rc<Store>,
+    pub read_only: Cell<bool>,
+    /// Fault of the next statement that contains the text.
+    pub fault: RefCell<Option<(String, Fault)>>,
+    /// Statements that ran, each with the number of its connection.
+    pub log: RefCell<Vec<(i32, String)>>,
+    /// Parse messages received.
+    pub parses: Cell<usize>,
+    /// Connections that were cancelled.
+    pub cancels: RefCell<Vec<i32>>,
+    cancelled: RefCell<Map<i32, Rc<Cell<bool>>>>,
+    /// Time before a cancel request takes effect.
+    pub cancel_delay: Cell<Duration>,
+    last: Cell<i32>,
+}
+
+impl Upstream {
+    pub async fn start(store: &Rc<Store>, read_only: bool) -> Rc<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let upstream = Rc::new(Self {
+            address: listener.local_addr().unwrap(),
+            store: Rc::clone(store),
+            read_only: Cell::new(read_only),
+            fault: RefCell::default(),
+            log: RefCell::default(),
+            parses: Cell::default(),
+            cancels: RefCell::default(),
+            cancelled: RefCell::default(),
+            cancel_delay: Cell::default(),
+            last: Cell::new(100),
+        });
+        let serving = Rc::clone(&upstream);
+        spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let serving = Rc::clone(&serving);
+                spawn(async move { serving.connection(stream).await }).detach();
+            }
+        })
+        .detach();
+        upstream
+    }
+
+    /// Has the next statement that contains `text` fail.
+    pub fn fail(&self, text: &str, fault: Fault) {
+        self.fault.replace(Some((text.to_owned(), fault)));
+    }
+
+    /// Statements that ran and contain `text`.
+    pub fn ran(&self, text: &str) -> usize {
+        let log = self.log.borrow();
+        log.iter().filter(|(_, ran)| ran.contains(text)).count()
+    }
+
+    async fn connection(self: Rc<Self>, stream: TcpStream) -> Option<()> {
+        let (read, write) = stream.into_split();
+        let mut reader = Reader::new(read, 64 << 20);
+        match reader.opening().await.ok()?? {
+            Opening::Cancel { pid, .. } => {
+                sleep(self.cancel_delay.get()).await;
+                self.cancels.borrow_mut().push(pid);
+                if let Some(flag) = self.cancelled.borrow().get(&pid) {
+                    flag.set(true);
+                }
+                return None;
+            }
+            Opening::Startup(_) => {}
+            _ => return None,
+        }
+        let pid = self.last.get() + 1;
+        self.last.set(pid);
+        let cancelled = Rc::new(Cell::new(false));
+        self.cancelled
+            .borrow_mut()
+            .insert(pid, Rc::clone(&cancelled));
+        let mut writer = Writer::new(write);
+        writer.parts(b'R', &0_i32.to_be_bytes());
+        writer.message(&reply::key(pid, 7)).ok()?;
+        writer.parts(b'Z', b"I");
+        writer.flush().await.ok()?;
+        let mut connection = Connection {
+            upstream: &self,
+            pid,
+            writer,
+            cancelled,
+            status: b'I',
+            pending: Vec::new(),
+            reported: None,
+            statements: Map::default(),
+            portals: Map::default(),
+            skipping: false,
+            implicit: false,
+        };
+        while let Ok(Some(frame)) = reader.next().await {
+            let front = Front::parse(&frame).ok()?;
+            connection.front(front).await?;
+        }
+        None
+    }
+}
+
+enum Change {
+    Row(String, String),
+    Key(String, Option<[String; 3]>),
+    Table,
+}
+
+struct Connection<'a> {
+    upstream: &'a Rc<Upstream>,
+    pid: i32,
+    writer: Writer,
+    cancelled: Rc<Cell<bool>>,
+    status: u8,
+    pending: Vec<Change>,
+    reported: Option<Position>,
+    statements: Map<String, String>,
+    portals: Map<String, String>,
+    skipping: bool,
+    implicit: bool,
+}
+
+impl Connection<'_> {
+    async fn front(&mut self, front: Front) -> Option<()> {
+        if self.skipping && !matches!(front, Front::Sync) {
+            return Some(());
+        }
+        match front {
+            Front::Query(text) => {
+                for statement in text.split(';').map(str::trim) {
+                    if !statement.is_empty() && !self.statement(statement, true).await? {
+                        break;
+                    }
+                }
+                self.ready().await?;
+            }
+            Front::Parse { name, query, .. } => {
+                self.upstream.parses.set(self.upstream.parses.get() + 1);
+                if !name.is_empty() && self.statements.contains_key(&name) {
+                    self.error("42P05", "exists");
+                } else {
+                    self.statements.insert(name, query);
+                    self.writer.parts(b'1', &[]);
+                }
+            }
+            Front::Bind {
+                portal,
+                statement,
+                rest,
+            } => match self.statements.get(&statement) {
+                Some(text) => {
+                    self.portals.insert(portal, bind(text, &rest));
+                    self.writer.parts(b'2', &[]);
+                }
+                None => self.error("26000", "no such statement"),
+            },
+            Front::Describe(target) => {
+                let text = match &target {
+                    Target::Statement(name) => self.statements.get(name),
+                    Target::Portal(name) => self.portals.get(name),
+                };
+                let Some(text) = text.cloned() else {
+                    self.error("34000", "nothing of that name");
+                    return Some(());
+                };
+                if matches!(target, Target::Statement(_)) {
+                    let count = (1..9)
+                        .take_while(|i| text.contains(&format!("${i}")))
+                        .count();
+                    let mut body = i16::try_from(count).ok()?.to_be_bytes().to_vec();
+                    (0..count).for_each(|_| body.extend_from_slice(&25_i32.to_be_bytes()));
+                    self.writer.parts(b't', &body);
+                }
+                self.columns(&text);
+            }
+            Front::Execute { portal, .. } => match self.portals.get(&portal).cloned() {
+                Some(text) => {
+                    self.implicit |= self.status == b'I';
+                    self.statement(&text, false).await?;
+                }
+                None => self.error("34000", "no such portal"),
+            },
+            Front::Close(Target::Statement(name)) => {
+                self.statements.remove(&name);
+                self.writer.parts(b'3', &[]);
+            }
+            Front::Close(Target::Portal(name)) => {
+                self.portals.remove(&name);
+                self.writer.parts(b'3', &[]);
+            }
+            Front::Sync => {
+                self.skipping = false;
+                self.ready().await?;
+            }
+            _ => return None,
+        }
+        Some(())
+    }
+
+    fn columns(&mut self, text: &str) {
+        if !text.to_uppercase().starts_with("SELECT") {
+            return self.writer.parts(b'n', &[]);
+        }
+        let mut body = vec![0, 1, b'v', 0, 0, 0, 0, 0, 0, 0];
+        body.extend_from_slice(&25_i32.to_be_bytes());
+        body.extend_from_slice(&[0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0, 0]);
+        self.writer.parts(b'T', &body);
+    }
+
+    fn error(&mut self, sqlstate: &str, text: &str) {
+        self.writer
+            .message(&reply::error(sqlstate, text, ""))
+            .unwrap();
+        self.skipping = true;
+        self.pending.clear();
+        if self.status == b'T' {
+            self.status = b'E';
+        }
+    }
+
+    async fn ready(&mut self) -> Option<()> {
+        self.skipping = false;
+        if self.status == b'I' {
+            self.commit();
+            self.portals.clear();
+        }
+        self.implicit = false;
+        let store = &self.upstream.store;
+        let position = Position::new(1, store.offset.get());
+        if self.reported != Some(position) {
+            self.reported = Some(position);
+            let report = reply::parameter("upstream_position", &position.to_string());
+            self.writer.message(&report).ok()?;
+        }
+        self.writer.parts(b'Z', &[self.status]);
+        self.writer.flush().await.ok()
+    }
+
+    fn commit(&mut self) {
+        if self.pending.is_empty() {
+            return;
+        }
+        let store = &self.upstream.store;
+        store.offset.set(store.offset.get() + 1);
+        for change in self.pending.drain(..) {
+            match change {
+                Change::Row(key, value) => {
+                    store.rows.borrow_mut().insert(key, value);
+                }
+                Change::Key(key, record) => {
+                    let mut keys = store.keys.borrow_mut();
+                    let keys = keys.get_or_insert_default();
+                    match record {
+                        Some(record) => keys.insert(key, record),
+                        None => keys.remove(&key),
+                    };
+                }
+                Change::Table => {
+                    store.keys.borrow_mut().get_or_insert_default();
+                }
+            }
+        }
+    }
+
+    /// Runs one statement; `Some(false)` when it was refused, `None` to close the connection.
+    async fn statement(&mut self, text: &str, simple: bool) -> Option<bool> {
+        let fault = {
+            let mut fault = self.upstream.fault.borrow_mut();
+            fault
+                .take_if(|(needle, _)| text.contains(needle.as_str()))
+                .map(|(_, fault)| fault)
+        };
+        match &fault {
+            Some(Fault::Before) => return None,
+            Some(Fault::Silence) => {
+                sleep(Duration::from_secs(30)).await;
+                return None;
+            }
+            Some(Fault::Refuse(sqlstate)) => {
+                self.error(sqlstate, "refused by the test");
+                return Some(false);
+            }
+            _ => {}
+        }
+        let log = (self.pid, text.to_owned());
+        self.upstream.log.borrow_mut().push(log);
+        let upper = text.to_uppercase();
+        let first = upper.split_whitespace().next().unwrap_or_default();
+        if self.status == b'E' && !matches!(first, "COMMIT" | "ROLLBACK") {
+            self.error("25P02", "aborted");
+            return Some(false);
+        }
+        let words: Vec<String> = quoted(text);
+        let tag = match first {
+            "BEGIN" | "START" => {
+                self.status = b'T';
+                "BEGIN".to_owned()
+            }
+            "COMMIT" if self.status != b'E' => {
+                self.commit();
+                self.status = b'I';
+                "COMMIT".to_owned()
+            }
+            "COMMIT" | "ROLLBACK" => {
+                self.pending.clear();
+                self.status = b'I';
+                "ROLLBACK".to_owned()
+            }
+            "SELECT" => return self.select(text, &words, simple, fault).await,
+            "SET" | "RESET" => first.to_owned(),
+            _ if self.upstream.read_only.get() => {
+                self.error("25006", "cannot write on a replica");
+                return Some(false);
+            }
+            "INSERT" if text.contains("goldcrestrail_keys") => {
+                let known = self.upstream.store.keys.borrow();
+                if known
+                    .as_ref()
+                    .is_some_and(|keys| keys.contains_key(&words[0]))
+                {
+                    drop(known);
+                    self.error("23505", "duplicate key");
+                    return Some(false);
+                }
+                drop(known);
+                let created = text.rsplit(',').next()?.trim_matches([' ', ')']).to_owned();
+                let record = [words[1].clone(), words[2].clone(), created];
+                self.pending
+                    .push(Change::Key(words[0].clone(), Some(record)));
+                "INSERT 0 1".to_owned()
+            }
+            "INSERT" => {
+                if words[0] == "dup" {
+                    self.error("23505", "duplicate key");
+                    return Some(false);
+                }
+                self.pending
+                    .push(Change::Row(words[0].clone(), words[1].clone()));
+                "INSERT 0 1".to_owned()
+            }
+            "DELETE" => {
+                self.pending.push(Change::Key(words[0].clone(), None));
+                "DELETE 1".to_owned()
+            }
+            "CREATE" => {
+                self.pending.push(Change::Table);
+                "CREATE TABLE".to_owned()
+            }
+            _ => {
+                self.error("42601", "syntax error");
+                return Some(false);
+            }
+        };
+        if fault == Some(Fault::After) {
+            if self.status == b'I' {
+                self.commit();
+            }
+            return None;
+        }
+        self.writer.message(&reply::complete(&tag)).ok()?;
+        Some(true)
+    }
+
+    async fn select(
+        &mut self,
+        text: &str,
+        words: &[String],
+        simple: bool,
+        fault: Option<Fault>,
+    ) -> Option<bool> {
+        let mut rows: Vec<Vec<String>> = Vec::new();
+        if text.contains("goldcrestrail_keys") {
+            let keys = self.upstream.store.keys.borrow();
+            if let Some(keys) = keys.as_ref() {
+                rows.extend(keys.get(&words[0]).map(|record| record.to_vec()));
+            } else {
+                drop(keys);
+                self.error("42P01", "no such table");
+                return Some(false);
+            }
+        } else if text.contains("slow") {
+            self.cancelled.set(false);
+            for _ in 0..100 {
+                if self.cancelled.take() {
+                    self.error("57014", "canceling statement due to user request");
+                    return Some(false);
+                }
+                sleep(Duration::from_millis(5)).await;
+            }
+            rows.push(vec!["slow".to_owned()]);
+        } else if let Some((_, count)) = text.split_once("big LIMIT ") {
+            rows.resize(count.trim().parse().ok()?, vec!["x".repeat(1_000)]);
+        } else if text.contains("FROM t") {
+            let found = self.upstream.store.rows.borrow().get(&words[0]).cloned();
+            rows.extend(found.map(|value| vec![value]));
+        } else if text.contains("pid") {
+            rows.push(vec![self.pid.to_string()]);
+        } else {
+            rows.push(vec!["1".to_owned()]);
+        }
+        if simple {
+            self.columns(text);
+        }
+        let count = rows.len();
+        for (i, row) in rows.into_iter().enumerate() {
+            if fault == Some(Fault::Middle) && i >= count / 2 {
+                self.writer.flush().await.ok()?;
+                return None;
+            }
+            let mut body = i16::try_from(row.len()).ok()?.to_be_bytes().to_vec();
+            for value in row {
+                body.extend_from_slice(&i32::try_from(value.len()).ok()?.to_be_bytes());
+                body.extend_from_slice(value.as_bytes());
+            }
+            self.writer.parts(b'D', &body);
+            if self.writer.pending() > 1 << 16 {
+                self.writer.flush().await.ok()?;
+            }
+        }
+        if fault == Some(Fault::After) {
+            return None;
+        }
+        let tag = format!("SELECT {count}");
+        self.writer.message(&reply::complete(&tag)).ok()?;
+        Some(true)
+    }
+}
+
+/// Strings in single quotes.
+fn quoted(text: &str) -> Vec<String> {
+    let text = text.replace("''", "\u{1}");
+    let parts = text.split('\'').skip(1).step_by(2);
+    parts.map(|part| part.replace('\u{1}', "'")).collect()
+}
+
+/// Puts the values of a `Bind` into a text.
+fn bind(text: &str, rest: &Bytes) -> String {
+    let mut cursor = Cursor::new(rest);
+    let mut text = text.to_owned();
+    for _ in 0..cursor.short().unwrap() {
+        cursor.short().unwrap();
+    }
+    for i in 1..=cursor.short().unwrap() {
+        let value = cursor.value().unwrap().unwrap_or_default();
+        let value = String::from_utf8_lossy(value).replace('\'', "''");
+        text = text.replace(&format!("${i}"), &format!("'{value}'"));
+    }
+    text
+}
--- /dev/null
+++ b/crates/entry/tests/extended.rs
@@ -0,0 +1,149 @@
+//! Extended queries over pooled connections.
+
+mod common;
+
+use common::{Bench, Fault, run};
+
+/// Guards against a prepared statement that is lost, or sent again, when the caller's next request
+/// runs on another connection.
+#[test]
+fn prepared_statements_move_between_connections() {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+        caller.add(b'P', b"s1\0SELECT pid\0\0\0");
+        let prepared = caller.sync().await;
+        // Holds the only connection, so that the next request needs a second one.
+        other.query("BEGIN READ ONLY").await;
+
+        caller.add(b'B', b"\0s1\0\0\0\0\0\0\0");
+        caller.add(b'E', b"\0\0\0\0\0");
+        let first = caller.sync().await;
+        caller.add(b'B', b"\0s1\0\0\0\0\0\0\0");
+        caller.add(b'E', b"\0\0\0\0\0");
+        let second = caller.sync().await;
+
+        assert_eq!(prepared.tags(), "1Z");
+        assert_eq!(
+            (first.tags(), second.tags()),
+            ("2DCZ".into(), "2DCZ".into())
+        );
+        assert_eq!(first.rows(), second.rows());
+        assert_eq!(bench.fleet.replica.parses.get(), 2);
+    });
+}
+
+/// Guards against an unnamed statement that is gone, or another's, in a later batch.
+#[test]
+fn unnamed_statement_survives_its_batch() {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+        caller.add(b'P', b"\0SELECT 1\0\0\0");
+        caller.add(b'D', b"S\0");
+        let described = caller.sync().await;
+        other.add_statement("SELECT pid");
+        other.sync().await;
+
+        caller.add(b'B', b"\0\0\0\0\0\0\0\0");
+        caller.add(b'E', b"\0\0\0\0\0");
+        let run = caller.sync().await;
+
+        assert_eq!(described.tags(), "1tTZ");
+        assert_eq!((run.tags(), run.rows()), ("2DCZ".into(), vec!["1".into()]));
+    });
+}
+
+/// Guards against messages after an error that run, and a batch that commits half.
+#[test]
+fn error_skips_to_sync() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.add_statement("INSERT INTO t VALUES ('a', '1')");
+        caller.add(b'B', b"\0missing\0\0\0\0\0\0\0");
+        caller.add_statement("INSERT INTO t VALUES ('b', '2')");
+        let reply = caller.sync().await;
+
+        assert_eq!(reply.tags(), "12nCEZ");
+        assert_eq!(reply.sqlstate(), "26000");
+        assert!(
+            reply.message().contains("\"missing\""),
+            "{}",
+            reply.message()
+        );
+        assert!(bench.fleet.store.rows.borrow().is_empty());
+        assert_eq!(bench.fleet.primary.ran("'b'"), 0);
+    });
+}
+
+/// Guards against a Flush that is not answered, and a portal that is lost by it.
+#[test]
+fn flush_is_answered() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.add(b'P', b"\0SELECT 1\0\0\0");
+        caller.add(b'B', b"\0\0\0\0\0\0\0\0");
+        caller.add(b'H', &[]);
+        caller.0.writer.flush().await.unwrap();
+        let mut early = String::new();
+        for _ in 0..2 {
+            early.push(caller.0.frame().await.unwrap().tag.into());
+        }
+        caller.add(b'E', b"\0\0\0\0\0");
+        let rest = caller.sync().await;
+
+        assert_eq!((early.as_str(), rest.tags()), ("12", "DCZ".into()));
+    });
+}
+
+/// Guards against a statement that counts as prepared although its Parse was refused.
+#[test]
+fn refused_parse_is_not_kept() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        bench.fleet.replica.fail("SELECT 1", Fault::Refuse("42P01"));
+        caller.add(b'B', b"\0s1\0\0\0\0\0\0\0");
+        let unknown = caller.sync().await;
+
+        caller.add(b'P', b"s1\0SELECT 1\0\0\0");
+        caller.add(b'B', b"\0s1\0\0\0\0\0\0\0");
+        caller.add(b'E', b"\0\0\0\0\0");
+        let failed = caller.sync().await;
+        caller.add(b'C', b"Ss1\0");
+        caller.add(b'P', b"s1\0SELECT 1\0\0\0");
+        let again = caller.sync().await;
+
+        assert_eq!(
+            (unknown.tags(), unknown.sqlstate()),
+            ("EZ".into(), "26000".into())
+        );
+        assert_eq!(
+            (failed.tags(), failed.sqlstate()),
+            ("12EZ".into(), "42P01".into())
+        );
+        assert_eq!(again.tags(), "31Z");
+    });
+}
+
+/// Guards against a pooled connection that gathers prepared statements without bound.
+#[test]
+fn prepared_statements_stay_bounded() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        for i in 0..400 {
+            caller.add(b'P', format!("s{i}\0SELECT 1, {i}\0\0\0").as_bytes());
+            caller.add(b'C', format!("Ss{i}\0").as_bytes());
+            let reply = caller.sync().await;
+            assert_eq!(reply.tags(), "13Z");
+        }
+
+        assert!(bench.fleet.prepared() <= 256, "{}", bench.fleet.prepared());
+    });
+}
--- /dev/null
+++ b/crates/entry/tests/session.rs
@@ -0,0 +1,167 @@
+//! Simple queries, transactions and acknowledgement.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Bench, Fault, fleet::Confirm, run};
+use rstest::rstest;
+
+/// Guards against a read that goes to the primary although a replica can serve it, and a write
+/// that is acknowledged without its token.
+#[test]
+fn routes_reads_and_writes() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        let written = caller.query("INSERT INTO t VALUES ('k', 'v')").await;
+        let read = caller.query("SELECT v FROM t WHERE k = 'k'").await;
+
+        assert_eq!(written.tags(), "CSZ");
+        assert_eq!(written.token(), Some("1/1"));
+        assert_eq!(
+            (read.tags(), read.rows()),
+            ("TDCZ".into(), vec!["v".into()])
+        );
+        assert_eq!(bench.fleet.replica.ran("SELECT v"), 1);
+        let need = bench.fleet.needs.borrow()[0];
+        assert_eq!(need.token.unwrap().to_string(), "1/1");
+    });
+}
+
+/// Guards against a write that is acknowledged before it is confirmed.
+#[test]
+fn holds_acknowledgement() {
+    run(async {
+        let bench = Bench::new().await;
+        bench.fleet.confirm.set(Confirm::Wait);
+        let mut caller = bench.caller().await;
+
+        caller.send("INSERT INTO t VALUES ('k', 'v')").await;
+        let early = compio::time::timeout(Duration::from_millis(100), caller.reply()).await;
+
+        assert!(early.is_err(), "{early:?}");
+        assert_eq!(bench.fleet.primary.ran("INSERT"), 1);
+    });
+}
+
+/// Guards against an acknowledgement, or data of the primary, that a promotion could lose.
+#[rstest]
+#[case::write("INSERT INTO t VALUES ('k', 'v')")]
+#[case::unsure("SELECT nextval('s')")]
+#[case::transaction("BEGIN; INSERT INTO t VALUES ('k', 'v'); COMMIT")]
+#[case::returning("SELECT v FROM t WHERE k = 'k' FOR UPDATE")]
+fn unconfirmed_is_unknown(#[case] text: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        bench.fleet.confirm.set(Confirm::No);
+        let mut caller = bench.caller().await;
+
+        let reply = caller.query(text).await;
+
+        assert_eq!(
+            (reply.tags(), reply.sqlstate()),
+            ("EZ".into(), "ZU001".into())
+        );
+        bench.fleet.confirm.set(Confirm::Yes);
+        assert_eq!(caller.query("SELECT 1").await.rows(), ["1"]);
+    });
+}
+
+/// Guards against a transaction that leaves its connection, or a commit without confirmation.
+#[test]
+fn pins_transactions() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        let mut other = bench.caller().await;
+
+        let begin = caller.query("BEGIN").await;
+        let insert = caller.query("INSERT INTO t VALUES ('k', 'v')").await;
+        other.query("INSERT INTO t VALUES ('l', 'w')").await;
+        let commit = caller.query("COMMIT").await;
+
+        assert_eq!(
+            [begin.status(), insert.status(), commit.status()],
+            ['T', 'T', 'I']
+        );
+        assert_eq!(commit.token(), Some("1/2"));
+        let log = bench.fleet.primary.log.borrow();
+        let by = |text: &str| log.iter().find(|(_, ran)| ran.contains(text)).unwrap().0;
+        assert_eq!(by("BEGIN"), by("COMMIT"));
+        assert_ne!(by("BEGIN"), by("'l'"));
+        drop(log);
+        assert_eq!(
+            (bench.fleet.pooled(true), bench.fleet.dropped.get()),
+            (2, 0)
+        );
+    });
+}
+
+/// Guards against a failed transaction that goes on, and a failure that is hidden.
+#[test]
+fn failed_transaction_ends_with_rollback() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.query("BEGIN").await;
+        let failed = caller.query("INSERT INTO t VALUES ('dup', 'v')").await;
+        let skipped = caller.query("INSERT INTO t VALUES ('k', 'v')").await;
+        let commit = caller.query("COMMIT").await;
+
+        assert_eq!((failed.sqlstate(), failed.status()), ("23505".into(), 'E'));
+        assert_eq!(
+            (skipped.sqlstate(), skipped.status()),
+            ("25P02".into(), 'E')
+        );
+        assert_eq!(
+            (commit.commands(), commit.status()),
+            (vec!["ROLLBACK"], 'I')
+        );
+        assert!(bench.fleet.store.rows.borrow().is_empty());
+    });
+}
+
+/// Guards against a READ ONLY transaction that takes a connection of the primary.
+#[test]
+fn read_only_transaction_runs_on_replica() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.query("BEGIN READ ONLY").await;
+        caller.query("SELECT 1").await;
+        let commit = caller.query("COMMIT").await;
+
+        assert_eq!((commit.status(), commit.token()), ('I', None));
+        assert_eq!(bench.fleet.replica.log.borrow().len(), 3);
+        assert!(bench.fleet.primary.log.borrow().is_empty());
+    });
+}
+
+/// Guards against a wrong word on the outcome when a connection breaks, and against a request that
+/// runs twice.
+#[rstest]
+#[case::before("INSERT INTO t VALUES ('k', 'v')", Fault::Before, "ZU001")]
+#[case::after("INSERT INTO t VALUES ('k', 'v')", Fault::After, "ZU001")]
+#[case::silence("INSERT INTO t VALUES ('k', 'v')", Fault::Silence, "ZU001")]
+#[case::refused("INSERT INTO t VALUES ('k', 'v')", Fault::Refuse("53300"), "")]
+#[case::demoted("INSERT INTO t VALUES ('k', 'v')", Fault::Refuse("25006"), "")]
+#[case::failed("INSERT INTO t VALUES ('k', 'v')", Fault::Refuse("23505"), "23505")]
+fn tells_the_outcome(#[case] text: &str, #[case] fault: Fault, #[case] sqlstate: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        bench.fleet.primary.fail("INSERT", fault);
+        let mut caller = bench.caller().await;
+
+        caller.query("SET goldcrestrail.deadline = 300").await;
+        let reply = caller.query(text).await;
+
+        assert_eq!(reply.sqlstate(), sqlstate);
+        assert_eq!(reply.status(), 'I');
+        assert!(bench.fleet.primary.ran("INSERT") <= 1);
+        assert_eq!(caller.query("SELECT 1").await.rows(), ["1"]);
+    });
+}
--- a/crates/wire/src/writer.rs
+++ b/crates/wire/src/writer.rs
@@ -61,6 +61,12 @@
         self.out.len()
     }
 
+    /// What waits for the next flush.
+    #[must_use]
+    pub fn waiting(&self) -> &[u8] {
+        &self.out
+    }
+
     /// Takes back what was added after `length` bytes were pending.
     pub fn truncate(&mut self, length: usize) {
         self.out.truncate(length);
