--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -8,7 +8,12 @@
 use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{error, info};
 
-use crate::{announce, network::Network, settings::Settings};
+use crate::{
+    announce, listener,
+    network::Network,
+    options::{Auth, Options},
+    settings::{Method, Settings},
+};
 
 /// A stop takes no longer than this; what still runs then is cut off.
 const STOP_LIMIT: Duration = Duration::from_secs(30);
@@ -57,7 +62,8 @@
     let http = base::http::serve(settings.http, router).fuse();
     network.start();
     info!(network.log, "process runs"; "address" => %settings.address, "http" => %settings.http);
-    let callers = sessions(listener, Rc::clone(network)).fuse();
+    let options = Options::new(auth(settings), network.log.clone());
+    let callers = listener::serve(listener, Rc::clone(network), options).fuse();
     let stop = async {
         signals.next().await;
         info!(network.log, "process stops");
@@ -74,22 +80,23 @@
     pin_mut!(http, callers, stop);
     select! {
         result = http => result.map_err(|cause| named("http", settings.http, &cause)),
-        result = callers => result,
+        () = callers => Ok(()),
         () = stop => Ok(()),
     }
 }
 
+fn auth(settings: &Settings) -> Auth {
+    match settings.auth.method {
+        Method::Trust => Auth::Trust,
+        Method::Password => Auth::Password(settings.auth.users.clone()),
+    }
+}
+
 fn named(field: &str, address: std::net::SocketAddr, cause: &io::Error) -> io::Error {
     let text = format!("{field} {address}: {cause}; set a free address of this host");
     io::Error::new(cause.kind(), text)
 }
 
-/// Serves callers until the process has stopped.
-async fn sessions(_listener: compio::net::TcpListener, network: Rc<Network>) -> io::Result<()> {
-    network.stopped().await;
-    Ok(())
-}
-
 /// Termination signals as bytes on a socket pair, which the runtime can wait for.
 struct Signals {
     stream: UnixStream,
--- a/crates/wire/src/writer.rs
+++ b/crates/wire/src/writer.rs
@@ -69,6 +69,17 @@
         self.sent
     }
 
+    /// What waits for the next flush.
+    #[must_use]
+    pub fn waiting(&self) -> &[u8] {
+        &self.out
+    }
+
+    /// Takes back what was added after `length` bytes were pending.
+    pub fn truncate(&mut self, length: usize) {
+        self.out.truncate(length);
+    }
+
     /// Writes everything that was added.
     ///
     /// # Errors
