--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -46,15 +46,18 @@
         let now = self.environment.now();
         {
             let mut state = self.state.borrow_mut();
-            let lost = state.role == Role::Leader
-                && !self.lacks(Mechanism::QuorumCheck)
-                && self
-                    .quorum_contact(&state, now)
-                    .is_none_or(|contact| now.duration_since(contact) > self.tuning.election.1);
+            if state.role != Role::Leader || self.lacks(Mechanism::QuorumCheck) {
+                return;
+            }
+            let contact = self.quorum_contact(&state, now);
+            // A new leader has the same time for its first heartbeat round.
+            let since = contact.max(Some(state.led));
+            let lost = since.is_none_or(|at| now.duration_since(at) > self.tuning.election.1);
             if !lost {
                 return;
             }
             info!(self.options.log, "stepping down: no majority"; "term" => state.hard.term);
+            state.heard = state.heard.max(contact);
             state.step_down();
             self.postpone(&mut state);
         };
@@ -161,7 +164,7 @@
             state.role = Role::Leader;
             state.leader = Some(self.options.name.clone());
             let next = state.log.last() + 1;
-            let now = self.environment.now();
+            state.led = self.environment.now();
             for progress in state.peers.values_mut() {
                 progress.next = next;
                 progress.matched = 0;
@@ -169,7 +172,7 @@
                 progress.sent_round = 0;
                 progress.sent_commit = 0;
                 progress.sent = None;
-                progress.contact = Some(now);
+                progress.contact = None;
                 progress.asked = None;
             }
             state.round += 1;
--- a/crates/agree/src/environment.rs
+++ b/crates/agree/src/environment.rs
@@ -57,6 +57,9 @@
     /// # Errors
     /// The file has either its old or its new content; the node stops.
     fn replace(&self, file: File, bytes: Vec<u8>) -> impl Future<Output = io::Result<()>>;
+
+    /// Lets another process use the files. Called when the node has stopped.
+    fn release(&self) {}
 }
 
 /// Why a call to a peer has no reply.
--- a/crates/agree/src/files.rs
+++ b/crates/agree/src/files.rs
@@ -1,6 +1,7 @@
 //! Data directory on a real disk.
 
 use std::{
+    cell::RefCell,
     fs, io,
     io::ErrorKind,
     path::{Path, PathBuf},
@@ -22,8 +23,9 @@
 #[derive(Debug)]
 pub struct Directory {
     path: PathBuf,
-    /// Holds the lock until it is dropped.
-    _lock: fs::File,
+    lock: fs::File,
+    /// The file that is appended to, and its size. Calls never overlap.
+    open: RefCell<Option<(File, Handle, u64)>>,
 }
 
 impl Directory {
@@ -46,7 +48,8 @@
         match lock.try_lock() {
             Ok(()) => Ok(Self {
                 path: path.to_owned(),
-                _lock: lock,
+                lock,
+                open: RefCell::default(),
             }),
             Err(fs::TryLockError::WouldBlock) => Err(StartError::Locked(path.to_owned())),
             Err(fs::TryLockError::Error(cause)) => Err(disk(cause)),
@@ -57,20 +60,13 @@
         self.path.join(file.name())
     }
 
-    async fn write(path: &Path, at: Option<u64>, bytes: Vec<u8>) -> io::Result<()> {
-        let mut options = OpenOptions::new();
-        options.write(true).create(true);
-        if at.is_none() {
-            options.truncate(true);
-        }
-        let mut handle = options.open(path).await?;
+    async fn write(handle: &mut Handle, at: u64, bytes: Vec<u8>) -> io::Result<()> {
         fault("agree::write")?;
-        let BufResult(written, _bytes) = handle.write_all_at(bytes, at.unwrap_or(0)).await;
+        let BufResult(written, _bytes) = handle.write_all_at(bytes, at).await;
         written?;
         fault("agree::sync")?;
-        handle.sync_all().await?;
-        fault("agree::synced")?;
-        handle.close().await
+        handle.sync_data().await?;
+        fault("agree::synced")
     }
 
     /// Makes a new or renamed file durable.
@@ -82,16 +78,18 @@
 }
 
 /// Fault point; `return` makes the operation fail as a broken disk would.
-#[cfg_attr(
-    not(feature = "failpoints"),
-    expect(
-        clippy::missing_const_for_fn,
-        clippy::unnecessary_wraps,
-        reason = "empty without fault points"
-    )
+#[cfg(feature = "failpoints")]
+fn fault(point: &str) -> io::Result<()> {
+    fail::fail_point!(point, |_| Err(io::Error::other("fault point")));
+    Ok(())
+}
+
+#[cfg(not(feature = "failpoints"))]
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "same signature as with fault points"
 )]
-fn fault(_point: &str) -> io::Result<()> {
-    fail::fail_point!(_point, |_| Err(io::Error::other("fault point")));
+const fn fault(_point: &str) -> io::Result<()> {
     Ok(())
 }
 
@@ -105,27 +103,57 @@
     }
 
     async fn append(&self, file: File, bytes: Vec<u8>) -> io::Result<()> {
-        let path = self.file(file);
-        let size = match compio::fs::metadata(&path).await {
-            Ok(found) => Some(found.len()),
-            Err(cause) if cause.kind() == ErrorKind::NotFound => None,
-            Err(cause) => return Err(cause),
-        };
-        Self::write(&path, Some(size.unwrap_or(0)), bytes).await?;
-        if size.is_none() {
+        let open = self
+            .open
+            .borrow_mut()
+            .take()
+            .filter(|(name, ..)| *name == file);
+        let (mut handle, size) = if let Some((_, handle, size)) = open {
+            (handle, size)
+        } else {
+            let path = self.file(file);
+            let mut options = OpenOptions::new();
+            let handle = options.write(true).create(true).open(&path).await?;
+            // The file may be new.
             self.sync_directory().await?;
-        }
+            let size = handle.metadata().await?.len();
+            (handle, size)
+        };
+        let length = bytes.len() as u64;
+        Self::write(&mut handle, size, bytes).await?;
+        *self.open.borrow_mut() = Some((file, handle, size + length));
         Ok(())
     }
 
     async fn replace(&self, file: File, bytes: Vec<u8>) -> io::Result<()> {
+        if self
+            .open
+            .borrow()
+            .as_ref()
+            .is_some_and(|(name, ..)| *name == file)
+        {
+            self.open.borrow_mut().take();
+        }
         let path = self.file(file);
         let fresh = path.with_extension("new");
-        Self::write(&fresh, None, bytes).await?;
+        let mut options = OpenOptions::new();
+        let mut handle = options
+            .write(true)
+            .create(true)
+            .truncate(true)
+            .open(&fresh)
+            .await?;
+        Self::write(&mut handle, 0, bytes).await?;
+        handle.close().await?;
         compio::fs::rename(&fresh, &path).await?;
         fault("agree::renamed")?;
         self.sync_directory().await
     }
+
+    fn release(&self) {
+        // The lock ends with the process at the latest.
+        let _released = self.lock.unlock();
+    }
 }
 
 /// Creates the data directory of a founding host, once at installation.
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     codec::{Members, Snapshot},
-    environment::{CallError, Environment, Network as _},
+    environment::{CallError, Disk as _, Environment, Network as _},
     error::{BarrierError, ProposeError, StartError},
     hard::Hard,
     host::Host,
@@ -352,7 +352,7 @@
     pub fn contact(&self, now: Instant) -> Option<Duration> {
         let state = self.state.borrow();
         let contact = if state.role == Role::Leader {
-            self.quorum_contact(&state, now)
+            self.quorum_contact(&state, now).max(state.heard)
         } else {
             state.heard
         };
@@ -434,10 +434,12 @@
         self.signal.notify();
         let closed = self.until(|state| state.closed.then_some(()));
         let finished = self.within(self.tuning.propose, closed).await;
-        if finished.is_none() {
+        self.abort();
+        if finished.is_some() {
+            self.environment.disk().release();
+        } else {
             warn!(self.options.log, "stopped before the disk finished a write");
         }
-        self.abort();
         let mut state = self.state.borrow_mut();
         state.step_down();
         state.waiting.clear();
@@ -751,6 +753,7 @@
         role: Role::Follower,
         leader: None,
         heard: None,
+        led: now,
         deadline: now,
         peers,
         round: 0,
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -93,6 +93,8 @@
     pub leader: Option<HostName>,
     /// When a leader was last heard.
     pub heard: Option<Instant>,
+    /// When this host was last elected.
+    pub led: Instant,
     /// When the next election starts unless a leader is heard.
     pub deadline: Instant,
     pub peers: BTreeMap<HostName, Progress>,
--- a/crates/agree/tests/faults.rs
+++ b/crates/agree/tests/faults.rs
@@ -41,6 +41,23 @@
     assert_eq!(all.commands(size - 1).len(), 20);
 }
 
+/// Guards against a new leader that gives up before its first heartbeat round can end.
+#[rstest]
+fn keeps_leader_on_slow_disks(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    let mut all = Cluster::new(seed, 3, Vec::new());
+    for host in 0..3 {
+        all.slow_disk(host, Duration::from_millis(300));
+    }
+    let leader = all.leader();
+    let term = all.node(leader).term();
+
+    all.run(2 * SECONDS);
+    all.write();
+
+    assert_eq!((all.leader(), all.node(leader).term()), (leader, term));
+    all.assert_correct();
+}
+
 /// Guards against a kill in the middle of a write that loses an acknowledged entry, a vote, or
 /// leaves files that do not start again.
 #[rstest]
@@ -176,6 +193,28 @@
     );
 }
 
+/// Guards against `--format` on a replaced disk, which would pass an empty log off as a founding
+/// one.
+#[rstest]
+fn demotes_reformatted_disk() {
+    let mut all = compacting(17);
+    for _ in 0..10 {
+        all.write();
+    }
+    let victim = follower(&mut all);
+    all.run(SECONDS);
+    all.crash(victim);
+    let hard = agree::Hard::new(format!("control-{victim}"), 0);
+    all.replace_files(victim, Files::from([(File::State, hard.encode())]));
+
+    all.start(victim);
+    all.run(SECONDS);
+    all.converge();
+
+    all.assert_correct();
+    assert_ne!(all.node(victim).dump()["incarnation"], 0);
+}
+
 /// Guards against a former disk that comes back after its replacement was readmitted.
 #[rstest]
 fn demotes_replaced_disk() {
--- /dev/null
+++ b/crates/agree/tests/single/mod.rs
@@ -0,0 +1,54 @@
+//! One node on a real disk.
+
+use std::{
+    cell::RefCell,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    path::Path,
+    rc::Rc,
+    time::Duration,
+};
+
+use agree::{Machine, Node, Options, StartError};
+
+#[derive(Default)]
+pub struct Counter(u64);
+
+impl Machine for Counter {
+    fn apply(&mut self, _index: u64, _payload: &[u8]) -> Vec<u8> {
+        self.0 += 1;
+        self.0.to_string().into_bytes()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.0.to_string().into_bytes()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) {
+        self.0 = std::str::from_utf8(bytes).unwrap().parse().unwrap();
+    }
+}
+
+pub type Started = Result<Rc<Node<Counter>>, StartError>;
+
+/// A node that is the only host, or one of three.
+pub fn start(data: &Path, name: &str, alone: bool) -> Started {
+    let names: &[&str] = if alone { &["a"] } else { &["a", "b", "c"] };
+    let address = SocketAddr::from(([127, 0, 0, 1], 9));
+    let options = Options {
+        name: name.to_owned(),
+        peers: names
+            .iter()
+            .map(|name| ((*name).to_owned(), address))
+            .collect(),
+        host: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        data: data.to_owned(),
+        log: base::log::silent(),
+    };
+    Node::start(options, Rc::new(RefCell::new(Counter::default())))
+}
+
+pub async fn lead(node: &Node<Counter>) {
+    while node.barrier().await.is_err() {
+        compio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
