--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -122,6 +122,9 @@
             Either::Right((outcome, _)) => Some(outcome),
         };
         drop((accepting, following, announcing));
+        member.ended.notify(usize::MAX);
+        // Sockets with a pending operation are closed only while the runtime goes on.
+        compio::time::sleep(LOOK).await;
         match outcome {
             None => Exit::Done,
             Some(outcome) => {
@@ -140,7 +143,13 @@
                 if let Err(cause) = stream.set_nodelay(true) {
                     warn!(member.log, "connection without TCP_NODELAY"; "cause" => %cause);
                 }
-                compio::runtime::spawn(session::serve(Rc::clone(&member), stream)).detach();
+                let ended = member.ended.listen();
+                let member = Rc::clone(&member);
+                compio::runtime::spawn(async move {
+                    let serving = pin!(session::serve(member, stream));
+                    let _: Either<((), _), ((), _)> = select(serving, ended).await;
+                })
+                .detach();
             }
             Err(cause) => {
                 warn!(member.log, "accept failed"; "cause" => %cause);
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod refusal;
 mod session;
 pub mod settings;
+mod signal;
 mod slots;
 mod store;
 pub mod table;
@@ -33,7 +34,7 @@
 use std::path::Path;
 
 use base::Exit;
-use slog::{error, warn};
+use slog::error;
 
 pub use daemon::{Daemon, StartError};
 pub use refusal::Refusal;
@@ -58,8 +59,15 @@
         }
     };
     runtime.block_on(async {
+        let mut signals = match signal::Signals::new() {
+            Ok(signals) => signals,
+            Err(cause) => {
+                error!(log, "signals can't be handled"; "cause" => %cause);
+                return Exit::Failed;
+            }
+        };
         match Daemon::open(settings, log.clone()).await {
-            Ok(daemon) => daemon.serve(async || terminated(&log).await).await,
+            Ok(daemon) => daemon.serve(async || signals.next().await).await,
             Err(cause) => {
                 error!(log, "can't start"; "cause" => %cause);
                 Exit::Failed
@@ -67,12 +75,3 @@
         }
     })
 }
-
-async fn terminated(log: &slog::Logger) {
-    /// SIGTERM, which has this number on every Unix system.
-    const SIGTERM: i32 = 15;
-    if let Err(cause) = compio::signal::unix::signal(SIGTERM).await {
-        warn!(log, "SIGTERM can't be handled"; "cause" => %cause);
-        std::future::pending::<()>().await;
-    }
-}
--- a/crates/standin/src/member.rs
+++ b/crates/standin/src/member.rs
@@ -61,6 +61,8 @@
     pub closing: Cell<bool>,
     /// Notified when `leaving` or `closing` is set.
     pub stop: Event,
+    /// Notified when every connection is to be dropped.
+    pub ended: Event,
     /// Data connections open.
     pub connections: Cell<u32>,
     /// Sessions by process number.
@@ -83,6 +85,7 @@
             leaving: Cell::new(false),
             closing: Cell::new(false),
             stop: Event::new(),
+            ended: Event::new(),
             connections: Cell::new(0),
             sessions: RefCell::default(),
             feeds: RefCell::default(),
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/common/mod.rs
@@ -4,9 +4,12 @@
 
 use std::{
     io::{Read as _, Write as _},
-    net::{SocketAddr, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
     path::Path,
-    sync::mpsc,
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        mpsc,
+    },
     thread::JoinHandle,
     time::{Duration, Instant},
 };
@@ -20,8 +23,19 @@
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
 
 /// Settings of member `a` with its data in `folder`, on free ports and without costs.
+///
+/// Each has a loopback address of its own, so that a member that restarts finds its port free.
 pub fn settings(folder: &Path) -> Settings {
-    let local: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    static LAST: AtomicU32 = AtomicU32::new(0);
+    let n = LAST.fetch_add(1, Ordering::Relaxed) % 60_000 + 256;
+    let part = |n: u32| u8::try_from(n % 256).unwrap();
+    let host = Ipv4Addr::new(
+        127,
+        64 + part(std::process::id() % 64),
+        part(n / 256),
+        part(n),
+    );
+    let local = SocketAddr::new(host.into(), 0);
     Settings {
         member: "a".into(),
         group: "orders".into(),
--- /dev/null
+++ b/crates/standin/tests/process.rs
@@ -0,0 +1,190 @@
+//! The binary: options, settings, SIGTERM and announcements.
+
+mod common;
+
+use std::{
+    fs,
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener},
+    path::Path,
+    process::{Child, Command, Stdio},
+    sync::mpsc,
+    time::{Duration, Instant},
+};
+
+use rstest::rstest;
+use serde_json::Value;
+use tokio_postgres::NoTls;
+
+fn standin(arguments: &[&str]) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_standin"))
+        .args(arguments)
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+/// A free port of `host`, which may be taken again only by a member that asks for it.
+fn free(host: &str) -> SocketAddr {
+    let listener = TcpListener::bind((host, 0)).unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn write_settings(folder: &Path, address: SocketAddr, announce: &[SocketAddr]) -> String {
+    let host = address.ip();
+    let http = free(&host.to_string());
+    let announce: Vec<_> = announce.iter().map(|to| format!("\"{to}\"")).collect();
+    let text = format!(
+        "member = \"a\"\ngroup = \"orders\"\nzone = \"z\"\nregion = \"r\"\nhost = \"{host}\"\n\
+         address = \"{address}\"\nadvertise = \"{address}\"\nhttp = \"{http}\"\n\
+         data = \"{}\"\nconnections = 16\nslots = 2\nconnect_ms = 0\nstatement_us = 0\n\
+         lag_ms = 0\nannounce = [{}]\n",
+        folder.join("data").display(),
+        announce.join(", ")
+    );
+    let path = folder.join("settings.toml");
+    fs::write(&path, text).unwrap();
+    path.to_str().unwrap().to_owned()
+}
+
+/// An entry host that accepts announcements and hands their bodies on.
+fn entry() -> (SocketAddr, mpsc::Receiver<Value>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, receiver) = mpsc::channel();
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut text = String::new();
+            let mut part = [0; 4_096];
+            while !text.ends_with('}') {
+                let count = stream.read(&mut part).unwrap();
+                text.push_str(str::from_utf8(&part[..count]).unwrap());
+            }
+            assert!(text.starts_with("POST /v1/announce HTTP/1.1\r\n"), "{text}");
+            stream
+                .write_all(b"HTTP/1.1 204 No Content\r\n\r\n")
+                .unwrap();
+            let body = text.split_once("\r\n\r\n").unwrap().1;
+            if sender.send(serde_json::from_str(body).unwrap()).is_err() {
+                return;
+            }
+        }
+    });
+    (address, receiver)
+}
+
+fn terminate(child: &Child) {
+    let sent = Command::new("kill")
+        .args(["-TERM", &child.id().to_string()])
+        .status()
+        .unwrap();
+    assert!(sent.success());
+}
+
+/// Guards against wrong exit codes, which scripts and supervisors rely on.
+#[rstest]
+#[case(&["--help"], 0)]
+#[case(&[], 2)]
+#[case(&["--nonsense"], 2)]
+#[case(&["--settings", "missing.toml"], 2)]
+fn options_give_exit_code(#[case] arguments: &[&str], #[case] expected: i32) {
+    let status = standin(arguments).wait().unwrap();
+
+    assert_eq!(status.code(), Some(expected));
+}
+
+/// Guards against settings that are accepted although they can't be meant.
+#[rstest]
+#[case("slots = 2", "slots = 0")]
+#[case("slots = 2", "slots = 2\nslot = 3")]
+#[case("connections = 16", "connections = \"16\"")]
+fn wrong_settings_are_refused(#[case] from: &str, #[case] to: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    let path = write_settings(folder.path(), free("127.0.0.1"), &[]);
+    let text = fs::read_to_string(&path).unwrap();
+    fs::write(&path, text.replace(from, to)).unwrap();
+
+    let status = standin(&["--settings", &path]).wait().unwrap();
+
+    assert_eq!(status.code(), Some(2));
+}
+
+/// Guards against a planned stop that interrupts a running statement, that is not announced to
+/// every entry host, or that loses what was committed.
+#[tokio::test]
+async fn sigterm_finishes_what_runs() {
+    let folder = tempfile::tempdir().unwrap();
+    let (entries, announced): (Vec<_>, Vec<_>) = (0..2).map(|_| entry()).unzip();
+    let address = free("127.0.0.1");
+    let path = write_settings(folder.path(), address, &entries);
+    let mut child = standin(&["--settings", &path]);
+    let first = announced[0].recv_timeout(Duration::from_secs(10)).unwrap();
+    let second = announced[1].recv_timeout(Duration::from_secs(10)).unwrap();
+    let text = format!(
+        "host=127.0.0.1 port={} user=caller dbname=orders",
+        address.port()
+    );
+    let (client, connection) = tokio_postgres::connect(&text, NoTls).await.unwrap();
+    let connection = tokio::spawn(connection);
+
+    let terminating = async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        terminate(&child);
+    };
+    let (slept, ()) =
+        futures_util::future::join(client.simple_query("SELECT pg_sleep(0.5)"), terminating).await;
+    let served = client.simple_query("SELECT 1").await;
+    drop(client);
+    let _ended = connection.await;
+    let start = Instant::now();
+    let status = tokio::task::spawn_blocking(move || child.wait().unwrap())
+        .await
+        .unwrap();
+
+    assert_eq!(first["member"], "a");
+    assert_eq!(first["group"], "orders");
+    assert_eq!(first["address"], address.to_string());
+    assert_eq!(first["connections"], 16);
+    assert_eq!(first["slots"], 2);
+    assert_eq!(first["leaving"], false);
+    assert_eq!(first["store"], second["store"]);
+    slept.unwrap();
+    served.expect("new work is served until entry hosts have heard");
+    assert_eq!(status.code(), Some(0));
+    assert!(start.elapsed() < Duration::from_secs(3));
+    for told in announced {
+        assert!(told.try_iter().any(|body| body["leaving"] == true));
+    }
+}
+
+/// Guards against idle sessions that keep a leaving member alive.
+#[tokio::test]
+async fn sigterm_closes_idle_sessions() {
+    let folder = tempfile::tempdir().unwrap();
+    let address = free("127.0.0.1");
+    let path = write_settings(folder.path(), address, &[]);
+    let mut child = standin(&["--settings", &path]);
+    let text = format!(
+        "host=127.0.0.1 port={} user=caller dbname=orders",
+        address.port()
+    );
+    let start = Instant::now();
+    let (_client, connection) = loop {
+        match tokio_postgres::connect(&text, NoTls).await {
+            Ok(pair) => break pair,
+            Err(cause) => assert!(start.elapsed() < Duration::from_secs(10), "{cause}"),
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+
+    terminate(&child);
+    let closed = connection.await;
+    let status = tokio::task::spawn_blocking(move || child.wait().unwrap())
+        .await
+        .unwrap();
+
+    assert_eq!(common::state(closed), "57P01");
+    assert_eq!(status.code(), Some(0));
+}
--- /dev/null
+++ b/crates/standin/tests/protocol.rs
@@ -0,0 +1,258 @@
+//! What stands on the wire, message by message.
+
+mod common;
+
+use std::{net::SocketAddr, time::Duration};
+
+use common::{Node, settings};
+use compio::{
+    buf::BufResult,
+    io::{AsyncRead as _, AsyncWriteExt as _},
+    net::TcpStream,
+    runtime::Runtime,
+};
+use rstest::rstest;
+use wire::{Client, Frame, writer::encode};
+
+fn block_on<T>(future: impl Future<Output = T>) -> T {
+    Runtime::new().unwrap().block_on(future)
+}
+
+async fn open(address: SocketAddr, user: &str) -> Client {
+    let stream = TcpStream::connect(address).await.unwrap();
+    Client::open(stream, user, "orders").await.unwrap()
+}
+
+/// Frames of a simple query, up to `ReadyForQuery`.
+async fn query(client: &mut Client, sql: &str) -> Vec<Frame> {
+    let mut body = sql.as_bytes().to_vec();
+    body.push(0);
+    client.writer.parts(b'Q', &body);
+    client.writer.flush().await.unwrap();
+    until_ready(client).await
+}
+
+async fn until_ready(client: &mut Client) -> Vec<Frame> {
+    let mut frames = Vec::new();
+    loop {
+        let frame = client.frame().await.unwrap();
+        let done = frame.tag == b'Z';
+        frames.push(frame);
+        if done {
+            return frames;
+        }
+    }
+}
+
+fn tags(frames: &[Frame]) -> String {
+    frames.iter().map(|frame| char::from(frame.tag)).collect()
+}
+
+fn positions(frames: &[Frame]) -> Vec<String> {
+    frames
+        .iter()
+        .filter_map(Frame::parameter)
+        .filter(|(name, _)| *name == "upstream_position")
+        .map(|(_, value)| value.to_owned())
+        .collect()
+}
+
+/// Adds Parse, Bind and Execute of a statement without parameters.
+fn extended(client: &mut Client, sql: &str, rows: i32) {
+    client
+        .writer
+        .parts(b'P', &[b"\0", sql.as_bytes(), b"\0\0\0"].concat());
+    client.writer.parts(b'B', &[0; 8]);
+    client
+        .writer
+        .parts(b'E', &[&[0][..], &rows.to_be_bytes()].concat());
+}
+
+fn member() -> (Node, tempfile::TempDir) {
+    let folder = tempfile::tempdir().unwrap();
+    let node = Node::start(settings(folder.path()));
+    block_on(async {
+        let mut monitor = open(node.address, "monitor").await;
+        monitor.query("PROMOTE TERM 1").await.unwrap();
+        let mut client = open(node.address, "caller").await;
+        client
+            .query("CREATE TABLE t (id int PRIMARY KEY)")
+            .await
+            .unwrap();
+    });
+    (node, folder)
+}
+
+/// Guards against a position that is missing after a commit or a read, that comes after
+/// `ReadyForQuery`, or that is repeated without need.
+#[test]
+fn position_is_reported_when_it_changed() {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut client = open(node.address, "caller").await;
+        let mut other = open(node.address, "caller").await;
+
+        let read = query(&mut client, "SELECT * FROM t").await;
+        let again = query(&mut client, "SELECT * FROM t").await;
+        let write = query(&mut client, "INSERT INTO t VALUES (1)").await;
+        query(&mut other, "INSERT INTO t VALUES (2)").await;
+        let later = query(&mut client, "SELECT 1").await;
+        query(&mut client, "BEGIN").await;
+        let inside = query(&mut client, "INSERT INTO t VALUES (3)").await;
+        let commit = query(&mut client, "COMMIT").await;
+
+        assert_eq!(
+            (tags(&read), positions(&read)),
+            ("TCSZ".into(), vec!["1/1".into()])
+        );
+        assert_eq!(positions(&again), Vec::<String>::new());
+        assert_eq!(
+            (tags(&write), positions(&write)),
+            ("CSZ".into(), vec!["1/2".into()])
+        );
+        assert_eq!(positions(&later), ["1/3"]);
+        assert_eq!(positions(&inside), Vec::<String>::new());
+        assert_eq!(positions(&commit), ["1/4"]);
+    });
+}
+
+/// Guards against a transaction status that a pool would misread.
+#[test]
+fn ready_tells_transaction_status() {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut client = open(node.address, "caller").await;
+        let mut status = async |sql| {
+            query(&mut client, sql)
+                .await
+                .last()
+                .unwrap()
+                .ready()
+                .unwrap()
+        };
+
+        let idle = status("SELECT 1").await;
+        let open = status("BEGIN").await;
+        let failed = status("SELECT * FROM missing").await;
+        let still = status("SELECT 1").await;
+        let ended = status("ROLLBACK").await;
+
+        assert_eq!([idle, open, failed, still, ended], *b"ITEEI");
+    });
+}
+
+/// Guards against a batch that commits its first part though a later part failed, and against
+/// messages that run between an error and Sync.
+#[test]
+fn batch_is_one_transaction() {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut client = open(node.address, "caller").await;
+
+        extended(&mut client, "INSERT INTO t VALUES (1)", 0);
+        extended(&mut client, "INSERT INTO t VALUES (1)", 0);
+        extended(&mut client, "INSERT INTO t VALUES (2)", 0);
+        client.writer.parts(b'S', &[]);
+        client.writer.flush().await.unwrap();
+        let failed = until_ready(&mut client).await;
+        extended(&mut client, "INSERT INTO t VALUES (3)", 0);
+        extended(&mut client, "SELECT id FROM t", 0);
+        client.writer.parts(b'S', &[]);
+        client.writer.flush().await.unwrap();
+        let passed = until_ready(&mut client).await;
+
+        assert_eq!(tags(&failed), "12C12ESZ");
+        assert_eq!(failed[5].sqlstate(), Some("23505"));
+        assert_eq!(tags(&passed), "12C12DCSZ");
+        assert_eq!(positions(&passed), ["1/2"]);
+    });
+}
+
+/// Guards against pipelined batches that are answered out of order or mixed.
+#[test]
+fn pipelined_batches_are_answered_in_order() {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut client = open(node.address, "caller").await;
+        for n in 0..100 {
+            extended(&mut client, &format!("SELECT {n}"), 0);
+            client.writer.parts(b'S', &[]);
+        }
+        client.writer.flush().await.unwrap();
+
+        for n in 0..100 {
+            let frames = until_ready(&mut client).await;
+            let row = frames.iter().find(|frame| frame.tag == b'D').unwrap();
+            assert_eq!(&row.body[6..], n.to_string().as_bytes());
+        }
+    });
+}
+
+/// Guards against rows that are lost or repeated when a portal is read in parts.
+#[test]
+fn portal_is_read_in_parts() {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut client = open(node.address, "caller").await;
+        client
+            .query("INSERT INTO t VALUES (1), (2), (3)")
+            .await
+            .unwrap();
+
+        extended(&mut client, "SELECT id FROM t", 2);
+        client.writer.parts(b'E', &[0, 0, 0, 0, 2]);
+        client.writer.parts(b'S', &[]);
+        client.writer.flush().await.unwrap();
+        let frames = until_ready(&mut client).await;
+
+        assert_eq!(tags(&frames), "12DDsDCZ");
+        assert_eq!(frames[6].command(), Some("SELECT 1"));
+    });
+}
+
+/// Guards against clients that ask for encryption first and then hang.
+#[rstest]
+#[case(80_877_103)]
+#[case(80_877_104)]
+fn encryption_is_declined(#[case] code: i32) {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut stream = TcpStream::connect(node.address).await.unwrap();
+        let ask = [8i32.to_be_bytes(), code.to_be_bytes()].concat();
+        stream.write_all(ask).await.0.unwrap();
+        let BufResult(count, answer) = stream.read(Vec::with_capacity(8)).await;
+        let mut client = Client::open(stream, "caller", "orders").await.unwrap();
+        let rows = client.query("SELECT 1").await.unwrap();
+
+        assert_eq!((count.unwrap(), answer.as_slice()), (1, &b"N"[..]));
+        assert_eq!(rows, [[Some("1".to_owned())]]);
+    });
+}
+
+/// Guards against bytes of a foreign protocol that end the process or go unanswered.
+#[rstest]
+#[case(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n".to_vec(), "54000")]
+#[case(vec![0, 0, 0, 4, 0, 0, 0, 0], "08P01")]
+#[case([&[0, 0, 0, 9][..], &[0, 3, 0, 0, 7]].concat(), "08P01")]
+#[case([&[0, 0, 0, 8][..], &[0, 2, 0, 0]].concat(), "0A000")]
+fn garbage_gets_an_error(#[case] bytes: Vec<u8>, #[case] expected: &str) {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut stream = TcpStream::connect(node.address).await.unwrap();
+        stream.write_all(bytes).await.0.unwrap();
+        let reading = stream.read(Vec::with_capacity(1_000));
+        let BufResult(_, answer) = compio::time::timeout(Duration::from_secs(5), reading)
+            .await
+            .unwrap();
+        let still = open(node.address, "caller").await.query("SELECT 1").await;
+
+        let mut frame = bytes::BytesMut::from(answer.as_slice());
+        let body = frame.split_off(5).freeze();
+        let error = Frame { tag: b'E', body };
+        let mut encoded = bytes::BytesMut::new();
+        encode(&mut encoded, error.tag, &error.body);
+        assert_eq!(encoded.as_ref(), answer.as_slice());
+        assert_eq!(error.sqlstate(), Some(expected));
+        still.unwrap();
+    });
+}
