--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -115,16 +115,6 @@
     client.parameters.get(POSITION)?.parse().ok()
 }
 
-/// Keeps a parameter that the upstream reports.
-fn remember(client: &mut Client, name: &str, value: &str) {
-    if let Some(kept) = client.parameters.get_mut(name) {
-        kept.clear();
-        kept.push_str(value);
-    } else {
-        client.parameters.insert(name.to_owned(), value.to_owned());
-    }
-}
-
 /// Waits for a frame of the upstream.
 pub(crate) async fn frame(client: &mut Client, until: Instant) -> Result<Frame, Broken> {
     if let Some(frame) = client.reader.buffered()? {
@@ -176,10 +166,10 @@
                     return Ok(answer);
                 }
                 b'S' => {
-                    let (name, value) = frame
+                    let (name, _value) = frame
                         .parameter()
                         .ok_or(WireError::Malformed("parameter status"))?;
-                    remember(lease.client(), name, value);
+                    lease.client().note(&frame);
                     if name != POSITION {
                         self.writer.frame(&frame);
                     }
--- /dev/null
+++ b/crates/entry/src/keyed.rs
@@ -0,0 +1,718 @@
+//! Requests with a key, which run at most once.
+//!
+//! The record of a key is written in the transaction of the request itself, so that both commit or
+//! neither does, and the primary key of the table settles races between two sends.
+
+use std::{
+    fmt::Write as _,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use base::{
+    Term,
+    document::{Service, digest},
+};
+use serde::{Deserialize, Serialize};
+use wire::{Client, Failure, Rows, WireError, pg::simplequery::Query};
+
+use crate::{
+    answer::{self, Broken, position},
+    batch::{Batch, Step, message},
+    fleet::{Fleet, Lease},
+    refusal::Refusal,
+    request::{Meaning, Request, Trouble, give_back, refused_before},
+    session::{Open, Session, State},
+    statements::{NameChange, Names},
+};
+
+/// Bytes of answers that are kept with one key.
+const KEPT_BYTES: usize = 32 << 10;
+const CREATE: &str = "CREATE TABLE IF NOT EXISTS goldcrestrail_keys \
+    (key text PRIMARY KEY, digest text, outcome text, created bigint)";
+
+/// Answer to one request, as it was given first.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Answered {
+    digest: String,
+    /// Messages without `ReadyForQuery`; `None` when they were too long to be kept.
+    messages: Option<Vec<u8>>,
+}
+
+/// First outcome of a key.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Outcome {
+    /// SQLSTATE and message when it failed.
+    failure: Option<(String, String)>,
+    /// Answers to its requests in order.
+    answers: Vec<Answered>,
+}
+
+/// Record of a transaction with a key, until it commits.
+#[derive(Debug)]
+pub struct Record {
+    key: Box<str>,
+    answers: Vec<Answered>,
+    kept: usize,
+    /// Whether an expired record has to go first.
+    expired: bool,
+}
+
+/// Transaction that ran before, and is answered from its record.
+#[derive(Debug)]
+pub struct Replay {
+    answers: std::vec::IntoIter<Answered>,
+    position: Option<base::Position>,
+}
+
+impl Record {
+    /// Adds the answer to a request of the transaction.
+    pub(crate) fn add(&mut self, request: &Request<'_>, messages: &[u8]) {
+        self.kept += messages.len();
+        self.answers.push(Answered {
+            digest: request.digest(),
+            messages: (self.kept <= KEPT_BYTES).then(|| messages.to_vec()),
+        });
+    }
+
+    /// Statements that write the record.
+    fn statements(&self, request: &Request<'_>) -> Vec<String> {
+        let mut answers = self.answers.clone();
+        answers.push(Answered {
+            digest: request.digest(),
+            messages: Some(request.known_answer("COMMIT")),
+        });
+        let digests: String = answers.iter().map(|given| given.digest.as_str()).collect();
+        let outcome = Outcome {
+            failure: None,
+            answers,
+        };
+        let mut statements = Vec::new();
+        if self.expired {
+            statements.push(delete(&self.key));
+        }
+        statements.push(insert(&self.key, &digest(&digests), &outcome));
+        statements
+    }
+}
+
+impl Request<'_> {
+    /// Digest of everything that decides what the request does and what its answer looks like.
+    pub(crate) fn digest(&self) -> String {
+        match self {
+            Self::Simple(body) => digest(&format!("Q{}", String::from_utf8_lossy(body))),
+            Self::Extended(batch) => batch.digest(),
+        }
+    }
+
+    /// Answer when all that it runs is one statement without rows.
+    fn known_answer(&self, tag: &str) -> Vec<u8> {
+        let complete = message(b'C', format!("{tag}\0").as_bytes());
+        let Self::Extended(batch) = self else {
+            return complete;
+        };
+        let mut out = Vec::new();
+        for step in &batch.steps {
+            match step {
+                Step::Parse(..) => out.extend(message(b'1', &[])),
+                Step::Bind(.., known) if *known => {}
+                Step::Bind(..) => out.extend(message(b'2', &[])),
+                Step::DescribeStatement(_) => {
+                    out.extend(message(b't', &[0, 0]));
+                    out.extend(message(b'n', &[]));
+                }
+                Step::DescribePortal(_) => out.extend(message(b'n', &[])),
+                Step::Execute(..) => out.extend_from_slice(&complete),
+                Step::ClosePortal(_) => out.extend(message(b'3', &[])),
+                Step::Known(messages, _) | Step::Fail(messages) => out.extend_from_slice(messages),
+            }
+        }
+        out
+    }
+
+    /// Puts the changes of names into effect that go with an answer given again.
+    fn name(&self, names: &mut Names) {
+        let Self::Extended(batch) = self else {
+            return;
+        };
+        for step in &batch.steps {
+            match step {
+                Step::Parse(name, prepared) => {
+                    let prepared = std::rc::Rc::clone(prepared);
+                    names.apply(NameChange::Add(name.clone(), prepared));
+                }
+                Step::Known(_, Some(change)) => names.apply(change.clone()),
+                _ => {}
+            }
+        }
+    }
+}
+
+impl Batch {
+    fn digest(&self) -> String {
+        let mut text = String::new();
+        for step in &self.steps {
+            let _infallible = match step {
+                Step::Parse(_, prepared) => {
+                    write!(text, "P{}\0{:?}", prepared.text, prepared.types)
+                }
+                Step::Bind(portal, prepared, rest, _) => {
+                    write!(text, "B{portal}\0{}\0{rest:?}", prepared.text)
+                }
+                Step::DescribeStatement(prepared) => write!(text, "S{}", prepared.text),
+                Step::DescribePortal(portal) => write!(text, "D{portal}"),
+                Step::Execute(portal, rows) => write!(text, "E{portal}\0{rows}"),
+                Step::ClosePortal(portal) => write!(text, "C{portal}"),
+                Step::Known(messages, _) => write!(text, "K{messages:?}"),
+                Step::Fail(_) => write!(text, "F"),
+            };
+            text.push('\0');
+        }
+        digest(&text)
+    }
+}
+
+/// What the table says of a key.
+enum Found {
+    Nothing,
+    Expired,
+    /// Digest and outcome.
+    Known(String, Outcome),
+}
+
+/// Why one attempt on a connection gave no answer.
+enum Miss {
+    /// Another attempt may succeed; the request has no effect so far.
+    Again(Refusal),
+    /// As `Again`, but the commit may have taken effect.
+    Unclear(Broken),
+    /// Nothing will help.
+    Stop(Trouble),
+}
+
+impl From<Failure> for Miss {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::Wire(_) => Self::Again(Refusal::Primary),
+            Failure::Refused(sqlstate, _) if sqlstate == "53300" => Self::Again(Refusal::Deadline),
+            Failure::Refused(sqlstate, _) if sqlstate == "25006" => Self::Again(Refusal::Primary),
+            Failure::Refused(sqlstate, message) => Self::Stop(Trouble::Upstream(sqlstate, message)),
+        }
+    }
+}
+
+impl From<Refusal> for Miss {
+    fn from(refusal: Refusal) -> Self {
+        Self::Stop(refusal.into())
+    }
+}
+
+impl From<Trouble> for Miss {
+    fn from(trouble: Trouble) -> Self {
+        Self::Stop(trouble)
+    }
+}
+
+impl<F: Fleet> Session<F> {
+    /// Runs a request with a key outside a transaction, at most once.
+    pub(crate) async fn keyed(
+        &mut self,
+        service: &Service,
+        request: &Request<'_>,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<bool, Trouble> {
+        let mut pause = Duration::from_millis(10);
+        let mut unclear = None;
+        loop {
+            let refusal = match self.keyed_once(service, request, key, deadline).await {
+                Ok(failed) => return Ok(failed),
+                Err(Miss::Again(refusal)) => refusal,
+                Err(Miss::Unclear(broken)) => {
+                    let refusal = Refusal::Unknown(format!(
+                        "{broken}; send it again with the same key to learn its outcome"
+                    ));
+                    unclear = Some(refusal.clone());
+                    refusal
+                }
+                Err(Miss::Stop(Trouble::Error(sqlstate, _)))
+                    if sqlstate.starts_with("ZN") && unclear.is_some() =>
+                {
+                    Refusal::Primary
+                }
+                Err(Miss::Stop(trouble)) => return Err(trouble),
+            };
+            // Looking for an outcome is no retry.
+            let allowed = unclear.is_some() || self.shared.take_retry();
+            if !allowed || !self.pause(&mut pause, deadline).await {
+                return Err(unclear.unwrap_or(refusal).into());
+            }
+        }
+    }
+
+    async fn keyed_once(
+        &mut self,
+        service: &Service,
+        request: &Request<'_>,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<bool, Miss> {
+        let mark = self.writer.pending();
+        let (mut lease, found) = self.look_up(service, key, true, deadline).await?;
+        let expired = match found {
+            Found::Known(known, outcome) => {
+                return self
+                    .answer_again(service, lease, request, known, outcome, deadline)
+                    .await;
+            }
+            Found::Expired => true,
+            Found::Nothing => false,
+        };
+        let attempt = self.exchange(&mut lease, request, deadline).await;
+        let mut answer = match attempt.answer {
+            Ok(answer) => answer,
+            Err(Broken::Caller) => return Err(Miss::Stop(Trouble::Gone)),
+            // The transaction ends with its connection, because its COMMIT was not sent.
+            Err(_rolled_back) => return Err(Miss::Again(Refusal::Primary)),
+        };
+        if let Some(sqlstate) = answer.sqlstate.clone() {
+            ask(lease.client(), &["ROLLBACK"], deadline).await?;
+            answer.status = b'I';
+            if let Some(refusal) = refused_before(&answer) {
+                self.writer.truncate(mark);
+                give_back(lease, &answer, attempt.cancelled);
+                return Err(Miss::Again(refusal));
+            }
+            let outcome = Outcome {
+                failure: Some((sqlstate, answer.message.clone())),
+                answers: Vec::new(),
+            };
+            let mut statements = vec![insert(key, &request.digest(), &outcome)];
+            if expired {
+                statements.insert(0, delete(key));
+            }
+            // A failure that can't be recorded is one all the same: nothing of it is in force.
+            if ask_all(lease.client(), &statements, deadline).await.is_ok() {
+                give_back(lease, &answer, attempt.cancelled);
+            }
+            return Ok(true);
+        }
+        if answer.status != b'T' {
+            self.writer.truncate(mark);
+            let cause = "the text ended the transaction of its own key".to_owned();
+            return Err(Miss::Stop(Refusal::Unknown(cause).into()));
+        }
+        let given = &self.writer.waiting()[mark..];
+        let fits = given.len() <= KEPT_BYTES && !answer.overflow;
+        let outcome = Outcome {
+            failure: None,
+            answers: vec![Answered {
+                digest: request.digest(),
+                messages: fits.then(|| given.to_vec()),
+            }],
+        };
+        let mut statements = vec![insert(key, &request.digest(), &outcome)];
+        if expired {
+            statements.insert(0, delete(key));
+        }
+        statements.push("COMMIT".to_owned());
+        match ask_all(lease.client(), &statements, deadline).await {
+            Ok(()) => {}
+            Err(Failure::Wire(cause)) => {
+                self.writer.truncate(mark);
+                return Err(Miss::Unclear(Broken::Upstream(cause)));
+            }
+            // Another send with this key was faster, so that the next look finds its outcome.
+            Err(Failure::Refused(sqlstate, _))
+                if matches!(sqlstate.as_str(), "23505" | "40001" | "40P01") =>
+            {
+                self.writer.truncate(mark);
+                return Err(Miss::Again(Refusal::Primary));
+            }
+            Err(failure) => {
+                self.writer.truncate(mark);
+                return Err(failure.into());
+            }
+        }
+        answer.status = b'I';
+        let (term, position) = (lease.primary(), position(lease.client()));
+        give_back(lease, &answer, attempt.cancelled);
+        self.acknowledge(service, term, position, &answer, true, mark, deadline)
+            .await?;
+        Ok(false)
+    }
+
+    /// Begins a transaction with a key, or the giving again of its answers.
+    pub(crate) async fn keyed_begin(
+        &mut self,
+        service: &Service,
+        request: &Request<'_>,
+        key: Box<str>,
+        deadline: Instant,
+    ) -> Result<bool, Trouble> {
+        let mut pause = Duration::from_millis(10);
+        loop {
+            let refusal = match self.begin_once(service, request, &key, deadline).await {
+                Ok(failed) => return Ok(failed),
+                Err(Miss::Again(refusal)) => refusal,
+                Err(Miss::Unclear(broken)) => return Err(broken.into()),
+                Err(Miss::Stop(trouble)) => return Err(trouble),
+            };
+            if !self.shared.take_retry() || !self.pause(&mut pause, deadline).await {
+                return Err(refusal.into());
+            }
+        }
+    }
+
+    async fn begin_once(
+        &mut self,
+        service: &Service,
+        request: &Request<'_>,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<bool, Miss> {
+        let (mut lease, found) = self.look_up(service, key, false, deadline).await?;
+        let expired = match found {
+            Found::Known(_, outcome) => {
+                let first = outcome.answers.first();
+                if first.is_none_or(|first| first.digest != request.digest()) {
+                    return Err(other_statement().into());
+                }
+                let at = position(lease.client());
+                self.confirm_record(service, lease, deadline).await?;
+                let replay = Replay {
+                    answers: outcome.answers.into_iter(),
+                    position: at,
+                };
+                return Ok(self.replay(Box::new(replay), request)?);
+            }
+            Found::Expired => true,
+            Found::Nothing => false,
+        };
+        let mark = self.writer.pending();
+        let attempt = self.exchange(&mut lease, request, deadline).await;
+        let answer = match attempt.answer {
+            Ok(answer) => answer,
+            Err(Broken::Caller) => return Err(Miss::Stop(Trouble::Gone)),
+            Err(_nothing_done) => return Err(Miss::Again(Refusal::Primary)),
+        };
+        if let Some(refusal) = refused_before(&answer) {
+            self.writer.truncate(mark);
+            return Err(Miss::Again(refusal));
+        }
+        if answer.status == b'I' {
+            give_back(lease, &answer, attempt.cancelled);
+            return Ok(answer.sqlstate.is_some());
+        }
+        let mut record = Box::new(Record {
+            key: key.into(),
+            answers: Vec::new(),
+            kept: 0,
+            expired,
+        });
+        record.add(request, &self.writer.waiting()[mark..]);
+        self.state = State::Open(Box::new(Open {
+            lease,
+            status: answer.status,
+            sets: Vec::new(),
+            cancelled: attempt.cancelled,
+            record: Some(record),
+        }));
+        Ok(false)
+    }
+
+    /// Answers a request of a transaction that ran before.
+    pub(crate) fn replay(
+        &mut self,
+        mut replay: Box<Replay>,
+        request: &Request<'_>,
+    ) -> Result<bool, Trouble> {
+        let given = replay.answers.next();
+        let Some(given) = given.filter(|given| given.digest == request.digest()) else {
+            self.state = State::Lost;
+            return Err(other_statement());
+        };
+        let last = replay.answers.len() == 0;
+        let position = replay.position;
+        self.state = if last {
+            State::Idle
+        } else {
+            State::Replay(replay)
+        };
+        self.give(given, request)?;
+        if let Some(position) = position.filter(|_| last) {
+            self.report(position);
+        }
+        Ok(false)
+    }
+
+    /// Writes the record of a transaction before its COMMIT.
+    pub(crate) async fn write_record(
+        &mut self,
+        open: &mut Open<F::Lease>,
+        request: &Request<'_>,
+        meaning: &Meaning,
+        deadline: Instant,
+    ) -> Result<(), Trouble> {
+        let Some(record) = open.record.as_deref() else {
+            return Ok(());
+        };
+        if !meaning.commits {
+            return Err(Refusal::Rule(
+                "a transaction with a key ends with COMMIT in a request of its own; it is rolled \
+                 back"
+                    .into(),
+            )
+            .into());
+        }
+        if open.status != b'T' {
+            return Ok(());
+        }
+        let statements = record.statements(request);
+        match ask_all(open.lease.client(), &statements, deadline).await {
+            Ok(()) => Ok(()),
+            Err(Failure::Wire(cause)) => Err(Trouble::Error(
+                Refusal::Primary.sqlstate(),
+                format!("not run: the transaction is rolled back: {cause}"),
+            )),
+            Err(Failure::Refused(sqlstate, _)) if sqlstate == "23505" => Err(Refusal::Key(
+                "another transaction with this key committed first, and this one is rolled \
+                     back; send it again to get the outcome"
+                    .into(),
+            )
+            .into()),
+            Err(Failure::Refused(sqlstate, message)) => Err(Trouble::Upstream(sqlstate, message)),
+        }
+    }
+
+    /// Learns whether a transaction committed whose connection broke at its COMMIT.
+    pub(crate) async fn find_out(
+        &mut self,
+        service: &Service,
+        record: &Record,
+        request: &Request<'_>,
+        term: Option<Term>,
+        deadline: Instant,
+    ) -> Result<bool, Trouble> {
+        let mut pause = Duration::from_millis(10);
+        loop {
+            match self.look_up(service, &record.key, false, deadline).await {
+                Ok((lease, Found::Known(_, outcome))) => {
+                    let mine = outcome.answers.len() == record.answers.len() + 1
+                        && outcome
+                            .answers
+                            .iter()
+                            .zip(&record.answers)
+                            .all(|(a, b)| a == b);
+                    let at = self.confirm_record(service, lease, deadline).await?;
+                    let last = outcome.answers.into_iter().next_back().filter(|_| mine);
+                    let Some(last) = last else {
+                        return Err(other_statement());
+                    };
+                    self.give(last, request)?;
+                    if let Some(at) = at {
+                        self.report(at);
+                    }
+                    return Ok(false);
+                }
+                // What an old primary didn't get into the log of the new one never comes back.
+                Ok((lease, _)) if lease.primary() != term => {
+                    self.confirm_record(service, lease, deadline).await?;
+                    return Err(Trouble::Error(
+                        Refusal::Primary.sqlstate(),
+                        "not run: the primary changed and the transaction is not in its log".into(),
+                    ));
+                }
+                Ok((lease, _)) => lease.release(),
+                Err(Miss::Stop(Trouble::Gone)) => return Err(Trouble::Gone),
+                Err(_later) => {}
+            }
+            if !self.pause(&mut pause, deadline).await {
+                return Err(Refusal::Unknown(
+                    "the connection broke at COMMIT; send the transaction again with the same key \
+                     to learn its outcome"
+                        .into(),
+                )
+                .into());
+            }
+        }
+    }
+
+    /// Reads the record of a key, in a transaction that is left open when `begin` is set.
+    async fn look_up(
+        &mut self,
+        service: &Service,
+        key: &str,
+        begin: bool,
+        deadline: Instant,
+    ) -> Result<(F::Lease, Found), Miss> {
+        let mut lease = self.lease(service, true, deadline).await?;
+        self.set_up(&mut lease, deadline).await?;
+        let select = format!(
+            "SELECT digest, outcome, created FROM goldcrestrail_keys WHERE key = {}",
+            literal(key)
+        );
+        let first = if begin { "BEGIN" } else { "" };
+        let texts = [first, select.as_str()];
+        let texts = &texts[usize::from(!begin)..];
+        let rows = match ask(lease.client(), texts, deadline).await {
+            Err(Failure::Refused(sqlstate, _)) if sqlstate == "42P01" => {
+                if begin {
+                    ask(lease.client(), &["ROLLBACK"], deadline).await?;
+                }
+                ask(lease.client(), &[CREATE], deadline).await?;
+                ask(lease.client(), texts, deadline).await?
+            }
+            outcome => outcome?,
+        };
+        let Some(row) = rows.into_iter().next() else {
+            return Ok((lease, Found::Nothing));
+        };
+        let text = |i: usize| row.get(i).cloned().flatten().unwrap_or_default();
+        let created: u64 = text(2).parse().unwrap_or_default();
+        let kept = u64::from(service.limits.key_hours) * 3_600;
+        if now_seconds() >= created.saturating_add(kept) {
+            return Ok((lease, Found::Expired));
+        }
+        let outcome = serde_json::from_str(&text(1)).map_err(|cause| {
+            let cause = format!("the record of the key can't be read: {cause}");
+            Miss::Stop(Refusal::Key(cause).into())
+        })?;
+        Ok((lease, Found::Known(text(0), outcome)))
+    }
+
+    /// Gives the first outcome of a key, once it is confirmed.
+    async fn answer_again(
+        &mut self,
+        service: &Service,
+        mut lease: F::Lease,
+        request: &Request<'_>,
+        known: String,
+        outcome: Outcome,
+        deadline: Instant,
+    ) -> Result<bool, Miss> {
+        ask(lease.client(), &["ROLLBACK"], deadline).await?;
+        let at = self.confirm_record(service, lease, deadline).await?;
+        if known != request.digest() {
+            return Err(other_statement().into());
+        }
+        if let Some((sqlstate, message)) = outcome.failure {
+            return Err(Refusal::Key(format!("{sqlstate}: {message}")).into());
+        }
+        let Some(given) = outcome.answers.into_iter().next() else {
+            return Err(Refusal::Key("the record of the key is empty".into()).into());
+        };
+        self.give(given, request)?;
+        if let Some(at) = at {
+            self.report(at);
+        }
+        Ok(false)
+    }
+
+    /// Confirms what a look at the table showed, and gives the connection back.
+    async fn confirm_record(
+        &self,
+        service: &Service,
+        mut lease: F::Lease,
+        deadline: Instant,
+    ) -> Result<Option<base::Position>, Refusal> {
+        let (term, at) = (lease.primary(), position(lease.client()));
+        lease.release();
+        if let (Some(term), Some(at)) = (term, at) {
+            let confirming = self.shared.fleet.confirm(service, term, at, deadline);
+            confirming.await?;
+        }
+        Ok(at)
+    }
+
+    fn give(&mut self, given: Answered, request: &Request<'_>) -> Result<(), Trouble> {
+        let Some(messages) = given.messages else {
+            return Err(Trouble::Error(
+                "54000",
+                format!(
+                    "run before with success; its answer was over {KEPT_BYTES} bytes and is not \
+                     kept"
+                ),
+            ));
+        };
+        request.name(&mut self.names);
+        self.writer.bytes(&messages);
+        Ok(())
+    }
+}
+
+fn other_statement() -> Trouble {
+    Refusal::Key("the key belongs to another statement, and this one was not run".into()).into()
+}
+
+fn literal(text: &str) -> String {
+    format!("'{}'", text.replace('\'', "''"))
+}
+
+fn delete(key: &str) -> String {
+    format!(
+        "DELETE FROM goldcrestrail_keys WHERE key = {}",
+        literal(key)
+    )
+}
+
+fn insert(key: &str, digest: &str, outcome: &Outcome) -> String {
+    let outcome = serde_json::to_string(outcome).unwrap_or_default();
+    format!(
+        "INSERT INTO goldcrestrail_keys (key, digest, outcome, created) VALUES ({}, {}, {}, {})",
+        literal(key),
+        literal(digest),
+        literal(&outcome),
+        now_seconds()
+    )
+}
+
+/// Seconds since 1970, because a record outlives this process and its host.
+fn now_seconds() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_secs())
+}
+
+async fn ask_all(
+    client: &mut Client,
+    statements: &[String],
+    deadline: Instant,
+) -> Result<(), Failure> {
+    let texts: Vec<&str> = statements.iter().map(String::as_str).collect();
+    ask(client, &texts, deadline).await.map(|_rows| ())
+}
+
+/// Runs simple queries in one round trip; returns all rows, or the first refusal.
+pub(crate) async fn ask(
+    client: &mut Client,
+    texts: &[&str],
+    deadline: Instant,
+) -> Result<Rows, Failure> {
+    for text in texts {
+        client.writer.message(&Query::new((*text).to_owned()))?;
+    }
+    let late = |_elapsed| Failure::Wire(WireError::Cut);
+    compio::time::timeout_at(deadline, client.writer.flush())
+        .await
+        .map_err(late)??;
+    let mut rows = Rows::new();
+    let mut refused = None;
+    for _ in texts {
+        loop {
+            let frame = match answer::frame(client, deadline).await {
+                Ok(frame) => frame,
+                Err(Broken::Upstream(cause) | Broken::Unsent(cause)) => return Err(cause.into()),
+                Err(_late) => return Err(WireError::Cut.into()),
+            };
+            match frame.tag {
+                b'S' => client.note(&frame),
+                b'D' => rows.push(wire::client::row(&frame)?),
+                b'E' => {
+                    refused.get_or_insert_with(|| wire::client::refusal(&frame));
+                }
+                b'Z' => break,
+                _ => {}
+            }
+        }
+    }
+    refused.map_or(Ok(rows), Err)
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,6 +4,7 @@
 mod batch;
 mod extended;
 pub mod fleet;
+mod keyed;
 pub mod listener;
 mod login;
 pub mod options;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -12,12 +12,13 @@
 };
 use compio::time::{sleep, timeout_at};
 use sql::{Kind, Script, rules};
-use wire::{Failure, WireError, reply};
+use wire::{Failure, reply};
 
 use crate::{
     answer::{Answer, Broken, Passing, Way, position},
     batch::Batch,
     fleet::{Fleet, Lease, Need},
+    keyed::ask,
     refusal::Refusal,
     registry::{self, Target},
     session::{ABORTED, Gone, Open, Session, State},
@@ -60,6 +61,14 @@
     pub(crate) begins: bool,
     /// Whether it may end a transaction.
     pub(crate) ends: bool,
+    /// Whether it certainly holds a statement that ends a transaction.
+    pub(crate) closes: bool,
+    /// Whether it is one ROLLBACK and nothing else.
+    pub(crate) rolls_back: bool,
+    /// Whether it is one COMMIT and nothing else.
+    pub(crate) commits: bool,
+    /// Whether it is one BEGIN and nothing else.
+    pub(crate) opens: bool,
     /// Key given by a leading comment.
     pub(crate) key: Option<Box<str>>,
     /// Table of a rule that wants a key.
@@ -87,6 +96,13 @@
 
     /// Adds a statement that runs.
     pub(crate) fn runs(&mut self, script: &Script, text: &str, rules: &[Rule]) {
+        let only = match script.statements.as_slice() {
+            [only] if !self.executes => Some(&only.kind),
+            _ => None,
+        };
+        self.commits = only == Some(&Kind::Commit);
+        self.rolls_back = only == Some(&Kind::Rollback);
+        self.opens = matches!(only, Some(Kind::Begin { .. }));
         self.executes = true;
         self.writes |= script.may_write();
         if self.key.is_none() {
@@ -98,7 +114,10 @@
         for statement in &script.statements {
             match &statement.kind {
                 Kind::Begin { read_only: false } => self.begins = true,
-                Kind::Commit | Kind::Rollback => self.ends = true,
+                Kind::Commit | Kind::Rollback => {
+                    self.ends = true;
+                    self.closes = true;
+                }
                 Kind::Set {
                     name,
                     value,
@@ -108,7 +127,13 @@
                     let text = value.as_ref().map(|_| text.trim().to_owned());
                     self.sets.push((name.clone(), text));
                 }
-                _ => self.ends |= !statement.parsed,
+                _ if !statement.parsed => {
+                    self.ends = true;
+                    // A text that could not be cut into statements may hide a COMMIT.
+                    let text = text.get(statement.range.clone()).unwrap_or_default();
+                    self.closes |= text.contains(';');
+                }
+                _ => {}
             }
         }
     }
@@ -193,11 +218,16 @@
             .unwrap_or(Duration::from_millis(service.limits.deadline_ms));
         let deadline = Instant::now() + limit;
         match mem::replace(&mut self.state, State::Idle) {
-            State::Idle => self.alone(&service, request, meaning, deadline).await,
+            State::Idle => self.outside(&service, request, meaning, deadline).await,
             State::Open(open) => {
+                if let Some(refusal) = misses_key(meaning, open.record.is_some()) {
+                    self.state = State::Lost;
+                    return Err(refusal.into());
+                }
                 self.within(&service, open, request, meaning, deadline)
                     .await
             }
+            State::Replay(replay) => self.replay(replay, request),
             State::Lost => {
                 self.state = State::Lost;
                 Err(Trouble::Error(ABORTED.0, ABORTED.1.to_owned()))
@@ -213,6 +243,43 @@
             .ok_or_else(|| Refusal::Service(self.settings.service.to_string()))
     }
 
+    /// Carries out a request outside a transaction, with its key if it has one.
+    async fn outside(
+        &mut self,
+        service: &Service,
+        request: &Request<'_>,
+        meaning: &Meaning,
+        deadline: Instant,
+    ) -> Result<bool, Trouble> {
+        // A read leaves the key to the write that follows it, because drivers read on their own.
+        if !meaning.writes && !meaning.begins {
+            return self.alone(service, request, meaning, deadline).await;
+        }
+        let kept = self.settings.parameters.key.take();
+        let Some(key) = meaning.key.clone().or_else(|| kept.clone()) else {
+            if let Some(refusal) = misses_key(meaning, false) {
+                return Err(refusal.into());
+            }
+            return self.alone(service, request, meaning, deadline).await;
+        };
+        let outcome = if meaning.opens {
+            self.keyed_begin(service, request, key, deadline).await
+        } else if meaning.begins || meaning.closes {
+            Err(Refusal::Rule(
+                "a transaction with a key needs BEGIN and COMMIT in requests of their own".into(),
+            )
+            .into())
+        } else {
+            self.keyed(service, request, &key, deadline).await
+        };
+        if let Err(Trouble::Error(sqlstate, _)) = &outcome
+            && sqlstate.starts_with("ZN")
+        {
+            self.settings.parameters.key = kept;
+        }
+        outcome
+    }
+
     /// Carries out a request outside a transaction.
     async fn alone(
         &mut self,
@@ -235,7 +302,7 @@
                         Ok(answer) => match refused_before(&answer) {
                             Some(refusal) => {
                                 self.writer.truncate(mark);
-                                primary = true;
+                                primary |= refusal == Refusal::Primary;
                                 give_back(lease, &answer, attempt.cancelled);
                                 refusal
                             }
@@ -260,17 +327,17 @@
                     return Err(Trouble::Upstream(sqlstate, message));
                 }
             };
-            if !self.pause(&mut pause, deadline).await {
+            if !self.shared.take_retry() || !self.pause(&mut pause, deadline).await {
                 return Err(refusal.into());
             }
         }
     }
 
-    /// Waits before another attempt; false when there is no time or no budget for one.
+    /// Waits before another attempt; false when there is no time for one.
     pub(crate) async fn pause(&self, pause: &mut Duration, deadline: Instant) -> bool {
         let wait = pause.mul_f64(rand::random_range(0.5..1.0));
         *pause = (*pause * 2).min(PAUSE.1);
-        if Instant::now() + wait >= deadline || !self.shared.take_retry() {
+        if Instant::now() + wait >= deadline {
             return false;
         }
         sleep(wait).await;
@@ -315,10 +382,7 @@
             return Ok(());
         }
         let text = format!("RESET ALL; {wanted}");
-        let running = timeout_at(deadline, client.query(text.trim_end_matches([';', ' '])));
-        running
-            .await
-            .map_err(|_elapsed| Failure::Wire(WireError::Cut))??;
+        ask(client, &[text.trim_end_matches([';', ' '])], deadline).await?;
         client
             .parameters
             .insert(SETTINGS.to_owned(), wanted.to_owned());
@@ -417,6 +481,7 @@
                     meaning.sets.clone()
                 },
                 cancelled,
+                record: None,
             }));
         }
         self.acknowledge(
@@ -443,9 +508,22 @@
     ) -> Result<bool, Trouble> {
         let mark = self.writer.pending();
         let term = open.lease.primary();
+        if meaning.closes && !meaning.rolls_back {
+            self.write_record(&mut open, request, meaning, deadline)
+                .await?;
+        }
         let attempt = self.exchange(&mut open.lease, request, deadline).await;
         let answer = match attempt.answer {
             Ok(answer) => answer,
+            Err(Broken::Late | Broken::Upstream(_)) if meaning.commits && open.record.is_some() => {
+                let Some(record) = open.record.take() else {
+                    return Err(Refusal::Unknown("the record is missing".into()).into());
+                };
+                drop(open);
+                return self
+                    .find_out(service, &record, request, term, deadline)
+                    .await;
+            }
             Err(broken) if meaning.ends || matches!(broken, Broken::Caller) => {
                 return Err(broken.into());
             }
@@ -458,6 +536,9 @@
             }
         };
         open.cancelled |= attempt.cancelled;
+        if let Some(record) = &mut open.record {
+            record.add(request, &self.writer.waiting()[mark..]);
+        }
         let position = position(open.lease.client());
         let failed = answer.sqlstate.is_some();
         if !failed {
@@ -564,6 +645,23 @@
     }
 }
 
+/// Refuses a statement that a rule wants a key for, and a key that comes too late.
+fn misses_key(meaning: &Meaning, has_key: bool) -> Option<Refusal> {
+    if has_key {
+        return None;
+    }
+    if meaning.key.is_some() && meaning.writes {
+        return Some(Refusal::Rule(
+            "the key of a transaction belongs to its BEGIN; the transaction is rolled back".into(),
+        ));
+    }
+    let table = meaning.ruled.as_ref()?;
+    Some(Refusal::Rule(format!(
+        "a rule of the service wants a key for table {table}; SET goldcrestrail.key before the \
+         statement, or before BEGIN"
+    )))
+}
+
 /// Whether the upstream refused a request before it ran any of it, so that it may be sent again.
 pub(crate) fn refused_before(answer: &Answer) -> Option<Refusal> {
     if answer.completed || answer.rows || answer.written || answer.status != b'I' {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -15,6 +15,7 @@
 use crate::{
     batch::message,
     fleet::Fleet,
+    keyed::{Record, Replay},
     parameters::{self, Parameters},
     registry::Entry,
     request::{Meaning, Request},
@@ -68,6 +69,8 @@
     pub sets: Vec<(String, Option<String>)>,
     /// Whether a cancel was sent to the connection, which must not be used by others then.
     pub cancelled: bool,
+    /// Record of a transaction with a key.
+    pub record: Option<Box<Record>>,
 }
 
 /// Where the session stands between two requests.
@@ -79,6 +82,8 @@
     Open(Box<Open<L>>),
     /// In a transaction that was rolled back with its connection.
     Lost,
+    /// In a transaction that ran before; its recorded answers are given again.
+    Replay(Box<Replay>),
 }
 
 /// The caller is gone, or has to go.
@@ -329,6 +334,14 @@
         describe: bool,
     ) -> Result<Vec<u8>, (&'static str, String)> {
         let tag = match kind {
+            Kind::Set { name, .. }
+                if name == "goldcrestrail.key" && !matches!(self.state, State::Idle) =>
+            {
+                return Err((
+                    "25001",
+                    "the key of a transaction is set before its BEGIN".into(),
+                ));
+            }
             Kind::Set { name, value, .. } => {
                 self.settings.parameters.set(name, value.as_deref())?;
                 if value.is_some() { "SET" } else { "RESET" }
@@ -386,6 +399,7 @@
             State::Idle => b'I',
             State::Open(open) => open.status,
             State::Lost => b'E',
+            State::Replay(_) => b'T',
         }
     }
 
--- a/crates/entry/tests/common/upstream.rs
+++ b/crates/entry/tests/common/upstream.rs
@@ -327,6 +327,7 @@
         }
         let log = (self.pid, text.to_owned());
         self.upstream.log.borrow_mut().push(log);
+        let text = text.rsplit_once("*/").map_or(text, |(_, rest)| rest.trim());
         let upper = text.to_uppercase();
         let first = upper.split_whitespace().next().unwrap_or_default();
         if self.status == b'E' && !matches!(first, "COMMIT" | "ROLLBACK") {
@@ -356,20 +357,10 @@
                 return Some(false);
             }
             "INSERT" if text.contains("goldcrestrail_keys") => {
-                let known = self.upstream.store.keys.borrow();
-                if known
-                    .as_ref()
-                    .is_some_and(|keys| keys.contains_key(&words[0]))
-                {
-                    drop(known);
+                if !self.insert_key(text, &words) {
                     self.error("23505", "duplicate key");
                     return Some(false);
                 }
-                drop(known);
-                let created = text.rsplit(',').next()?.trim_matches([' ', ')']).to_owned();
-                let record = [words[1].clone(), words[2].clone(), created];
-                self.pending
-                    .push(Change::Key(words[0].clone(), Some(record)));
                 "INSERT 0 1".to_owned()
             }
             "INSERT" => {
@@ -404,6 +395,25 @@
         Some(true)
     }
 
+    /// Adds the record of a key; false when there is one.
+    fn insert_key(&mut self, text: &str, words: &[String]) -> bool {
+        let gone = |change: &Change| matches!(change, Change::Key(key, None) if *key == words[0]);
+        let deleted = self.pending.iter().any(gone);
+        let known = self.upstream.store.keys.borrow();
+        let taken = known
+            .as_ref()
+            .is_some_and(|keys| keys.contains_key(&words[0]));
+        if taken && !deleted {
+            return false;
+        }
+        let created = text.rsplit(',').next().unwrap_or_default();
+        let created = created.trim_matches([' ', ')']).to_owned();
+        let record = [words[1].clone(), words[2].clone(), created];
+        self.pending
+            .push(Change::Key(words[0].clone(), Some(record)));
+        true
+    }
+
     async fn select(
         &mut self,
         text: &str,
--- /dev/null
+++ b/crates/entry/tests/keyed.rs
@@ -0,0 +1,244 @@
+//! Requests that run at most once.
+
+mod common;
+
+use common::{Bench, Caller, Fault, fleet::Confirm, run};
+use rstest::rstest;
+
+const BILL: &str = "INSERT INTO bills VALUES ('b', '1')";
+
+async fn keyed(caller: &mut Caller, text: &str) -> common::Reply {
+    caller.query("SET goldcrestrail.key = 'k'").await;
+    caller.query(text).await
+}
+
+/// Guards against a resend that runs again, or that gets another answer than the first.
+#[rstest]
+#[case::set("SET goldcrestrail.key = 'k'", BILL)]
+#[case::comment(
+    "SELECT 1",
+    "/* goldcrestrail.key=k */ INSERT INTO bills VALUES ('b', '1')"
+)]
+fn resend_gets_first_outcome(#[case] before: &str, #[case] text: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+
+        caller.query(before).await;
+        let first = caller.query(text).await;
+        other.query(before).await;
+        let second = other.query(text).await;
+
+        assert_eq!((first.tags(), second.tags()), ("CSZ".into(), "CSZ".into()));
+        assert_eq!(
+            (first.commands(), first.token()),
+            (vec!["INSERT 0 1"], Some("1/2"))
+        );
+        assert_eq!(second.commands(), first.commands());
+        assert_eq!((first.status(), second.status()), ('I', 'I'));
+        assert_eq!(bench.fleet.primary.ran("INTO bills"), 1);
+        assert_eq!(bench.fleet.dropped.get(), 0);
+    });
+}
+
+/// Guards against a batch of extended queries that runs again.
+#[test]
+fn extended_resend_gets_first_outcome() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut replies = Vec::new();
+
+        for _ in 0..2 {
+            let mut caller = bench.caller().await;
+            caller.query("SET goldcrestrail.key = 'k'").await;
+            caller.add_statement(BILL);
+            replies.push(caller.sync().await.tags());
+        }
+
+        assert_eq!(replies, ["12nCSZ", "12nCSZ"]);
+        assert_eq!(bench.fleet.primary.ran("INTO bills"), 1);
+    });
+}
+
+/// Guards against a key that lets another statement pass for the first.
+#[test]
+fn other_statement_is_refused() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        keyed(&mut caller, BILL).await;
+        let other = keyed(&mut caller, "INSERT INTO bills VALUES ('c', '1')").await;
+
+        assert_eq!((other.sqlstate(), other.status()), ("ZF001".into(), 'I'));
+        assert!(other.message().contains("not run"), "{}", other.message());
+        assert_eq!(bench.fleet.primary.ran("'c'"), 0);
+    });
+}
+
+/// Guards against a failure that is forgotten, so that a resend runs after all.
+#[test]
+fn failure_is_the_outcome() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        let first = keyed(&mut caller, "INSERT INTO bills VALUES ('dup', '1')").await;
+        let second = keyed(&mut caller, "INSERT INTO bills VALUES ('dup', '1')").await;
+
+        assert_eq!((first.sqlstate(), first.status()), ("23505".into(), 'I'));
+        assert_eq!((second.sqlstate(), second.status()), ("ZF001".into(), 'I'));
+        assert_eq!(bench.fleet.primary.ran("'dup'"), 1);
+    });
+}
+
+/// Guards against a key that protects a statement it was not meant for.
+#[test]
+fn key_is_used_once() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        keyed(&mut caller, BILL).await;
+        let next = caller.query("INSERT INTO t VALUES ('a', '1')").await;
+
+        assert_eq!(next.commands(), ["INSERT 0 1"]);
+        assert_eq!(bench.fleet.store.keys.borrow().as_ref().unwrap().len(), 1);
+    });
+}
+
+/// Guards against a rule that is not enforced.
+#[rstest]
+#[case::statement("SELECT 1", BILL, 'I')]
+#[case::transaction("BEGIN", BILL, 'E')]
+fn rule_wants_a_key(#[case] before: &str, #[case] text: &str, #[case] status: char) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.query(before).await;
+        let refused = caller.query(text).await;
+        let end = caller.query("ROLLBACK").await;
+
+        assert_eq!(
+            (refused.sqlstate(), refused.status()),
+            ("ZN005".into(), status)
+        );
+        assert_eq!(end.status(), 'I');
+        assert_eq!(bench.fleet.primary.ran("INTO bills"), 0);
+    });
+}
+
+/// Guards against "unknown" where the record tells the outcome, and against a second run, when the
+/// connection breaks at some step of a request with a key.
+#[rstest]
+#[case::look("SELECT digest", Fault::After)]
+#[case::statement("INTO bills", Fault::Before)]
+#[case::ran("INTO bills", Fault::After)]
+#[case::record("INTO goldcrestrail_keys", Fault::After)]
+#[case::commit_lost("COMMIT", Fault::Before)]
+#[case::commit_done("COMMIT", Fault::After)]
+#[case::demoted("INTO bills", Fault::Refuse("25006"))]
+fn broken_connection_has_an_outcome(#[case] at: &str, #[case] fault: Fault) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        bench.fleet.primary.fail(at, fault);
+
+        let reply = keyed(&mut caller, BILL).await;
+
+        assert_eq!(
+            (reply.commands(), reply.status()),
+            (vec!["INSERT 0 1"], 'I')
+        );
+        assert_eq!(bench.fleet.store.rows.borrow().len(), 1);
+        assert_eq!(bench.fleet.store.keys.borrow().as_ref().unwrap().len(), 1);
+    });
+}
+
+/// Guards against a first outcome that is given before it is confirmed.
+#[test]
+fn first_outcome_is_confirmed() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        keyed(&mut caller, BILL).await;
+        bench.fleet.confirm.set(Confirm::No);
+        let second = keyed(&mut caller, BILL).await;
+
+        assert_eq!(second.sqlstate(), "ZU001");
+    });
+}
+
+/// Guards against an expired key that still answers, or can't be used again.
+#[test]
+fn keys_expire() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        keyed(&mut caller, BILL).await;
+        let mut keys = bench.fleet.store.keys.borrow_mut();
+        "1000".clone_into(&mut keys.as_mut().unwrap().get_mut("k").unwrap()[2]);
+        drop(keys);
+
+        let later = keyed(&mut caller, "INSERT INTO bills VALUES ('c', '1')").await;
+
+        assert_eq!(later.commands(), ["INSERT 0 1"]);
+    });
+}
+
+async fn transaction(caller: &mut Caller) -> String {
+    let mut tags = String::new();
+    for text in [
+        "SET goldcrestrail.key = 'k'",
+        "BEGIN",
+        BILL,
+        "SELECT 1",
+        "COMMIT",
+    ] {
+        let reply = caller.query(text).await;
+        tags.push_str(&reply.tags());
+        tags.push(reply.status());
+        tags.push_str(&reply.sqlstate());
+    }
+    tags
+}
+
+/// Guards against a transaction that runs again, also when its COMMIT gets no answer.
+#[rstest]
+#[case::whole(None)]
+#[case::commit_done(Some(Fault::After))]
+fn transaction_runs_once(#[case] fault: Option<Fault>) {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+        if let Some(fault) = fault {
+            bench.fleet.primary.fail("COMMIT", fault);
+        }
+
+        let first = transaction(&mut caller).await;
+        let second = transaction(&mut other).await;
+
+        assert_eq!(first, "CZICZTCZTTDCZTCSZI");
+        assert_eq!(second, first);
+        assert_eq!(bench.fleet.primary.ran("INTO bills"), 1);
+    });
+}
+
+/// Guards against a transaction whose resend takes another course and is answered all the same.
+#[test]
+fn other_transaction_is_refused() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        transaction(&mut caller).await;
+
+        keyed(&mut caller, "BEGIN").await;
+        let other = caller.query("INSERT INTO bills VALUES ('c', '1')").await;
+        let end = caller.query("COMMIT").await;
+
+        assert_eq!((other.sqlstate(), other.status()), ("ZF001".into(), 'E'));
+        assert_eq!((end.commands(), end.status()), (vec!["ROLLBACK"], 'I'));
+    });
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -51,7 +51,7 @@
     pub reader: Reader,
     /// Messages to the upstream.
     pub writer: Writer,
-    /// Parameters that the upstream reported at startup.
+    /// Parameters as the upstream reported them last.
     pub parameters: Map<String, String>,
     /// Process number and secret for cancel requests.
     pub key: (i32, i32),
@@ -96,11 +96,7 @@
                     )));
                 }
                 b'K' => self.key = (cursor.int()?, cursor.int()?),
-                b'S' => {
-                    if let Some((name, value)) = frame.parameter() {
-                        self.parameters.insert(name.to_owned(), value.to_owned());
-                    }
-                }
+                b'S' => self.note(&frame),
                 b'E' => return Err(refusal(&frame)),
                 b'Z' => return Ok(()),
                 _ => {}
@@ -120,6 +116,7 @@
         loop {
             let frame = self.frame().await?;
             match frame.tag {
+                b'S' => self.note(&frame),
                 b'D' => rows.push(row(&frame)?),
                 b'E' => refused = Some(refusal(&frame)),
                 b'Z' => return refused.map_or(Ok(rows), Err),
@@ -128,6 +125,18 @@
         }
     }
 
+    /// Keeps the parameter that a `ParameterStatus` reports; other frames are left alone.
+    pub fn note(&mut self, frame: &Frame) {
+        let Some((name, value)) = frame.parameter() else {
+            return;
+        };
+        if let Some(kept) = self.parameters.get_mut(name) {
+            value.clone_into(kept);
+        } else {
+            self.parameters.insert(name.to_owned(), value.to_owned());
+        }
+    }
+
     /// Waits for the next frame; the end of the connection is an error here.
     ///
     /// # Errors
@@ -148,12 +157,18 @@
     writer.flush().await
 }
 
-fn refusal(frame: &Frame) -> Failure {
+/// Reads an `ErrorResponse`.
+#[must_use]
+pub fn refusal(frame: &Frame) -> Failure {
     let text = |code| frame.field(code).unwrap_or_default().to_owned();
     Failure::Refused(text(b'C'), text(b'M'))
 }
 
-fn row(frame: &Frame) -> Result<Vec<Option<String>>, WireError> {
+/// Reads a `DataRow` as text.
+///
+/// # Errors
+/// The body ends before the row does.
+pub fn row(frame: &Frame) -> Result<Vec<Option<String>>, WireError> {
     let mut cursor = Cursor::new(&frame.body);
     (0..cursor.short()?)
         .map(|_| {
