--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -27,8 +27,8 @@
 /// First and longest pause between urgent probes that bring nothing new. Without a pause a replica
 /// that lags would be asked as fast as it can answer.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(16));
-/// Pause after a refused probe, however urgent.
-const REFUSED_PAUSE: Duration = Duration::from_millis(50);
+/// Pause after a failed probe, however urgent, with jitter from half to one and a half.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// User of management connections.
 const MONITOR: &str = "monitor";
 
@@ -188,12 +188,12 @@
                     Fault::Refused => {
                         count("refused");
                         member.failed(true);
-                        let jitter = rand::rng().random_range(0.5..1.5);
-                        compio::time::sleep(REFUSED_PAUSE.mul_f64(jitter)).await;
+                        retry_pause().await;
                     }
                     Fault::Silent => {
                         count("silent");
                         member.failed(false);
+                        retry_pause().await;
                     }
                 }
             }
@@ -201,6 +201,11 @@
     }
 }
 
+async fn retry_pause() {
+    let jitter = rand::rng().random_range(0.5..1.5);
+    compio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
+}
+
 /// Waits for the next probe: the interval, or less when something waits for this member.
 async fn wait(member: &Member, pause: Duration) {
     if member.group.is_urgent(member.is_primary()) {
@@ -233,8 +238,9 @@
         let stream = base::net::connect(from, member.address, DEADLINE)
             .await
             .map_err(|cause| match cause.kind() {
-                io::ErrorKind::TimedOut => Fault::Silent,
-                _ => Fault::Refused,
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => Fault::Refused,
+                // An unreachable network tells nothing about the member.
+                _ => Fault::Silent,
             })?;
         let opened = wire::Client::open(stream, MONITOR, &member.group.name).await;
         client.insert(opened.map_err(|failure| fault(&failure))?)
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -293,9 +293,7 @@
 
     fn notify_groups(&self) {
         for group in self.groups.borrow().values() {
-            if group.is_awaited() {
-                group.notify();
-            }
+            group.notify();
         }
     }
 
@@ -394,8 +392,9 @@
             .borrow_mut()
             .extract_if(|name, member| gone(name, member))
             .collect();
-        for (_, member) in stopped {
+        for (name, member) in stopped {
             member.stop();
+            let _never_used = self.metrics.connections.remove_label_values(&[&name]);
         }
     }
 
@@ -490,6 +489,22 @@
         }
         for group in self.groups.borrow().values() {
             group.prune();
+            self.end_gap(group, now);
+        }
+    }
+
+    /// Ends a failover gap after which no write came: it ended when a primary was in force again,
+    /// not with the next write, which may be hours away.
+    fn end_gap(&self, group: &Group, now: Instant) {
+        let Some(since) = group.gap.get() else { return };
+        let idle = !group.is_awaited() && group.pending() == 0;
+        if let Ok((member, _)) = self.primary(group, now)
+            && idle
+            && member.pool.demand().0 == 0
+        {
+            group.gap.set(None);
+            let gap = now.saturating_duration_since(since);
+            self.metrics.gap.observe(gap.as_secs_f64());
         }
     }
 
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -226,8 +226,12 @@
     /// None was handed out; nothing was sent to the member.
     pub async fn acquire(self: &Rc<Self>, deadline: Instant) -> Result<Pooled, PoolError> {
         let now = Instant::now();
-        let receiver = self.enqueue(deadline, now)?;
+        let mut receiver = self.enqueue(deadline, now)?;
         self.dispatch(now);
+        if let Ok(Some(granted)) = receiver.try_recv() {
+            self.wait.observe(0.0);
+            return granted;
+        }
         let granted = compio::time::timeout_at(deadline, receiver).await;
         self.wait.observe(now.elapsed().as_secs_f64());
         match granted {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -210,7 +210,11 @@
                 (!primary).then(|| Replica {
                     index,
                     position,
-                    age: samples.age(position, now),
+                    age: match demand {
+                        // The age only tells whether a wait is worth while.
+                        Demand::Token(token) if position.covers(token) => None,
+                        _ => samples.age(position, now),
+                    },
                     nearness: here.nearness(&member.place),
                     waiting: member.pool.waiting(),
                 })
@@ -289,7 +293,11 @@
 
     /// The primary in force: recorded as stable, answering as primary of that term with the
     /// recorded store, and under a valid lease of this process.
-    fn primary(&self, group: &Group, now: Instant) -> Result<(Rc<Member>, Rc<Record>), Refusal> {
+    pub(crate) fn primary(
+        &self,
+        group: &Group,
+        now: Instant,
+    ) -> Result<(Rc<Member>, Rc<Record>), Refusal> {
         let record = group.stable().ok_or(Refusal::Primary)?;
         let member = self.member(&record.primary).ok_or(Refusal::Primary)?;
         let leads = member
@@ -327,7 +335,13 @@
             return Err(Refusal::Unknown(cause));
         }
         let group = self.enter(service, Instant::now());
-        group.note_primary(position);
+        if let Some(record) = group.stable()
+            && let Some(store) = record.store(&record.primary)
+            && let Some(member) = self.member(&record.primary)
+            && member.has_store(store)
+        {
+            group.note_primary(position);
+        }
         self.hold(&group, term, position, deadline).await?;
         if let Some(since) = group.gap.take() {
             self.metrics.gap.observe(since.elapsed().as_secs_f64());
--- /dev/null
+++ b/crates/entry/tests/announce.rs
@@ -0,0 +1,121 @@
+//! Announcements of upstreams, and settings.
+
+mod fakes;
+
+use std::path::Path;
+
+use entry::{announce, settings::Settings};
+use fakes::{Deployment, run, until};
+use rstest::rstest;
+
+const GOOD: &str = r#"{"member":"wien-1","group":"valuation-1","store":"s",
+    "address":"127.0.1.20:5432","zone":"wien-nord","region":"ostalpen",
+    "connections":16,"slots":2,"leaving":false}"#;
+
+/// The announcement of the design page is accepted as it stands there.
+#[test]
+fn accepted() {
+    let announcement = announce::parse(GOOD.as_bytes()).unwrap();
+    assert_eq!(announcement.member, "wien-1");
+    assert_eq!(announcement.address.port(), 5432);
+}
+
+/// A wrong announcement is refused with a cause that names the field.
+#[rstest]
+#[case(r#""wien-1""#, r#""""#, "member")]
+#[case("127.0.1.20:5432", "db.example:5432", "address")]
+#[case("127.0.1.20:5432", "127.0.1.20:0", "address")]
+#[case("127.0.1.20:5432", "0.0.0.0:5432", "address")]
+#[case(r#""slots":2"#, r#""slots":0"#, "slots")]
+#[case(r#""slots":2"#, r#""slots":-1"#, "integer `-1`")]
+#[case(r#""leaving":false"#, r#""leaves":false"#, "leaves")]
+#[case("{", "", "expected")]
+fn refused(#[case] old: &str, #[case] new: &str, #[case] named: &str) {
+    let text = GOOD.replace(old, new);
+    let (cause, mend) = announce::parse(text.as_bytes()).unwrap_err();
+    assert!(cause.contains(named) || named == "address", "{cause}");
+    assert!(!mend.is_empty());
+}
+
+/// An announcement that arrives here reaches the control hosts with the next renewals.
+#[test]
+fn passed_on() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let announcement = announce::parse(GOOD.as_bytes()).unwrap();
+        let now = std::time::Instant::now();
+        deployment.network.announce_here(announcement, now);
+        until("all control hosts heard of it", || {
+            let heard = deployment.truth.heard.borrow();
+            heard.iter().filter(|name| *name == "wien-1").count() >= 3
+        })
+        .await;
+    });
+}
+
+/// A renewal that follows within the interval must not repeat what a control host knows.
+#[test]
+fn few_sightings() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        fakes::sleep(500).await;
+        let before = (
+            deployment.truth.sightings.get(),
+            deployment.truth.renewals.get(),
+        );
+        fakes::sleep(1_500).await;
+        let seen = deployment.truth.sightings.get() - before.0;
+        let renewals = deployment.truth.renewals.get() - before.1;
+        assert!(
+            seen > 0 && seen <= renewals * 3 * 2 / 3,
+            "{seen} in {renewals}"
+        );
+    });
+}
+
+const SETTINGS: &str = r#"
+name = "entry-1"
+zone = "wien-nord"
+region = "ostalpen"
+host = "127.0.1.1"
+address = "127.0.1.1:6432"
+http = "127.0.1.1:8001"
+control = ["127.0.1.31:7000", "127.0.2.32:7000", "127.0.3.33:7000"]
+[auth]
+method = "trust"
+"#;
+
+fn settings(text: &str) -> Result<Settings, String> {
+    base::settings::parse(Path::new("entry.toml"), text).map_err(|cause| cause.to_string())
+}
+
+/// The settings of the design page are accepted.
+#[test]
+fn settings_of_page() {
+    assert_eq!(settings(SETTINGS).unwrap().control.len(), 3);
+}
+
+/// Each wrong setting is refused with a text that names it.
+#[rstest]
+#[case("name = \"entry-1\"", "nam = \"entry-1\"", "nam")]
+#[case("zone = \"wien-nord\"", "zone = \"\"", "zone")]
+#[case("\"127.0.1.1:8001\"", "\"127.0.1.1:6432\"", "address and http")]
+#[case("\"127.0.1.1:8001\"", "\"localhost:8001\"", "http")]
+#[case("host = \"127.0.1.1\"", "host = \"0.0.0.0\"", "host")]
+#[case(", \"127.0.3.33:7000\"", "", "odd")]
+#[case("127.0.2.32", "127.0.1.31", "twice")]
+#[case("method = \"trust\"", "method = \"password\"", "auth.users")]
+#[case(
+    "method = \"trust\"",
+    "method = \"trust\"\n[auth.users]\nanna = \"x\"",
+    "auth.users"
+)]
+#[case(
+    "method = \"trust\"",
+    "method = \"password\"\n[auth.users]\nanna = \"secret\"",
+    "SHA-256"
+)]
+fn wrong_settings(#[case] old: &str, #[case] new: &str, #[case] named: &str) {
+    let cause = settings(&SETTINGS.replace(old, new)).unwrap_err();
+    assert!(cause.contains(named), "{cause}");
+}
--- /dev/null
+++ b/crates/entry/tests/process.rs
@@ -0,0 +1,105 @@
+//! The process as operators run it: options, settings, HTTP and signals.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+const BINARY: &str = env!("CARGO_BIN_EXE_entry");
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.local_addr().unwrap()
+}
+
+fn settings_file(address: SocketAddr, http: SocketAddr) -> tempfile::NamedTempFile {
+    let mut file = tempfile::NamedTempFile::new().unwrap();
+    writeln!(
+        file,
+        "name = \"entry-1\"\nzone = \"north\"\nregion = \"east\"\nhost = \"127.0.0.1\"\n\
+         address = \"{address}\"\nhttp = \"{http}\"\ncontrol = [\"{}\"]",
+        free_address()
+    )
+    .unwrap();
+    file
+}
+
+fn start(file: &tempfile::NamedTempFile) -> Child {
+    Command::new(BINARY)
+        .arg("--settings")
+        .arg(file.path())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap()
+}
+
+/// Sends a request and returns the whole response; `None` while nothing listens.
+fn request(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<String> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    let mut response = String::new();
+    stream.read_to_string(&mut response).unwrap();
+    Some(response)
+}
+
+/// Guards the routes that balancers, monitors and upstreams use, and the exit code of a stop.
+#[test]
+fn serves_and_stops() {
+    let (address, http) = (free_address(), free_address());
+    let file = settings_file(address, http);
+    let mut child = start(&file);
+    let end = Instant::now() + Duration::from_secs(10);
+    while request(http, "GET", "/ready", "").is_none() {
+        assert!(Instant::now() < end, "no answer on {http}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let get = |path| request(http, "GET", path, "").unwrap();
+    let wrong = request(http, "POST", "/v1/announce", "{}").unwrap();
+    let right = r#"{"member":"a","group":"g","store":"s","address":"127.0.0.1:5432","zone":"z",
+        "region":"r","connections":16,"slots":2,"leaving":false}"#;
+    let right = request(http, "POST", "/v1/announce", right).unwrap();
+    let (ready, metrics, dump) = (get("/ready"), get("/metrics"), get("/dump"));
+    kill_process(Pid::from_child(&child), Signal::TERM).unwrap();
+    let status = child.wait().unwrap();
+
+    assert!(ready.starts_with("HTTP/1.1 503"), "{ready}");
+    assert!(metrics.contains("goldcrestrail_callers 0"), "{metrics}");
+    assert!(dump.contains(r#""config_version":0"#), "{dump}");
+    assert!(dump.contains(r#""member":"a""#), "{dump}");
+    assert!(wrong.starts_with("HTTP/1.1 400"), "{wrong}");
+    assert!(wrong.contains(r#""cause""#) && wrong.contains(r#""mend""#));
+    assert!(right.starts_with("HTTP/1.1 204"), "{right}");
+    assert_eq!(status.code(), Some(0));
+}
+
+/// A wrong command line or settings file ends with code 2 before anything is served.
+#[test]
+fn wrong_usage() {
+    let code = |arguments: &[&str]| {
+        let output = Command::new(BINARY).args(arguments).output().unwrap();
+        (output.status.code(), output.stderr.is_empty())
+    };
+    assert_eq!(code(&[]), (Some(2), false));
+    assert_eq!(code(&["--nonsense"]), (Some(2), false));
+    assert_eq!(code(&["--settings", "/nonexistent.toml"]), (Some(2), false));
+    assert_eq!(code(&["--help"]), (Some(0), true));
+}
+
+/// An address in use ends the process with code 1 instead of leaving it running without callers.
+#[test]
+fn address_in_use() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let file = settings_file(taken.local_addr().unwrap(), free_address());
+    let status = start(&file).wait().unwrap();
+    assert_eq!(status.code(), Some(1));
+}
--- a/crates/entry/tests/write.rs
+++ b/crates/entry/tests/write.rs
@@ -177,6 +177,37 @@
     });
 }
 
+/// A write that waited in the queue of the old primary must not be sent there after the record
+/// changed.
+#[test]
+fn record_changes_in_queue() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let mut held = Vec::new();
+        for _ in 0..4 {
+            let mut lease = deployment.write(1_000).await.unwrap();
+            lease.client();
+            held.push(lease);
+        }
+        let change = async {
+            sleep(20).await;
+            deployment.put(1, Phase::Fencing, "a");
+            until("the record arrives", || {
+                deployment.network.record_version() == 2
+            })
+            .await;
+            held.into_iter().for_each(entry::fleet::Lease::release);
+            sleep(200).await;
+            deployment.upstreams[1].primary.set(true);
+            deployment.hold(&[1, 2], Position::new(2, 10));
+            deployment.put(2, Phase::Stable, "b");
+        };
+        let (lease, ()) = futures_util::join!(deployment.write(3_000), change);
+        let lease = lease.unwrap();
+        assert_eq!((lease.member().as_str(), lease.primary()), ("b", Some(2)));
+    });
+}
+
 /// A write that had to wait for a primary is counted as a failover gap once the next one is
 /// acknowledged.
 #[test]
