--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -12,7 +12,7 @@
     document::{Document, Service},
 };
 use event_listener::Event;
-use route::{Announcement, Budget, Directory, Health, Place, WriteLease};
+use route::{Announcement, Directory, Health, Place, WriteLease};
 use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 
@@ -81,7 +81,6 @@
     unused: RefCell<Map<GroupName, Record>>,
     groups: RefCell<Map<GroupName, Rc<Group>>>,
     members: RefCell<Map<MemberName, Rc<Member>>>,
-    budget: RefCell<Budget>,
     stopped: Cell<bool>,
     stop: Event,
 }
@@ -106,7 +105,6 @@
             unused: RefCell::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
-            budget: RefCell::default(),
             stopped: Cell::default(),
             stop: Event::new(),
         })
@@ -165,16 +163,6 @@
         self.config.borrow().services.get(name).cloned()
     }
 
-    /// Counts a request, and allows a retry of a request that is known not to have run while
-    /// retries stay under a tenth of the requests.
-    pub fn may_retry(&self) -> bool {
-        self.budget.borrow_mut().withdraw()
-    }
-
-    pub(crate) fn count_request(&self) {
-        self.budget.borrow_mut().deposit();
-    }
-
     /// Puts a newer configuration in force; an older or equal one changes nothing.
     pub fn apply_config(&self, version: Version, text: &str) {
         if version <= self.config_version() {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -37,7 +37,6 @@
         service: &Service,
         need: Need,
     ) -> Result<(Pooled, Option<Position>), Refusal> {
-        self.count_request();
         let result = self.route_read(service, need).await;
         if let Ok((lease, _)) = &result {
             let kind = match crate::fleet::Lease::primary(lease) {
@@ -50,7 +49,6 @@
     }
 
     async fn write(&self, service: &Service, deadline: Instant) -> Result<Pooled, Refusal> {
-        self.count_request();
         let result = self.route_write(service, deadline).await;
         if result.is_ok() {
             self.metrics.writes.inc();
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -278,6 +278,8 @@
     pub most: Cell<u32>,
     pub statuses: Cell<u32>,
     pub queries: Cell<u32>,
+    /// Closes each data connection after its next query.
+    pub hangup: Cell<bool>,
     /// Time that a query takes.
     pub work: Cell<u64>,
 }
@@ -297,6 +299,7 @@
             most: Cell::new(0),
             statuses: Cell::new(0),
             queries: Cell::new(0),
+            hangup: Cell::new(false),
             work: Cell::new(0),
         });
         let server = Rc::clone(&upstream);
@@ -363,6 +366,9 @@
             }
             writer.parts(b'Z', b"I");
             writer.flush().await?;
+            if self.hangup.get() && frame.body.starts_with(b"SELECT") {
+                return Ok(());
+            }
         }
         Ok(())
     }
--- a/crates/entry/tests/pool.rs
+++ b/crates/entry/tests/pool.rs
@@ -189,6 +189,21 @@
     });
 }
 
+/// An idle connection that the database closed must not be handed out: the request would end as
+/// unknown.
+#[test]
+fn closed_idle() {
+    run(async {
+        let (pool, upstream) = pool(LIMITS).await;
+        upstream.hangup.set(true);
+        for _ in 0..3 {
+            query(pool.acquire(soon(1_000)).await.unwrap()).await;
+            sleep(20).await;
+        }
+        assert_eq!(upstream.accepted.get(), 3);
+    });
+}
+
 /// An idle connection that went silent is found by the health check and closed.
 #[test]
 fn silent_idle() {
