--- /dev/null
+++ b/crates/control/src/directory.rs
@@ -0,0 +1,190 @@
+//! Databases and entry processes that this host has heard from.
+
+use std::time::{Duration, Instant};
+
+use base::{EntryName, GroupName, Map, MemberName, RegionName, StoreId, Version, ZoneName};
+use serde::Serialize;
+
+/// A member that is not heard from for this long gets no new work.
+pub const LOST: Duration = Duration::from_secs(3);
+/// An entry process that is not heard from for this long is forgotten.
+const FORGET: Duration = Duration::from_mins(1);
+/// A member that is not heard from for this long is forgotten; the record still names it.
+const FORGET_MEMBER: Duration = Duration::from_hours(1);
+/// Bounds the directory against announcements of made-up names.
+const MEMBERS_MAX: usize = 100_000;
+
+/// What a database announced.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize)]
+pub struct Announcement {
+    /// Name.
+    pub member: MemberName,
+    /// Group.
+    pub group: GroupName,
+    /// Id of its data directory.
+    pub store: StoreId,
+    /// Address, `ip:port`.
+    pub address: String,
+    /// Zone.
+    pub zone: ZoneName,
+    /// Region.
+    pub region: RegionName,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Statements that it runs at once.
+    pub slots: u32,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// An announcement with the time it was heard.
+#[derive(Debug, Clone)]
+pub struct Heard {
+    /// Last announcement.
+    pub announcement: Announcement,
+    /// When it was heard.
+    pub at: Instant,
+    /// Directory version of the last change.
+    pub version: Version,
+    lost: bool,
+}
+
+/// An entry process.
+#[derive(Debug, Clone)]
+pub struct Entry {
+    /// Zone.
+    pub zone: ZoneName,
+    /// Random id of its run.
+    pub run: u64,
+    /// Record version that it has applied.
+    pub records: Version,
+    /// Configuration version that it has applied.
+    pub config: Version,
+    /// HTTP address.
+    pub http: String,
+    /// Whether it is stopping.
+    pub stopping: bool,
+    /// When it was heard from last.
+    pub at: Instant,
+    /// Connections in use per member.
+    pub used: Map<MemberName, u32>,
+}
+
+/// Databases and entry processes, with a version that counts changes.
+#[derive(Debug, Default)]
+pub struct Directory {
+    version: Version,
+    members: Map<MemberName, Heard>,
+    entries: Map<EntryName, Entry>,
+}
+
+impl Directory {
+    /// Version of the last change.
+    #[must_use]
+    pub const fn version(&self) -> Version {
+        self.version
+    }
+
+    /// Takes an announcement that was heard `age` before `now`; returns whether it is a change.
+    ///
+    /// An announcement that is only repeated is no change, so that its distribution costs nothing.
+    pub fn announce(&mut self, now: Instant, age: Duration, announcement: Announcement) -> bool {
+        let at = now.checked_sub(age).unwrap_or(now);
+        let lost = age >= LOST;
+        if let Some(heard) = self.members.get_mut(&announcement.member) {
+            if at <= heard.at {
+                return false;
+            }
+            heard.at = at;
+            if heard.announcement == announcement && heard.lost == lost {
+                return false;
+            }
+            self.version += 1;
+            heard.version = self.version;
+            heard.lost = lost;
+            heard.announcement = announcement;
+            return true;
+        }
+        if self.members.len() >= MEMBERS_MAX {
+            return false;
+        }
+        self.version += 1;
+        let name = announcement.member.clone();
+        let heard = Heard {
+            announcement,
+            at,
+            version: self.version,
+            lost,
+        };
+        self.members.insert(name, heard);
+        true
+    }
+
+    /// Marks members as lost that are not heard from, forgets what is long gone, and returns
+    /// whether something changed.
+    pub fn expire(&mut self, now: Instant) -> bool {
+        let before = self.version;
+        for heard in self.members.values_mut() {
+            if !heard.lost && now.duration_since(heard.at) >= LOST {
+                heard.lost = true;
+                self.version += 1;
+                heard.version = self.version;
+            }
+        }
+        self.members
+            .retain(|_, heard| now.duration_since(heard.at) < FORGET_MEMBER);
+        self.entries
+            .retain(|_, entry| now.duration_since(entry.at) < FORGET);
+        self.version != before
+    }
+
+    /// Members that changed after `version`, in the order of their changes.
+    #[must_use]
+    pub fn newer(&self, version: Version) -> Vec<&Heard> {
+        let mut newer: Vec<_> = self
+            .members
+            .values()
+            .filter(|h| h.version > version)
+            .collect();
+        newer.sort_by_key(|heard| heard.version);
+        newer
+    }
+
+    /// Members of a group that are heard from and stay, ordered by name.
+    #[must_use]
+    pub fn present(&self, now: Instant, group: &str) -> Vec<&Announcement> {
+        let live = |heard: &&Heard| now.duration_since(heard.at) < LOST;
+        let members = self
+            .members
+            .values()
+            .filter(live)
+            .map(|heard| &heard.announcement);
+        let mut present: Vec<_> = members
+            .filter(|member| member.group == group && !member.leaving)
+            .collect();
+        present.sort_by(|a, b| a.member.cmp(&b.member));
+        present
+    }
+
+    /// Last announcement of a member.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<&Heard> {
+        self.members.get(name)
+    }
+
+    /// Every member heard from.
+    pub fn members(&self) -> impl Iterator<Item = &Heard> {
+        self.members.values()
+    }
+
+    /// Notes a renewal of an entry process.
+    pub fn hear(&mut self, name: EntryName, entry: Entry) {
+        self.entries.insert(name, entry);
+    }
+
+    /// Entry processes by name.
+    #[must_use]
+    pub const fn entries(&self) -> &Map<EntryName, Entry> {
+        &self.entries
+    }
+}
--- /dev/null
+++ b/crates/control/src/gate.rs
@@ -0,0 +1,413 @@
+//! RPC server for entry processes and control peers.
+
+use std::{
+    cell::Cell,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Position, Version};
+use capnp::Error;
+use compio::{net::TcpListener, time::timeout};
+use proto::schema::{self, control, gate, peer};
+
+use crate::{
+    directory::{Announcement, Heard},
+    host::{Demand, Host, Renewal, millis},
+    leases::LEASE,
+    log::Log,
+    machine::{GroupState, Record},
+    permits,
+    sighting::{Health, Sighting},
+    upstream,
+};
+
+/// A watch without news is answered after this time.
+const POLL: Duration = Duration::from_secs(1);
+/// RPC connections at once; each entry process and peer holds one or two.
+const CONNECTIONS_MAX: usize = 10_000;
+
+/// Accepts connections until the process ends.
+pub async fn serve<L: Log>(host: Rc<Host<L>>, listener: TcpListener) {
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _address)) => stream,
+            Err(cause) => {
+                slog::warn!(host.logger, "a connection can't be accepted"; "cause" => %cause);
+                compio::time::sleep(Duration::from_millis(100)).await;
+                continue;
+            }
+        };
+        if open.get() >= CONNECTIONS_MAX {
+            slog::warn!(host.logger, "connection refused: too many are open");
+            continue;
+        }
+        // Delayed small packets would add up to 40 ms to a renewal.
+        if stream.set_nodelay(true).is_err() {
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (host, open) = (Rc::clone(&host), Rc::clone(&open));
+        compio::runtime::spawn(async move {
+            let gate: gate::Client = capnp_rpc::new_client(Gate {
+                host: Rc::clone(&host),
+            });
+            if let Err(cause) = proto::rpc::serve(stream, gate.client).await {
+                slog::debug!(host.logger, "a connection ended"; "cause" => %cause);
+            }
+            open.set(open.get() - 1);
+        })
+        .detach();
+    }
+}
+
+/// The interface offered on the RPC address.
+#[derive(Debug)]
+pub struct Gate<L> {
+    /// Host that answers.
+    pub host: Rc<Host<L>>,
+}
+
+impl<L: Log> gate::Server for Gate<L> {
+    async fn control(
+        self: Rc<Self>,
+        _params: gate::ControlParams,
+        mut results: gate::ControlResults,
+    ) -> Result<(), Error> {
+        let host = Rc::clone(&self.host);
+        results
+            .get()
+            .set_control(capnp_rpc::new_client(ForEntries { host }));
+        Ok(())
+    }
+
+    async fn peer(
+        self: Rc<Self>,
+        _params: gate::PeerParams,
+        mut results: gate::PeerResults,
+    ) -> Result<(), Error> {
+        let host = Rc::clone(&self.host);
+        results
+            .get()
+            .set_peer(capnp_rpc::new_client(ForPeers { host }));
+        Ok(())
+    }
+}
+
+struct ForEntries<L> {
+    host: Rc<Host<L>>,
+}
+
+fn text(reader: Result<capnp::text::Reader<'_>, Error>) -> Result<String, Error> {
+    Ok(reader?.to_string()?)
+}
+
+fn duration(milliseconds: u32) -> Duration {
+    Duration::from_millis(u64::from(milliseconds))
+}
+
+fn renewal(request: schema::renew_request::Reader<'_>) -> Result<Renewal, Error> {
+    let announcements = request.get_announcements()?.iter().map(|a| {
+        let announcement = Announcement {
+            member: text(a.get_member())?,
+            group: text(a.get_group())?,
+            store: text(a.get_store())?,
+            address: text(a.get_address())?,
+            zone: text(a.get_zone())?,
+            region: text(a.get_region())?,
+            connections: a.get_connections(),
+            slots: a.get_slots(),
+            leaving: a.get_leaving(),
+        };
+        Ok((announcement, duration(a.get_age())))
+    });
+    let sightings = request.get_sightings()?.iter().map(|s| {
+        let position = s.get_position()?;
+        let sighting = Sighting {
+            health: match s.get_health()? {
+                schema::Health::Ok => Health::Ok,
+                schema::Health::Refused => Health::Refused,
+                schema::Health::Silent => Health::Silent,
+            },
+            since: duration(s.get_since()),
+            position: Position::new(position.get_term(), position.get_offset()),
+            primary: s.get_primary(),
+        };
+        Ok((text(s.get_group())?, text(s.get_member())?, sighting))
+    });
+    let demands = request.get_demands()?.iter().map(|d| {
+        Ok(Demand {
+            member: text(d.get_member())?,
+            used: d.get_used(),
+            wanted: d.get_wanted(),
+        })
+    });
+    Ok(Renewal {
+        entry: text(request.get_entry())?,
+        zone: text(request.get_zone())?,
+        run: request.get_run(),
+        records: request.get_record_version(),
+        config: request.get_config_version(),
+        announcements: announcements.collect::<Result<_, Error>>()?,
+        sightings: sightings.collect::<Result<_, Error>>()?,
+        demands: demands.collect::<Result<_, Error>>()?,
+        http: text(request.get_http())?,
+        stopping: request.get_stopping(),
+    })
+}
+
+/// Milliseconds as the schema carries them.
+fn wire_millis(duration: Duration) -> u32 {
+    u32::try_from(millis(duration)).unwrap_or(u32::MAX)
+}
+
+/// Length of a list as the schema carries it.
+fn length(list: &[impl Sized]) -> u32 {
+    u32::try_from(list.len()).unwrap_or(u32::MAX)
+}
+
+impl<L: Log> control::Server for ForEntries<L> {
+    async fn renew(
+        self: Rc<Self>,
+        params: control::RenewParams,
+        mut results: control::RenewResults,
+    ) -> Result<(), Error> {
+        let renewal = renewal(params.get()?.get_request()?)?;
+        if renewal.entry.is_empty() {
+            return Err(Error::failed(
+                "renew: entry is empty; send the name of the entry".into(),
+            ));
+        }
+        let renewed = self.host.renew(Instant::now(), renewal);
+        let mut reply = results.get().init_reply();
+        reply.set_granted(renewed.granted);
+        reply.set_duration(wire_millis(LEASE));
+        let state = self.host.state.borrow();
+        reply.set_record_version(state.version);
+        reply.set_config_version(state.config.version);
+        drop(state);
+        reply.set_directory_version(self.host.directory.borrow().version());
+        reply.set_host(&self.host.identity.name);
+        reply.set_leader(renewed.leader);
+        reply.set_permit_duration(wire_millis(permits::TERM));
+        let mut list = reply.init_permits(length(&renewed.permits));
+        for (i, (member, lent)) in (0..).zip(&renewed.permits) {
+            let mut permit = list.reborrow().get(i);
+            permit.set_member(member);
+            permit.set_lent(*lent);
+        }
+        Ok(())
+    }
+
+    async fn watch(
+        self: Rc<Self>,
+        params: control::WatchParams,
+        mut results: control::WatchResults,
+    ) -> Result<(), Error> {
+        let request = params.get()?.get_request()?;
+        let records = request.get_record_version();
+        let config = request.get_config_version();
+        let directory = if request.get_directory_run() == self.host.run {
+            request.get_directory_version()
+        } else {
+            0
+        };
+        let news = |host: &Host<L>| {
+            let state = host.state.borrow();
+            let known = host.directory.borrow().version();
+            state.version > records || state.config.version > config || known > directory
+        };
+        let wait = async {
+            loop {
+                let count = self.host.changed.count();
+                if news(&self.host) {
+                    return;
+                }
+                self.host.changed.after(count).await;
+            }
+        };
+        // An answer without news after the time is a normal one.
+        let _elapsed = timeout(POLL, wait).await;
+        fill(
+            &self.host,
+            results.get().init_reply(),
+            records,
+            config,
+            directory,
+        );
+        Ok(())
+    }
+}
+
+fn fill<L: Log>(
+    host: &Host<L>,
+    mut reply: schema::watch_reply::Builder<'_>,
+    records: Version,
+    config: Version,
+    directory: Version,
+) {
+    let now = Instant::now();
+    let state = host.state.borrow();
+    reply.set_record_version(state.version);
+    reply.set_config_version(state.config.version);
+    if state.config.version > config {
+        reply.set_document(&state.config.document);
+    }
+    reply.set_directory_run(host.run);
+    reply.set_age(wire_millis(host.log.contact(now)));
+    let newer: Vec<_> = state.newer(records).collect();
+    let mut list = reply.reborrow().init_records(length(&newer));
+    for (i, record) in (0..).zip(newer) {
+        fill_record(record, list.reborrow().get(i));
+    }
+    let known = host.directory.borrow();
+    reply.set_directory_version(known.version());
+    let newer = known.newer(directory);
+    let mut list = reply.init_announcements(length(&newer));
+    for (i, heard) in (0..).zip(newer) {
+        fill_announcement(now, heard, list.reborrow().get(i));
+    }
+}
+
+fn fill_record(record: &Record, mut builder: schema::group_record::Builder<'_>) {
+    builder.set_group(&record.group);
+    builder.set_term(record.term);
+    builder.set_state(match record.state {
+        GroupState::Stable => schema::GroupState::Stable,
+        GroupState::Fencing => schema::GroupState::Fencing,
+        GroupState::Promoting => schema::GroupState::Promoting,
+    });
+    builder.set_next(record.next);
+    builder.set_primary(&record.primary);
+    builder.set_version(record.version);
+    let mut list = builder.init_members(length(&record.members));
+    for (i, member) in (0..).zip(&record.members) {
+        let mut builder = list.reborrow().get(i);
+        builder.set_member(&member.member);
+        builder.set_store(&member.store);
+        builder.set_address(&member.address);
+        builder.set_zone(&member.zone);
+        builder.set_region(&member.region);
+    }
+}
+
+fn fill_announcement(now: Instant, heard: &Heard, mut builder: schema::announcement::Builder<'_>) {
+    let announcement = &heard.announcement;
+    builder.set_member(&announcement.member);
+    builder.set_group(&announcement.group);
+    builder.set_store(&announcement.store);
+    builder.set_address(&announcement.address);
+    builder.set_zone(&announcement.zone);
+    builder.set_region(&announcement.region);
+    builder.set_connections(announcement.connections);
+    builder.set_slots(announcement.slots);
+    builder.set_leaving(announcement.leaving);
+    builder.set_age(wire_millis(now.duration_since(heard.at)));
+}
+
+struct ForPeers<L> {
+    host: Rc<Host<L>>,
+}
+
+impl<L: Log> peer::Server for ForPeers<L> {
+    async fn vote(
+        self: Rc<Self>,
+        params: peer::VoteParams,
+        results: peer::VoteResults,
+    ) -> Result<(), Error> {
+        self.host.log.vote(params, results).await
+    }
+
+    async fn append(
+        self: Rc<Self>,
+        params: peer::AppendParams,
+        results: peer::AppendResults,
+    ) -> Result<(), Error> {
+        self.host.log.append(params, results).await
+    }
+
+    async fn snapshot(
+        self: Rc<Self>,
+        params: peer::SnapshotParams,
+        results: peer::SnapshotResults,
+    ) -> Result<(), Error> {
+        self.host.log.snapshot(params, results).await
+    }
+
+    async fn grants(
+        self: Rc<Self>,
+        params: peer::GrantsParams,
+        mut results: peer::GrantsResults,
+    ) -> Result<(), Error> {
+        let version = params.get()?.get_version();
+        let clear = self.host.leases.borrow_mut().clear(Instant::now(), version);
+        results.get().set_known(clear.is_some());
+        results.get().set_clear(clear == Some(true));
+        Ok(())
+    }
+
+    async fn probe(
+        self: Rc<Self>,
+        params: peer::ProbeParams,
+        mut results: peer::ProbeResults,
+    ) -> Result<(), Error> {
+        let address = text(params.get()?.get_address())?;
+        let Ok(status) = upstream::status(self.host.identity.host, &address).await else {
+            results.get().set_reached(false);
+            return Ok(());
+        };
+        results.get().set_reached(true);
+        let mut builder = results.get().init_status();
+        builder.set_member(&status.member);
+        builder.set_store(&status.store);
+        builder.set_primary(status.primary);
+        builder.set_following(&status.following);
+        let mut position = builder.init_position();
+        position.set_term(status.position.term);
+        position.set_offset(status.position.offset);
+        Ok(())
+    }
+
+    async fn order(
+        self: Rc<Self>,
+        params: peer::OrderParams,
+        mut results: peer::OrderResults,
+    ) -> Result<(), Error> {
+        let address = text(params.get()?.get_address())?;
+        let statement = text(params.get()?.get_statement())?;
+        let mut builder = results.get();
+        if !(statement.starts_with("PROMOTE ") || statement.starts_with("FOLLOW ")) {
+            builder.set_cause("only PROMOTE and FOLLOW are passed on");
+            return Ok(());
+        }
+        match upstream::order(self.host.identity.host, &address, &statement).await {
+            Ok(()) => builder.set_done(true),
+            Err(cause) => builder.set_cause(&cause),
+        }
+        Ok(())
+    }
+
+    async fn propose(
+        self: Rc<Self>,
+        params: peer::ProposeParams,
+        mut results: peer::ProposeResults,
+    ) -> Result<(), Error> {
+        let payload = params.get()?.get_payload()?.to_vec();
+        let proposed = self.host.log.propose(payload).await;
+        let mut builder = results.get();
+        match proposed {
+            Ok((index, answer)) => {
+                builder.set_accepted(true);
+                builder.set_index(index);
+                builder.set_answer(&answer);
+                Ok(())
+            }
+            Err(crate::log::LogError::NotLeader(leader)) => {
+                builder.set_leader(leader.as_deref().unwrap_or_default());
+                Ok(())
+            }
+            Err(cause) => Err(Error::failed(cause.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/host.rs
@@ -0,0 +1,502 @@
+//! A control host: what its parts share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{
+    EntryName, GroupName, HostName, Map, MemberName, Version, ZoneName, document::Document,
+};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::{
+    directory::{Announcement, Directory, Entry},
+    leases::{Known, Leases},
+    log::{Log, LogError},
+    machine::{Answer, Command, Member, Record, State},
+    metrics::Metrics,
+    notify::Notify,
+    peers::Peers,
+    permits::{Permits, Share},
+    sighting::{Health, Observer, Sighting, Sightings},
+};
+
+/// Promotions whose step durations are kept for `/dump`.
+const KEPT_TIMINGS: usize = 100;
+
+/// Duration of each step of a promotion, in milliseconds; absent when this host did not run it.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Timing {
+    /// Group.
+    pub group: GroupName,
+    /// Term that the promotion made.
+    pub term: u64,
+    /// Member that was promoted.
+    pub member: MemberName,
+    /// Why.
+    pub cause: String,
+    /// From the last good answer of the old primary to its declaration as failed.
+    pub detection: Option<u64>,
+    /// For a planned change: from the announcement to the end of running transactions.
+    pub drain: Option<u64>,
+    /// Commit of the fencing.
+    pub fencing: Option<u64>,
+    /// Wait for the end of older leases.
+    pub leases: Option<u64>,
+    /// Reads of terms and positions.
+    pub reads: Option<u64>,
+    /// From the commit of the order to its execution.
+    pub order: Option<u64>,
+    /// Commit of the new term.
+    pub commit: Option<u64>,
+}
+
+/// A renewal of an entry process.
+#[derive(Debug, Clone, Default)]
+pub struct Renewal {
+    /// Name.
+    pub entry: EntryName,
+    /// Zone.
+    pub zone: ZoneName,
+    /// Random id of its run.
+    pub run: u64,
+    /// Record version that it has applied.
+    pub records: Version,
+    /// Configuration version that it has applied.
+    pub config: Version,
+    /// Announcements that it heard, with their ages.
+    pub announcements: Vec<(Announcement, Duration)>,
+    /// What it sees.
+    pub sightings: Vec<(GroupName, MemberName, Sighting)>,
+    /// Connections per member.
+    pub demands: Vec<Demand>,
+    /// HTTP address.
+    pub http: String,
+    /// Whether it is stopping.
+    pub stopping: bool,
+}
+
+/// Connections that an entry process uses and wants at one member.
+#[derive(Debug, Clone, Default)]
+pub struct Demand {
+    /// Member.
+    pub member: MemberName,
+    /// In use now.
+    pub used: u32,
+    /// Wanted, base share included.
+    pub wanted: u32,
+}
+
+/// Answer to a renewal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Renewed {
+    /// Whether this host grants the lease.
+    pub granted: bool,
+    /// Whether this host leads, so that `permits` counts.
+    pub leader: bool,
+    /// Lent connections.
+    pub permits: Vec<(MemberName, u32)>,
+}
+
+/// Who this host is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Name.
+    pub name: HostName,
+    /// Zone.
+    pub zone: ZoneName,
+    /// Source address of outgoing connections.
+    pub host: IpAddr,
+    /// Every control host, this one included.
+    pub peers: Vec<(HostName, SocketAddr)>,
+}
+
+/// A control host.
+#[derive(Debug)]
+pub struct Host<L> {
+    /// Who this host is.
+    pub identity: Identity,
+    /// Replicated log.
+    pub log: L,
+    /// State that the log is applied to.
+    pub state: Rc<RefCell<State>>,
+    /// Write lease grants.
+    pub leases: RefCell<Leases>,
+    /// Databases and entry processes heard from.
+    pub directory: RefCell<Directory>,
+    /// Random id of this run; a directory version counts only together with it.
+    pub run: u64,
+    /// What entry processes see.
+    pub sightings: RefCell<Sightings>,
+    /// Loans, while this host leads.
+    pub permits: RefCell<Option<Permits>>,
+    /// Calls to the other control hosts.
+    pub peers: Peers,
+    /// Reports changes of the log, the directory and sightings that speak against a primary.
+    pub changed: Notify,
+    /// Step durations of the last promotions.
+    pub timings: RefCell<VecDeque<Timing>>,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Logger.
+    pub logger: slog::Logger,
+    /// Whether this host is stopping.
+    pub stopping: Cell<bool>,
+    /// Wakes the task of one group.
+    suspects: RefCell<Map<GroupName, Rc<Notify>>>,
+    /// Record version whose changes the tasks of groups were told.
+    told: Cell<Version>,
+    document: RefCell<(Version, Rc<Document>)>,
+}
+
+impl<L: Log> Host<L> {
+    /// Makes a host that starts at `now`.
+    #[must_use]
+    pub fn new(
+        now: Instant,
+        identity: Identity,
+        log: L,
+        state: Rc<RefCell<State>>,
+        logger: slog::Logger,
+    ) -> Rc<Self> {
+        let peers = Peers::new(identity.host, &identity.name, &identity.peers);
+        Rc::new(Self {
+            identity,
+            log,
+            state,
+            leases: RefCell::new(Leases::new(now)),
+            directory: RefCell::default(),
+            run: rand::random(),
+            sightings: RefCell::default(),
+            permits: RefCell::default(),
+            peers,
+            changed: Notify::default(),
+            timings: RefCell::default(),
+            metrics: Metrics::new(),
+            logger,
+            stopping: Cell::new(false),
+            suspects: RefCell::default(),
+            told: Cell::new(0),
+            document: RefCell::default(),
+        })
+    }
+
+    /// Hosts that make a majority.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.identity.peers.len() / 2 + 1
+    }
+
+    /// Record of a group.
+    #[must_use]
+    pub fn record(&self, group: &str) -> Option<Record> {
+        self.state.borrow().records.get(group).cloned()
+    }
+
+    /// Configuration in force, parsed; empty while there is none.
+    #[must_use]
+    pub fn document(&self) -> Rc<Document> {
+        let state = self.state.borrow();
+        let mut cached = self.document.borrow_mut();
+        if cached.0 != state.config.version {
+            match Document::parse(&state.config.document) {
+                Ok(document) => *cached = (state.config.version, Rc::new(document)),
+                // A newer program accepted what this one can't read: the last known one goes on.
+                Err(cause) => slog::error!(self.logger, "the configuration can't be read";
+                    "version" => state.config.version, "cause" => %cause),
+            }
+        }
+        Rc::clone(&cached.1)
+    }
+
+    /// Takes a change of the log into account.
+    pub fn on_applied(&self) {
+        let state = self.state.borrow();
+        let set = |gauge: &prometheus::IntGauge, value: u64| {
+            gauge.set(i64::try_from(value).unwrap_or(i64::MAX));
+        };
+        set(&self.metrics.config, state.config.version);
+        set(&self.metrics.records, state.version);
+        let told = self.told.replace(state.version);
+        let suspects = self.suspects.borrow();
+        for record in state.newer(told) {
+            if let Some(notify) = suspects.get(&record.group) {
+                notify.notify();
+            }
+        }
+        self.changed.notify();
+    }
+
+    /// Forgets what is gone.
+    pub fn expire(&self, now: Instant) {
+        let holders = self.leases.borrow_mut().expire(now);
+        self.metrics
+            .holders
+            .set(i64::try_from(holders).unwrap_or(i64::MAX));
+        self.sightings.borrow_mut().expire(now);
+        if let Some(permits) = self.permits.borrow_mut().as_mut() {
+            permits.expire(now);
+        }
+        if self.directory.borrow_mut().expire(now) {
+            self.changed.notify();
+        }
+    }
+
+    /// Answers a renewal.
+    pub fn renew(&self, now: Instant, renewal: Renewal) -> Renewed {
+        let holder = (renewal.entry.clone(), renewal.run);
+        let known = Known {
+            fenced: self.state.borrow().fenced,
+            applied: self.log.applied(),
+            stored: self.log.stored(),
+        };
+        let granted = {
+            let mut leases = self.leases.borrow_mut();
+            leases.release(&holder, renewal.records);
+            leases.renew(now, holder.clone(), renewal.records, known)
+        };
+        let result = if granted { "granted" } else { "refused" };
+        self.metrics.renewals.with_label_values(&[result]).inc();
+
+        let mut directory = self.directory.borrow_mut();
+        let mut news = false;
+        let count = u64::try_from(renewal.announcements.len()).unwrap_or_default();
+        self.metrics.announcements.inc_by(count);
+        for (announcement, age) in renewal.announcements {
+            news |= directory.announce(now, age, announcement);
+        }
+        let used = renewal
+            .demands
+            .iter()
+            .map(|d| (d.member.clone(), d.used))
+            .collect();
+        let entry = Entry {
+            zone: renewal.zone.clone(),
+            run: renewal.run,
+            records: renewal.records,
+            config: renewal.config,
+            http: renewal.http,
+            stopping: renewal.stopping,
+            at: now,
+            used,
+        };
+        directory.hear(renewal.entry.clone(), entry);
+        drop(directory);
+        if news {
+            self.changed.notify();
+        }
+        self.sight(
+            now,
+            &renewal.entry,
+            &renewal.zone,
+            renewal.stopping,
+            renewal.sightings,
+        );
+        let leader = self.log.is_leader(now);
+        let permits = if leader {
+            self.lend(now, &holder, &renewal.demands)
+        } else {
+            Vec::new()
+        };
+        Renewed {
+            granted,
+            leader,
+            permits,
+        }
+    }
+
+    fn sight(
+        &self,
+        now: Instant,
+        entry: &str,
+        zone: &str,
+        stopping: bool,
+        sightings: Vec<(GroupName, MemberName, Sighting)>,
+    ) {
+        let mut groups: Map<GroupName, Observer> = Map::default();
+        for (group, member, sighting) in sightings {
+            let observer = groups.entry(group).or_insert_with(|| Observer {
+                zone: zone.to_owned(),
+                at: now,
+                stopping,
+                members: Map::default(),
+            });
+            observer.members.insert(member, sighting);
+        }
+        let state = self.state.borrow();
+        for (group, observer) in groups {
+            let Some(record) = state.records.get(&group) else {
+                continue;
+            };
+            let primary = observer.members.get(&record.primary);
+            let suspect = primary.is_some_and(|seen| seen.health != Health::Ok || !seen.primary);
+            self.sightings
+                .borrow_mut()
+                .report(group.clone(), entry.to_owned(), observer);
+            if suspect && let Some(notify) = self.suspects.borrow().get(&group) {
+                notify.notify();
+            }
+        }
+    }
+
+    /// Event that wakes the task of `group` when something speaks against its primary.
+    pub fn suspect(&self, group: &str) -> Rc<Notify> {
+        let mut suspects = self.suspects.borrow_mut();
+        Rc::clone(suspects.entry(group.to_owned()).or_default())
+    }
+
+    fn lend(
+        &self,
+        now: Instant,
+        holder: &(EntryName, u64),
+        demands: &[Demand],
+    ) -> Vec<(String, u32)> {
+        let document = self.document();
+        let mut permits = self.permits.borrow_mut();
+        let Some(permits) = permits.as_mut() else {
+            return Vec::new();
+        };
+        let directory = self.directory.borrow();
+        let lent = demands.iter().filter_map(|demand| {
+            let announced = &directory.member(&demand.member)?.announcement;
+            let service = document
+                .services
+                .iter()
+                .find(|s| s.group == announced.group)?;
+            let limit = match announced.connections {
+                0 => service.connections,
+                announced => service.connections.min(announced),
+            };
+            let share = Share::new(limit, document.entries.max);
+            let lent = permits.lend(now, holder, &demand.member, demand.wanted, share);
+            (lent > 0).then(|| (demand.member.clone(), lent))
+        });
+        let lent: Vec<_> = lent.collect();
+        self.metrics
+            .lent
+            .inc_by(lent.iter().map(|(_, count)| u64::from(*count)).sum());
+        lent
+    }
+
+    /// Proposes a change of a record, unless it changed since it was read.
+    ///
+    /// # Errors
+    /// The log has no answer; `Ok(false)` means that the record changed meanwhile.
+    pub async fn put(&self, base: Version, record: Record) -> Result<bool, LogError> {
+        let command = Command::Record { base, record };
+        let (_, answer) = self.log.propose(command.encode()).await?;
+        Ok(matches!(Answer::decode(&answer), Answer::Done { .. }))
+    }
+
+    /// Address of a recorded member: the announced one while its store is the recorded one.
+    #[must_use]
+    pub fn address(&self, member: &Member) -> String {
+        let directory = self.directory.borrow();
+        let heard = directory
+            .member(&member.member)
+            .map(|heard| &heard.announcement);
+        let current = heard.filter(|a| a.store == member.store && !a.address.is_empty());
+        current.map_or(&member.address, |a| &a.address).clone()
+    }
+
+    /// Keeps and logs the step durations of a finished promotion.
+    pub fn timed(&self, timing: Timing) {
+        let steps = [
+            ("detection", timing.detection),
+            ("drain", timing.drain),
+            ("fencing", timing.fencing),
+            ("leases", timing.leases),
+            ("reads", timing.reads),
+            ("order", timing.order),
+            ("commit", timing.commit),
+        ];
+        for (name, took) in steps {
+            if let Some(took) = took {
+                self.metrics.step(name, Duration::from_millis(took));
+            }
+        }
+        slog::info!(self.logger, "promotion finished"; "group" => &timing.group,
+            "term" => timing.term, "member" => &timing.member, "cause" => &timing.cause,
+            "detection_ms" => timing.detection, "drain_ms" => timing.drain,
+            "fencing_ms" => timing.fencing, "leases_ms" => timing.leases,
+            "reads_ms" => timing.reads, "order_ms" => timing.order,
+            "commit_ms" => timing.commit);
+        let mut timings = self.timings.borrow_mut();
+        timings.push_back(timing);
+        if timings.len() > KEPT_TIMINGS {
+            timings.pop_front();
+        }
+    }
+
+    /// Whole state, for `/dump`.
+    #[must_use]
+    pub fn dump(&self, now: Instant) -> Value {
+        let state = self.state.borrow();
+        json!({
+            "name": self.identity.name,
+            "zone": self.identity.zone,
+            "run": self.run,
+            "leader": self.log.is_leader(now),
+            "log": self.log.dump(),
+            "config": state.config,
+            "history": state.history,
+            "records": state.records,
+            "record_version": state.version,
+            "fenced": state.fenced,
+            "applied": state.applied,
+            "members": self.members(now),
+            "entries": self.entries(now),
+            "timings": *self.timings.borrow(),
+        })
+    }
+
+    /// Members heard from, for status and dump.
+    #[must_use]
+    pub fn members(&self, now: Instant) -> Value {
+        let directory = self.directory.borrow();
+        let permits = self.permits.borrow();
+        let mut members: Vec<_> = directory.members().collect();
+        members.sort_by(|a, b| a.announcement.member.cmp(&b.announcement.member));
+        let members = members.into_iter().map(|heard| {
+            let name = &heard.announcement.member;
+            json!({
+                "announcement": heard.announcement,
+                "age_ms": millis(now.duration_since(heard.at)),
+                "lent": permits.as_ref().map(|permits| permits.held(now, name)),
+            })
+        });
+        members.collect()
+    }
+
+    /// Entry processes, for status and dump.
+    #[must_use]
+    pub fn entries(&self, now: Instant) -> Value {
+        let directory = self.directory.borrow();
+        let mut entries: Vec<_> = directory.entries().iter().collect();
+        entries.sort_by_key(|(name, _)| name.as_str());
+        let entries = entries.into_iter().map(|(name, entry)| {
+            json!({
+                "name": name,
+                "zone": entry.zone,
+                "run": entry.run,
+                "record_version": entry.records,
+                "config_version": entry.config,
+                "http": entry.http,
+                "stopping": entry.stopping,
+                "age_ms": millis(now.duration_since(entry.at)),
+            })
+        });
+        entries.collect()
+    }
+}
+
+/// Whole milliseconds of a duration.
+#[must_use]
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/control/src/judge.rs
@@ -0,0 +1,233 @@
+//! Decisions of a promotion, without I/O.
+
+use std::time::{Duration, Instant};
+
+use base::{MemberName, Set};
+
+use crate::{
+    machine::{GroupState, Member, Record},
+    sighting::{Health, Observer, Observers},
+    upstream::Status,
+};
+
+/// A silent primary is declared failed after this time without an answer.
+pub const SILENCE: Duration = Duration::from_millis(1_500);
+/// An observer counts while its last report is younger than this; three renewals of 300 ms.
+pub const LIVE: Duration = Duration::from_secs(1);
+
+/// What is to be done about a stable group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// The primary serves, or nothing better is known.
+    Stay,
+    /// The primary failed and another member can do better.
+    Failed {
+        /// Why, for the log.
+        cause: String,
+        /// Longest time since the last good answer of the primary to an observer.
+        detection: Duration,
+    },
+}
+
+fn failed(observer: &Observer, member: &str) -> bool {
+    observer
+        .members
+        .get(member)
+        .is_some_and(|seen| match seen.health {
+            Health::Ok => false,
+            Health::Refused => true,
+            Health::Silent => seen.since >= SILENCE,
+        })
+}
+
+fn reaches(observer: &Observer, member: &str) -> bool {
+    observer
+        .members
+        .get(member)
+        .is_some_and(|seen| match seen.health {
+            Health::Ok => true,
+            Health::Refused => false,
+            Health::Silent => seen.since < SILENCE,
+        })
+}
+
+fn live(now: Instant, observer: &Observer) -> bool {
+    !observer.stopping && now.saturating_duration_since(observer.at) < LIVE
+}
+
+/// Decides whether the primary of a stable group failed and a change would serve more.
+///
+/// A report counts by itself only while it is fresh. When several entry processes were heard from
+/// lately, at least two of them must agree, and in several zones when there are several.
+#[must_use]
+pub fn judge(now: Instant, record: &Record, observers: &Observers) -> Verdict {
+    if record.state != GroupState::Stable {
+        return Verdict::Stay;
+    }
+    let live: Vec<_> = observers
+        .values()
+        .filter(|o| live(now, o) && o.members.contains_key(&record.primary))
+        .collect();
+    let against: Vec<_> = live.iter().filter(|o| failed(o, &record.primary)).collect();
+    let zones = |set: &mut dyn Iterator<Item = &Observer>| -> usize {
+        set.map(|o| o.zone.as_str()).collect::<Set<_>>().len()
+    };
+    let all = zones(&mut live.iter().copied());
+    let seen = zones(&mut against.iter().map(|o| **o));
+    if against.len() * 2 <= live.len()
+        || (all > 1 && seen < 2)
+        || (observers.len() > 1 && against.len() < 2)
+    {
+        return Verdict::Stay;
+    }
+    let reach = |member: &str| live.iter().filter(|o| reaches(o, member)).count();
+    let now_served = reach(&record.primary);
+    let others = record
+        .members
+        .iter()
+        .filter(|member| member.member != record.primary);
+    let better = others
+        .clone()
+        .any(|member| reach(&member.member) > now_served);
+    let readable = record
+        .members
+        .iter()
+        .filter(|member| reach(&member.member) > 0)
+        .count();
+    if !better || readable < record.reads() {
+        return Verdict::Stay;
+    }
+    let since = against
+        .iter()
+        .filter_map(|o| Some(o.members.get(&record.primary)?.since));
+    let detection = since.max().unwrap_or_default();
+    let refused = against.iter().filter(|o| {
+        o.members
+            .get(&record.primary)
+            .is_some_and(|seen| seen.health == Health::Refused)
+    });
+    Verdict::Failed {
+        cause: format!(
+            "{} of {} observers in {seen} of {all} zones lost {} ({} refused)",
+            against.len(),
+            live.len(),
+            record.primary,
+            refused.count(),
+        ),
+        detection,
+    }
+}
+
+/// Status answers of recorded stores; another store's answer does not count.
+#[must_use]
+pub fn counted<'a>(record: &'a Record, statuses: &[Status]) -> Vec<(&'a Member, Status)> {
+    let known = record.members.iter().filter_map(|member| {
+        let mut answers = statuses.iter();
+        let status = answers.find(|s| s.member == member.member && s.store == member.store)?;
+        Some((member, status.clone()))
+    });
+    known.collect()
+}
+
+/// Chooses the member to promote from the answers of recorded stores, or `None` when too few
+/// answered.
+///
+/// The most advanced member is the choice, because it holds every acknowledged write when
+/// [`Record::reads`] members answered. After a failure, the old primary is left out when the
+/// others suffice: entry processes can't reach it even if this host can. A planned change goes to
+/// the member asked for when it has caught up.
+#[must_use]
+pub fn choose(record: &Record, statuses: &[Status]) -> Option<MemberName> {
+    let mut answers = counted(record, statuses);
+    let old = record.primary.as_str();
+    if record.planned.is_none() {
+        let others: Vec<_> = answers
+            .iter()
+            .filter(|(member, _)| member.member != old)
+            .cloned()
+            .collect();
+        if others.len() >= record.reads() {
+            answers = others;
+        }
+    }
+    if answers.len() < record.reads() {
+        return None;
+    }
+    let top = answers.iter().map(|(_, status)| status.position).max()?;
+    let near = |member: &Member| {
+        let before = record.member(old);
+        before.map_or((false, false), |b| {
+            (b.region == member.region, b.zone == member.zone)
+        })
+    };
+    let wanted = |member: &Member| {
+        let planned = record.planned.as_ref();
+        planned.is_some_and(|planned| match &planned.member {
+            Some(name) => *name == member.member,
+            None => member.member != old,
+        })
+    };
+    let best = answers
+        .into_iter()
+        .filter(|(_, status)| status.position == top);
+    // The name makes the choice the same on every host.
+    let best = best.max_by_key(|(member, _)| {
+        (
+            wanted(member),
+            near(member),
+            std::cmp::Reverse(member.member.clone()),
+        )
+    });
+    best.map(|(member, _)| member.member.clone())
+}
+
+/// Whether a planned change may still wait for its target to catch up: the old primary answered,
+/// and no wanted member is as advanced.
+#[must_use]
+pub fn catching_up(record: &Record, statuses: &[Status]) -> bool {
+    record.planned.is_some()
+        && choose(record, statuses).is_none_or(|choice| {
+            let planned = record
+                .planned
+                .as_ref()
+                .and_then(|planned| planned.member.as_ref());
+            planned.map_or(choice == record.primary, |name| *name != choice)
+        })
+}
+
+/// Whether the recorded primary answers but is not primary any more, and why: its disk is lost or
+/// it restarted without its role.
+#[must_use]
+pub fn demoted(record: &Record, status: &Status) -> Option<String> {
+    let primary = record.member(&record.primary)?;
+    if status.member != primary.member {
+        return None;
+    }
+    if status.store != primary.store {
+        return Some(format!(
+            "{} lost its disk: its store is {}",
+            status.member, status.store
+        ));
+    }
+    (!status.primary || status.position.term < record.term).then(|| {
+        format!(
+            "{} answers but is not primary of term {}",
+            status.member, record.term
+        )
+    })
+}
+
+/// Statement that a member of a stable group needs, from its status.
+#[must_use]
+pub fn correction(record: &Record, status: &Status) -> Option<String> {
+    let primary = record.member(&record.primary)?;
+    if status.member == record.primary {
+        // Only a promotion may order a primary: a restart that lost its role is one of these.
+        return None;
+    }
+    let follows = !status.primary
+        && status.position.term >= record.term
+        && status.following == primary.address;
+    (!follows && status.position.term <= record.term)
+        .then(|| format!("FOLLOW '{}' TERM {}", primary.address, record.term))
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,19 @@
 //! Control daemon: configuration, group records, leases, promotion and administration.
+
+pub mod directory;
+pub mod gate;
+pub mod host;
+pub mod judge;
+pub mod lead;
+pub mod leases;
+pub mod log;
+pub mod machine;
+pub mod metrics;
+pub mod notify;
+pub mod peers;
+pub mod permits;
+pub mod promotion;
+pub mod settings;
+pub mod sighting;
+pub mod sweep;
+pub mod upstream;
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,415 @@
+//! Replicated state: configuration with its history, and group records.
+//!
+//! Applying a command is deterministic: times and everything else that differs between hosts is
+//! part of the command.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use base::{GroupName, MemberName, RegionName, StoreId, Term, Version, ZoneName, document};
+use serde::{Deserialize, Serialize};
+
+/// Change ids whose answers are kept, so that a resent change gets its first answer.
+const KEPT_CHANGES: usize = 1_000;
+/// Entries of the configuration history that are kept; bounds snapshot and memory.
+const KEPT_HISTORY: usize = 10_000;
+
+/// A database of a group, as recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[expect(clippy::struct_field_names, reason = "the names are those of the messages")]
+pub struct Member {
+    /// Name.
+    pub member: MemberName,
+    /// Id of its data directory.
+    pub store: StoreId,
+    /// Address, `ip:port`.
+    pub address: String,
+    /// Zone.
+    pub zone: ZoneName,
+    /// Region.
+    pub region: RegionName,
+}
+
+/// State of a group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum GroupState {
+    /// `primary` serves in `term`.
+    Stable,
+    /// `term` is being ended; nothing may be acknowledged in it.
+    Fencing,
+    /// `primary` is ordered to become primary of `next`.
+    Promoting,
+}
+
+/// An operator's order to change the primary.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Planned {
+    /// Change id of the order.
+    pub change: String,
+    /// Member asked for; any replica if absent.
+    pub member: Option<MemberName>,
+}
+
+/// Record of a group.
+///
+/// `state` stable with `next` set announces a planned change: entries hold new writes and let
+/// running transactions finish.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// Group.
+    pub group: GroupName,
+    /// Term in force, or the term that is ended while the state is not stable.
+    pub term: Term,
+    /// State.
+    pub state: GroupState,
+    /// Next term while a change runs, else 0.
+    pub next: Term,
+    /// Primary, or the member that is being promoted.
+    pub primary: MemberName,
+    /// Databases of the group.
+    pub members: Vec<Member>,
+    /// Fewest confirmations with which any write of this group was ever acknowledged.
+    pub confirmations: u32,
+    /// Planned change that runs.
+    pub planned: Option<Planned>,
+    /// Log index of the last change.
+    pub version: Version,
+}
+
+impl Record {
+    /// Finds a member by name.
+    #[must_use]
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.iter().find(|member| member.member == name)
+    }
+
+    /// Members that must be read before a promotion, so that one of them holds every
+    /// acknowledged write.
+    ///
+    /// At least one member is always read.
+    #[must_use]
+    pub fn reads(&self) -> usize {
+        let confirmations = usize::try_from(self.confirmations).unwrap_or(usize::MAX);
+        (self.members.len() + 1)
+            .saturating_sub(confirmations)
+            .max(1)
+    }
+}
+
+/// A change of the configuration, as proposed.
+#[expect(
+    clippy::struct_field_names,
+    reason = "the names are those of the administration API"
+)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// Id chosen by the operator's program; a resend carries the same one.
+    pub change: String,
+    /// Version that the operator saw.
+    pub base: Version,
+    /// Document text.
+    pub document: String,
+    /// Operator.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// Seconds since the epoch on the host that took the change.
+    pub time: u64,
+    /// Confirmations of each group in the document.
+    pub confirmations: BTreeMap<GroupName, u32>,
+}
+
+/// A command of the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "lowercase")]
+pub enum Command {
+    /// Change of the configuration.
+    Configure(Change),
+    /// Change of a group record, when its version still is `base` (0: there is none).
+    Record {
+        /// Version that the proposer saw.
+        base: Version,
+        /// New record; its version is set when it is applied.
+        record: Record,
+    },
+    /// Order of a planned change of primary.
+    Plan {
+        /// Group.
+        group: GroupName,
+        /// The order.
+        planned: Planned,
+    },
+}
+
+impl Command {
+    /// Bytes for the log.
+    ///
+    /// # Panics
+    /// Never: every command can be written as JSON.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("commands hold only string keys")
+    }
+}
+
+/// What applying a command did.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "answer", rename_all = "lowercase")]
+pub enum Answer {
+    /// Done: the version of what was changed, and the digest of a configuration.
+    Done {
+        /// Configuration version, or record version.
+        version: Version,
+        /// Digest of the document, else empty.
+        digest: String,
+    },
+    /// The version was changed by another; carries the version in force.
+    Conflict {
+        /// Version in force.
+        version: Version,
+    },
+    /// The command can't be done in this state.
+    Refused {
+        /// Why.
+        cause: String,
+    },
+}
+
+impl Answer {
+    /// Reads an answer from the log.
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Self {
+        serde_json::from_slice(bytes).unwrap_or_else(|cause| Self::Refused {
+            cause: format!("the answer of the log can't be read: {cause}"),
+        })
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("answers hold only string keys")
+    }
+}
+
+/// The configuration in force.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Config {
+    /// Version; 0 when none was ever set.
+    pub version: Version,
+    /// Digest of the document.
+    pub digest: String,
+    /// Text.
+    pub document: String,
+    /// Who set it.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// Seconds since the epoch.
+    pub time: u64,
+}
+
+/// One accepted change of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Version that it made.
+    pub version: Version,
+    /// Change id.
+    pub change: String,
+    /// Who.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// Seconds since the epoch.
+    pub time: u64,
+    /// Digest of the document.
+    pub digest: String,
+}
+
+/// Replicated state.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct State {
+    /// Configuration.
+    pub config: Config,
+    /// Accepted changes, oldest first.
+    pub history: VecDeque<Event>,
+    /// Last change ids with their answers, oldest first.
+    pub changes: VecDeque<(String, Answer)>,
+    /// Group records.
+    pub records: BTreeMap<GroupName, Record>,
+    /// Log index of the last change of any record.
+    pub version: Version,
+    /// Log index of the last record change that ended a term.
+    pub fenced: Version,
+    /// Log index applied last.
+    pub applied: u64,
+}
+
+impl State {
+    /// Applies a command and returns its answer.
+    pub fn apply(&mut self, index: u64, command: Command) -> Answer {
+        self.applied = index;
+        match command {
+            Command::Configure(change) => self.configure(change),
+            Command::Record { base, record } => self.record(index, base, record),
+            Command::Plan { group, planned } => self.plan(index, &group, planned),
+        }
+    }
+
+    /// Records that changed after `version`.
+    pub fn newer(&self, version: Version) -> impl Iterator<Item = &Record> {
+        self.records
+            .values()
+            .filter(move |record| record.version > version)
+    }
+
+    fn answered(&self, change: &str) -> Option<Answer> {
+        let (_, answer) = self.changes.iter().rev().find(|(id, _)| id == change)?;
+        Some(answer.clone())
+    }
+
+    /// Keeps the answer of a change id, so that a resend gets it.
+    fn keep(&mut self, change: String, answer: &Answer) {
+        self.changes.push_back((change, answer.clone()));
+        if self.changes.len() > KEPT_CHANGES {
+            self.changes.pop_front();
+        }
+    }
+
+    fn configure(&mut self, change: Change) -> Answer {
+        if let Some(answer) = self.answered(&change.change) {
+            return answer;
+        }
+        if change.base != self.config.version {
+            let answer = Answer::Conflict {
+                version: self.config.version,
+            };
+            self.keep(change.change, &answer);
+            return answer;
+        }
+        let version = self.config.version + 1;
+        let digest = document::digest(&change.document);
+        for (group, confirmations) in change.confirmations {
+            if let Some(record) = self.records.get_mut(&group) {
+                record.confirmations = record.confirmations.min(confirmations);
+            }
+        }
+        self.history.push_back(Event {
+            version,
+            change: change.change.clone(),
+            author: change.author.clone(),
+            reason: change.reason.clone(),
+            time: change.time,
+            digest: digest.clone(),
+        });
+        if self.history.len() > KEPT_HISTORY {
+            self.history.pop_front();
+        }
+        self.config = Config {
+            version,
+            digest: digest.clone(),
+            document: change.document,
+            author: change.author,
+            reason: change.reason,
+            time: change.time,
+        };
+        let answer = Answer::Done { version, digest };
+        self.keep(change.change, &answer);
+        answer
+    }
+
+    fn record(&mut self, index: u64, base: Version, mut record: Record) -> Answer {
+        let old = self.records.get(&record.group);
+        let version = old.map_or(0, |old| old.version);
+        if version != base {
+            return Answer::Conflict { version };
+        }
+        if let Some(old) = old {
+            // The configuration may have lowered it after the proposer read the record.
+            record.confirmations = record.confirmations.min(old.confirmations);
+        }
+        self.put(index, record)
+    }
+
+    fn plan(&mut self, index: u64, group: &str, planned: Planned) -> Answer {
+        if let Some(answer) = self.answered(&planned.change) {
+            return answer;
+        }
+        let Some(record) = self.records.get(group) else {
+            return Answer::Refused {
+                cause: format!("group {group} has no record yet"),
+            };
+        };
+        if record.state != GroupState::Stable || record.next != 0 {
+            return Answer::Refused {
+                cause: format!("group {group} is changing its primary"),
+            };
+        }
+        if let Some(name) = &planned.member {
+            if record.member(name).is_none() {
+                return Answer::Refused {
+                    cause: format!("{name} is no member of group {group}"),
+                };
+            }
+            if *name == record.primary {
+                let answer = Answer::Done {
+                    version: record.version,
+                    digest: String::new(),
+                };
+                self.keep(planned.change, &answer);
+                return answer;
+            }
+        }
+        let mut record = record.clone();
+        let change = planned.change.clone();
+        record.next = record.term + 1;
+        record.planned = Some(planned);
+        let answer = self.put(index, record);
+        self.keep(change, &answer);
+        answer
+    }
+
+    fn put(&mut self, index: u64, mut record: Record) -> Answer {
+        record.version = index;
+        self.version = index;
+        if record.state != GroupState::Stable {
+            self.fenced = index;
+        }
+        self.records.insert(record.group.clone(), record);
+        Answer::Done {
+            version: index,
+            digest: String::new(),
+        }
+    }
+}
+
+impl State {
+    /// Applies the bytes of a command and returns the bytes of its answer.
+    pub fn execute(&mut self, index: u64, payload: &[u8]) -> Vec<u8> {
+        match serde_json::from_slice(payload) {
+            Ok(command) => self.apply(index, command),
+            Err(cause) => {
+                self.applied = index;
+                Answer::Refused {
+                    cause: format!("the command can't be read: {cause}"),
+                }
+            }
+        }
+        .encode()
+    }
+
+    /// Bytes from which [`State::restore`] makes the same state.
+    ///
+    /// # Panics
+    /// Never: the state can always be written as JSON.
+    #[must_use]
+    pub fn snapshot(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("the state holds only string keys")
+    }
+
+    /// Replaces the state by a snapshot.
+    ///
+    /// # Panics
+    /// The bytes are no snapshot; the log has checked their checksum before.
+    pub fn restore(&mut self, bytes: &[u8]) {
+        *self = serde_json::from_slice(bytes)
+            .expect("a snapshot that passed its checksum was written by this program");
+    }
+}
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,121 @@
+//! Metrics of the daemon.
+
+use std::time::Duration;
+
+use prometheus::{
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+};
+
+/// Metrics of the daemon.
+#[derive(Debug)]
+pub struct Metrics {
+    /// All of them.
+    pub registry: Registry,
+    /// Renewals by result: granted or refused.
+    pub renewals: IntCounterVec,
+    /// Announcements taken in.
+    pub announcements: IntCounter,
+    /// Duration of each step of a promotion, in seconds.
+    pub steps: HistogramVec,
+    /// Promotions finished, by kind: failure, planned or first.
+    pub promotions: IntCounterVec,
+    /// Connections lent last per renewal, in total over the process's life.
+    pub lent: IntCounter,
+    /// 1 while this host leads.
+    pub leader: IntGauge,
+    /// Configuration version.
+    pub config: IntGauge,
+    /// Record version.
+    pub records: IntGauge,
+    /// Entry processes that hold a grant.
+    pub holders: IntGauge,
+}
+
+/// Upper bounds of the step durations; the target of the whole gap is 17 s.
+const BUCKETS: [f64; 11] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 17.0,
+];
+
+impl Metrics {
+    /// Makes and registers all metrics.
+    ///
+    /// # Panics
+    /// Never: every name is valid and used once.
+    #[must_use]
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str| IntCounter::new(name, help).expect("valid name");
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("valid name");
+        let counters = |name: &str, help: &str, label: &str| {
+            IntCounterVec::new(Opts::new(name, help), &[label]).expect("valid name")
+        };
+        let steps = HistogramOpts::new(
+            "goldcrestrail_promotion_step_seconds",
+            "Duration of each step of a promotion.",
+        );
+        let metrics = Self {
+            renewals: counters(
+                "goldcrestrail_renewals_total",
+                "Write lease renewals by result.",
+                "result",
+            ),
+            announcements: counter(
+                "goldcrestrail_announcements_total",
+                "Announcements taken in from entry processes.",
+            ),
+            steps: HistogramVec::new(steps.buckets(BUCKETS.to_vec()), &["step"])
+                .expect("valid name"),
+            promotions: counters(
+                "goldcrestrail_promotions_total",
+                "Promotions finished by kind.",
+                "kind",
+            ),
+            lent: counter(
+                "goldcrestrail_permits_lent_total",
+                "Connections lent to renewals.",
+            ),
+            leader: gauge("goldcrestrail_leader", "1 while this host leads."),
+            config: gauge(
+                "goldcrestrail_config_version",
+                "Configuration version applied.",
+            ),
+            records: gauge("goldcrestrail_record_version", "Record version applied."),
+            holders: gauge(
+                "goldcrestrail_lease_holders",
+                "Entry processes that hold a grant.",
+            ),
+            registry,
+        };
+        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+            Box::new(metrics.renewals.clone()),
+            Box::new(metrics.announcements.clone()),
+            Box::new(metrics.steps.clone()),
+            Box::new(metrics.promotions.clone()),
+            Box::new(metrics.lent.clone()),
+            Box::new(metrics.leader.clone()),
+            Box::new(metrics.config.clone()),
+            Box::new(metrics.records.clone()),
+            Box::new(metrics.holders.clone()),
+        ];
+        for collector in collectors {
+            metrics
+                .registry
+                .register(collector)
+                .expect("each name is used once");
+        }
+        metrics
+    }
+
+    /// Records the duration of a promotion's step.
+    pub fn step(&self, name: &str, took: Duration) {
+        self.steps
+            .with_label_values(&[name])
+            .observe(took.as_secs_f64());
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/crates/control/src/peers.rs
@@ -0,0 +1,175 @@
+//! Calls to the other control hosts.
+
+use std::{
+    cell::RefCell,
+    fmt,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{HostName, Map, Position, Version};
+use compio::{runtime::JoinHandle, time::timeout};
+use proto::schema::{gate, peer};
+
+use crate::upstream::{self, Status};
+
+/// Longest time for connecting to a peer.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Longest time for a call that the peer answers from memory.
+const CALL: Duration = Duration::from_millis(500);
+/// Longest time for a call during which the peer itself calls a database.
+const RELAYED: Duration = upstream::DEADLINE.saturating_add(CALL);
+
+struct Link {
+    client: peer::Client,
+    /// Drives the connection; dropping it closes it.
+    _task: JoinHandle<()>,
+}
+
+/// Connections to the other control hosts, made when needed.
+pub struct Peers {
+    host: IpAddr,
+    addresses: Vec<(HostName, SocketAddr)>,
+    links: RefCell<Map<HostName, Rc<Link>>>,
+}
+
+impl fmt::Debug for Peers {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Peers")
+            .field("addresses", &self.addresses)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Peers {
+    /// Makes calls from the address `host` to the named hosts; `me` is left out.
+    #[must_use]
+    pub fn new(host: IpAddr, me: &str, all: &[(HostName, SocketAddr)]) -> Self {
+        let addresses = all.iter().filter(|(name, _)| name != me).cloned().collect();
+        Self {
+            host,
+            addresses,
+            links: RefCell::default(),
+        }
+    }
+
+    /// The other control hosts.
+    pub fn names(&self) -> impl Iterator<Item = &HostName> {
+        self.addresses.iter().map(|(name, _)| name)
+    }
+
+    async fn link(&self, name: &str) -> Result<Rc<Link>, String> {
+        if let Some(link) = self.links.borrow().get(name) {
+            return Ok(Rc::clone(link));
+        }
+        let address = self
+            .addresses
+            .iter()
+            .find(|(n, _)| n == name)
+            .map(|(_, address)| *address);
+        let address = address.ok_or_else(|| format!("{name} is no peer"))?;
+        let stream = base::net::connect(self.host, address, CONNECT)
+            .await
+            .map_err(|cause| format!("{name} at {address}: {cause}"))?;
+        let (gate, driver) = proto::rpc::open::<gate::Client>(stream);
+        let task = compio::runtime::spawn(async move {
+            // The end of the connection shows in the calls that fail.
+            let _ended = driver.await;
+        });
+        let client = gate.peer_request().send().pipeline.get_peer();
+        let link = Rc::new(Link {
+            client,
+            _task: task,
+        });
+        self.links
+            .borrow_mut()
+            .insert(name.to_owned(), Rc::clone(&link));
+        Ok(link)
+    }
+
+    /// Runs one call; a connection whose call fails or is late is replaced by a new one next time.
+    async fn call<T>(
+        &self,
+        name: &str,
+        limit: Duration,
+        call: impl AsyncFnOnce(&peer::Client) -> Result<T, capnp::Error>,
+    ) -> Result<T, String> {
+        let link = self.link(name).await?;
+        let cause = match timeout(limit, call(&link.client)).await {
+            Ok(Ok(answer)) => return Ok(answer),
+            Ok(Err(cause)) => format!("{name}: {cause}"),
+            Err(_elapsed) => format!("{name}: no answer within {limit:?}"),
+        };
+        let mut links = self.links.borrow_mut();
+        if links
+            .get(name)
+            .is_some_and(|known| Rc::ptr_eq(known, &link))
+        {
+            links.remove(name);
+        }
+        Err(cause)
+    }
+
+    /// Asks whether a host holds no grant older than `version`; `None` when it can't know yet.
+    ///
+    /// # Errors
+    /// The host can't be reached.
+    pub async fn grants(&self, name: &str, version: Version) -> Result<Option<bool>, String> {
+        self.call(name, CALL, async |client| {
+            let mut request = client.grants_request();
+            request.get().set_version(version);
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            Ok(answer.get_known().then(|| answer.get_clear()))
+        })
+        .await
+    }
+
+    /// Reads the status of a database through a host.
+    ///
+    /// # Errors
+    /// The host or the database can't be reached.
+    pub async fn probe(&self, name: &str, address: &str) -> Result<Status, String> {
+        self.call(name, RELAYED, async |client| {
+            let mut request = client.probe_request();
+            request.get().set_address(address);
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            if !answer.get_reached() {
+                return Ok(None);
+            }
+            let status = answer.get_status()?;
+            let position = status.get_position()?;
+            Ok(Some(Status {
+                member: status.get_member()?.to_string()?,
+                store: status.get_store()?.to_string()?,
+                primary: status.get_primary(),
+                position: Position::new(position.get_term(), position.get_offset()),
+                following: status.get_following()?.to_string()?,
+            }))
+        })
+        .await?
+        .ok_or_else(|| format!("{name} can't reach {address} either"))
+    }
+
+    /// Sends a statement to a database through a host.
+    ///
+    /// # Errors
+    /// The host or the database can't be reached, or the database refuses.
+    pub async fn order(&self, name: &str, address: &str, statement: &str) -> Result<(), String> {
+        self.call(name, RELAYED, async |client| {
+            let mut request = client.order_request();
+            request.get().set_address(address);
+            request.get().set_statement(statement);
+            let response = request.send().promise.await?;
+            let answer = response.get()?;
+            Ok(if answer.get_done() {
+                Ok(())
+            } else {
+                Err(answer.get_cause()?.to_string()?)
+            })
+        })
+        .await?
+    }
+}
--- /dev/null
+++ b/crates/control/src/promotion.rs
@@ -0,0 +1,484 @@
+//! Changes of primary: one task per group on the leader.
+//!
+//! Every step starts from the record, so that another leader goes on where this one stopped.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Position, Term};
+use compio::time::{sleep, timeout};
+use futures_util::{
+    FutureExt as _, StreamExt as _,
+    future::{Either, join_all, select},
+    stream::FuturesUnordered,
+};
+
+use crate::{
+    directory::Announcement,
+    host::{Host, Timing, millis},
+    judge::{self, Verdict},
+    leases::LEASE,
+    log::{Log, LogError},
+    machine::{GroupState, Member, Record},
+    sweep, upstream,
+    upstream::Status,
+};
+
+/// Pause between attempts of a step that waits for others.
+const RETRY: Duration = Duration::from_millis(20);
+/// Pause between reads and orders that failed.
+const RETRY_UPSTREAM: Duration = Duration::from_millis(100);
+/// Pause between sweeps over a stable group.
+const SWEEP: Duration = Duration::from_secs(1);
+/// A promotion that can't be ordered within this time is given up for the next term.
+const ORDER: Duration = Duration::from_secs(3);
+/// Longest time that running transactions get before a planned change.
+const DRAIN: Duration = Duration::from_secs(5);
+/// Longest time that the target of a planned change gets to catch up after the fencing.
+const CATCH_UP: Duration = Duration::from_secs(2);
+/// Longest time of one round of reads.
+const READ: Duration = Duration::from_secs(2);
+/// Time after which a read that has no direct answer is also tried through the other hosts.
+const DIRECT: Duration = Duration::from_millis(200);
+
+/// Runs the changes of one group until this host does not lead any more.
+pub async fn drive<L: Log>(host: Rc<Host<L>>, group: String) {
+    let mut timing = Timing::default();
+    let suspect = host.suspect(&group);
+    loop {
+        let count = suspect.count();
+        let result = match host.record(&group) {
+            None => create(&host, &group).await,
+            Some(record) => match (record.state, record.next) {
+                (GroupState::Stable, 0) => watch(&host, &record, &mut timing).await,
+                (GroupState::Stable, _) => drain(&host, &record, &mut timing).await,
+                (GroupState::Fencing, _) => elect(&host, &record, &mut timing).await,
+                (GroupState::Promoting, _) => promote(&host, &record, &mut timing).await,
+            },
+        };
+        match result {
+            Ok(Step::Again) => {}
+            Ok(Step::Idle) => {
+                let _elapsed = timeout(SWEEP, suspect.after(count)).await;
+            }
+            Err(LogError::NotLeader(_)) => {
+                // The task is ended by its owner, or goes on when this host leads again.
+                sleep(RETRY_UPSTREAM).await;
+            }
+            Err(cause) => {
+                slog::warn!(host.logger, "step of a promotion has no answer of the log";
+                    "group" => &group, "cause" => %cause);
+                sleep(RETRY_UPSTREAM).await;
+            }
+        }
+    }
+}
+
+/// What the task does next.
+#[derive(Debug)]
+enum Step {
+    /// The record changed or the step is to be tried again.
+    Again,
+    /// Nothing is to be done until a second has passed or something speaks against the primary.
+    Idle,
+}
+
+/// First record of a group, once all its databases are there and every one has been read.
+async fn create<L: Log>(host: &Rc<Host<L>>, group: &str) -> Result<Step, LogError> {
+    let document = host.document();
+    let Some(service) = document
+        .services
+        .iter()
+        .find(|service| service.group == group)
+    else {
+        return Ok(Step::Idle);
+    };
+    let databases = usize::try_from(service.databases).unwrap_or(usize::MAX);
+    let announced: Vec<Announcement> = {
+        let directory = host.directory.borrow();
+        let present = directory.present(Instant::now(), group);
+        present.into_iter().take(databases).cloned().collect()
+    };
+    if announced.len() < databases {
+        return Ok(Step::Idle);
+    }
+    let members: Vec<_> = announced.iter().map(member).collect();
+    let addresses = members.iter().map(|member| member.address.clone());
+    let statuses = join_all(addresses.map(|address| probe(host, address))).await;
+    let statuses: Vec<Status> = statuses.into_iter().flatten().collect();
+    let complete = members.iter().all(|m| {
+        statuses
+            .iter()
+            .any(|s| s.member == m.member && s.store == m.store)
+    });
+    if !complete {
+        return Ok(Step::Idle);
+    }
+    // A group without a record whose databases hold data already goes on with them.
+    let top = statuses
+        .iter()
+        .map(|status| status.position)
+        .max()
+        .unwrap_or_default();
+    let first = match top {
+        Position { term: 0, offset: 0 } => members.first().map(|member| member.member.clone()),
+        top => statuses
+            .iter()
+            .find(|s| s.position == top)
+            .map(|s| s.member.clone()),
+    };
+    let record = Record {
+        group: group.to_owned(),
+        term: top.term,
+        state: GroupState::Promoting,
+        next: top.term + 1,
+        primary: first.unwrap_or_default(),
+        members,
+        confirmations: service.confirmations,
+        planned: None,
+        version: 0,
+    };
+    slog::info!(host.logger, "first record of a group"; "group" => group,
+        "primary" => &record.primary, "term" => record.next);
+    host.put(0, record).await?;
+    Ok(Step::Again)
+}
+
+/// Recorded form of an announced database.
+pub(crate) fn member(announcement: &Announcement) -> Member {
+    Member {
+        member: announcement.member.clone(),
+        store: announcement.store.clone(),
+        address: announcement.address.clone(),
+        zone: announcement.zone.clone(),
+        region: announcement.region.clone(),
+    }
+}
+
+/// Step 1: judges the primary whenever something speaks against it, and sweeps the members at the
+/// same time, because a sweep may wait for a silent member.
+async fn watch<L: Log>(
+    host: &Rc<Host<L>>,
+    record: &Record,
+    timing: &mut Timing,
+) -> Result<Step, LogError> {
+    let suspect = host.suspect(&record.group);
+    let mut sweep = std::pin::pin!(async {
+        let swept = sweep::sweep(host, record).await;
+        if matches!(swept, Ok(sweep::Swept::Done)) {
+            sleep(SWEEP).await;
+        }
+        swept
+    });
+    let (cause, detection) = loop {
+        let count = suspect.count();
+        let verdict = {
+            let sightings = host.sightings.borrow();
+            let observers = sightings.of(&record.group);
+            observers.map_or(Verdict::Stay, |o| judge::judge(Instant::now(), record, o))
+        };
+        if let Verdict::Failed { cause, detection } = verdict {
+            break (cause, Some(detection));
+        }
+        if host
+            .record(&record.group)
+            .is_none_or(|current| current.version != record.version)
+        {
+            return Ok(Step::Again);
+        }
+        let news = std::pin::pin!(suspect.after(count));
+        match select(&mut sweep, news).await {
+            Either::Left((swept, _news)) => match swept? {
+                sweep::Swept::Demoted(cause) => break (cause, None),
+                sweep::Swept::Changed | sweep::Swept::Done => return Ok(Step::Again),
+            },
+            Either::Right(((), _sweep)) => {}
+        }
+    };
+    *timing = Timing {
+        cause,
+        detection: detection.map(millis),
+        ..Timing::default()
+    };
+    slog::warn!(host.logger, "primary failed"; "group" => &record.group, "term" => record.term,
+        "member" => &record.primary, "cause" => &timing.cause);
+    fence(host, record, record.term + 1, timing).await
+}
+
+/// Planned change: gives running transactions time to finish, then fences.
+async fn drain<L: Log>(
+    host: &Rc<Host<L>>,
+    record: &Record,
+    timing: &mut Timing,
+) -> Result<Step, LogError> {
+    let start = Instant::now();
+    let cause = record
+        .planned
+        .as_ref()
+        .map(|planned| format!("planned change {}", planned.change));
+    *timing = Timing {
+        cause: cause.unwrap_or_default(),
+        ..Timing::default()
+    };
+    while start.elapsed() < DRAIN && !drained(host, record) {
+        sleep(RETRY).await;
+    }
+    timing.drain = Some(millis(start.elapsed()));
+    fence(host, record, record.next, timing).await
+}
+
+/// Whether every live entry process knows of the planned change and uses no connection to the
+/// primary.
+fn drained<L: Log>(host: &Host<L>, record: &Record) -> bool {
+    let now = Instant::now();
+    let directory = host.directory.borrow();
+    let mut live = directory
+        .entries()
+        .values()
+        .filter(|entry| now.duration_since(entry.at) < judge::LIVE);
+    live.all(|entry| {
+        entry.records >= record.version && entry.used.get(&record.primary).is_none_or(|n| *n == 0)
+    })
+}
+
+/// Step 2: commits that the term ends.
+async fn fence<L: Log>(
+    host: &Rc<Host<L>>,
+    record: &Record,
+    next: Term,
+    timing: &mut Timing,
+) -> Result<Step, LogError> {
+    let start = Instant::now();
+    fail::fail_point!("promotion-fence");
+    let fenced = Record {
+        state: GroupState::Fencing,
+        next,
+        ..record.clone()
+    };
+    host.put(record.version, fenced).await?;
+    timing.fencing = Some(millis(start.elapsed()));
+    Ok(Step::Again)
+}
+
+/// Steps 3 to 5: waits for the end of older leases, reads, chooses and commits the choice.
+async fn elect<L: Log>(
+    host: &Rc<Host<L>>,
+    record: &Record,
+    timing: &mut Timing,
+) -> Result<Step, LogError> {
+    let start = Instant::now();
+    released(host, record).await;
+    timing.leases = Some(millis(start.elapsed()));
+    fail::fail_point!("promotion-released");
+
+    let start = Instant::now();
+    let mut told = start;
+    let choice = loop {
+        let statuses = read(host, record).await;
+        let choice = judge::choose(record, &statuses);
+        let wait = judge::catching_up(record, &statuses) && start.elapsed() < CATCH_UP;
+        if let Some(choice) = choice.filter(|_| !wait) {
+            break choice;
+        }
+        // Without a leader the record may have been changed by another host.
+        if !host.log.is_leader(Instant::now()) {
+            return Err(LogError::NotLeader(host.log.leader()));
+        }
+        if !wait && told.elapsed() >= DRAIN {
+            told = Instant::now();
+            slog::warn!(host.logger, "too few members answer to choose a primary";
+                "group" => &record.group, "term" => record.next, "needed" => record.reads(),
+                "answered" => judge::counted(record, &statuses).len());
+        }
+        sleep(if wait { RETRY } else { RETRY_UPSTREAM }).await;
+    };
+    timing.reads = Some(millis(start.elapsed()));
+    fail::fail_point!("promotion-chosen");
+    let chosen = Record {
+        state: GroupState::Promoting,
+        primary: choice,
+        ..record.clone()
+    };
+    host.put(record.version, chosen).await?;
+    Ok(Step::Again)
+}
+
+/// Waits until a majority of control hosts hold no grant older than the record.
+async fn released<L: Log>(host: &Host<L>, record: &Record) {
+    let start = Instant::now();
+    loop {
+        let own = host
+            .leases
+            .borrow_mut()
+            .clear(Instant::now(), record.version);
+        let mut clear = usize::from(own == Some(true));
+        let mut asked: FuturesUnordered<_> = host
+            .peers
+            .names()
+            .map(|name| host.peers.grants(name, record.version))
+            .collect();
+        while clear < host.majority() {
+            match asked.next().await {
+                Some(Ok(Some(true))) => clear += 1,
+                Some(_) => {}
+                None => break,
+            }
+        }
+        if clear >= host.majority() {
+            return;
+        }
+        if start.elapsed() > 2 * LEASE {
+            slog::warn!(host.logger, "no majority of control hosts reports the end of old leases";
+                "group" => &record.group, "clear" => clear);
+            sleep(RETRY_UPSTREAM).await;
+        }
+        sleep(RETRY).await;
+    }
+}
+
+/// Reads the status of every recorded member, and returns early once all but the old primary
+/// have answered and suffice.
+async fn read<L: Log>(host: &Rc<Host<L>>, record: &Record) -> Vec<Status> {
+    let mut answers: FuturesUnordered<_> = record
+        .members
+        .iter()
+        .map(|member| probe(host, host.address(member)))
+        .collect();
+    let mut statuses = Vec::new();
+    let all = async {
+        while let Some(answer) = answers.next().await {
+            statuses.extend(answer);
+            let counted = judge::counted(record, &statuses);
+            let others = counted
+                .iter()
+                .filter(|(m, _)| m.member != record.primary)
+                .count();
+            if record.planned.is_none()
+                && others >= record.reads()
+                && others + 1 == record.members.len()
+            {
+                break;
+            }
+        }
+    };
+    let _elapsed = timeout(READ, all).await;
+    statuses
+}
+
+/// Reads a status directly, and also through the other control hosts when that fails or takes
+/// long. The first answer counts.
+pub(crate) async fn probe<L: Log>(host: &Host<L>, address: String) -> Option<Status> {
+    let mut direct = Box::pin(upstream::status(host.identity.host, &address));
+    let failed = match timeout(DIRECT, &mut direct).await {
+        Ok(Ok(status)) => return Some(status),
+        Ok(Err(_cause)) => true,
+        Err(_elapsed) => false,
+    };
+    let relayed = host
+        .peers
+        .names()
+        .map(|name| host.peers.probe(name, &address).boxed_local());
+    let mut attempts: FuturesUnordered<_> = relayed.collect();
+    if !failed {
+        attempts.push(direct);
+    }
+    while let Some(answer) = attempts.next().await {
+        if let Ok(status) = answer {
+            return Some(status);
+        }
+    }
+    None
+}
+
+/// Sends a statement directly, or through the other control hosts one after the other.
+///
+/// Sending twice is harmless: an order names its term.
+pub(crate) async fn order<L: Log>(
+    host: &Host<L>,
+    address: &str,
+    statement: &str,
+) -> Result<(), String> {
+    let cause = match upstream::order(host.identity.host, address, statement).await {
+        Ok(()) => return Ok(()),
+        Err(cause) => cause,
+    };
+    for name in host.peers.names() {
+        if host.peers.order(name, address, statement).await.is_ok() {
+            return Ok(());
+        }
+    }
+    Err(cause)
+}
+
+/// Steps 5 and 6: orders the promotion that the record names, and commits the new term.
+async fn promote<L: Log>(
+    host: &Rc<Host<L>>,
+    record: &Record,
+    timing: &mut Timing,
+) -> Result<Step, LogError> {
+    let start = Instant::now();
+    let Some(target) = record.member(&record.primary) else {
+        return fence(host, record, record.next + 1, timing).await;
+    };
+    let statement = format!("PROMOTE TERM {}", record.next);
+    let ordered = timeout(ORDER, async {
+        loop {
+            match order(host, &host.address(target), &statement).await {
+                Ok(()) => return Ok(()),
+                Err(cause) if cause.starts_with("55000") => return Err(cause),
+                Err(_cause) => sleep(RETRY_UPSTREAM).await,
+            }
+        }
+    });
+    let cause = match ordered.await {
+        Ok(Ok(())) => None,
+        Ok(Err(cause)) => Some(cause),
+        Err(_elapsed) => Some(format!("no answer within {ORDER:?}")),
+    };
+    if let Some(cause) = cause {
+        slog::warn!(host.logger, "promotion can't be ordered"; "group" => &record.group,
+            "member" => &record.primary, "term" => record.next, "cause" => cause);
+        // What failed is not planned any more: the next choice must not wait for its target.
+        let record = Record {
+            planned: None,
+            ..record.clone()
+        };
+        return fence(host, &record, record.next + 1, timing).await;
+    }
+    timing.order = Some(millis(start.elapsed()));
+    fail::fail_point!("promotion-ordered");
+
+    let start = Instant::now();
+    let stable = Record {
+        state: GroupState::Stable,
+        term: record.next,
+        next: 0,
+        planned: None,
+        ..record.clone()
+    };
+    if !host.put(record.version, stable).await? {
+        return Ok(Step::Again);
+    }
+    timing.commit = Some(millis(start.elapsed()));
+    let kind = match (&record.planned, record.term) {
+        (Some(_), _) => "planned",
+        (None, 0) => "first",
+        (None, _) => "failure",
+    };
+    host.metrics.promotions.with_label_values(&[kind]).inc();
+    let done = std::mem::take(timing);
+    host.timed(Timing {
+        group: record.group.clone(),
+        term: record.next,
+        member: record.primary.clone(),
+        cause: if done.cause.is_empty() {
+            kind.to_owned()
+        } else {
+            done.cause.clone()
+        },
+        ..done
+    });
+    Ok(Step::Again)
+}
--- /dev/null
+++ b/crates/control/src/sweep.rs
@@ -0,0 +1,177 @@
+//! Sweep over a stable group: members that must follow, and members that lost their disk.
+
+use std::{rc::Rc, time::Instant};
+
+use futures_util::future::join_all;
+
+use crate::{
+    directory::Announcement,
+    host::Host,
+    judge,
+    log::{Log, LogError},
+    machine::{Member, Record},
+    promotion::{member, order, probe},
+    sighting::Health,
+    upstream::Status,
+};
+
+/// One sweep in so many asks every member, because a sighting does not tell whom a replica follows.
+const FULL: u32 = 30;
+
+/// Result of a sweep.
+#[derive(Debug)]
+pub enum Swept {
+    /// The recorded primary answers but is not primary any more.
+    Demoted(String),
+    /// The record was changed.
+    Changed,
+    /// Nothing more is to be done.
+    Done,
+}
+
+/// Checks every member that entry processes do not report as being in order.
+///
+/// # Errors
+/// The log has no answer to a change of the record.
+pub async fn sweep<L: Log>(host: &Rc<Host<L>>, record: &Record) -> Result<Swept, LogError> {
+    let moved = moved(host, record);
+    let record = moved.as_ref().unwrap_or(record);
+    let newcomers = newcomers(host, record);
+    let full = moved.is_some() || !newcomers.is_empty() || rand::random_ratio(1, FULL);
+    let suspects: Vec<_> = record
+        .members
+        .iter()
+        .filter(|member| full || !in_order(host, record, member))
+        .map(|member| host.address(member))
+        .chain(newcomers.iter().map(|newcomer| newcomer.address.clone()))
+        .collect();
+    let statuses = join_all(suspects.iter().map(|address| probe(host, address.clone()))).await;
+    let statuses: Vec<_> = suspects
+        .into_iter()
+        .zip(statuses)
+        .filter_map(|(address, status)| Some((address, status?)))
+        .collect();
+    if let Some(cause) = statuses
+        .iter()
+        .find_map(|(_, status)| judge::demoted(record, status))
+    {
+        return Ok(Swept::Demoted(cause));
+    }
+    let primary = statuses
+        .iter()
+        .find(|(_, s)| s.member == record.primary)
+        .map(|(_, s)| s);
+    for (address, status) in &statuses {
+        let Some(statement) = judge::correction(record, status) else {
+            continue;
+        };
+        match order(host, address, &statement).await {
+            Ok(()) => slog::info!(host.logger, "member ordered to follow";
+                "group" => &record.group, "member" => &status.member, "term" => record.term),
+            Err(cause) => slog::warn!(host.logger, "member can't be ordered to follow";
+                "group" => &record.group, "member" => &status.member, "cause" => cause),
+        }
+    }
+    let changed = primary.and_then(|primary| {
+        let answers = statuses.iter().map(|(_, status)| status);
+        readmitted(record, primary, answers, &newcomers)
+    });
+    let changed = changed.or_else(|| moved.clone());
+    if let Some(changed) = changed {
+        slog::info!(host.logger, "members of a group changed"; "group" => &record.group,
+            "members" => ?changed.members);
+        return Ok(if host.put(record.version, changed).await? {
+            Swept::Changed
+        } else {
+            Swept::Done
+        });
+    }
+    Ok(Swept::Done)
+}
+
+/// Whether a fresh sighting shows a member in its recorded role and term.
+fn in_order<L: Log>(host: &Host<L>, record: &Record, member: &Member) -> bool {
+    let now = Instant::now();
+    let sightings = host.sightings.borrow();
+    let Some(observers) = sightings.of(&record.group) else {
+        return false;
+    };
+    let mut seen = observers
+        .values()
+        .filter(|o| now.duration_since(o.at) < judge::LIVE)
+        .filter_map(|o| o.members.get(&member.member))
+        .filter(|seen| seen.health == Health::Ok)
+        .peekable();
+    seen.peek().is_some()
+        && seen.all(|seen| {
+            seen.position.term == record.term && seen.primary == (member.member == record.primary)
+        })
+}
+
+/// Announced members with a store that the record does not name: replacements of recorded ones,
+/// and additional ones while the record has fewer than configured.
+fn newcomers<L: Log>(host: &Host<L>, record: &Record) -> Vec<Announcement> {
+    let document = host.document();
+    let service = document
+        .services
+        .iter()
+        .find(|service| service.group == record.group);
+    let databases = service.map_or(0, |service| service.databases);
+    let missing = usize::try_from(databases)
+        .unwrap_or(0)
+        .saturating_sub(record.members.len());
+    let directory = host.directory.borrow();
+    let present = directory.present(Instant::now(), &record.group);
+    let (known, new): (Vec<_>, Vec<_>) = present
+        .into_iter()
+        .partition(|a| record.member(&a.member).is_some());
+    let replaced = known.into_iter().filter(|a| {
+        record
+            .member(&a.member)
+            .is_some_and(|member| member.store != a.store)
+    });
+    replaced
+        .chain(new.into_iter().take(missing))
+        .cloned()
+        .collect()
+}
+
+/// Record with the newcomers that follow the primary of the term and cover its position, which
+/// was read first.
+fn readmitted<'a>(
+    record: &Record,
+    primary: &Status,
+    answers: impl Iterator<Item = &'a Status>,
+    newcomers: &[Announcement],
+) -> Option<Record> {
+    let mut changed = record.clone();
+    for status in answers {
+        let Some(newcomer) = newcomers
+            .iter()
+            .find(|a| a.member == status.member && a.store == status.store)
+        else {
+            continue;
+        };
+        if newcomer.member == record.primary
+            || status.primary
+            || !status.position.covers(primary.position)
+        {
+            continue;
+        }
+        changed
+            .members
+            .retain(|known| known.member != newcomer.member);
+        changed.members.push(member(newcomer));
+    }
+    changed.members.sort_by(|a, b| a.member.cmp(&b.member));
+    (changed.members != record.members).then_some(changed)
+}
+
+/// Record with the announced addresses of members that moved with their store.
+fn moved<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
+    let mut changed = record.clone();
+    for member in &mut changed.members {
+        member.address = host.address(member);
+    }
+    (changed.members != record.members).then_some(changed)
+}
