--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -170,6 +170,8 @@
     },
     /// The command can't be done in this state.
     Refused {
+        /// Argument that is wrong; empty when the state does not allow it now.
+        field: String,
         /// Why.
         cause: String,
     },
@@ -180,6 +182,7 @@
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Self {
         serde_json::from_slice(bytes).unwrap_or_else(|cause| Self::Refused {
+            field: String::new(),
             cause: format!("the answer of the log can't be read: {cause}"),
         })
     }
@@ -333,20 +336,14 @@
             return answer;
         }
         let Some(record) = self.records.get(group) else {
-            return Answer::Refused {
-                cause: format!("group {group} has no record yet"),
-            };
+            return Answer::Refused { field: "group".into(), cause: format!("group {group} has no record yet") };
         };
         if record.state != GroupState::Stable || record.next != 0 {
-            return Answer::Refused {
-                cause: format!("group {group} is changing its primary"),
-            };
+            return Answer::Refused { field: String::new(), cause: format!("group {group} is changing its primary") };
         }
         if let Some(name) = &planned.member {
             if record.member(name).is_none() {
-                return Answer::Refused {
-                    cause: format!("{name} is no member of group {group}"),
-                };
+                return Answer::Refused { field: "member".into(), cause: format!("{name} is no member of group {group}") };
             }
             if *name == record.primary {
                 let answer = Answer::Done {
@@ -388,6 +385,7 @@
             Err(cause) => {
                 self.applied = index;
                 Answer::Refused {
+                    field: "command".into(),
                     cause: format!("the command can't be read: {cause}"),
                 }
             }
--- /dev/null
+++ b/crates/control/tests/common/mod.rs
@@ -0,0 +1,529 @@
+//! Fakes for the tests: a log in memory, a database over loopback, and a set of control hosts.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part of the fakes")]
+
+use std::{
+    cell::{Cell, RefCell},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{HostName, Position};
+use capnp::Error;
+use compio::{
+    net::{TcpListener, TcpStream},
+    runtime::JoinHandle,
+    time::sleep,
+};
+use control::{
+    directory::Announcement,
+    gate, lead,
+    host::{Host, Identity, Renewal},
+    log::{Applied, Log, LogError},
+    machine::{Answer, Change, Command, Record, State},
+    notify::Notify,
+    sighting::{Health, Sighting},
+};
+use proto::schema::peer;
+use serde_json::{Value, json};
+use wire::{Front, Opening, Reader, Writer, reply};
+
+/// A log in memory that all hosts of a test share; every proposal commits at once.
+#[derive(Debug, Default)]
+pub struct Shared {
+    pub commands: RefCell<Vec<Vec<u8>>>,
+    pub leader: RefCell<Option<HostName>>,
+    pub term: Cell<u64>,
+    /// Commits nothing while set.
+    pub stuck: Cell<bool>,
+    changed: Notify,
+    states: RefCell<Vec<Rc<RefCell<State>>>>,
+}
+
+impl Shared {
+    pub fn lead(&self, name: &str) {
+        *self.leader.borrow_mut() = Some(name.to_owned());
+        self.term.set(self.term.get() + 1);
+        self.changed.notify();
+    }
+
+    fn commit(&self, payload: Vec<u8>) -> Applied {
+        self.commands.borrow_mut().push(payload.clone());
+        let index = u64::try_from(self.commands.borrow().len()).unwrap();
+        let mut answer = Vec::new();
+        for state in self.states.borrow().iter() {
+            answer = state.borrow_mut().execute(index, &payload);
+        }
+        self.changed.notify();
+        (index, answer)
+    }
+}
+
+/// One host's end of the [`Shared`] log.
+#[derive(Debug)]
+pub struct FakeLog {
+    name: HostName,
+    shared: Rc<Shared>,
+    state: Rc<RefCell<State>>,
+    /// Entries that look stored but not applied.
+    pub ahead: Cell<u64>,
+}
+
+impl FakeLog {
+    /// Joins the log; the state is made from the commands so far, as after a restart.
+    pub fn join(name: &str, shared: &Rc<Shared>) -> (Self, Rc<RefCell<State>>) {
+        let mut state = State::default();
+        for (index, payload) in (1..).zip(shared.commands.borrow().iter()) {
+            state.execute(index, payload);
+        }
+        let state = Rc::new(RefCell::new(state));
+        shared.states.borrow_mut().push(Rc::clone(&state));
+        let log = Self {
+            name: name.to_owned(),
+            shared: Rc::clone(shared),
+            state: Rc::clone(&state),
+            ahead: Cell::new(0),
+        };
+        (log, state)
+    }
+
+    fn leads(&self) -> bool {
+        self.shared.leader.borrow().as_deref() == Some(&self.name)
+    }
+}
+
+impl Log for FakeLog {
+    async fn propose(&self, payload: Vec<u8>) -> Result<Applied, LogError> {
+        if !self.leads() {
+            return Err(LogError::NotLeader(self.leader()));
+        }
+        if self.shared.stuck.get() {
+            return Err(LogError::Unknown);
+        }
+        Ok(self.shared.commit(payload))
+    }
+
+    async fn forward(&self, payload: Vec<u8>) -> Result<Applied, LogError> {
+        if self.leader().is_none() {
+            return Err(LogError::NotLeader(None));
+        }
+        if self.shared.stuck.get() {
+            return Err(LogError::Unknown);
+        }
+        Ok(self.shared.commit(payload))
+    }
+
+    async fn barrier(&self) -> Result<(), LogError> {
+        if self.leads() { Ok(()) } else { Err(LogError::NotLeader(self.leader())) }
+    }
+
+    fn is_leader(&self, _now: Instant) -> bool {
+        self.leads()
+    }
+
+    fn leader(&self) -> Option<HostName> {
+        self.shared.leader.borrow().clone()
+    }
+
+    fn applied(&self) -> u64 {
+        self.state.borrow().applied
+    }
+
+    fn stored(&self) -> u64 {
+        self.applied() + self.ahead.get()
+    }
+
+    fn term(&self) -> u64 {
+        self.shared.term.get()
+    }
+
+    fn contact(&self, _now: Instant) -> Duration {
+        Duration::ZERO
+    }
+
+    async fn changed(&self) {
+        self.shared.changed.after(self.shared.changed.count()).await;
+    }
+
+    fn dump(&self) -> Value {
+        json!({ "term": self.shared.term.get() })
+    }
+
+    async fn stop(&self) {}
+
+    async fn vote(&self, _: peer::VoteParams, _: peer::VoteResults) -> Result<(), Error> {
+        Err(Error::unimplemented("the fake log has no votes".into()))
+    }
+
+    async fn append(&self, _: peer::AppendParams, _: peer::AppendResults) -> Result<(), Error> {
+        Err(Error::unimplemented("the fake log has no replication".into()))
+    }
+
+    async fn snapshot(
+        &self,
+        _: peer::SnapshotParams,
+        _: peer::SnapshotResults,
+    ) -> Result<(), Error> {
+        Err(Error::unimplemented("the fake log has no snapshots".into()))
+    }
+}
+
+/// State of a fake database.
+#[derive(Debug, Clone, Default)]
+pub struct Database {
+    pub member: String,
+    pub store: String,
+    pub primary: bool,
+    pub position: Position,
+    pub following: String,
+    /// Refuses connections.
+    pub refused: bool,
+    /// Accepts connections and never answers.
+    pub silent: bool,
+    /// Refuses connections once it has executed a PROMOTE.
+    pub dies_promoted: bool,
+    /// Statements executed.
+    pub orders: Vec<String>,
+}
+
+/// A database over loopback that speaks the management statements.
+#[derive(Debug)]
+pub struct FakeMember {
+    pub state: Rc<RefCell<Database>>,
+    pub address: SocketAddr,
+    _task: JoinHandle<()>,
+}
+
+impl FakeMember {
+    pub async fn start(member: &str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let state = Rc::new(RefCell::new(Database {
+            member: member.to_owned(),
+            store: format!("store-{member}"),
+            ..Database::default()
+        }));
+        let shared = Rc::clone(&state);
+        let task = compio::runtime::spawn(async move {
+            loop {
+                let (stream, _from) = listener.accept().await.unwrap();
+                if shared.borrow().refused {
+                    continue;
+                }
+                let shared = Rc::clone(&shared);
+                compio::runtime::spawn(async move {
+                    let _ended = talk(stream, shared).await;
+                })
+                .detach();
+            }
+        });
+        Self { state, address, _task: task }
+    }
+
+    pub fn announcement(&self, group: &str, zone: &str) -> Announcement {
+        let state = self.state.borrow();
+        Announcement {
+            member: state.member.clone(),
+            group: group.to_owned(),
+            store: state.store.clone(),
+            address: self.address.to_string(),
+            zone: zone.to_owned(),
+            region: "r".to_owned(),
+            connections: 16,
+            slots: 2,
+            leaving: false,
+        }
+    }
+
+    pub fn promoted(&self) -> Vec<String> {
+        let state = self.state.borrow();
+        state.orders.iter().filter(|o| o.starts_with("PROMOTE")).cloned().collect()
+    }
+}
+
+async fn talk(stream: TcpStream, state: Rc<RefCell<Database>>) -> Option<()> {
+    let (read, write) = stream.into_split();
+    let (mut reader, mut writer) = (Reader::new(read, 1 << 20), Writer::new(write));
+    let Some(Opening::Startup(_)) = reader.opening().await.ok()? else { return None };
+    writer.parts(b'R', &0_i32.to_be_bytes());
+    writer.message(&reply::ready(idle())).ok()?;
+    writer.flush().await.ok()?;
+    while let Some(frame) = reader.next().await.ok()? {
+        let Ok(Front::Query(sql)) = Front::parse(&frame) else { return None };
+        if state.borrow().silent {
+            std::future::pending::<()>().await;
+        }
+        let answer = execute(&mut state.borrow_mut(), &sql);
+        match answer {
+            Ok(Some(row)) => {
+                let mut body = i16::try_from(row.len()).unwrap().to_be_bytes().to_vec();
+                for value in row {
+                    body.extend(i32::try_from(value.len()).unwrap().to_be_bytes());
+                    body.extend(value.as_bytes());
+                }
+                writer.parts(b'D', &body);
+                writer.message(&reply::complete("SHOW")).ok()?;
+            }
+            Ok(None) => writer.message(&reply::complete("DONE")).ok()?,
+            Err(cause) => writer.message(&reply::error("55000", &cause, "")).ok()?,
+        }
+        writer.message(&reply::ready(idle())).ok()?;
+        writer.flush().await.ok()?;
+    }
+    None
+}
+
+fn idle() -> wire::pg::response::TransactionStatus {
+    wire::pg::response::TransactionStatus::Idle
+}
+
+fn execute(state: &mut Database, sql: &str) -> Result<Option<Vec<String>>, String> {
+    if sql == "SHOW upstream_status" {
+        let role = if state.primary { "primary" } else { "replica" };
+        return Ok(Some(vec![
+            state.member.clone(),
+            state.store.clone(),
+            role.to_owned(),
+            state.position.term.to_string(),
+            state.position.offset.to_string(),
+            state.following.clone(),
+        ]));
+    }
+    let term: u64 = sql.rsplit(' ').next().unwrap().parse().unwrap();
+    if sql.starts_with("PROMOTE") {
+        if term <= state.position.term && !(state.primary && term == state.position.term) {
+            return Err("the term is not newer".into());
+        }
+        state.primary = true;
+        state.following.clear();
+        state.refused |= state.dies_promoted;
+    } else {
+        if term < state.position.term {
+            return Err("the term is older".into());
+        }
+        state.primary = false;
+        sql.split('\'').nth(1).unwrap().clone_into(&mut state.following);
+    }
+    state.position.term = term;
+    state.orders.push(sql.to_owned());
+    Ok(None)
+}
+
+/// A control host that serves RPC over loopback.
+#[derive(Debug)]
+pub struct Running {
+    pub host: Rc<Host<FakeLog>>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Ends its tasks, as a crash would.
+    pub fn crash(&mut self) {
+        self.tasks.clear();
+    }
+}
+
+/// Start times in the past, so that hosts do not wait for grants from before their start.
+pub fn long_ago() -> Instant {
+    Instant::now().checked_sub(Duration::from_secs(60)).unwrap()
+}
+
+/// Three control hosts with one log.
+#[derive(Debug)]
+pub struct Cluster {
+    pub shared: Rc<Shared>,
+    pub hosts: Vec<Running>,
+    addresses: Vec<(HostName, SocketAddr)>,
+}
+
+impl Cluster {
+    /// Starts three hosts; the first leads.
+    pub async fn start() -> Self {
+        let mut listeners = Vec::new();
+        for _ in 0..3 {
+            listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
+        }
+        let addresses = listeners.iter().enumerate();
+        let addresses: Vec<_> =
+            addresses.map(|(i, l)| (format!("c{i}"), l.local_addr().unwrap())).collect();
+        let mut cluster = Self { shared: Rc::default(), hosts: Vec::new(), addresses };
+        for (i, listener) in listeners.into_iter().enumerate() {
+            let running = cluster.run(i, listener, long_ago());
+            cluster.hosts.push(running);
+        }
+        cluster.shared.lead("c0");
+        cluster
+    }
+
+    fn run(&self, i: usize, listener: TcpListener, now: Instant) -> Running {
+        let name = format!("c{i}");
+        let (log, state) = FakeLog::join(&name, &self.shared);
+        let identity = Identity {
+            name,
+            zone: format!("z{i}"),
+            host: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            peers: self.addresses.clone(),
+        };
+        let host = Host::new(now, identity, log, state, base::log::silent());
+        let tasks = vec![
+            compio::runtime::spawn(gate::serve(Rc::clone(&host), listener)),
+            compio::runtime::spawn(lead::lead(Rc::clone(&host))),
+            compio::runtime::spawn(lead::follow(Rc::clone(&host))),
+            compio::runtime::spawn(lead::expire(Rc::clone(&host))),
+        ];
+        Running { host, tasks }
+    }
+
+    /// Restarts host `i`, which knows only what the log holds.
+    pub async fn restart(&mut self, i: usize, now: Instant) {
+        self.hosts[i].crash();
+        sleep(Duration::from_millis(5)).await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        self.hosts[i] = self.run(i, listener, now);
+    }
+
+    pub fn leader(&self) -> &Rc<Host<FakeLog>> {
+        let leader = self.shared.leader.borrow().clone().unwrap();
+        &self.hosts.iter().find(|running| running.host.identity.name == leader).unwrap().host
+    }
+
+    pub fn record(&self) -> Option<Record> {
+        self.leader().record("g")
+    }
+
+    /// Puts a configuration with one service of group `g` in force.
+    pub fn configure(&self) {
+        let document = "[[service]]\nname = \"s\"\ngroup = \"g\"\n";
+        let answer = self.shared.commit(configure("first", 0, document).encode()).1;
+        assert!(matches!(Answer::decode(&answer), Answer::Done { .. }));
+    }
+
+    /// Sends the renewal of an entry process to every host, and returns who granted.
+    pub fn renew(&self, renewal: &Renewal) -> Vec<bool> {
+        let now = Instant::now();
+        self.hosts.iter().map(|r| r.host.renew(now, renewal.clone()).granted).collect()
+    }
+}
+
+pub fn configure(change: &str, base: u64, document: &str) -> Command {
+    Command::Configure(Change {
+        change: change.to_owned(),
+        base,
+        document: document.to_owned(),
+        author: "anna".to_owned(),
+        reason: "test".to_owned(),
+        time: 1,
+        confirmations: [("g".to_owned(), 2)].into(),
+    })
+}
+
+/// Three databases of group `g` with the entry processes that watch them.
+#[derive(Debug)]
+pub struct Group {
+    pub members: Vec<FakeMember>,
+}
+
+impl Group {
+    pub async fn start() -> Self {
+        let mut members = Vec::new();
+        for name in ["a", "b", "c"] {
+            members.push(FakeMember::start(name).await);
+        }
+        Self { members }
+    }
+
+    pub fn announcements(&self) -> Vec<(Announcement, Duration)> {
+        let members = self.members.iter().enumerate();
+        members
+            .map(|(i, m)| (m.announcement("g", &format!("z{i}")), Duration::ZERO))
+            .collect()
+    }
+
+    /// Renewal of entry process `i`, which sees every member as `sees` says.
+    pub fn renewal(&self, i: usize, records: u64, sees: impl Fn(&Database) -> Health) -> Renewal {
+        let sightings = self.members.iter().map(|member| {
+            let state = member.state.borrow();
+            let health = sees(&state);
+            let since = if health == Health::Ok { 0 } else { 1_600 };
+            let sighting = Sighting {
+                health,
+                since: Duration::from_millis(since),
+                position: state.position,
+                primary: state.primary,
+            };
+            ("g".to_owned(), state.member.clone(), sighting)
+        });
+        Renewal {
+            entry: format!("e{i}"),
+            zone: format!("z{}", i % 3),
+            run: 1,
+            records,
+            config: 1,
+            announcements: self.announcements(),
+            sightings: sightings.collect(),
+            ..Renewal::default()
+        }
+    }
+
+    /// Healthy databases as they are.
+    pub fn truth(database: &Database) -> Health {
+        if database.refused {
+            Health::Refused
+        } else if database.silent {
+            Health::Silent
+        } else {
+            Health::Ok
+        }
+    }
+
+    /// Renews as three live entry processes that know the newest record.
+    pub fn observe(&self, cluster: &Cluster) {
+        let records = cluster.leader().state.borrow().version;
+        for i in 0..3 {
+            cluster.renew(&self.renewal(i, records, Self::truth));
+        }
+    }
+}
+
+/// Observes every 50 ms until `done`, for at most `limit`.
+pub async fn until(
+    cluster: &Cluster,
+    group: &Group,
+    limit: Duration,
+    done: impl Fn() -> bool,
+) -> Duration {
+    let start = Instant::now();
+    while !done() {
+        assert!(start.elapsed() < limit, "not within {limit:?}: {:?}", cluster.record());
+        group.observe(cluster);
+        sleep(Duration::from_millis(50)).await;
+    }
+    start.elapsed()
+}
+
+/// A cluster with a stable group in term 1 whose primary is `a`, and all at offset 10.
+pub async fn stable() -> (Cluster, Group) {
+    let cluster = Cluster::start().await;
+    let group = Group::start().await;
+    cluster.configure();
+    until(&cluster, &group, Duration::from_secs(5), || settled(&cluster, &group)).await;
+    for member in &group.members {
+        member.state.borrow_mut().position.offset = 10;
+    }
+    (cluster, group)
+}
+
+/// Whether the record is stable and every living member is in its role.
+pub fn settled(cluster: &Cluster, group: &Group) -> bool {
+    let Some(record) = cluster.record() else { return false };
+    record.state == control::machine::GroupState::Stable
+        && record.next == 0
+        && group.members.iter().all(|member| {
+            let state = member.state.borrow();
+            state.refused
+                || state.silent
+                || (state.position.term == record.term
+                    && state.primary == (state.member == record.primary))
+        })
+}
--- /dev/null
+++ b/crates/control/tests/promotion.rs
@@ -0,0 +1,307 @@
+//! Promotion against databases over loopback, with three control hosts over RPC.
+
+mod common;
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::Position;
+use common::{Cluster, Group, long_ago, settled, stable, until};
+use compio::time::sleep;
+use control::{
+    machine::{Command, GroupState, Planned},
+    sighting::Health,
+};
+use rstest::rstest;
+
+const LIMIT: Duration = Duration::from_secs(12);
+
+/// Guards against a first record that names no primary or leaves replicas without one.
+#[compio::test]
+async fn first_record_promotes_first_member_and_others_follow() {
+    let (cluster, group) = stable().await;
+
+    let record = cluster.record().unwrap();
+    assert_eq!((record.term, record.primary.as_str()), (1, "a"));
+    assert_eq!(record.members.len(), 3);
+    assert_eq!(group.members[0].promoted(), ["PROMOTE TERM 1"]);
+    let primary = group.members[0].address.to_string();
+    assert_eq!(group.members[1].state.borrow().following, primary);
+}
+
+/// Guards against the loss of acknowledged writes: the most advanced member must be chosen.
+#[compio::test]
+async fn refused_primary_is_replaced_at_once_by_most_advanced_member() {
+    let (cluster, group) = stable().await;
+    group.members[2].state.borrow_mut().position.offset = 12;
+    group.members[0].state.borrow_mut().refused = true;
+
+    let took = until(&cluster, &group, LIMIT, || {
+        cluster.record().unwrap().term == 2 && settled(&cluster, &group)
+    })
+    .await;
+
+    let record = cluster.record().unwrap();
+    assert_eq!(record.primary, "c");
+    assert!(took < Duration::from_millis(1_500), "took {took:?}");
+    let timings = cluster.leader().timings.borrow();
+    let timing = timings.back().unwrap();
+    assert!(timing.detection.is_some() && timing.fencing.is_some() && timing.leases.is_some());
+    assert!(timing.reads.is_some() && timing.order.is_some());
+}
+
+/// Guards against a failover on the word of one entry process that is cut off itself.
+#[compio::test]
+async fn one_observer_cut_off_changes_nothing() {
+    let (cluster, group) = stable().await;
+    let version = cluster.record().unwrap().version;
+
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(2) {
+        group.observe(&cluster);
+        cluster.renew(&group.renewal(0, version, |_| Health::Silent));
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    assert_eq!(cluster.record().unwrap().version, version);
+}
+
+/// Guards against a leader that stops between the steps: the next one goes on from the record.
+#[rstest]
+#[case::fencing(GroupState::Fencing)]
+#[case::promoting(GroupState::Promoting)]
+#[compio::test]
+async fn new_leader_goes_on_from_record(#[case] state: GroupState) {
+    let (mut cluster, group) = stable().await;
+    let mut record = cluster.record().unwrap();
+    cluster.hosts[0].crash();
+    group.members[0].state.borrow_mut().refused = true;
+    let base = record.version;
+    record.state = state;
+    record.next = 2;
+    if state == GroupState::Promoting {
+        record.primary = "b".to_owned();
+    }
+    let command = Command::Record { base, record };
+    control::log::Log::propose(&cluster.leader().log, command.encode()).await.unwrap();
+
+    cluster.restart(0, long_ago()).await;
+    cluster.shared.lead("c1");
+    until(&cluster, &group, LIMIT, || {
+        cluster.record().unwrap().term == 2 && settled(&cluster, &group)
+    })
+    .await;
+
+    let promoted = group.members.iter().map(|m| m.promoted().len()).sum::<usize>();
+    assert_eq!(promoted, 2, "one promotion in term 1 and one in term 2");
+}
+
+/// Guards against two primaries in one term when a crash hits after the order was executed.
+#[compio::test]
+async fn executed_order_is_repeated_to_same_member() {
+    let (mut cluster, group) = stable().await;
+    let mut record = cluster.record().unwrap();
+    cluster.hosts[0].crash();
+    let base = record.version;
+    record.state = GroupState::Promoting;
+    record.next = 2;
+    record.primary = "b".to_owned();
+    let command = Command::Record { base, record };
+    control::log::Log::propose(&cluster.leader().log, command.encode()).await.unwrap();
+    group.members[1].state.borrow_mut().position = Position::new(2, 10);
+    group.members[1].state.borrow_mut().primary = true;
+
+    cluster.restart(0, long_ago()).await;
+    cluster.shared.lead("c2");
+    until(&cluster, &group, LIMIT, || settled(&cluster, &group)).await;
+
+    let record = cluster.record().unwrap();
+    assert_eq!((record.term, record.primary.as_str()), (2, "b"));
+}
+
+/// Guards against a group without primary when the promoted member dies at once.
+#[compio::test]
+async fn candidate_that_dies_after_order_is_replaced() {
+    let (cluster, group) = stable().await;
+    group.members[1].state.borrow_mut().position.offset = 11;
+    group.members[1].state.borrow_mut().dies_promoted = true;
+    group.members[0].state.borrow_mut().refused = true;
+
+    until(&cluster, &group, LIMIT, || cluster.record().unwrap().term == 2).await;
+    // With one of three left nothing may be promoted until another one comes back.
+    group.members[0].state.borrow_mut().refused = false;
+    until(&cluster, &group, LIMIT, || {
+        cluster.record().unwrap().term >= 3 && settled(&cluster, &group)
+    })
+    .await;
+
+    assert_ne!(cluster.record().unwrap().primary, "b");
+}
+
+/// Guards against an old primary that comes back and goes on serving its term.
+#[compio::test]
+async fn old_primary_that_comes_back_is_ordered_to_follow() {
+    let (cluster, group) = stable().await;
+    group.members[0].state.borrow_mut().refused = true;
+    until(&cluster, &group, LIMIT, || cluster.record().unwrap().term == 2).await;
+
+    group.members[0].state.borrow_mut().refused = false;
+    until(&cluster, &group, LIMIT, || settled(&cluster, &group)).await;
+
+    assert!(!group.members[0].state.borrow().primary);
+    assert_eq!(group.members[0].state.borrow().position.term, 2);
+}
+
+/// Guards against counting a member that lost its disk before it holds everything again.
+#[compio::test]
+async fn member_with_lost_disk_counts_only_when_it_has_caught_up() {
+    let (cluster, group) = stable().await;
+    {
+        let mut state = group.members[2].state.borrow_mut();
+        state.store = "new".to_owned();
+        state.position = Position::default();
+        state.following.clear();
+    }
+
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(2_500) {
+        group.observe(&cluster);
+        sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(cluster.record().unwrap().member("c").unwrap().store, "store-c");
+    assert_eq!(group.members[2].state.borrow().following, group.members[0].address.to_string());
+    group.members[2].state.borrow_mut().position.offset = 10;
+    until(&cluster, &group, LIMIT, || {
+        cluster.record().unwrap().member("c").unwrap().store == "new"
+    })
+    .await;
+
+    assert_eq!(cluster.record().unwrap().term, 1);
+}
+
+/// Guards against a primary that lost its disk and is still taken for the primary.
+#[compio::test]
+async fn primary_with_lost_disk_is_replaced() {
+    let (cluster, group) = stable().await;
+    {
+        let mut state = group.members[0].state.borrow_mut();
+        state.store = "new".to_owned();
+        state.position = Position::default();
+        state.primary = false;
+    }
+
+    until(&cluster, &group, LIMIT, || cluster.record().unwrap().term == 2).await;
+
+    assert_ne!(cluster.record().unwrap().primary, "a");
+}
+
+/// Guards against a promotion before the leases of a silent holder have ended.
+#[compio::test]
+async fn silent_lease_holder_delays_promotion_for_two_seconds() {
+    let (cluster, group) = stable().await;
+    let version = cluster.record().unwrap().version;
+    let mut dead = group.renewal(7, version, Group::truth);
+    dead.sightings.clear();
+    assert_eq!(cluster.renew(&dead), [true, true, true]);
+    let granted = Instant::now();
+    group.members[0].state.borrow_mut().refused = true;
+
+    until(&cluster, &group, LIMIT, || {
+        group.members[1..].iter().any(|member| !member.promoted().is_empty())
+    })
+    .await;
+
+    let waited = granted.elapsed();
+    assert!(waited >= Duration::from_secs(2), "promoted after {waited:?}");
+    assert!(waited < Duration::from_secs(4), "promoted after {waited:?}");
+}
+
+/// Guards against a planned change that does not reach the member asked for.
+#[compio::test]
+async fn planned_change_moves_primary() {
+    let (cluster, group) = stable().await;
+    let planned = Planned { change: "move".to_owned(), member: Some("c".to_owned()) };
+    let command = Command::Plan { group: "g".to_owned(), planned };
+
+    control::log::Log::propose(&cluster.leader().log, command.encode()).await.unwrap();
+    until(&cluster, &group, LIMIT, || {
+        cluster.record().unwrap().term == 2 && settled(&cluster, &group)
+    })
+    .await;
+
+    assert_eq!(cluster.record().unwrap().primary, "c");
+}
+
+/// Guards against a planned change that interrupts a transaction that could have finished.
+#[compio::test]
+async fn planned_change_waits_for_running_transactions() {
+    let (cluster, group) = stable().await;
+    let busy = |used, records| {
+        let mut renewal = group.renewal(8, records, Group::truth);
+        renewal.demands = vec![control::host::Demand { member: "a".to_owned(), used, wanted: 1 }];
+        cluster.renew(&renewal);
+    };
+    busy(1, cluster.record().unwrap().version);
+    let planned = Planned { change: "move".to_owned(), member: None };
+    let command = Command::Plan { group: "g".to_owned(), planned };
+    control::log::Log::propose(&cluster.leader().log, command.encode()).await.unwrap();
+
+    for _ in 0..20 {
+        group.observe(&cluster);
+        busy(1, cluster.record().unwrap().version);
+        sleep(Duration::from_millis(50)).await;
+    }
+    let record = cluster.record().unwrap();
+    assert_eq!((record.state, record.term, record.next), (GroupState::Stable, 1, 2));
+    until(&cluster, &group, LIMIT, || {
+        busy(0, cluster.record().unwrap().version);
+        cluster.record().unwrap().term == 2 && settled(&cluster, &group)
+    })
+    .await;
+
+    assert_ne!(cluster.record().unwrap().primary, "a");
+}
+
+/// Guards against a leader that can't reach a database which its peers reach.
+#[compio::test]
+async fn peers_relay_reads_and_orders() {
+    let (cluster, group) = stable().await;
+    let address = group.members[1].address.to_string();
+    let host = Rc::clone(cluster.leader());
+
+    let status = host.peers.probe("c1", &address).await.unwrap();
+    let order = host.peers.order("c2", &address, "FOLLOW '127.0.0.1:1' TERM 1").await;
+    let foreign = host.peers.order("c2", &address, "DROP TABLE x").await;
+
+    assert_eq!(status.member, "b");
+    assert!(order.is_ok());
+    assert!(foreign.is_err());
+}
+
+/// Guards against two clusters' worth of state: a restarted host must know what it knew.
+#[compio::test]
+async fn restarted_host_has_same_records() {
+    let (mut cluster, _group) = stable().await;
+    let before = cluster.record();
+
+    cluster.restart(0, long_ago()).await;
+
+    assert_eq!(cluster.hosts[0].host.record("g"), before);
+}
+
+/// Guards against a record for databases that announce themselves for no configured service.
+#[compio::test]
+async fn unconfigured_group_gets_no_record() {
+    let cluster = Cluster::start().await;
+    let group = Group::start().await;
+
+    for _ in 0..30 {
+        group.observe(&cluster);
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    assert!(cluster.record().is_none());
+    assert!(group.members.iter().all(|member| member.promoted().is_empty()));
+}
