--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -172,6 +172,15 @@
         self.members.get(name)
     }
 
+    /// Region of a zone, as databases announce it.
+    #[must_use]
+    pub fn region(&self, zone: &str) -> Option<&str> {
+        let mut announced = self.members.values().map(|heard| &heard.announcement);
+        announced
+            .find(|a| a.zone == zone)
+            .map(|a| a.region.as_str())
+    }
+
     /// Every member heard from.
     pub fn members(&self) -> impl Iterator<Item = &Heard> {
         self.members.values()
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -179,6 +179,7 @@
                 "renew: entry is empty; send the name of the entry".into(),
             ));
         }
+        let entry = renewal.entry.clone();
         let renewed = self.host.renew(Instant::now(), renewal);
         let mut reply = results.get().init_reply();
         reply.set_granted(renewed.granted);
@@ -197,6 +198,8 @@
             permit.set_member(member);
             permit.set_lent(*lent);
         }
+        let size = results.get().into_reader().total_size()?;
+        self.host.count_bytes(&entry, size.word_count);
         Ok(())
     }
 
@@ -236,6 +239,9 @@
             config,
             directory,
         );
+        let size = results.get().into_reader().total_size()?;
+        self.host
+            .count_bytes(request.get_entry()?.to_str()?, size.word_count);
         Ok(())
     }
 }
@@ -341,7 +347,7 @@
         mut results: peer::GrantsResults,
     ) -> Result<(), Error> {
         let version = params.get()?.get_version();
-        let clear = self.host.leases.borrow_mut().clear(Instant::now(), version);
+        let clear = self.host.released(Instant::now(), version);
         results.get().set_known(clear.is_some());
         results.get().set_clear(clear == Some(true));
         Ok(())
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -9,7 +9,8 @@
 };
 
 use base::{
-    EntryName, GroupName, HostName, Map, MemberName, Version, ZoneName, document::Document,
+    EntryName, GroupName, HostName, Map, MemberName, RegionName, Version, ZoneName,
+    document::Document,
 };
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -110,6 +111,8 @@
     pub name: HostName,
     /// Zone.
     pub zone: ZoneName,
+    /// Region.
+    pub region: RegionName,
     /// Source address of outgoing connections.
     pub host: IpAddr,
     /// Every control host, this one included.
@@ -250,6 +253,14 @@
         }
     }
 
+    /// Whether this host holds no unexpired grant older than `version`; `None` when it can't know,
+    /// because it started a moment ago or lost its disk.
+    #[must_use]
+    pub fn released(&self, now: Instant, version: Version) -> Option<bool> {
+        let clear = self.leases.borrow_mut().clear(now, version);
+        clear.filter(|_| !self.log.is_learner())
+    }
+
     /// Answers a renewal.
     pub fn renew(&self, now: Instant, renewal: Renewal) -> Renewed {
         let holder = (renewal.entry.clone(), renewal.run);
@@ -257,6 +268,7 @@
             fenced: self.state.borrow().fenced,
             applied: self.log.applied(),
             stored: self.log.stored(),
+            learner: self.log.is_learner(),
         };
         let granted = {
             let mut leases = self.leases.borrow_mut();
@@ -347,6 +359,20 @@
         }
     }
 
+    /// Counts an answer of `words` eight-byte words to an entry process of another region.
+    pub fn count_bytes(&self, entry: &str, words: u64) {
+        let directory = self.directory.borrow();
+        let zone = directory
+            .entries()
+            .get(entry)
+            .map(|entry| entry.zone.as_str());
+        let region = zone.and_then(|zone| directory.region(zone));
+        if region.is_some_and(|region| region != self.identity.region) {
+            let counter = self.metrics.region_bytes.with_label_values(&[entry]);
+            counter.inc_by(words * 8);
+        }
+    }
+
     /// Event that wakes the task of `group` when something speaks against its primary.
     pub fn suspect(&self, group: &str) -> Rc<Notify> {
         let mut suspects = self.suspects.borrow_mut();
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -33,8 +33,14 @@
         *host.permits.borrow_mut() = Some(Permits::new(Instant::now()));
         let term = host.log.term();
         let mut tasks: Map<GroupName, JoinHandle<()>> = Map::default();
+        let mut seen = None;
         while host.log.is_leader(Instant::now()) && host.log.term() == term {
-            for group in groups(&host) {
+            let versions = {
+                let state = host.state.borrow();
+                (state.config.version, state.version)
+            };
+            let news = seen.replace(versions) != Some(versions);
+            for group in news.then(|| groups(&host)).into_iter().flatten() {
                 tasks.entry(group).or_insert_with_key(|group| {
                     let drive = promotion::drive(Rc::clone(&host), group.clone());
                     compio::runtime::spawn(drive)
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -19,6 +19,8 @@
     pub applied: u64,
     /// Log index stored last.
     pub stored: u64,
+    /// Whether this host lost its disk and may have forgotten a fencing change.
+    pub learner: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -57,6 +59,7 @@
         if now < self.start + LEASE
             || version < known.fenced.max(self.floor).max(old)
             || known.stored > known.applied
+            || known.learner
         {
             return false;
         }
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -56,6 +56,8 @@
     fn stored(&self) -> u64;
     /// Term of the log.
     fn term(&self) -> u64;
+    /// Whether this host lost its disk and has no vote until it is readmitted.
+    fn is_learner(&self) -> bool;
     /// Time since this host last heard from a leader with a majority.
     fn contact(&self, now: Instant) -> Duration;
     /// Why this host stopped taking part, after a disk error.
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -27,6 +27,8 @@
     pub config: IntGauge,
     /// Record version.
     pub records: IntGauge,
+    /// Bytes of answers to entry processes of other regions, by entry.
+    pub region_bytes: IntCounterVec,
     /// Entry processes that hold a grant.
     pub holders: IntGauge,
 }
@@ -70,6 +72,11 @@
                 "Promotions finished by kind.",
                 "kind",
             ),
+            region_bytes: counters(
+                "goldcrestrail_region_bytes_total",
+                "Bytes sent to another region by peer.",
+                "peer",
+            ),
             lent: counter(
                 "goldcrestrail_permits_lent_total",
                 "Connections lent to renewals.",
@@ -86,12 +93,13 @@
             ),
             registry,
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(metrics.renewals.clone()),
             Box::new(metrics.announcements.clone()),
             Box::new(metrics.steps.clone()),
             Box::new(metrics.promotions.clone()),
             Box::new(metrics.lent.clone()),
+            Box::new(metrics.region_bytes.clone()),
             Box::new(metrics.leader.clone()),
             Box::new(metrics.config.clone()),
             Box::new(metrics.records.clone()),
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -83,6 +83,10 @@
         Node::term(self)
     }
 
+    fn is_learner(&self) -> bool {
+        Node::is_learner(self)
+    }
+
     fn contact(&self, now: Instant) -> Duration {
         Node::contact(self, now).unwrap_or(NEVER)
     }
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -174,12 +174,7 @@
     });
     let (cause, detection) = loop {
         let count = suspect.count();
-        let verdict = {
-            let sightings = host.sightings.borrow();
-            let observers = sightings.of(&record.group);
-            observers.map_or(Verdict::Stay, |o| judge::judge(Instant::now(), record, o))
-        };
-        if let Verdict::Failed { cause, detection } = verdict {
+        if let Verdict::Failed { cause, detection } = verdict(host, record) {
             break (cause, Some(detection));
         }
         if host
@@ -207,6 +202,14 @@
     fence(host, record, record.term + 1, timing).await
 }
 
+fn verdict<L: Log>(host: &Host<L>, record: &Record) -> Verdict {
+    let sightings = host.sightings.borrow();
+    let observers = sightings.of(&record.group);
+    observers.map_or(Verdict::Stay, |observers| {
+        judge::judge(Instant::now(), record, observers)
+    })
+}
+
 /// Planned change: gives running transactions time to finish, then fences.
 async fn drain<L: Log>(
     host: &Rc<Host<L>>,
@@ -223,6 +226,15 @@
         ..Timing::default()
     };
     while start.elapsed() < DRAIN && !drained(host, record) {
+        if let Verdict::Failed { cause, detection } = verdict(host, record) {
+            timing.cause = cause;
+            timing.detection = Some(millis(detection));
+            let record = Record {
+                planned: None,
+                ..record.clone()
+            };
+            return fence(host, &record, record.next, timing).await;
+        }
         sleep(RETRY).await;
     }
     timing.drain = Some(millis(start.elapsed()));
@@ -275,12 +287,12 @@
 
     let start = Instant::now();
     let mut told = start;
-    let choice = loop {
+    let (choice, top) = loop {
         let statuses = read(host, record).await;
         let choice = judge::choose(record, &statuses);
         let wait = judge::catching_up(record, &statuses) && start.elapsed() < CATCH_UP;
         if let Some(choice) = choice.filter(|_| !wait) {
-            break choice;
+            break (choice, statuses.iter().map(|s| s.position.term).max());
         }
         // Without a leader the record may have been changed by another host.
         if !host.log.is_leader(Instant::now()) {
@@ -299,6 +311,8 @@
     let chosen = Record {
         state: GroupState::Promoting,
         primary: choice,
+        // A member rejects a term that it has seen already.
+        next: record.next.max(top.unwrap_or_default() + 1),
         ..record.clone()
     };
     host.put(record.version, chosen).await?;
@@ -309,10 +323,7 @@
 async fn released<L: Log>(host: &Host<L>, record: &Record) {
     let start = Instant::now();
     loop {
-        let own = host
-            .leases
-            .borrow_mut()
-            .clear(Instant::now(), record.version);
+        let own = host.released(Instant::now(), record.version);
         let mut clear = usize::from(own == Some(true));
         let mut asked: FuturesUnordered<_> = host
             .peers
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -91,6 +91,7 @@
     let identity = Identity {
         name: settings.name.clone(),
         zone: settings.zone.clone(),
+        region: settings.region.clone(),
         host: settings.host,
         peers,
     };
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -75,6 +75,8 @@
     state: Rc<RefCell<State>>,
     /// Entries that look stored but not applied.
     pub ahead: Cell<u64>,
+    /// Lost its disk.
+    pub learner: Cell<bool>,
 }
 
 impl FakeLog {
@@ -91,6 +93,7 @@
             shared: Rc::clone(shared),
             state: Rc::clone(&state),
             ahead: Cell::new(0),
+            learner: Cell::new(false),
         };
         (log, state)
     }
@@ -149,6 +152,10 @@
         self.shared.term.get()
     }
 
+    fn is_learner(&self) -> bool {
+        self.learner.get()
+    }
+
     fn contact(&self, _now: Instant) -> Duration {
         Duration::ZERO
     }
@@ -409,6 +416,7 @@
         let identity = Identity {
             name,
             zone: format!("z{i}"),
+            region: "r".to_owned(),
             host: IpAddr::V4(Ipv4Addr::LOCALHOST),
             peers: self.addresses.clone(),
         };
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -15,6 +15,7 @@
         fenced,
         applied: 50,
         stored: 50,
+        learner: false,
     }
 }
 
@@ -24,14 +25,16 @@
 
 /// Guards against an acknowledgement in a term that is being ended.
 #[rstest]
-#[case::older(9, 50, 50, false)]
-#[case::same(10, 50, 50, true)]
-#[case::newer(11, 50, 50, true)]
-#[case::stored_but_not_applied(11, 50, 51, false)]
+#[case::older(9, 50, 50, false, false)]
+#[case::same(10, 50, 50, false, true)]
+#[case::newer(11, 50, 50, false, true)]
+#[case::stored_but_not_applied(11, 50, 51, false, false)]
+#[case::lost_disk(11, 50, 50, true, false)]
 fn fenced_version_is_refused(
     #[case] version: u64,
     #[case] applied: u64,
     #[case] stored: u64,
+    #[case] learner: bool,
     #[case] granted: bool,
 ) {
     let (mut leases, now) = ready();
@@ -39,6 +42,7 @@
         fenced: 10,
         applied,
         stored,
+        learner,
     };
 
     assert_eq!(leases.renew(now, holder("e"), version, known), granted);
