--- /dev/null
+++ b/crates/control/tests/gate.rs
@@ -0,0 +1,232 @@
+//! RPC server over loopback.
+
+mod common;
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use common::{Cluster, FakeLog, Group, Shared, configure, long_ago, stable};
+use compio::{
+    io::AsyncWriteExt as _,
+    net::{TcpListener, TcpStream},
+    runtime::spawn,
+    time::{sleep, timeout},
+};
+use control::{
+    gate,
+    host::{Host, Identity},
+    log::Log,
+    permits::QUIET,
+};
+use proto::schema::{self, control as calls};
+
+type Watched = capnp::capability::Response<calls::watch_results::Owned>;
+
+/// A host alone with its RPC server.
+async fn serve() -> (Rc<Host<FakeLog>>, SocketAddr, Rc<Shared>) {
+    let shared = Rc::new(Shared::default());
+    let (log, state) = FakeLog::join("c0", &shared);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let identity = Identity {
+        name: "c0".to_owned(),
+        zone: "z0".to_owned(),
+        region: "r0".to_owned(),
+        host: IpAddr::V4(Ipv4Addr::LOCALHOST),
+        peers: vec![("c0".to_owned(), address)],
+    };
+    let host = Host::new(long_ago(), identity, log, state, base::log::silent());
+    spawn(gate::serve(Rc::clone(&host), listener)).detach();
+    spawn(control::lead::follow(Rc::clone(&host))).detach();
+    spawn(control::lead::lead(Rc::clone(&host))).detach();
+    shared.lead("c0");
+    (host, address, shared)
+}
+
+async fn connect(address: SocketAddr) -> calls::Client {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (gate, driver) = proto::rpc::open::<schema::gate::Client>(stream);
+    spawn(async move {
+        let _ended = driver.await;
+    })
+    .detach();
+    gate.control_request().send().pipeline.get_control()
+}
+
+/// Watches with the versions that the caller has: records, configuration, directory and its run.
+async fn watch(client: &calls::Client, has: (u64, u64, u64, u64)) -> Watched {
+    let mut request = client.watch_request();
+    let mut builder = request.get().init_request();
+    builder.set_entry("e");
+    builder.set_record_version(has.0);
+    builder.set_config_version(has.1);
+    builder.set_directory_version(has.2);
+    builder.set_directory_run(has.3);
+    request.send().promise.await.unwrap()
+}
+
+/// Guards against a change that entry processes learn only at the end of a poll.
+#[compio::test]
+async fn watch_answers_at_once_on_change() {
+    let (host, address, _shared) = serve().await;
+    let client = connect(address).await;
+    let run = host.run;
+
+    let start = Instant::now();
+    let (reply, ()) = futures_util::join!(watch(&client, (0, 0, 0, run)), async {
+        sleep(Duration::from_millis(100)).await;
+        host.log
+            .propose(configure("one", 0, "# text").encode())
+            .await
+            .unwrap();
+    });
+
+    let reply = reply.get().unwrap().get_reply().unwrap();
+    assert_eq!(reply.get_config_version(), 1);
+    assert_eq!(reply.get_document().unwrap().to_str().unwrap(), "# text");
+    assert!(
+        start.elapsed() < Duration::from_millis(500),
+        "{:?}",
+        start.elapsed()
+    );
+}
+
+/// Guards against a poll that stays open for ever, and against sending what the caller has.
+#[compio::test]
+async fn watch_without_news_answers_after_one_second() {
+    let (host, address, _shared) = serve().await;
+    host.log
+        .propose(configure("one", 0, "# text").encode())
+        .await
+        .unwrap();
+    let client = connect(address).await;
+
+    let start = Instant::now();
+    let reply = watch(&client, (0, 1, 0, host.run)).await;
+
+    let reply = reply.get().unwrap().get_reply().unwrap();
+    assert!(start.elapsed() >= Duration::from_millis(950));
+    assert!(start.elapsed() < Duration::from_millis(1_500));
+    assert!(reply.get_document().unwrap().is_empty());
+}
+
+/// Guards against a directory that is taken for known after a restart of the control host.
+#[compio::test]
+async fn watch_sends_whole_directory_to_caller_of_another_run() {
+    let (host, address, _shared) = serve().await;
+    let group = Group::start().await;
+    host.renew(Instant::now(), group.renewal(0, 0, Group::truth));
+    let client = connect(address).await;
+
+    let known = host.directory.borrow().version();
+    let reply = watch(&client, (0, 0, known, host.run.wrapping_add(1))).await;
+
+    let reply = reply.get().unwrap().get_reply().unwrap();
+    assert_eq!(reply.get_announcements().unwrap().len(), 3);
+    assert_eq!(reply.get_directory_run(), host.run);
+}
+
+/// Guards against fields that get lost between the message and the host, and against permits of a
+/// new leader or beyond the pool.
+#[compio::test]
+async fn renewal_over_rpc_grants_lease_and_permits() {
+    let (host, address, _shared) = serve().await;
+    let document = "[[service]]\nname = \"s\"\ngroup = \"g\"\n";
+    host.log
+        .propose(configure("one", 0, document).encode())
+        .await
+        .unwrap();
+    sleep(QUIET + Duration::from_millis(100)).await;
+    let client = connect(address).await;
+
+    let mut request = client.renew_request();
+    let mut builder = request.get().init_request();
+    builder.set_entry("e1");
+    builder.set_zone("z1");
+    builder.set_run(7);
+    builder.set_http("127.0.0.1:1");
+    let mut announcement = builder.reborrow().init_announcements(1).get(0);
+    announcement.set_member("a");
+    announcement.set_group("g");
+    announcement.set_zone("z1");
+    announcement.set_region("r1");
+    announcement.set_connections(16);
+    let mut demand = builder.init_demands(1).get(0);
+    demand.set_member("a");
+    demand.set_wanted(50);
+    let reply = request.send().promise.await.unwrap();
+
+    let reply = reply.get().unwrap().get_reply().unwrap();
+    assert!(reply.get_granted() && reply.get_leader());
+    assert_eq!(
+        (reply.get_duration(), reply.get_permit_duration()),
+        (2_000, 4_000)
+    );
+    let permits = reply.get_permits().unwrap();
+    assert_eq!((permits.len(), permits.get(0).get_lent()), (1, 7));
+    let directory = host.directory.borrow();
+    let entry = &directory.entries()["e1"];
+    assert_eq!((entry.zone.as_str(), entry.run), ("z1", 7));
+    assert_eq!(directory.member("a").unwrap().announcement.connections, 16);
+    let counted = host.metrics.region_bytes.with_label_values(&["e1"]).get();
+    assert!(counted > 0, "the entry process is in another region");
+}
+
+/// Guards against garbage on the RPC port that disturbs other callers.
+#[compio::test]
+async fn garbage_does_not_disturb_others() {
+    let (host, address, _shared) = serve().await;
+    for garbage in [
+        vec![0xff_u8; 4_096],
+        b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+        vec![0; 64],
+    ] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(garbage).await.0.unwrap();
+        sleep(Duration::from_millis(20)).await;
+    }
+
+    let client = connect(address).await;
+    let reply = timeout(Duration::from_secs(3), watch(&client, (0, 0, 0, host.run))).await;
+
+    reply.unwrap();
+}
+
+/// Guards against a member that is given work although nobody hears from it any more.
+#[compio::test]
+async fn silent_member_is_announced_as_lost() {
+    let (cluster, _group) = stable().await;
+    let host = Rc::clone(cluster.leader());
+    let known = host.directory.borrow().version();
+
+    sleep(Duration::from_millis(3_500)).await;
+
+    let now = Instant::now();
+    let directory = host.directory.borrow();
+    let lost = directory.newer(known);
+    assert_eq!(lost.len(), 3);
+    assert!(
+        lost.iter()
+            .all(|heard| now.duration_since(heard.at) >= Duration::from_secs(3))
+    );
+    assert!(directory.present(now, "g").is_empty());
+}
+
+/// Guards against a learner whose word ends the wait for old leases.
+#[compio::test]
+async fn host_that_lost_its_disk_neither_grants_nor_reports() {
+    let cluster = Cluster::start().await;
+    let group = Group::start().await;
+    cluster.hosts[1].host.log.learner.set(true);
+
+    let granted = cluster.renew(&group.renewal(0, 0, Group::truth));
+    let reported = cluster.leader().peers.grants("c1", 5).await.unwrap();
+    let other = cluster.leader().peers.grants("c2", 0).await.unwrap();
+
+    assert_eq!(granted, [true, false, true]);
+    assert_eq!(reported, None);
+    assert_eq!(other, Some(true));
+}
