--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -334,11 +334,15 @@
             display(&self.data(host))
         );
         for peer in self.site.controls() {
+            let address = if peer == host {
+                host.address()
+            } else {
+                self.reached(peer)
+            };
             let _infallible = write!(
                 text,
-                "[[peer]]\nname = \"{}\"\naddress = \"{}\"\n",
+                "[[peer]]\nname = \"{}\"\naddress = \"{address}\"\n",
                 self.site.process_name(peer),
-                self.reached(peer)
             );
         }
         let token = base::document::digest(TOKEN);
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -127,7 +127,7 @@
 /// # Errors
 /// An entry process does not answer.
 pub fn replica_share(deployment: &Deployment) -> Result<f64, LabError> {
-    let reads = counter(deployment, "goldcrestrail_reads_total", "served")?;
+    let reads = counter(deployment, "goldcrestrail_reads_total", "kind")?;
     let replica = reads.get("replica").copied().unwrap_or(0.0);
     let all: f64 = reads.values().sum();
     Ok(if all > 0.0 { replica / all } else { 0.0 })
@@ -151,10 +151,14 @@
     let session = Session::open(address, database, None)
         .await
         .map_err(failed)?;
-    session.counter(caller).await.map_err(failed)?;
+    let client = session.client();
+    let statement = client
+        .prepare("SELECT caller, n FROM counter WHERE caller = $1")
+        .await?;
+    client.query_one(&statement, &[&caller]).await?;
     for _ in 0..count {
         let start = Instant::now();
-        session.counter(caller).await.map_err(failed)?;
+        client.query_one(&statement, &[&caller]).await?;
         let micros = u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX);
         histogram.saturating_record(micros);
     }
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -34,6 +34,9 @@
 /// Bytes in flight in one direction of one connection before the sender has to wait.
 const FLIGHT_BYTES: usize = 256 << 10;
 
+/// Pause before an address whose process ended is tried again.
+const REOPEN: Duration = Duration::from_millis(20);
+
 /// What happens to traffic between two zones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Fault {
@@ -92,14 +95,24 @@
     }
 
     async fn listen(&self, host: Host, from: SocketAddr, to: SocketAddr) -> Result<(), LabError> {
-        let listener = TcpListener::bind(from).await.context(from)?;
+        let mut listener = TcpListener::bind(from).await.context(from)?;
         let network = Arc::clone(&self.network);
         tokio::spawn(async move {
-            while let Ok((stream, peer)) = listener.accept().await {
-                let network = Arc::clone(&network);
-                tokio::spawn(async move {
-                    let _ended = carry(network, stream, peer.ip(), host.zone, to).await;
-                });
+            let refused = Arc::new(Notify::new());
+            loop {
+                accept(&network, &listener, host.zone, to, &refused).await;
+                // Without a listener the address refuses connections, as the ended process would.
+                drop(listener);
+                while TcpStream::connect(to).await.is_err() {
+                    tokio::time::sleep(REOPEN).await;
+                }
+                listener = match TcpListener::bind(from).await {
+                    Ok(listener) => listener,
+                    Err(cause) => {
+                        eprintln!("relay: {from}: {cause}");
+                        return;
+                    }
+                };
             }
         });
         Ok(())
@@ -152,6 +165,32 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Accepts connections until the target refuses one.
+async fn accept(
+    network: &Arc<Network>,
+    listener: &TcpListener,
+    zone: u8,
+    to: SocketAddr,
+    refused: &Arc<Notify>,
+) {
+    let accepting = async {
+        while let Ok((stream, peer)) = listener.accept().await {
+            let (network, refused) = (Arc::clone(network), Arc::clone(refused));
+            tokio::spawn(async move {
+                if let Err(cause) = carry(network, stream, peer.ip(), zone, to).await
+                    && cause.kind() == io::ErrorKind::ConnectionRefused
+                {
+                    refused.notify_one();
+                }
+            });
+        }
+    };
+    tokio::select! {
+        () = accepting => {}
+        () = refused.notified() => {}
+    }
+}
+
 async fn carry(
     network: Arc<Network>,
     mut stream: TcpStream,
@@ -169,7 +208,13 @@
     };
     path.passable().await?;
     tokio::time::sleep(path.latency() * 2).await;
-    let mut server = TcpStream::connect(to).await?;
+    let mut server = match TcpStream::connect(to).await {
+        Ok(server) => server,
+        Err(cause) => {
+            stream.set_zero_linger()?;
+            return Err(cause);
+        }
+    };
     stream.set_nodelay(true)?;
     server.set_nodelay(true)?;
     let back = Path {
