--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod site;
 pub mod slopes;
 pub mod stores;
+pub mod up;
 pub mod usage;
 
 pub use error::LabError;
--- /dev/null
+++ b/crates/lab/src/up.rs
@@ -0,0 +1,73 @@
+//! Keeps a deployment running, to try the product by hand.
+
+use std::{io::Read as _, path::PathBuf};
+
+use base::Exit;
+use gumdrop::Options;
+
+use crate::{
+    admin::TOKEN, demo::choice, deployment::Deployment, error::LabError, relay::Relay, site::Site,
+};
+
+/// Command line.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "teichwert (default) or watchrolls")]
+    site: Option<String>,
+    #[options(
+        help = "folder with the programs",
+        default = "target/release",
+        meta = "DIR"
+    )]
+    programs: PathBuf,
+    #[options(
+        help = "folder for data and logs, emptied first",
+        default = "run/up",
+        meta = "DIR"
+    )]
+    folder: PathBuf,
+}
+
+/// Starts a deployment and stops it when standard input ends.
+#[must_use]
+pub fn run(arguments: &Arguments) -> Exit {
+    let name = arguments.site.as_deref().unwrap_or("teichwert");
+    let Some(site) = Site::named(name) else {
+        eprintln!("up: no deployment {name}; use teichwert or watchrolls");
+        return Exit::Usage;
+    };
+    let outcome = crate::runtime().and_then(|runtime| runtime.block_on(hold(site, arguments)));
+    match outcome {
+        Ok(failed) if failed.is_empty() => Exit::Done,
+        Ok(failed) => {
+            eprintln!(
+                "up: these processes did not stop as planned: {}",
+                failed.join(", ")
+            );
+            Exit::Failed
+        }
+        Err(cause) => {
+            eprintln!("up: {cause}");
+            Exit::Failed
+        }
+    }
+}
+
+async fn hold(site: Site, arguments: &Arguments) -> Result<Vec<String>, LabError> {
+    let _relay = Relay::start(&site).await?;
+    let choice = choice(&arguments.programs, &arguments.folder);
+    tokio::task::block_in_place(|| {
+        let mut deployment = Deployment::start(site, choice)?;
+        for host in deployment.hosts() {
+            let name = deployment.site.process_name(host);
+            println!("{name}: {} http {}", host.address(), host.http());
+        }
+        println!("services: {}", deployment.site.services.join(", "));
+        println!("operator's token: {TOKEN}");
+        println!("running; close standard input (Ctrl-D) to stop everything");
+        let _ended = std::io::stdin().read_to_end(&mut Vec::new());
+        Ok(deployment.stop())
+    })
+}
