--- a/crates/agree/src/hard.rs
+++ b/crates/agree/src/hard.rs
@@ -8,8 +8,8 @@
     message::Identity,
 };
 
-/// Boots kept per peer, newest incarnation last. An incarnation that was pushed out is no longer
-/// part of the membership and counts for nothing anyway.
+/// Boots kept per peer, newest incarnation last. Only an incarnation that is not part of the
+/// membership is pushed out, which counts for nothing anyway.
 const SEEN_PER_HOST: usize = 8;
 
 /// Content of the `state` file.
@@ -70,8 +70,9 @@
         serde_json::from_slice(unseal(bytes)?).map_err(|cause| cause.to_string())
     }
 
-    /// Compares an identity with the newest boot seen and records it if it is newer.
-    pub(crate) fn judge(&mut self, from: &Identity) -> Verdict {
+    /// Compares an identity with the newest boot seen and records it if it is newer. `member` is the
+    /// incarnation of that host in the membership.
+    pub(crate) fn judge(&mut self, from: &Identity, member: Option<u64>) -> Verdict {
         let known = self
             .seen
             .iter_mut()
@@ -84,13 +85,12 @@
             }
             Some(_) => Verdict::Stale,
             None => {
-                let mine = self
-                    .seen
-                    .iter()
-                    .filter(|seen| seen.host == from.host)
-                    .count();
-                if mine >= SEEN_PER_HOST
-                    && let Some(oldest) = self.seen.iter().position(|seen| seen.host == from.host)
+                let mine = |seen: &Identity| seen.host == from.host;
+                if self.seen.iter().filter(|seen| mine(seen)).count() >= SEEN_PER_HOST
+                    && let Some(oldest) = self
+                        .seen
+                        .iter()
+                        .position(|seen| mine(seen) && Some(seen.incarnation) != member)
                 {
                     self.seen.remove(oldest);
                 }
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -64,6 +64,8 @@
     LearnerExclusion,
     /// A learner is readmitted only when it holds what was committed when it asked.
     CatchUp,
+    /// A readmission in the log counts against the former disk before it is committed.
+    LogMembership,
     /// Outdated disks are detected by boot number and nonce.
     BootCheck,
     /// Only entries of the leader's own term are committed by counting.
@@ -173,7 +175,7 @@
         environment: E,
         machine: Rc<RefCell<M>>,
     ) -> Result<Rc<Self>, StartError> {
-        let state = prepare(&options, &environment, &machine)?;
+        let state = prepare(&options, &tuning, &environment, &machine)?;
         let node = Rc::new(Self {
             options,
             tuning,
@@ -505,7 +507,8 @@
         }
         let verdict = {
             let mut state = self.state.borrow_mut();
-            let verdict = state.hard.judge(from);
+            let member = state.members.get(&from.host).copied();
+            let verdict = state.hard.judge(from, member);
             if verdict == crate::hard::Verdict::Newer {
                 state.touch();
             }
@@ -662,6 +665,7 @@
 
 fn prepare<M: Machine, E: Environment>(
     options: &Options,
+    tuning: &Tuning,
     environment: &E,
     machine: &Rc<RefCell<M>>,
 ) -> Result<State, StartError> {
@@ -750,6 +754,7 @@
         since: 0,
         members,
         readmits,
+        without: tuning.without.clone(),
         role: Role::Follower,
         leader: None,
         heard: None,
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -10,6 +10,7 @@
     hard::Hard,
     log::{Entry, Log, Payload},
     message::Identity,
+    node::{Mechanism, Safety},
 };
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -89,6 +90,8 @@
     pub members: Members,
     /// Readmissions in the log that are not applied yet.
     pub readmits: BTreeMap<u64, (HostName, u64)>,
+    /// Mechanisms that are switched off, in tests only.
+    pub without: Safety,
     pub role: Role,
     pub leader: Option<HostName>,
     /// When a leader was last heard.
@@ -128,10 +131,11 @@
     /// against the old one as soon as it is in the log.
     pub fn counts(&self, host: &str, incarnation: u64) -> bool {
         self.members.get(host) == Some(&incarnation)
-            && self
-                .readmits
-                .values()
-                .all(|(name, other)| name != host || *other == incarnation)
+            && (self.without.contains(&Mechanism::LogMembership)
+                || self
+                    .readmits
+                    .values()
+                    .all(|(name, other)| name != host || *other == incarnation))
     }
 
     /// Whether this host counts in majorities.
--- a/crates/agree/tests/mechanisms.rs
+++ b/crates/agree/tests/mechanisms.rs
@@ -158,6 +158,40 @@
     finish(&mut all)
 }
 
+/// A host holds a readmission that it does not know to be committed, but not the entry after it,
+/// which only the readmitted disk and two hosts that are down hold. The former disk is back.
+fn count_former_disk(seed: u64, without: Safety) -> Vec<String> {
+    let mut all = Cluster::new(seed, 5, without);
+    let payload = [&[1][..], &77_u64.to_le_bytes(), b"control-4"].concat();
+    let readmission = Entry {
+        index: 1,
+        term: 1,
+        payload: payload.into(),
+    };
+    for host in 0..5 {
+        all.crash(host);
+        let (commit, entries) = match host {
+            0 | 1 => (2, vec![readmission.clone(), command(2, 1, "acknowledged")]),
+            2 => (0, vec![readmission.clone()]),
+            _ => (0, Vec::new()),
+        };
+        let mut hard = Hard::new(format!("control-{host}"), 0);
+        hard.term = 1;
+        let log = Frame { commit, entries }.encode();
+        all.replace_files(
+            host,
+            Files::from([(File::State, hard.encode()), (File::Log, log)]),
+        );
+    }
+    all.acked.borrow_mut().insert(2, b"acknowledged".to_vec());
+    for host in 2..5 {
+        all.start(host);
+    }
+    all.run(2 * SECONDS);
+    try_write(&mut all);
+    finish(&mut all)
+}
+
 /// A host that missed an acknowledged entry wants to lead.
 fn elect_behind(seed: u64, without: Safety) -> Vec<String> {
     let mut all = Cluster::new(seed, 3, without);
@@ -255,6 +289,13 @@
     compare(Mechanism::BootCheck, restore_old_disk);
 }
 
+/// Guards against a former disk that counts again because a readmission is not known to be
+/// committed.
+#[rstest]
+fn former_disks_count_for_nothing() {
+    compare(Mechanism::LogMembership, count_former_disk);
+}
+
 /// Guards against a readmission before the host holds what it missed.
 #[rstest]
 fn learners_catch_up_first() {
