--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -80,8 +80,8 @@
         })
     }
 
-    /// Asks the control hosts in turn until one answers. A refusal is an answer, but for 503, which
-    /// another host may do better on.
+    /// Asks the control hosts in turn until one answers. A refusal is an answer, but for 502
+    /// and 503: another host may reach what this one does not.
     pub fn call(&self, path: &str, content: &Content<'_>) -> Result<String, Failure> {
         if self.control.is_empty() {
             return Err(Failure::usage(
@@ -99,7 +99,7 @@
         let mut sent = false;
         for host in &self.control {
             match self.request(*host, path, content) {
-                Ok(response) if response.status().as_u16() == 503 => {
+                Ok(response) if [502, 503].contains(&response.status().as_u16()) => {
                     sent = true;
                     let failure = refusal(response);
                     tried.push(format!("{host}: {}", failure.cause));
--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -27,22 +27,21 @@
     }
 }
 
+/// Fields that name a row, which come first.
+const NAMES: [&str; 4] = ["group", "entry", "name", "member"];
+
 /// Lists become tables, and fields become lines.
 pub fn render(value: &Value) -> String {
     let mut text = String::new();
     match value {
-        Value::Array(rows) => table(&mut text, rows),
+        Value::Array(rows) => table(&mut text, "", rows),
         Value::Object(fields) => {
-            for (name, value) in fields {
-                let name = printable(name);
-                match value {
-                    Value::Array(rows) if rows.iter().any(Value::is_object) => {
-                        let _infallible = writeln!(text, "\n{name}");
-                        table(&mut text, rows);
-                    }
-                    other => {
-                        let _infallible = writeln!(text, "{name}: {}", cell(other));
-                    }
+            for (name, value) in fields.iter().filter(|(_, value)| !is_table(value)) {
+                let _infallible = writeln!(text, "{}: {}", printable(name), cell(value));
+            }
+            for (name, value) in fields.iter().filter(|(_, value)| is_table(value)) {
+                if let Value::Array(rows) = value {
+                    table(&mut text, name, rows);
                 }
             }
         }
@@ -53,26 +52,39 @@
     text
 }
 
-fn table(text: &mut String, rows: &[Value]) {
-    let empty = Map::new();
-    let fields: Vec<_> = rows
-        .iter()
-        .map(|row| row.as_object().unwrap_or(&empty))
-        .collect();
-    let mut columns: Vec<&String> = Vec::new();
-    for name in fields.iter().flat_map(|row| row.keys()) {
-        if !columns.contains(&name) {
-            columns.push(name);
+fn is_table(value: &Value) -> bool {
+    value
+        .as_array()
+        .is_some_and(|rows| rows.iter().any(Value::is_object))
+}
+
+/// Writes a table. A column that contains tables itself becomes a table of its own, in which the
+/// name of the outer row comes first.
+fn table(text: &mut String, title: &str, rows: &[Value]) {
+    let rows: Vec<_> = rows.iter().filter_map(Value::as_object).collect();
+    let mut columns: Vec<&str> = Vec::new();
+    let mut inner: Vec<&str> = Vec::new();
+    for (name, value) in rows.iter().flat_map(|row| row.iter()) {
+        let list = if is_table(value) {
+            &mut inner
+        } else {
+            &mut columns
+        };
+        if !list.contains(&name.as_str()) {
+            list.push(name);
         }
     }
+    columns.retain(|name| !inner.contains(name));
+    let rank = |name: &str| NAMES.iter().position(|known| *known == name);
+    columns.sort_by_key(|name| rank(name).unwrap_or(NAMES.len()));
     let mut lines = vec![
         columns
             .iter()
             .map(|name| printable(name))
             .collect::<Vec<_>>(),
     ];
-    lines.extend(fields.iter().map(|row| {
-        let value = |name: &&String| row.get(*name).map_or_else(|| "-".into(), cell);
+    lines.extend(rows.iter().map(|row| {
+        let value = |name: &&str| row.get(*name).map_or_else(|| "-".into(), cell);
         columns.iter().map(value).collect()
     }));
     let width = |at: usize| {
@@ -83,6 +95,9 @@
             .unwrap_or(0)
     };
     let widths: Vec<_> = (0..columns.len()).map(width).collect();
+    if !title.is_empty() {
+        let _infallible = writeln!(text, "\n{}", printable(title));
+    }
     for line in &lines {
         let padded: Vec<_> = line
             .iter()
@@ -91,4 +106,23 @@
             .collect();
         let _infallible = writeln!(text, "  {}", padded.join("  ").trim_end());
     }
+    for name in inner {
+        let rows: Vec<_> = rows.iter().flat_map(|row| flatten(row, name)).collect();
+        table(text, &format!("{title} {name}"), &rows);
+    }
+}
+
+/// The rows of an inner table with the name of the outer row.
+fn flatten(outer: &Map<String, Value>, name: &str) -> Vec<Value> {
+    let key = NAMES.iter().find_map(|key| outer.get_key_value(*key));
+    let rows = outer.get(name).and_then(Value::as_array);
+    let rows = rows.into_iter().flatten().filter_map(Value::as_object);
+    rows.map(|row| {
+        let mut row = row.clone();
+        if let Some((key, value)) = key {
+            row.entry(key.clone()).or_insert_with(|| value.clone());
+        }
+        Value::Object(row)
+    })
+    .collect()
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -161,6 +161,7 @@
 #[rstest]
 #[case::lost_answer(0)]
 #[case::no_majority(503)]
+#[case::partitioned(502)]
 fn resends_with_same_id(#[case] status: u16) {
     let first = Server::start(vec![(
         status,
@@ -247,7 +248,7 @@
 #[rstest]
 fn prints_tables_and_json() {
     let status = json!({"leader": "control-1", "groups": [
-        {"group": "a", "term": 3, "members": ["m1", "m2"]},
+        {"group": "a", "term": 3, "zones": ["z1", "z2"], "members": [{"member": "m1", "lag": 7}]},
         {"group": "b\u{1b}[2J", "term": 12},
     ]});
 
@@ -256,7 +257,11 @@
 
     let plain = text(&plain.stdout);
     assert!(plain.contains("leader: control-1"), "{plain}");
-    assert!(plain.lines().any(|line| line.contains("m1, m2")), "{plain}");
+    assert!(plain.lines().any(|line| line.contains("z1, z2")), "{plain}");
+    assert!(
+        plain.lines().any(|line| line.trim() == "a      m1      7"),
+        "{plain}"
+    );
     assert!(
         !plain.contains('\u{1b}'),
         "no control characters reach the terminal"
