--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -117,25 +117,27 @@
                 others,
             )
         };
+        let network = self.environment.network();
         let mut calls: FuturesUnordered<_> = others
             .iter()
-            .map(|to| {
-                self.environment
-                    .network()
-                    .vote(to, request.clone(), self.tuning.call)
+            .map(async |to| {
+                (
+                    to,
+                    network.vote(to, request.clone(), self.tuning.call).await,
+                )
             })
             .collect();
         while votes < majority {
-            let reply = match calls.next().await {
+            let (to, reply) = match calls.next().await {
                 None => return false,
-                Some(Err(_lost)) => continue,
-                Some(Ok(reply)) => reply,
+                Some((_, Err(_lost))) => continue,
+                Some((to, Ok(reply))) => (to, reply),
             };
             if reply.stale {
                 self.demote(&request.from);
                 return false;
             }
-            if !self.hear(&reply.from).await {
+            if !self.hear_reply(to, &reply.from).await {
                 continue;
             }
             let mut state = self.state.borrow_mut();
--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -7,13 +7,14 @@
 use crate::{
     codec::Snapshot,
     environment::Environment,
+    hard::Verdict,
     log::Log,
     message::{
         AppendReply, AppendRequest, Identity, SnapshotReply, SnapshotRequest, VoteReply,
         VoteRequest,
     },
     node::{Machine, Mechanism, Node},
-    state::{Image, Incoming, Role, State},
+    state::{Image, Incoming, Role, State, TERM_MAX},
 };
 
 /// A snapshot that exceeds this is not accepted; the machine holds configuration, not data.
@@ -22,8 +23,8 @@
 impl<M: Machine, E: Environment> Node<M, E> {
     /// Handles `Peer.vote`.
     pub async fn on_vote(&self, request: VoteRequest) -> VoteReply {
-        let known = self.hear(&request.from).await;
-        let granted = known && request.term > 0 && self.decide_vote(&request);
+        let verdict = self.hear(&request.from).await;
+        let granted = verdict.is_good() && request.term > 0 && self.decide_vote(&request);
         self.signal.notify();
         self.saved().await;
         let state = self.state.borrow();
@@ -31,7 +32,7 @@
             from: state.hard.identity.clone(),
             term: state.hard.term,
             granted: granted && (request.pre_vote || state.hard.term == request.term),
-            stale: !known,
+            stale: verdict == Verdict::Stale,
         }
     }
 
@@ -70,7 +71,7 @@
     fn follow(&self, from: &Identity, term: u64) -> bool {
         let news = {
             let mut state = self.state.borrow_mut();
-            if term < state.hard.term {
+            if term < state.hard.term || term > TERM_MAX {
                 return false;
             }
             state.adopt(term);
@@ -92,10 +93,10 @@
 
     /// Handles `Peer.append`.
     pub async fn on_append(&self, request: AppendRequest) -> AppendReply {
-        let known = self.hear(&request.from).await;
+        let verdict = self.hear(&request.from).await;
         let mut success = false;
         let mut matched = 0;
-        if known && self.follow(&request.from, request.term) {
+        if verdict.is_good() && self.follow(&request.from, request.term) {
             match self.take_entries(&request) {
                 Ok(last) => {
                     success = true;
@@ -121,7 +122,7 @@
             term: state.hard.term,
             success: success && state.hard.term == request.term,
             matched,
-            stale: !known,
+            stale: verdict == Verdict::Stale,
             learner: !state.is_voter(),
         }
     }
@@ -165,9 +166,9 @@
 
     /// Handles `Peer.snapshot`.
     pub async fn on_snapshot(&self, request: SnapshotRequest) -> SnapshotReply {
-        let known = self.hear(&request.from).await;
+        let verdict = self.hear(&request.from).await;
         let mut next = 0;
-        if known && self.follow(&request.from, request.term) {
+        if verdict.is_good() && self.follow(&request.from, request.term) {
             next = self.take_chunk(&request);
             if request.done {
                 self.until(|state| {
--- a/crates/agree/src/hard.rs
+++ b/crates/agree/src/hard.rs
@@ -32,10 +32,19 @@
     Known,
     /// Newer than all seen; it is recorded now and must be synced.
     Newer,
+    /// It is none of the other control hosts.
+    Stranger,
     /// A newer boot, or another one with the same number, was seen: its disk is outdated.
     Stale,
 }
 
+impl Verdict {
+    /// Whether messages of the sender count.
+    pub const fn is_good(self) -> bool {
+        matches!(self, Self::Known | Self::Newer)
+    }
+}
+
 impl Hard {
     /// State of a data directory that has not been started yet.
     #[must_use]
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -23,7 +23,7 @@
     codec::{Members, Snapshot},
     environment::{CallError, Disk as _, Environment, Network as _},
     error::{BarrierError, ProposeError, StartError},
-    hard::Hard,
+    hard::{Hard, Verdict},
     host::Host,
     log::Payload,
     message::{Identity, ProposeReply},
@@ -500,23 +500,37 @@
         state.deadline = self.environment.now() + low + extra;
     }
 
-    /// Compares a sender with the newest boot seen. False means that it has an outdated disk.
-    pub(crate) async fn hear(&self, from: &Identity) -> bool {
-        if self.lacks(Mechanism::BootCheck) {
-            return true;
-        }
+    /// Compares a sender with the newest boot seen.
+    pub(crate) async fn hear(&self, from: &Identity) -> Verdict {
         let verdict = {
             let mut state = self.state.borrow_mut();
+            if !state.peers.contains_key(&from.host) {
+                return Verdict::Stranger;
+            }
+            if self.lacks(Mechanism::BootCheck) {
+                return Verdict::Known;
+            }
             let member = state.members.get(&from.host).copied();
             let verdict = state.hard.judge(from, member);
-            if verdict == crate::hard::Verdict::Newer {
+            if verdict == Verdict::Newer {
                 state.touch();
             }
             verdict
         };
         self.signal.notify();
         self.saved().await;
-        verdict != crate::hard::Verdict::Stale
+        verdict
+    }
+
+    /// Whether a reply counts. One that another host sends, because two addresses are mixed up,
+    /// must not be counted for `to`.
+    pub(crate) async fn hear_reply(&self, to: &str, from: &Identity) -> bool {
+        if from.host != to {
+            warn!(self.options.log, "another control host answers at this address; correct the addresses";
+                "expected" => to, "found" => &from.host);
+            return false;
+        }
+        self.hear(from).await.is_good()
     }
 
     /// Becomes a learner because a peer has seen a newer boot than the one it was sent. The log is
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -121,7 +121,7 @@
         if reply.stale {
             self.demote(&sent);
         }
-        self.hear(&reply.from).await;
+        self.hear_reply(peer, &reply.from).await;
         true
     }
 
@@ -143,7 +143,7 @@
             self.demote(&from);
             return true;
         }
-        if !self.hear(&reply.from).await {
+        if !self.hear_reply(peer, &reply.from).await {
             return false;
         }
         let agreed = self.note_reply(peer, &reply, term, round, sent);
@@ -170,7 +170,7 @@
             return true;
         }
         let admitted = state.members.get(peer) == Some(&reply.from.incarnation);
-        let (first, commit) = (state.first, state.commit);
+        let (first, commit, last) = (state.first, state.commit, state.log.last());
         let Some(progress) = state.peers.get_mut(peer) else {
             return true;
         };
@@ -181,7 +181,7 @@
             progress.asked = None;
         }
         if reply.success {
-            progress.matched = progress.matched.max(reply.matched);
+            progress.matched = progress.matched.max(reply.matched.min(last));
             progress.next = progress.matched + 1;
         } else if reply.matched < progress.matched && !self.lacks(Mechanism::BootCheck) {
             // A host never loses what it acknowledged in this term: its disk was replaced by an
@@ -191,7 +191,7 @@
             state.touch();
             return false;
         } else {
-            progress.next = (reply.matched + 1)
+            progress.next = (reply.matched.min(last) + 1)
                 .min(progress.next.saturating_sub(1))
                 .max(1);
         }
@@ -248,7 +248,7 @@
                 .snapshot(peer, request, self.tuning.transfer)
                 .await;
             let Ok(reply) = reply else { return false };
-            if !self.hear(&reply.from).await {
+            if !self.hear_reply(peer, &reply.from).await {
                 return false;
             }
             let mut state = self.state.borrow_mut();
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -13,6 +13,9 @@
     node::{Mechanism, Safety},
 };
 
+/// Larger terms come from malformed messages only; they would use up the range of terms.
+pub const TERM_MAX: u64 = 1 << 48;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Role {
     Follower,
@@ -145,7 +148,7 @@
 
     /// Enters a newer term as a follower.
     pub fn adopt(&mut self, term: u64) {
-        if term > self.hard.term {
+        if term > self.hard.term && term <= TERM_MAX {
             self.hard.term = term;
             self.hard.vote = None;
             self.touch();
--- a/crates/agree/tests/cluster/mod.rs
+++ b/crates/agree/tests/cluster/mod.rs
@@ -112,6 +112,8 @@
     spawned: RefCell<Vec<LocalBoxFuture<'static, ()>>>,
     slots: RefCell<Vec<Slot>>,
     cuts: RefCell<Vec<(usize, usize)>>,
+    /// Hosts whose address belongs to another host by mistake.
+    pub mixed: RefCell<BTreeMap<usize, usize>>,
     /// Per cent of messages that are lost, and that are delivered a second time later.
     pub loss: Cell<u64>,
     pub duplicates: Cell<u64>,
@@ -262,8 +264,9 @@
         repeats: bool,
         handle: impl Fn(Rc<Peer>) -> LocalBoxFuture<'static, Option<T>> + 'static,
     ) -> Result<T, CallError> {
-        let target = index(to);
         let world = Rc::clone(&self.world);
+        let target = index(to);
+        let target = world.mixed.borrow().get(&target).copied().unwrap_or(target);
         let (source, handle) = (self.host, Rc::new(handle));
         if repeats && world.below(100) < world.duplicates.get() {
             let (world, handle) = (Rc::clone(&world), Rc::clone(&handle));
@@ -462,6 +465,7 @@
             spawned: RefCell::default(),
             slots: RefCell::default(),
             cuts: RefCell::default(),
+            mixed: RefCell::default(),
             loss: Cell::default(),
             duplicates: Cell::default(),
             history: RefCell::default(),
--- a/crates/agree/tests/faults.rs
+++ b/crates/agree/tests/faults.rs
@@ -4,7 +4,11 @@
 
 use std::time::Duration;
 
-use agree::{StartError, environment::File};
+use agree::{
+    StartError,
+    environment::File,
+    message::{AppendRequest, Identity, VoteRequest},
+};
 use cluster::{Cluster, Files, Kill, Step};
 use rstest::rstest;
 
@@ -526,3 +530,68 @@
     all.run(SECONDS);
     assert!(all.commands(other).contains(&(index, answer)));
 }
+
+/// Guards against one host that is counted several times because addresses are mixed up.
+#[rstest]
+fn counts_each_host_once() {
+    let mut all = Cluster::new(19, 5, Vec::new());
+    for host in 2..5 {
+        all.crash(host);
+        all.world.mixed.borrow_mut().insert(host, 1);
+    }
+
+    all.run(4 * SECONDS);
+
+    assert_eq!(all.find_leader(), None);
+}
+
+/// Guards against messages that no control host sends: they must neither fill the state file, nor
+/// use up terms, nor stop the host.
+#[rstest]
+#[case::stranger("intruder", 9)]
+#[case::itself("control-0", 9)]
+#[case::term("control-1", u64::MAX)]
+fn ignores_impossible_messages(#[case] host: &str, #[case] term: u64) {
+    let mut all = Cluster::new(18, 3, Vec::new());
+    all.write();
+    all.converge();
+    let node = all.node(0);
+    let before = node.dump();
+    let seen = before["seen"].as_array().unwrap();
+    let known = seen.iter().find(|seen| seen["host"] == host);
+    let from = Identity {
+        host: host.to_owned(),
+        incarnation: 0,
+        boot: 1,
+        nonce: known.map_or(5, |seen| seen["nonce"].as_u64().unwrap()),
+    };
+    let vote = VoteRequest {
+        from: from.clone(),
+        term,
+        last_index: u64::MAX,
+        last_term: u64::MAX,
+        pre_vote: false,
+    };
+    let append = AppendRequest {
+        from,
+        term,
+        prev_index: u64::MAX,
+        prev_term: u64::MAX,
+        commit: u64::MAX,
+        entries: Vec::new(),
+    };
+
+    let replies = all.block(SECONDS, async move {
+        (node.on_vote(vote).await, node.on_append(append).await)
+    });
+
+    let (vote, append) = replies.unwrap();
+    let after = all.node(0).dump();
+    assert!(!vote.granted && !append.success && !vote.stale);
+    assert_eq!(
+        (&after["term"], &after["seen"]),
+        (&before["term"], &before["seen"])
+    );
+    all.write();
+    all.assert_correct();
+}
