--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -20,16 +20,16 @@
 pub async fn run(member: Rc<Member>) {
     let addresses = member.settings.announce.clone();
     if addresses.is_empty() {
+        member.told.set(true);
         return;
     }
     let mut turn = 0;
-    let mut told = false;
     loop {
         let stop = member.stop.listen();
-        if member.leaving.get() && !told {
-            told = true;
+        if member.leaving.get() && !member.told.get() {
             let posts = addresses.iter().map(|address| post(&member, *address));
             futures_util::future::join_all(posts).await;
+            member.told.set(true);
         } else {
             // The next address is tried when one fails, as a load balancer would.
             for _ in 0..addresses.len() {
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -171,7 +171,7 @@
                 compio::time::sleep(LOOK).await;
             }
         };
-        let idle = || member.connections.get() == 0;
+        let idle = || member.told.get() && member.connections.get() == 0;
         look(&idle, LEAVE).await;
         member.closing.set(true);
         member.stop.notify(usize::MAX);
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -13,7 +13,7 @@
 pub struct Fault {
     /// Delay before a replica applies what it received, in milliseconds.
     pub lag_ms: u64,
-    /// Whether connections are accepted but nothing is answered.
+    /// Whether connections are accepted but nothing is answered; announcements and HTTP go on.
     pub frozen: bool,
     /// Whether newer terms are ignored.
     pub stubborn: bool,
--- a/crates/standin/src/follow.rs
+++ b/crates/standin/src/follow.rs
@@ -82,7 +82,7 @@
         };
         let streaming = async {
             loop {
-                let Err(ended) = stream(&member, primary, term).await;
+                let Err(ended) = stream(&member, role, primary, term).await;
                 warn!(member.log, "replication interrupted";
                     "primary" => %primary, "term" => term, "cause" => %ended);
                 compio::time::sleep(RETRY).await;
@@ -104,6 +104,7 @@
 
 async fn stream(
     member: &Rc<Member>,
+    role: Role,
     primary: SocketAddr,
     term: Term,
 ) -> Result<std::convert::Infallible, Ended> {
@@ -132,8 +133,8 @@
         .message(&Query::new(format!("{VERB}{text}")))?;
     client.writer.flush().await?;
     let inbox = Inbox::default();
-    let receiving = pin!(receive(member, &mut client, term, &inbox));
-    let applying = pin!(apply(member, &inbox));
+    let receiving = pin!(receive(member, &mut client, role, term, &inbox));
+    let applying = pin!(apply(member, role, &inbox));
     match select(receiving, applying).await {
         Either::Left((Err(ended), _)) | Either::Right((Err(ended), _)) => Err(ended),
     }
@@ -150,6 +151,7 @@
 async fn receive(
     member: &Rc<Member>,
     client: &mut Client,
+    role: Role,
     term: Term,
     inbox: &Inbox,
 ) -> Result<std::convert::Infallible, Ended> {
@@ -170,7 +172,7 @@
             .map_err(|_invalid| WireError::Malformed("unknown replication message"))?;
         match message {
             Message::Common { offset, terms } => {
-                let cut = member.store.borrow_mut().adopt(term, offset, terms);
+                let cut = member.store.borrow_mut().adopt(role, term, offset, terms)?;
                 if cut > 0 {
                     member.metrics.truncated.inc_by(cut);
                 }
@@ -194,7 +196,11 @@
     }
 }
 
-async fn apply(member: &Rc<Member>, inbox: &Inbox) -> Result<std::convert::Infallible, Ended> {
+async fn apply(
+    member: &Rc<Member>,
+    role: Role,
+    inbox: &Inbox,
+) -> Result<std::convert::Infallible, Ended> {
     loop {
         let arrived = inbox.changed.listen();
         let next = inbox.batches.borrow().front().map(|(at, _bytes)| *at);
@@ -214,7 +220,7 @@
         if let Some((_, bytes)) = batch {
             inbox.bytes.set(inbox.bytes.get() - bytes.len());
             inbox.changed.notify(usize::MAX);
-            let count = member.store.borrow_mut().receive(&bytes)?;
+            let count = member.store.borrow_mut().receive(role, &bytes)?;
             let count = u64::try_from(count).unwrap_or_default();
             member.metrics.applied.inc_by(count);
             member.announce_change();
--- a/crates/standin/src/member.rs
+++ b/crates/standin/src/member.rs
@@ -57,6 +57,8 @@
     pub changed: Event,
     /// Whether the process announces that it leaves.
     pub leaving: Cell<bool>,
+    /// Whether every address was told so.
+    pub told: Cell<bool>,
     /// Whether idle sessions are being closed.
     pub closing: Cell<bool>,
     /// Notified when `leaving` or `closing` is set.
@@ -83,6 +85,7 @@
             metrics: Metrics::new(),
             changed: Event::new(),
             leaving: Cell::new(false),
+            told: Cell::new(false),
             closing: Cell::new(false),
             stop: Event::new(),
             ended: Event::new(),
--- a/crates/standin/src/parse.rs
+++ b/crates/standin/src/parse.rs
@@ -11,7 +11,9 @@
         TransactionAccessMode, TransactionMode, UnaryOperator,
     },
     dialect::PostgreSqlDialect,
+    keywords::Keyword,
     parser::Parser,
+    tokenizer::{Token, Tokenizer},
 };
 
 use crate::{
@@ -28,12 +30,31 @@
 /// Most parameters of a statement, as in the protocol's 16-bit count.
 const PARAMETERS: usize = 65_535;
 
+/// Most keywords and operators of a statement. Chains of operators are as deep in memory as they
+/// are long; 400 overflow the 2 MiB stack of a thread in a debug build.
+const NESTING: usize = 200;
+
 /// Parses all statements of a text.
 ///
 /// # Errors
-/// 42601 when it is not SQL, 0A000 when it is outside the subset.
+/// 42601 when it is not SQL, 54001 when it is too deep, 0A000 when it is outside the subset.
 pub fn parse(sql: &str) -> Parsed<Vec<Rc<Command>>> {
-    let statements = Parser::parse_sql(&PostgreSqlDialect {}, sql)
+    let dialect = PostgreSqlDialect {};
+    let tokens = Tokenizer::new(&dialect, sql)
+        .tokenize_with_location()
+        .map_err(|cause| Refusal::new("42601", cause.to_string()))?;
+    let too_deep = tokens
+        .split(|token| token.token == Token::SemiColon)
+        .any(|part| part.iter().filter(|token| nests(&token.token)).count() > NESTING);
+    if too_deep {
+        return Err(Refusal::new(
+            "54001",
+            format!("a statement has over {NESTING} keywords and operators"),
+        ));
+    }
+    let statements = Parser::new(&dialect)
+        .with_tokens_with_locations(tokens)
+        .parse_statements()
         .map_err(|cause| Refusal::new("42601", cause.to_string()))?;
     statements
         .into_iter()
@@ -41,6 +62,26 @@
         .collect()
 }
 
+/// Whether a token may make an expression one level deeper.
+const fn nests(token: &Token) -> bool {
+    match token {
+        Token::Comma
+        | Token::LParen
+        | Token::RParen
+        | Token::Period
+        | Token::Number(..)
+        | Token::SingleQuotedString(_)
+        | Token::Placeholder(_)
+        | Token::Whitespace(_)
+        | Token::EOF => false,
+        Token::Word(word) => !matches!(
+            word.keyword,
+            Keyword::NoKeyword | Keyword::NULL | Keyword::TRUE | Keyword::FALSE | Keyword::DEFAULT
+        ),
+        _ => true,
+    }
+}
+
 fn command(statement: Statement) -> Parsed<Command> {
     match statement {
         Statement::StartTransaction { modes, .. } => Ok(begin(&modes)),
@@ -89,7 +130,7 @@
             Ok(Command::Update(Update {
                 table: relation(&update.table)?,
                 set: assignments(update.assignments)?,
-                filter: update.selection.map(expr).transpose()?,
+                filter: update.selection.as_ref().map(expr).transpose()?,
                 returning: items(update.returning.unwrap_or_default())?,
             }))
         }
@@ -104,7 +145,7 @@
             }
             Ok(Command::Delete(Delete {
                 table: relation(table)?,
-                filter: delete.selection.map(expr).transpose()?,
+                filter: delete.selection.as_ref().map(expr).transpose()?,
                 returning: items(delete.returning.unwrap_or_default())?,
             }))
         }
@@ -215,7 +256,7 @@
             ColumnOption::NotNull => column.required = true,
             ColumnOption::PrimaryKey(_) => primary = true,
             ColumnOption::Default(value) => {
-                let Expr::Literal(value) = expr(value.clone())? else {
+                let Expr::Literal(value) = expr(value)? else {
                     return Err(Refusal::unsupported("a default that is not a constant"));
                 };
                 column.default = value.cast(column.kind)?;
@@ -270,8 +311,8 @@
             offset,
             limit_by,
         }) if limit_by.is_empty() => (
-            limit.map(expr).transpose()?,
-            offset.map(|offset| expr(offset.value)).transpose()?,
+            limit.as_ref().map(expr).transpose()?,
+            offset.map(|offset| expr(&offset.value)).transpose()?,
         ),
         Some(_) => return Err(Refusal::unsupported("this form of LIMIT")),
     };
@@ -283,7 +324,7 @@
     Ok(Command::Select(Select {
         items: items(body.projection)?,
         table,
-        filter: body.selection.map(expr).transpose()?,
+        filter: body.selection.as_ref().map(expr).transpose()?,
         order: order(query.order_by)?,
         limit,
         offset,
@@ -299,9 +340,9 @@
             if let ast::Value::Number(text, _) = &value.value {
                 return Ok(Command::Sleep(Expr::Literal(Value::text(text))));
             }
-            Ok(Command::Sleep(expr(ast::Expr::Value(value))?))
+            Ok(Command::Sleep(literal(&value.value)?))
         }
-        (Some(Some(other)), true) => Ok(Command::Sleep(expr(other)?)),
+        (Some(Some(other)), true) => Ok(Command::Sleep(expr(&other)?)),
         _ => Err(Refusal::new(
             "42883",
             "pg_sleep takes one number of seconds",
@@ -324,7 +365,7 @@
             let nulls_first =
                 options.contains("NULLS FIRST") || (descending && !options.contains("NULLS LAST"));
             Ok(Order {
-                expr: expr(order.expr)?,
+                expr: expr(&order.expr)?,
                 descending,
                 nulls_first,
             })
@@ -368,7 +409,7 @@
     };
     let rows = rows
         .into_iter()
-        .map(|row| row.content.into_iter().map(given).collect())
+        .map(|row| row.content.iter().map(given).collect())
         .collect::<Parsed<_>>()?;
     Ok(Insert {
         table: object(name)?,
@@ -379,8 +420,8 @@
     })
 }
 
-fn given(value: ast::Expr) -> Parsed<Option<Expr>> {
-    match &value {
+fn given(value: &ast::Expr) -> Parsed<Option<Expr>> {
+    match value {
         ast::Expr::Identifier(found)
             if found.quote_style.is_none() && found.value.eq_ignore_ascii_case("default") =>
         {
@@ -394,7 +435,7 @@
     found
         .into_iter()
         .map(|assignment| match assignment.target {
-            AssignmentTarget::ColumnName(name) => Ok((object(&name)?, expr(assignment.value)?)),
+            AssignmentTarget::ColumnName(name) => Ok((object(&name)?, expr(&assignment.value)?)),
             AssignmentTarget::Tuple(_) => Err(Refusal::unsupported("assignment of a tuple")),
         })
         .collect()
@@ -407,10 +448,10 @@
             SelectItem::Wildcard(_) | SelectItem::QualifiedWildcard(..) => Ok(Item::All),
             SelectItem::UnnamedExpr(found) => {
                 let name = label(&found);
-                Ok(Item::Expr(expr(found)?, name))
+                Ok(Item::Expr(expr(&found)?, name))
             }
             SelectItem::ExprWithAlias { expr: found, alias } => {
-                Ok(Item::Expr(expr(found)?, ident(&alias).to_string()))
+                Ok(Item::Expr(expr(&found)?, ident(&alias).to_string()))
             }
             SelectItem::ExprWithAliases { .. } => Err(Refusal::unsupported("several aliases")),
         })
@@ -460,9 +501,9 @@
     }
 }
 
-fn expr(found: ast::Expr) -> Parsed<Expr> {
+fn expr(found: &ast::Expr) -> Parsed<Expr> {
     Ok(match found {
-        ast::Expr::Identifier(name) => Expr::Column(ident(&name)),
+        ast::Expr::Identifier(name) => Expr::Column(ident(name)),
         ast::Expr::CompoundIdentifier(parts) => match parts.as_slice() {
             // `excluded.x` of an upsert stays apart from the column of the table.
             [table, name] if table.value.eq_ignore_ascii_case("excluded") => {
@@ -471,15 +512,13 @@
             [.., name] => Expr::Column(ident(name)),
             [] => return Err(Refusal::unsupported("an empty name")),
         },
-        ast::Expr::Value(value) => literal(value.value)?,
-        ast::Expr::Nested(inner) => expr(*inner)?,
-        ast::Expr::BinaryOp { left, op, right } => Expr::Binary(
-            operator(&op)?,
-            Box::new(expr(*left)?),
-            Box::new(expr(*right)?),
-        ),
+        ast::Expr::Value(value) => literal(&value.value)?,
+        ast::Expr::Nested(inner) => expr(inner)?,
+        ast::Expr::BinaryOp { left, op, right } => {
+            Expr::Binary(operator(op)?, Box::new(expr(left)?), Box::new(expr(right)?))
+        }
         ast::Expr::UnaryOp { op, expr: inner } => {
-            let inner = expr(*inner)?;
+            let inner = expr(inner)?;
             match op {
                 UnaryOperator::Not => Expr::Not(Box::new(inner)),
                 UnaryOperator::Minus => match inner {
@@ -496,8 +535,8 @@
             negated,
             ..
         } => {
-            let list = list.into_iter().map(expr).collect::<Parsed<_>>()?;
-            negate(Expr::In(Box::new(expr(*inner)?), list), negated)
+            let list = list.iter().map(expr).collect::<Parsed<_>>()?;
+            negate(Expr::In(Box::new(expr(inner)?), list), *negated)
         }
         ast::Expr::Between {
             expr: inner,
@@ -505,24 +544,24 @@
             low,
             high,
         } => {
-            let inner = expr(*inner)?;
+            let inner = expr(inner)?;
             let low = Expr::Binary(
                 Operator::AtLeast,
                 Box::new(inner.clone()),
-                Box::new(expr(*low)?),
+                Box::new(expr(low)?),
             );
-            let high = Expr::Binary(Operator::AtMost, Box::new(inner), Box::new(expr(*high)?));
+            let high = Expr::Binary(Operator::AtMost, Box::new(inner), Box::new(expr(high)?));
             let both = Expr::Binary(Operator::And, Box::new(low), Box::new(high));
-            negate(both, negated)
+            negate(both, *negated)
         }
-        ast::Expr::IsNull(inner) => Expr::IsNull(Box::new(expr(*inner)?)),
-        ast::Expr::IsNotNull(inner) => Expr::Not(Box::new(Expr::IsNull(Box::new(expr(*inner)?)))),
+        ast::Expr::IsNull(inner) => Expr::IsNull(Box::new(expr(inner)?)),
+        ast::Expr::IsNotNull(inner) => Expr::Not(Box::new(Expr::IsNull(Box::new(expr(inner)?)))),
         ast::Expr::Cast {
             expr: inner,
             data_type,
             ..
-        } => Expr::Cast(Box::new(expr(*inner)?), kind(&data_type)?),
-        ast::Expr::Function(function) => call(&function)?,
+        } => Expr::Cast(Box::new(expr(inner)?), kind(data_type)?),
+        ast::Expr::Function(function) => call(function)?,
         other => return Err(Refusal::unsupported(format!("expression {other}"))),
     })
 }
@@ -535,7 +574,7 @@
     }
 }
 
-fn literal(value: ast::Value) -> Parsed<Expr> {
+fn literal(value: &ast::Value) -> Parsed<Expr> {
     Ok(match value {
         ast::Value::Number(text, _) => {
             let number: i64 = text
@@ -543,7 +582,7 @@
                 .map_err(|_invalid| Refusal::unsupported(format!("number {text}")))?;
             Expr::Literal(Value::Int(number))
         }
-        ast::Value::Boolean(truth) => Expr::Literal(Value::Bool(truth)),
+        ast::Value::Boolean(truth) => Expr::Literal(Value::Bool(*truth)),
         ast::Value::Null => Expr::Literal(Value::Null),
         ast::Value::Placeholder(name) => {
             let number = name
@@ -553,7 +592,7 @@
                 .ok_or_else(|| Refusal::new("42601", format!("parameter {name} is not $n")))?;
             Expr::Param(number - 1)
         }
-        other => match other.into_string() {
+        other => match other.clone().into_string() {
             Some(text) => Expr::Literal(Value::text(&text)),
             None => return Err(Refusal::unsupported("this constant")),
         },
@@ -604,7 +643,7 @@
     }
     let mut found = arguments(&function.args)?
         .into_iter()
-        .map(|argument| argument.map(expr).transpose())
+        .map(|argument| argument.as_ref().map(expr).transpose())
         .collect::<Parsed<Vec<_>>>()?;
     let aggregate = match name.as_str() {
         "count" => Aggregate::Count,
--- a/crates/standin/src/session.rs
+++ b/crates/standin/src/session.rs
@@ -203,6 +203,7 @@
         variables: parameters,
         tx: None,
         skipping: false,
+        settled: true,
         seen: None,
         reported: None,
         scratch: BytesMut::new(),
@@ -225,6 +226,9 @@
     tx: Option<Tx>,
     /// After an error in an extended query, until Sync.
     skipping: bool,
+    /// Whether all answers so far belong to finished batches. Others are kept until Sync or Flush,
+    /// so that no client sees a command complete before its transaction is committed.
+    settled: bool,
     /// Position that the last statement saw.
     seen: Option<Position>,
     /// Position last reported.
@@ -242,7 +246,9 @@
                     Some(frame)
                 }
                 None => {
-                    self.writer.flush().await?;
+                    if self.settled {
+                        self.writer.flush().await?;
+                    }
                     match self.wait().await? {
                         Either::Left(frame) => frame,
                         Either::Right(()) => {
@@ -264,6 +270,7 @@
             if front == Front::Terminate {
                 return Ok(());
             }
+            self.settled = false;
             if let Err(refusal) = self.handle(front).await? {
                 self.fail(&refusal)?;
                 self.skipping = true;
@@ -430,6 +437,7 @@
             Some(tx) if tx.failed => TransactionStatus::Error,
             Some(_) => TransactionStatus::Transaction,
         };
+        self.settled = true;
         self.writer.message(&reply::ready(status))
     }
 
@@ -695,6 +703,7 @@
     ) -> Result<Outcome, Refusal> {
         let member = Rc::clone(&self.member);
         let writes = command.writes();
+        let first = self.tx.as_ref().is_none_or(|tx| tx.block);
         let tx = self.tx.get_or_insert_default();
         let is_primary = member.store.borrow().is_primary();
         if writes && (tx.read_only || tx.snapshot.is_some() || !is_primary) {
@@ -732,8 +741,8 @@
             .then(|| member.slots.take())
             .flatten();
         if !free || (slot.is_none() && !self.managing) || !pause.is_zero() {
-            // Earlier answers must not wait for this statement.
-            if let Err(cause) = self.writer.flush().await {
+            // Answers to earlier batches must not wait for this statement.
+            if first && let Err(cause) = self.writer.flush().await {
                 return Err(Refusal::new("08006", cause.to_string()));
             }
             let exempt = self.managing;
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -246,13 +246,32 @@
         common((&self.terms, self.offset()), (terms, offset))
     }
 
-    /// Cuts the entries that the primary followed does not have and takes over its term.
+    /// A stream may still run when another order has come; it must change nothing then.
+    fn check_role(&self, role: Role) -> Result<(), Refusal> {
+        if self.role == role {
+            Ok(())
+        } else {
+            Err(Refusal::new("55000", "another order has come since"))
+        }
+    }
+
+    /// Cuts the entries that the primary followed in `role` does not have and takes over its term.
     ///
     /// Returns the number of entries cut.
-    pub fn adopt(&mut self, term: Term, offset: u64, terms: Terms) -> u64 {
+    ///
+    /// # Errors
+    /// 55000 when another order has come since.
+    pub fn adopt(
+        &mut self,
+        role: Role,
+        term: Term,
+        offset: u64,
+        terms: Terms,
+    ) -> Result<u64, Refusal> {
+        self.check_role(role)?;
         let cut = self.offset().saturating_sub(offset);
         if cut == 0 && self.term == term && self.terms == terms {
-            return 0;
+            return Ok(0);
         }
         self.log.append(&log::encode(&Record::Adopt {
             term,
@@ -267,7 +286,7 @@
                 .truncate(usize::try_from(offset).unwrap_or(usize::MAX));
             self.rebuild();
         }
-        cut
+        Ok(cut)
     }
 
     fn rebuild(&mut self) {
@@ -301,11 +320,13 @@
         Ok((bytes, last))
     }
 
-    /// Appends entries received from the primary.
+    /// Appends entries received from the primary followed in `role`.
     ///
     /// # Errors
-    /// 08P01 when they do not continue the log; nothing was appended then.
-    pub fn receive(&mut self, bytes: &[u8]) -> Result<usize, Refusal> {
+    /// 55000 when another order has come since, 08P01 when they do not continue the log; nothing
+    /// was appended then.
+    pub fn receive(&mut self, role: Role, bytes: &[u8]) -> Result<usize, Refusal> {
+        self.check_role(role)?;
         let parsed = log::parse(bytes);
         let mut entries = Vec::with_capacity(parsed.records.len());
         if parsed.length != bytes.len() as u64 {
@@ -321,7 +342,11 @@
         let received = parsed.records.into_iter().zip(ends);
         for (next, ((at, record), end)) in (self.offset() + 1..).zip(received) {
             match record {
-                Record::Entry(entry) if entry.offset == next => entries.push((at, end, entry)),
+                Record::Entry(entry)
+                    if entry.offset == next && entry.term == term_at(&self.terms, next) =>
+                {
+                    entries.push((at, end, entry));
+                }
                 _ => return Err(Refusal::new("08P01", format!("entry {next} is missing"))),
             }
         }
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -159,6 +159,24 @@
     }
 }
 
+/// Guards against a member without sessions that exits before the entry hosts have heard of it.
+#[test]
+fn sigterm_is_announced_without_sessions() {
+    let folder = tempfile::tempdir().unwrap();
+    let (entries, announced): (Vec<_>, Vec<_>) = (0..3).map(|_| entry()).unzip();
+    let path = write_settings(folder.path(), free("127.0.0.1"), &entries);
+    let mut child = standin(&["--settings", &path]);
+    announced[0].recv_timeout(Duration::from_secs(10)).unwrap();
+
+    terminate(&child);
+    let status = child.wait().unwrap();
+
+    assert_eq!(status.code(), Some(0));
+    for told in announced {
+        assert!(told.try_iter().any(|body| body["leaving"] == true));
+    }
+}
+
 /// Guards against idle sessions that keep a leaving member alive.
 #[tokio::test]
 async fn sigterm_closes_idle_sessions() {
--- a/crates/standin/tests/protocol.rs
+++ b/crates/standin/tests/protocol.rs
@@ -168,6 +168,26 @@
     });
 }
 
+/// Guards against a command that is reported as complete before its transaction is committed.
+#[test]
+fn nothing_is_complete_before_sync() {
+    let (node, _folder) = member();
+    block_on(async {
+        let mut client = open(node.address, "caller").await;
+
+        extended(&mut client, "INSERT INTO t VALUES (1)", 0);
+        client.writer.flush().await.unwrap();
+        let early = compio::time::timeout(Duration::from_millis(150), client.frame()).await;
+        let silent = early.is_err();
+        drop(early);
+        let mut other = open(node.address, "caller").await;
+        let rows = other.query("SELECT * FROM t").await.unwrap();
+
+        assert!(silent);
+        assert!(rows.is_empty());
+    });
+}
+
 /// Guards against pipelined batches that are answered out of order or mixed.
 #[test]
 fn pipelined_batches_are_answered_in_order() {
--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -232,6 +232,50 @@
     assert_eq!(ids(a).await, Vec::<i32>::new());
 }
 
+/// Guards against entries of the old primary that are applied behind the promotion, at offsets
+/// that belong to the new term.
+#[tokio::test]
+async fn promotion_ends_the_old_stream() {
+    let group = group().await;
+    let [a, b, c] = group.nodes.as_slice() else {
+        unreachable!()
+    };
+    let (old, monitor) = (a.client().await, b.login("monitor").await.unwrap());
+    let mut next = 0;
+    for term in (2..22).step_by(2) {
+        for _ in 0..20 {
+            next += 1;
+            insert(&old, next).await;
+        }
+
+        // A lone client of the old primary goes on while the replica is promoted.
+        let (promoted, ()) = futures_util::future::join(
+            monitor.simple_query(&format!("PROMOTE TERM {term}")),
+            async {
+                for id in 0..20 {
+                    insert(&old, 1_000 * term + id).await;
+                }
+            },
+        )
+        .await;
+        promoted.unwrap();
+        let at = b.position().await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(b.position().await, at);
+
+        follow(a, b, u64::try_from(term).unwrap()).await;
+        a.reaches(&at.to_string()).await;
+        assert_eq!(ids(a).await, ids(b).await);
+        let back = term + 1;
+        a.order(&format!("PROMOTE TERM {back}")).await.unwrap();
+        follow(b, a, u64::try_from(back).unwrap()).await;
+        follow(c, a, u64::try_from(back).unwrap()).await;
+        b.reaches(&a.position().await.to_string()).await;
+    }
+    c.reaches(&a.position().await.to_string()).await;
+    assert_eq!(ids(c).await, ids(b).await);
+}
+
 /// Guards against a lag that is not applied, that adds up from entry to entry, or that can't be
 /// taken away.
 #[tokio::test]
--- a/crates/standin/tests/session.rs
+++ b/crates/standin/tests/session.rs
@@ -4,6 +4,7 @@
 
 use common::{Node, settings, state};
 use rstest::rstest;
+use tokio_postgres::error::SqlState;
 
 async fn primary(folder: &tempfile::TempDir) -> Node {
     let node = Node::start(settings(folder.path()));
@@ -137,6 +138,57 @@
     assert_eq!(state(outcome), expected);
 }
 
+/// Guards against a statement so deep that it overflows the stack and ends the process.
+#[rstest]
+#[case("+1", 199)]
+#[case(" OR true", 199)]
+#[case("::int8", 99)]
+#[case(" IS NULL", 199)]
+#[tokio::test]
+async fn deep_statement_is_refused(#[case] part: &str, #[case] most: usize) {
+    let folder = tempfile::tempdir().unwrap();
+    let node = primary(&folder).await;
+    let client = node.client().await;
+
+    let deep = client
+        .simple_query(&format!("SELECT 1{}", part.repeat(100_000)))
+        .await;
+    let deepest = client
+        .simple_query(&format!("SELECT 1{}", part.repeat(most)))
+        .await;
+    let after = client.simple_query("SELECT 1").await;
+
+    assert_eq!(state(deep), "54001");
+    if let Err(cause) = deepest {
+        assert_eq!(cause.code().map(SqlState::code), Some("42804"));
+    }
+    after.unwrap();
+}
+
+/// Guards against a long batch of small statements that is taken for a deep one.
+#[tokio::test]
+async fn long_batch_runs() {
+    let folder = tempfile::tempdir().unwrap();
+    let node = primary(&folder).await;
+    let client = node.client().await;
+    let inserts: Vec<_> = (0..1_000)
+        .map(|id| format!("INSERT INTO t VALUES ({id})"))
+        .collect();
+    let batch = inserts.join(";");
+
+    client
+        .batch_execute(&format!("CREATE TABLE t (id int PRIMARY KEY); {batch}"))
+        .await
+        .unwrap();
+
+    let row = client
+        .query_one("SELECT count(*) FROM t", &[])
+        .await
+        .unwrap();
+    assert_eq!(row.get::<_, i64>(0), 1_000);
+    assert_eq!(node.position().await.to_string(), "1/1");
+}
+
 /// Guards against a failed transaction that commits, or one that blocks its session for ever.
 #[tokio::test]
 async fn failed_transaction_rolls_back() {
