--- a/crates/standin/tests/replication.rs
+++ b/crates/standin/tests/replication.rs
@@ -232,6 +232,38 @@
     assert_eq!(ids(a).await, Vec::<i32>::new());
 }
 
+/// Guards against entries of the old primary that are applied behind the promotion, at offsets
+/// that belong to the new term.
+#[tokio::test]
+async fn promotion_ends_the_old_stream() {
+    let group = group().await;
+    let [a, b, _c] = group.nodes.as_slice() else {
+        unreachable!()
+    };
+    let monitor = b.login("monitor").await.unwrap();
+    let wait = Duration::from_millis(100);
+
+    // The order waits in the frozen member before the entries do, so that it is taken up first.
+    fault(b, r#"{"frozen":true}"#);
+    let mut ordered = std::pin::pin!(monitor.simple_query("PROMOTE TERM 2"));
+    let silent = tokio::time::timeout(wait, ordered.as_mut()).await.is_err();
+    let old = a.client().await;
+    for id in 0..5 {
+        insert(&old, id).await;
+    }
+    tokio::time::sleep(wait).await;
+    fault(b, r#"{"frozen":false}"#);
+    ordered.await.unwrap();
+    tokio::time::sleep(wait).await;
+    let promoted = b.position().await.to_string();
+    follow(a, b, 2).await;
+    a.reaches(&promoted).await;
+
+    assert!(silent);
+    assert_eq!(promoted, "2/1");
+    assert_eq!(ids(a).await, ids(b).await);
+}
+
 /// Guards against a lag that is not applied, that adds up from entry to entry, or that can't be
 /// taken away.
 #[tokio::test]
