--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses a part of the fakes"
 )]
 
+pub mod caller;
 pub mod http;
 
 use std::{
--- a/crates/control/tests/daemon.rs
+++ b/crates/control/tests/daemon.rs
@@ -11,8 +11,13 @@
 };
 
 use base::document;
-use common::http::{self, Reply};
-use compio::time::sleep;
+use common::{
+    Group,
+    caller::Caller,
+    http::{self, Reply},
+};
+use compio::time::{sleep, timeout};
+use control::sighting::Health;
 use rstest::rstest;
 use serde_json::{Value, json};
 use tempfile::TempDir;
@@ -303,6 +308,100 @@
     assert_eq!(again["version"], 1);
 }
 
+/// Renews for three entry processes at every host until `done` of a status, and returns it.
+async fn observe(
+    deployment: &Deployment,
+    group: &Group,
+    records: &mut u64,
+    done: impl Fn(&Value) -> bool,
+) -> Value {
+    let start = Instant::now();
+    loop {
+        for daemon in &deployment.daemons {
+            let address = SocketAddr::new(daemon.http.ip(), 7_000);
+            let Some(caller) = Caller::connect(address).await else {
+                continue;
+            };
+            for i in 0..3 {
+                let renewal = group.renewal(i, *records, Group::truth);
+                let renewed = timeout(Duration::from_millis(500), caller.renew(&renewal)).await;
+                // An entry process learns of a newer record from the answer.
+                if let Ok(Ok(version)) = renewed {
+                    *records = version.max(*records);
+                }
+            }
+            let status = daemon.get("/v1/status").await.map(|reply| reply.json());
+            if let Some(status) = status.filter(&done) {
+                return status;
+            }
+        }
+        assert!(start.elapsed() < LIMIT, "not done within {LIMIT:?}");
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+/// Guards against a promotion that ends with the control leader that ran it, and against two
+/// members promoted in one term.
+#[rstest]
+#[case::at_once(6, 0)]
+#[case::during_detection(7, 30)]
+#[case::during_election(8, 120)]
+#[case::after_order(9, 400)]
+#[compio::test]
+async fn promotion_outlives_control_leader(#[case] number: u8, #[case] delay: u64) {
+    let mut deployment = Deployment::started(number).await;
+    let group = Group::start().await;
+    deployment.put(0, "one", 0, &text(0)).await;
+    let mut records = 0;
+    let stable = |status: &Value, term: u64| {
+        let group = &status["groups"][0];
+        group["state"] == "stable" && group["term"].as_u64() >= Some(term)
+    };
+    observe(&deployment, &group, &mut records, |status| {
+        stable(status, 1)
+    })
+    .await;
+    let leader = deployment.leader().await;
+
+    group.members[0].state.borrow_mut().fault = Some(Health::Refused);
+    let until = Instant::now() + Duration::from_millis(delay);
+    observe(&deployment, &group, &mut records, |_| {
+        Instant::now() >= until
+    })
+    .await;
+    deployment.daemons[leader].kill();
+    let failed = Instant::now();
+    let status = observe(&deployment, &group, &mut records, |status| {
+        status["leader"] != format!("c{}", leader + 1) && stable(status, 2)
+    })
+    .await;
+
+    assert!(
+        failed.elapsed() < Duration::from_secs(17),
+        "took {:?}",
+        failed.elapsed()
+    );
+    assert_ne!(status["groups"][0]["primary"], "a");
+    let mut orders: Vec<_> = group
+        .members
+        .iter()
+        .flat_map(common::FakeMember::promoted)
+        .collect();
+    orders.sort();
+    let count = orders.len();
+    orders.dedup();
+    let distinct_members = group.members.iter().map(|member| {
+        let mut own = member.promoted();
+        own.dedup();
+        own.len()
+    });
+    assert_eq!(
+        orders.len(),
+        distinct_members.sum::<usize>(),
+        "{count} orders: {orders:?}"
+    );
+}
+
 /// Guards against a process that starts with settings it does not understand.
 #[rstest]
 #[case::unknown_key("speed = 1\n")]
