--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -282,6 +282,23 @@
         author: &str,
     ) -> Result<u64, Problem> {
         limited("change", &request.change)?;
+        if let Some(member) = &request.member {
+            let directory = self.host.directory.borrow();
+            let heard = directory.member(member);
+            let recorded = self.host.record(&group);
+            let recorded = recorded.is_some_and(|record| record.member(member).is_some());
+            let present = directory.present(Instant::now(), &group);
+            if recorded && heard.is_some() && !present.iter().any(|a| a.member == *member) {
+                return Err(Problem {
+                    status: StatusCode::CONFLICT,
+                    ..Problem::field(
+                        "member",
+                        "is leaving, or was not heard from for 3 s",
+                        "choose another member, or wait until it is back",
+                    )
+                });
+            }
+        }
         slog::info!(self.host.logger, "planned change of primary"; "author" => author,
             "change" => &request.change, "group" => &group, "member" => &request.member);
         let planned = Planned {
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -152,6 +152,8 @@
     pub stopping: Cell<bool>,
     /// Changes of operators that have no answer yet.
     pub busy: Cell<usize>,
+    /// When a change was planned last for a leaving primary.
+    pub planned: RefCell<Map<GroupName, Instant>>,
     /// Wakes the task of one group.
     suspects: RefCell<Map<GroupName, Rc<Notify>>>,
     /// Record version whose changes the tasks of groups were told.
@@ -186,6 +188,7 @@
             logger,
             stopping: Cell::new(false),
             busy: Cell::new(0),
+            planned: RefCell::default(),
             suspects: RefCell::default(),
             told: Cell::new(0),
             document: RefCell::default(),
--- a/crates/control/src/notify.rs
+++ b/crates/control/src/notify.rs
@@ -2,15 +2,18 @@
 
 use std::{
     cell::{Cell, RefCell},
-    future::poll_fn,
-    task::{Poll, Waker},
+    pin::Pin,
+    task::{Context, Poll, Waker},
 };
 
+use base::Map;
+
 /// A counter that tasks can wait on.
 #[derive(Debug, Default)]
 pub struct Notify {
     count: Cell<u64>,
-    wakers: RefCell<Vec<Waker>>,
+    ids: Cell<u64>,
+    wakers: RefCell<Map<u64, Waker>>,
 }
 
 impl Notify {
@@ -20,26 +23,56 @@
         self.count.get()
     }
 
+    /// Number of waiting tasks.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.wakers.borrow().len()
+    }
+
     /// Reports a change and wakes all waiting tasks.
     pub fn notify(&self) {
         self.count.set(self.count.get() + 1);
-        for waker in self.wakers.take() {
+        for (_, waker) in self.wakers.take() {
             waker.wake();
         }
     }
 
     /// Waits until there were more changes than `count`.
-    pub async fn after(&self, count: u64) {
-        poll_fn(|context| {
-            if self.count.get() > count {
-                return Poll::Ready(());
-            }
-            let mut wakers = self.wakers.borrow_mut();
-            if !wakers.iter().any(|waker| waker.will_wake(context.waker())) {
-                wakers.push(context.waker().clone());
-            }
-            Poll::Pending
-        })
-        .await;
+    pub fn after(&self, count: u64) -> After<'_> {
+        let id = self.ids.get();
+        self.ids.set(id + 1);
+        After {
+            notify: self,
+            count,
+            id,
+        }
+    }
+}
+
+/// A wait for a change. Dropping it leaves nothing behind, so that polls that end without a change
+/// do not add up.
+#[derive(Debug)]
+pub struct After<'a> {
+    notify: &'a Notify,
+    count: u64,
+    id: u64,
+}
+
+impl Future for After<'_> {
+    type Output = ();
+
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+        if self.notify.count.get() > self.count {
+            return Poll::Ready(());
+        }
+        let mut wakers = self.notify.wakers.borrow_mut();
+        wakers.insert(self.id, cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+impl Drop for After<'_> {
+    fn drop(&mut self) {
+        self.notify.wakers.borrow_mut().remove(&self.id);
     }
 }
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Position, Term};
+use base::{MemberName, Position, Term};
 use compio::time::{sleep, timeout};
 use futures_util::{
     FutureExt as _, StreamExt as _,
@@ -21,7 +21,7 @@
     judge::{self, Verdict},
     leases::LEASE,
     log::{Log, LogError},
-    machine::{GroupState, Member, Record},
+    machine::{Command, GroupState, Member, Planned, Record},
     sweep, upstream,
     upstream::Status,
 };
@@ -38,6 +38,8 @@
 const DRAIN: Duration = Duration::from_secs(5);
 /// Longest time that the target of a planned change gets to catch up after the fencing.
 const CATCH_UP: Duration = Duration::from_secs(2);
+/// Pause between attempts to move a leaving primary; each one interrupts writes.
+const REPLAN: Duration = Duration::from_secs(10);
 /// Longest time of one round of reads.
 const READ: Duration = Duration::from_secs(2);
 /// Time after which a read that has no direct answer is also tried through the other hosts.
@@ -183,6 +185,9 @@
         {
             return Ok(Step::Again);
         }
+        if leave(host, record).await? {
+            return Ok(Step::Again);
+        }
         let news = std::pin::pin!(suspect.after(count));
         match select(&mut sweep, news).await {
             Either::Left((swept, _news)) => match swept? {
@@ -202,6 +207,59 @@
     fence(host, record, record.term + 1, timing).await
 }
 
+/// Plans a change when the primary announces that it is about to stop, and returns whether it did.
+async fn leave<L: Log>(host: &Rc<Host<L>>, record: &Record) -> Result<bool, LogError> {
+    let now = Instant::now();
+    let Some(member) = successor(host, record, now) else {
+        return Ok(false);
+    };
+    let last = host.planned.borrow().get(&record.group).copied();
+    if last.is_some_and(|at| now.duration_since(at) < REPLAN) {
+        return Ok(false);
+    }
+    host.planned.borrow_mut().insert(record.group.clone(), now);
+    slog::info!(host.logger, "primary is leaving"; "group" => &record.group,
+        "member" => &record.primary, "successor" => &member);
+    let planned = Planned {
+        change: format!(
+            "leaving-{}-{}-{}",
+            record.group, record.primary, record.version
+        ),
+        member: Some(member),
+    };
+    let command = Command::Plan {
+        group: record.group.clone(),
+        planned,
+    };
+    host.log.propose(command.encode()).await?;
+    Ok(true)
+}
+
+/// Member that takes over from a primary that announces its stop: the most advanced one that stays,
+/// the nearest among equals.
+fn successor<L: Log>(host: &Host<L>, record: &Record, now: Instant) -> Option<MemberName> {
+    let directory = host.directory.borrow();
+    let leaving = &directory.member(&record.primary)?.announcement;
+    let primary = record.member(&record.primary)?;
+    if !leaving.leaving || leaving.store != primary.store {
+        return None;
+    }
+    let sightings = host.sightings.borrow();
+    let observers = sightings.of(&record.group)?;
+    let position = |name: &str| {
+        let seen = observers.values().filter_map(|o| o.members.get(name));
+        seen.map(|seen| seen.position).max()
+    };
+    let present = directory.present(now, &record.group);
+    let stays = record.members.iter().filter(|member| {
+        let recorded = |a: &&Announcement| a.member == member.member && a.store == member.store;
+        member.member != record.primary && present.iter().any(recorded)
+    });
+    let best =
+        stays.max_by_key(|member| (position(&member.member), member.region == primary.region));
+    best.map(|member| member.member.clone())
+}
+
 fn verdict<L: Log>(host: &Host<L>, record: &Record) -> Verdict {
     let sightings = host.sightings.borrow();
     let observers = sightings.of(&record.group);
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -113,6 +113,19 @@
     assert!(reply.get_document().unwrap().is_empty());
 }
 
+/// Guards against memory that grows with every poll that ends without news.
+#[compio::test]
+async fn ended_polls_leave_nothing_behind() {
+    let (host, address, _shared) = serve().await;
+    let client = connect(address).await;
+
+    for _ in 0..3 {
+        watch(&client, (0, 0, 0, host.run)).await;
+    }
+
+    assert_eq!(host.changed.waiting(), 0);
+}
+
 /// Guards against a directory that is taken for known after a restart of the control host.
 #[compio::test]
 async fn watch_sends_whole_directory_to_caller_of_another_run() {
