--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -1,8 +1,11 @@
 //! Databases and entry processes that this host has heard from.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant},
+};
 
-use base::{EntryName, GroupName, Map, MemberName, RegionName, StoreId, Version, ZoneName};
+use base::{EntryName, GroupName, Map, MemberName, RegionName, Set, StoreId, Version, ZoneName};
 use serde::Serialize;
 
 /// A member that is not heard from for this long gets no new work.
@@ -76,6 +79,12 @@
     version: Version,
     members: Map<MemberName, Heard>,
     entries: Map<EntryName, Entry>,
+    /// Members by the version of their last change, so that a watch reads only what is newer.
+    order: BTreeMap<Version, MemberName>,
+    /// Members by group.
+    groups: Map<GroupName, Set<MemberName>>,
+    /// Regions by zone.
+    regions: Map<ZoneName, RegionName>,
 }
 
 impl Directory {
@@ -91,7 +100,8 @@
     pub fn announce(&mut self, now: Instant, age: Duration, announcement: Announcement) -> bool {
         let at = now.checked_sub(age).unwrap_or(now);
         let lost = age >= LOST;
-        if let Some(heard) = self.members.get_mut(&announcement.member) {
+        let name = announcement.member.clone();
+        if let Some(heard) = self.members.get_mut(&name) {
             if at <= heard.at {
                 return false;
             }
@@ -99,68 +109,87 @@
             if heard.announcement == announcement && heard.lost == lost {
                 return false;
             }
-            self.version += 1;
-            heard.version = self.version;
-            heard.lost = lost;
-            heard.announcement = announcement;
-            return true;
-        }
-        if self.members.len() >= MEMBERS_MAX {
+        } else if self.members.len() >= MEMBERS_MAX {
             return false;
         }
-        self.version += 1;
-        let name = announcement.member.clone();
+        self.forget(&name);
+        let members = self.groups.entry(announcement.group.clone()).or_default();
+        members.insert(name.clone());
+        self.regions
+            .insert(announcement.zone.clone(), announcement.region.clone());
+        let version = self.changed(&name);
         let heard = Heard {
             announcement,
             at,
-            version: self.version,
+            version,
             lost,
         };
         self.members.insert(name, heard);
         true
     }
 
+    /// Makes a new version that is the last change of a member.
+    fn changed(&mut self, name: &str) -> Version {
+        self.version += 1;
+        self.order.insert(self.version, name.to_owned());
+        self.version
+    }
+
+    /// Removes a member from all tables.
+    fn forget(&mut self, name: &str) {
+        let Some(heard) = self.members.remove(name) else {
+            return;
+        };
+        self.order.remove(&heard.version);
+        if let Some(members) = self.groups.get_mut(&heard.announcement.group) {
+            members.remove(name);
+        }
+    }
+
     /// Marks members as lost that are not heard from, forgets what is long gone, and returns
     /// whether something changed.
     pub fn expire(&mut self, now: Instant) -> bool {
-        let before = self.version;
-        for heard in self.members.values_mut() {
-            if !heard.lost && now.duration_since(heard.at) >= LOST {
+        self.entries
+            .retain(|_, entry| now.duration_since(entry.at) < FORGET);
+        let silent = |heard: &Heard, limit| now.duration_since(heard.at) >= limit;
+        let names = |directory: &Self, filter: &dyn Fn(&Heard) -> bool| -> Vec<MemberName> {
+            let found = directory.members.iter().filter(|(_, heard)| filter(heard));
+            found.map(|(name, _)| name.clone()).collect()
+        };
+        for name in names(self, &|heard| silent(heard, FORGET_MEMBER)) {
+            self.forget(&name);
+        }
+        self.groups.retain(|_, members| !members.is_empty());
+        let lost = names(self, &|heard| !heard.lost && silent(heard, LOST));
+        for name in &lost {
+            let version = self.changed(name);
+            if let Some(heard) = self.members.get_mut(name) {
+                self.order.remove(&heard.version);
                 heard.lost = true;
-                self.version += 1;
-                heard.version = self.version;
+                heard.version = version;
             }
         }
-        self.members
-            .retain(|_, heard| now.duration_since(heard.at) < FORGET_MEMBER);
-        self.entries
-            .retain(|_, entry| now.duration_since(entry.at) < FORGET);
-        self.version != before
+        !lost.is_empty()
     }
 
     /// Members that changed after `version`, in the order of their changes.
     #[must_use]
     pub fn newer(&self, version: Version) -> Vec<&Heard> {
-        let mut newer: Vec<_> = self
-            .members
-            .values()
-            .filter(|h| h.version > version)
-            .collect();
-        newer.sort_by_key(|heard| heard.version);
+        let newer = self.order.range(version.saturating_add(1)..);
         newer
+            .filter_map(|(_, name)| self.members.get(name))
+            .collect()
     }
 
     /// Members of a group that are heard from and stay, ordered by name.
     #[must_use]
     pub fn present(&self, now: Instant, group: &str) -> Vec<&Announcement> {
-        let live = |heard: &&Heard| now.duration_since(heard.at) < LOST;
-        let members = self
-            .members
-            .values()
-            .filter(live)
-            .map(|heard| &heard.announcement);
-        let mut present: Vec<_> = members
-            .filter(|member| member.group == group && !member.leaving)
+        let names = self.groups.get(group).into_iter().flatten();
+        let heard = names.filter_map(|name| self.members.get(name));
+        let live = heard.filter(|heard| now.duration_since(heard.at) < LOST);
+        let mut present: Vec<_> = live
+            .map(|heard| &heard.announcement)
+            .filter(|member| !member.leaving)
             .collect();
         present.sort_by(|a, b| a.member.cmp(&b.member));
         present
@@ -175,10 +204,7 @@
     /// Region of a zone, as databases announce it.
     #[must_use]
     pub fn region(&self, zone: &str) -> Option<&str> {
-        let mut announced = self.members.values().map(|heard| &heard.announcement);
-        announced
-            .find(|a| a.zone == zone)
-            .map(|a| a.region.as_str())
+        self.regions.get(zone).map(String::as_str)
     }
 
     /// Every member heard from.
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -4,13 +4,14 @@
     cell::{Cell, RefCell},
     collections::VecDeque,
     net::{IpAddr, SocketAddr},
+    ops::Deref,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use base::{
     EntryName, GroupName, HostName, Map, MemberName, RegionName, Version, ZoneName,
-    document::Document,
+    document::{Document, Service},
 };
 use serde::Serialize;
 use serde_json::{Value, json};
@@ -119,6 +120,37 @@
     pub peers: Vec<(HostName, SocketAddr)>,
 }
 
+/// The configuration in force, parsed.
+#[derive(Debug, Default)]
+pub struct Configured {
+    document: Document,
+    groups: Map<GroupName, usize>,
+}
+
+impl Configured {
+    fn new(document: Document) -> Self {
+        let groups = document.services.iter().enumerate();
+        let groups = groups
+            .map(|(i, service)| (service.group.clone(), i))
+            .collect();
+        Self { document, groups }
+    }
+
+    /// Service that a group serves.
+    #[must_use]
+    pub fn of_group(&self, group: &str) -> Option<&Service> {
+        self.document.services.get(*self.groups.get(group)?)
+    }
+}
+
+impl Deref for Configured {
+    type Target = Document;
+
+    fn deref(&self) -> &Document {
+        &self.document
+    }
+}
+
 /// A control host.
 #[derive(Debug)]
 pub struct Host<L> {
@@ -158,7 +190,7 @@
     suspects: RefCell<Map<GroupName, Rc<Notify>>>,
     /// Record version whose changes the tasks of groups were told.
     told: Cell<Version>,
-    document: RefCell<(Version, Rc<Document>)>,
+    document: RefCell<(Version, Rc<Configured>)>,
 }
 
 impl<L: Log> Host<L> {
@@ -209,12 +241,14 @@
 
     /// Configuration in force, parsed; empty while there is none.
     #[must_use]
-    pub fn document(&self) -> Rc<Document> {
+    pub fn document(&self) -> Rc<Configured> {
         let state = self.state.borrow();
         let mut cached = self.document.borrow_mut();
         if cached.0 != state.config.version {
             match Document::parse(&state.config.document) {
-                Ok(document) => *cached = (state.config.version, Rc::new(document)),
+                Ok(document) => {
+                    *cached = (state.config.version, Rc::new(Configured::new(document)));
+                }
                 // A newer program accepted what this one can't read: the last known one goes on.
                 Err(cause) => slog::error!(self.logger, "the configuration can't be read";
                     "version" => state.config.version, "cause" => %cause),
@@ -396,10 +430,7 @@
         let directory = self.directory.borrow();
         let lent = demands.iter().filter_map(|demand| {
             let announced = &directory.member(&demand.member)?.announcement;
-            let service = document
-                .services
-                .iter()
-                .find(|s| s.group == announced.group)?;
+            let service = document.of_group(&announced.group)?;
             let limit = match announced.connections {
                 0 => service.connections,
                 announced => service.connections.min(announced),
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -90,11 +90,7 @@
 /// First record of a group, once all its databases are there and every one has been read.
 async fn create<L: Log>(host: &Rc<Host<L>>, group: &str) -> Result<Step, LogError> {
     let document = host.document();
-    let Some(service) = document
-        .services
-        .iter()
-        .find(|service| service.group == group)
-    else {
+    let Some(service) = document.of_group(group) else {
         return Ok(Step::Idle);
     };
     let databases = usize::try_from(service.databases).unwrap_or(usize::MAX);
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -112,10 +112,7 @@
 /// and additional ones while the record has fewer than configured.
 fn newcomers<L: Log>(host: &Host<L>, record: &Record) -> Vec<Announcement> {
     let document = host.document();
-    let service = document
-        .services
-        .iter()
-        .find(|service| service.group == record.group);
+    let service = document.of_group(&record.group);
     let databases = service.map_or(0, |service| service.databases);
     let missing = usize::try_from(databases)
         .unwrap_or(0)
