--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -249,9 +249,13 @@
                 Ok(document) => {
                     *cached = (state.config.version, Rc::new(Configured::new(document)));
                 }
-                // A newer program accepted what this one can't read: the last known one goes on.
-                Err(cause) => slog::error!(self.logger, "the configuration can't be read";
-                    "version" => state.config.version, "cause" => %cause),
+                Err(cause) => {
+                    // A newer program accepted what this one can't read: the last known one goes
+                    // on, and the fault is told once.
+                    cached.0 = state.config.version;
+                    slog::error!(self.logger, "the configuration can't be read";
+                        "version" => state.config.version, "cause" => %cause);
+                }
             }
         }
         Rc::clone(&cached.1)
--- a/crates/control/tests/promotion.rs
+++ b/crates/control/tests/promotion.rs
@@ -8,7 +8,7 @@
 };
 
 use base::Position;
-use common::{Cluster, Group, long_ago, settled, stable, until, until_term};
+use common::{Cluster, FakeMember, Group, long_ago, settled, stable, until, until_term};
 use compio::time::sleep;
 use control::{
     machine::{Command, GroupState, Planned},
@@ -291,6 +291,35 @@
     assert_ne!(cluster.record().unwrap().primary, "a");
 }
 
+/// Guards against a failover that waits for the answer of the silent primary.
+#[compio::test]
+async fn silent_primary_delays_no_step() {
+    let (cluster, group) = stable().await;
+    group.members[0].state.borrow_mut().fault = Some(Health::Silent);
+
+    let took = until_term(&cluster, &group, 2).await;
+
+    assert!(took < Duration::from_millis(1_500), "took {took:?}");
+    assert_ne!(cluster.record().unwrap().primary, "a");
+}
+
+/// Guards against orders and reads that go to the former address of a member that moved.
+#[compio::test]
+async fn member_that_moves_with_its_disk_stays() {
+    let (cluster, mut group) = stable().await;
+    let moved = FakeMember::start("c").await;
+    *moved.state.borrow_mut() = group.members[2].state.borrow().clone();
+    group.members[2] = moved;
+
+    until(&cluster, &group, LIMIT, || {
+        let record = cluster.record().unwrap();
+        record.member("c").unwrap().address == group.members[2].address.to_string()
+    })
+    .await;
+
+    assert_eq!(cluster.record().unwrap().term, 1);
+}
+
 /// Guards against a leader that can't reach a database which its peers reach.
 #[compio::test]
 async fn peers_relay_reads_and_orders() {
