--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -138,6 +138,7 @@
             self.detector.borrow_mut().refused();
         } else {
             self.detector.borrow_mut().silent();
+            self.pool.cut_reads();
         }
         // The path may have gone silent for the connections of the pool too.
         self.pool.close_idle();
@@ -168,7 +169,7 @@
                 pause = if changed {
                     Duration::ZERO
                 } else {
-                    (pause * 2).clamp(PAUSE.0, PAUSE.1)
+                    (pause * 5 / 4).clamp(PAUSE.0, PAUSE.1)
                 };
                 None
             }
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -210,11 +210,16 @@
     }
 
     fn apply_record(&self, record: Record) -> bool {
-        if let Some(group) = self.groups.borrow().get(&record.group) {
+        let group = self.groups.borrow().get(&record.group).cloned();
+        if let Some(group) = group {
             let log = (record.group.clone(), record.term, record.primary.clone());
             let phase = record.phase;
             let newer = group.apply(record);
             if newer {
+                let stable = group.stable().map(|record| record.term);
+                for member in self.members(&group.name) {
+                    member.pool.cut_ended(stable);
+                }
                 info!(self.log, "group record changed"; "group" => log.0, "term" => log.1,
                     "primary" => log.2, "phase" => format!("{phase:?}"));
             }
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -73,6 +73,15 @@
 struct Held {
     stream: TcpStream,
     since: Instant,
+    /// Term of which the member is primary for this lease.
+    primary: Option<Term>,
+}
+
+impl Held {
+    /// Ends the connection under its lease, which then fails like a lost connection.
+    fn cut(&self) {
+        let _already_closed = rustix::net::shutdown(&self.stream, Shutdown::Both);
+    }
 }
 
 #[derive(Debug)]
@@ -298,6 +307,7 @@
         let held = Held {
             stream: conn.stream.clone(),
             since: now,
+            primary: None,
         };
         state.held.insert(id, held);
         let pooled = Pooled {
@@ -384,6 +394,25 @@
         self.open.set(i64::from(self.state.borrow().total()));
     }
 
+    /// Cuts the connections that are in use for reads at a replica which went silent. The reads can
+    /// run elsewhere instead of waiting for their deadline.
+    pub fn cut_reads(&self) {
+        let state = self.state.borrow();
+        let reads = state.held.values().filter(|held| held.primary.is_none());
+        reads.for_each(Held::cut);
+    }
+
+    /// Cuts the connections that are in use under a primary of another term than `stable`. Nothing
+    /// that they still bring can be acknowledged, and a frozen primary would bring nothing.
+    pub fn cut_ended(&self, stable: Option<Term>) {
+        let state = self.state.borrow();
+        let ended = state
+            .held
+            .values()
+            .filter(|held| held.primary.is_some() && held.primary != stable);
+        ended.for_each(Held::cut);
+    }
+
     /// Stops or resumes new work. Connections in use stay until they are released.
     pub fn drain(&self, draining: bool) {
         let before = std::mem::replace(&mut self.state.borrow_mut().draining, draining);
@@ -424,7 +453,7 @@
             state.pending += count(checking.len());
             let over = total.saturating_sub(state.share.limit(now, MARGIN));
             for held in state.held.values().take(over as usize) {
-                let _already_closed = rustix::net::shutdown(&held.stream, Shutdown::Both);
+                held.cut();
             }
         }
         drop(closing);
@@ -500,6 +529,10 @@
     /// Marks the member as primary of `term`.
     pub(crate) fn set_primary(&mut self, term: Term) {
         self.primary = Some(term);
+        let mut state = self.pool.state.borrow_mut();
+        if let Some(held) = state.held.get_mut(&self.id) {
+            held.primary = Some(term);
+        }
     }
 
     /// Returns the connection to the pool without handing it on.
--- a/crates/entry/tests/read.rs
+++ b/crates/entry/tests/read.rs
@@ -120,6 +120,27 @@
     });
 }
 
+/// A read that runs on a replica which goes silent must fail within seconds, so that it can run
+/// elsewhere.
+#[test]
+fn silent_replica() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let token = Some(Position::new(1, 10));
+        let (mut lease, _) = deployment.read(token, None, 1_000).await.unwrap();
+        let upstreams = &deployment.upstreams;
+        let used = upstreams
+            .iter()
+            .find(|known| known.name == *lease.member())
+            .unwrap();
+        used.silent.set(u32::MAX);
+        let start = std::time::Instant::now();
+        let result = lease.client().query("SELECT 1").await;
+        assert!(matches!(result, Err(wire::Failure::Wire(_))), "{result:?}");
+        assert!(start.elapsed() < std::time::Duration::from_secs(3));
+    });
+}
+
 /// A path that goes silent while new connections work must be found within seconds, and its
 /// connections must not be used again.
 #[test]
--- a/crates/entry/tests/write.rs
+++ b/crates/entry/tests/write.rs
@@ -208,6 +208,41 @@
     });
 }
 
+/// A write that runs on a frozen primary must end with the term, not with its deadline.
+#[test]
+fn frozen_primary() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.upstreams[0].work.set(60_000);
+        let mut lease = deployment.write(1_000).await.unwrap();
+        let change = async {
+            sleep(100).await;
+            deployment.put(1, Phase::Fencing, "a");
+        };
+        let start = Instant::now();
+        let (result, ()) = futures_util::join!(lease.client().query("UPDATE"), change);
+        assert!(matches!(result, Err(wire::Failure::Wire(_))), "{result:?}");
+        assert!(start.elapsed() < Duration::from_secs(2));
+    });
+}
+
+/// A change of the members of a group must not disturb the writes of its term.
+#[test]
+fn changed_members() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.upstreams[0].work.set(300);
+        let mut lease = deployment.write(1_000).await.unwrap();
+        let change = async {
+            sleep(100).await;
+            deployment.put(1, Phase::Stable, "a");
+        };
+        let (result, ()) = futures_util::join!(lease.client().query("UPDATE"), change);
+        assert!(result.is_ok_and(|rows| rows.is_empty()));
+        assert_eq!(deployment.network.record_version(), 2);
+    });
+}
+
 /// A write that had to wait for a primary is counted as a failover gap once the next one is
 /// acknowledged.
 #[test]
