--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -27,8 +27,8 @@
 /// Pause before the next attempt to connect, with jitter from half to one and a half.
 const RECONNECT: Duration = Duration::from_millis(300);
 /// A group is reported again after this time when nothing about it changed. A control host counts
-/// an observer for a second after its report.
-const REPEAT: Duration = Duration::from_millis(500);
+/// an observer for 1.5 s after its report, so that one report in three renewals is enough.
+const REPEAT: Duration = Duration::from_millis(800);
 
 type Control = schema::control::Client;
 
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -10,6 +10,7 @@
 
 use base::{MemberName, Position};
 use compio::runtime::JoinHandle;
+use event_listener::Event;
 use rand::RngExt as _;
 use route::{Detector, Health, Place};
 use wire::{Failure, WireError};
@@ -48,6 +49,8 @@
     status: RefCell<Option<(Status, Instant)>>,
     detector: RefCell<Detector>,
     probe: RefCell<Option<JoinHandle<()>>>,
+    /// Notified when the control hosts should hear of a failure at once.
+    alarm: Rc<Event>,
 }
 
 impl Member {
@@ -59,9 +62,10 @@
         address: SocketAddr,
         place: Place,
         pool: Rc<Pool>,
-        from: IpAddr,
         metrics: &Metrics,
+        alarm: Rc<Event>,
     ) -> Rc<Self> {
+        let from = pool.source();
         let member = Rc::new(Self {
             name: name.to_owned(),
             group,
@@ -71,6 +75,7 @@
             status: RefCell::default(),
             detector: RefCell::new(Detector::new(Instant::now())),
             probe: RefCell::default(),
+            alarm,
         });
         let probes = probe(Rc::clone(&member), from, metrics.clone());
         *member.probe.borrow_mut() = Some(compio::runtime::spawn(probes));
@@ -115,7 +120,8 @@
     }
 
     /// Whether the record names this member as the primary in force.
-    fn is_primary(&self) -> bool {
+    #[must_use]
+    pub fn is_primary(&self) -> bool {
         self.group
             .current()
             .is_some_and(|record| record.primary == self.name)
@@ -135,7 +141,11 @@
 
     fn failed(&self, refused: bool) {
         if refused {
+            let before = self.health(Instant::now()).0;
             self.detector.borrow_mut().refused();
+            if before != Health::Refused && self.is_primary() {
+                self.alarm.notify(usize::MAX);
+            }
         } else {
             self.detector.borrow_mut().silent();
             self.pool.cut_reads();
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -30,6 +30,8 @@
 const OBSERVERS: u32 = 12;
 /// Members not heard from for this long are forgotten.
 const FORGET: Duration = Duration::from_mins(10);
+/// The control hosts declare a primary failed when it was silent for this long.
+const FAILED: Duration = Duration::from_millis(1_500);
 /// A control host that answered within this time counts as reachable: three renewals.
 const REACHABLE: Duration = Duration::from_secs(1);
 /// Time between rounds of periodic work.
@@ -75,7 +77,7 @@
     pub(crate) lease: RefCell<WriteLease>,
     pub(crate) hosts: RefCell<Map<SocketAddr, ControlHost>>,
     /// Notified when a renewal should not wait for its interval.
-    pub(crate) renew: Event,
+    pub(crate) renew: Rc<Event>,
     config: RefCell<Config>,
     records: Cell<Version>,
     unused: RefCell<Map<GroupName, Record>>,
@@ -99,7 +101,7 @@
             heard: RefCell::default(),
             lease: RefCell::new(lease),
             hosts: RefCell::default(),
-            renew: Event::new(),
+            renew: Rc::default(),
             config: RefCell::default(),
             records: Cell::default(),
             unused: RefCell::default(),
@@ -455,8 +457,8 @@
             address,
             place,
             pool,
-            from,
             &self.metrics,
+            Rc::clone(&self.renew),
         );
         let before = self.members.borrow_mut().insert(name.to_owned(), member);
         if let Some(before) = before {
@@ -474,10 +476,16 @@
         for member in self.all_members() {
             let usable = self.directory.borrow().usable(&member.name, now);
             member.pool.drain(!usable);
-            if member.health(now).0 != Health::Ok {
+            let (health, since) = member.health(now);
+            if health != Health::Ok {
                 member.pool.close_idle();
                 member.pool.refuse_waiting();
             }
+            let failed = health == Health::Silent && since >= FAILED && since < FAILED + TICK * 2;
+            if failed && member.is_primary() {
+                // The next regular renewal would add up to 300 ms to the failover gap.
+                self.renew.notify(usize::MAX);
+            }
             member.pool.maintain(now);
         }
         for group in self.groups.borrow().values() {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -191,6 +191,12 @@
         })
     }
 
+    /// Source address of the connections.
+    #[must_use]
+    pub const fn source(&self) -> IpAddr {
+        self.from
+    }
+
     /// Takes over changed limits.
     pub fn configure(&self, limits: Limits) {
         let mut state = self.state.borrow_mut();
