--- a/crates/entry/src/extended.rs
+++ b/crates/entry/src/extended.rs
@@ -2,6 +2,7 @@
 
 use std::rc::Rc;
 
+use bytes::{Bytes, BytesMut};
 use sql::Kind;
 use wire::{Front, Target, pg::Message, reply};
 
@@ -33,7 +34,7 @@
                 break;
             }
         }
-        if !sync && meaning.executes && !matches!(self.state, State::Open(_)) && meaning.primary {
+        if !sync && meaning.executes && matches!(self.state, State::Idle) && meaning.primary {
             let text = "not run: a write outside a transaction ends with Sync, not Flush";
             batch.steps = vec![Step::Fail(error("0A000", text))];
             failed = true;
@@ -77,10 +78,15 @@
                 rest,
             } => {
                 let prepared = self.find(&statement)?;
+                // A portal of a transaction is never bound again, so that its values need not stay.
+                let kept = match self.state {
+                    State::Open(_) => Bytes::new(),
+                    _ => rest.clone(),
+                };
                 let bound = Portal {
                     name: portal.clone(),
                     prepared: Rc::clone(&prepared),
-                    rest: rest.clone(),
+                    rest: kept,
                 };
                 if !self.names.open(bound) {
                     return Err(("54000", "too many portals; close some".into()));
@@ -208,7 +214,7 @@
         let rules = service
             .as_deref()
             .map_or(&[][..], |service| &service.non_idempotent);
-        meaning.runs(&portal.prepared.script, &portal.prepared.text, rules);
+        meaning.runs(&portal.prepared.script, 0, &portal.prepared.text, rules);
         self.bind_again(portal, batch, meaning);
         batch.steps.push(Step::Execute(name, rows));
         Ok(())
@@ -274,12 +280,13 @@
 fn describe(known: &Known) -> Vec<u8> {
     match known {
         Known::Kind(Kind::Show(name)) => columns(name),
+        Known::Kind(Kind::Release("SELECT 1")) => columns("pg_advisory_unlock_all"),
         _ => message(b'n', &[]),
     }
 }
 
 fn error(sqlstate: &str, text: &str) -> Vec<u8> {
-    let mut out = bytes::BytesMut::new();
+    let mut out = BytesMut::new();
     let _encoded = reply::error(sqlstate, text, "").encode(&mut out);
     out.into()
 }
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -3,7 +3,7 @@
 use std::{pin::pin, rc::Rc, time::Duration};
 
 use compio::{
-    net::{TcpListener, TcpStream},
+    net::{SocketOpts, TcpListener, TcpStream},
     runtime::spawn,
     time::{sleep, timeout},
 };
@@ -46,11 +46,21 @@
 }
 
 async fn accept<F: Fleet>(listener: &TcpListener, shared: &Rc<Shared<F>>) {
+    // Probes end the sessions of callers whose host is gone.
+    let socket = SocketOpts::new().nodelay(true).keepalive(true);
     loop {
-        match listener.accept().await {
+        match listener.accept_with_options(&socket).await {
             Ok((stream, _caller)) => {
+                // Connections that have not logged in take memory too.
+                let Some(connected) = shared.connect() else {
+                    continue;
+                };
                 let shared = Rc::clone(shared);
-                spawn(caller(stream, shared)).detach();
+                spawn(async move {
+                    caller(stream, shared).await;
+                    drop(connected);
+                })
+                .detach();
             }
             Err(cause) => {
                 warn!(shared.options.log, "accept failed"; "cause" => %cause);
@@ -61,7 +71,6 @@
 }
 
 async fn caller<F: Fleet>(stream: TcpStream, shared: Rc<Shared<F>>) {
-    let _latency_only = stream.set_nodelay(true);
     // Boxed, because an idle session must not hold the space that a login needs.
     let entering = Box::pin(timeout(shared.options.login, login(stream, &shared)));
     match entering.await {
--- a/crates/entry/src/login.rs
+++ b/crates/entry/src/login.rs
@@ -207,15 +207,7 @@
                 "use UTF8",
             ));
         }
-        // Drivers send these at each login. They change no result, and a connection that had to be
-        // set up anew for each caller would cost every request a round trip.
-        let usual = match name {
-            "application_name" | "fallback_application_name" => true,
-            "extra_float_digits" => value.parse().is_ok_and(|digits: i32| digits >= 1),
-            "datestyle" => value.to_ascii_uppercase().starts_with("ISO"),
-            "timezone" => value.eq_ignore_ascii_case("UTC"),
-            _ => false,
-        };
+        let usual = parameters::is_usual(name, value);
         if !usual {
             let quoted = value.replace('\'', "''");
             self.keep(&[(name.to_owned(), Some(format!("SET {name} = '{quoted}'")))]);
--- a/crates/entry/src/parameters.rs
+++ b/crates/entry/src/parameters.rs
@@ -28,6 +28,21 @@
     name.starts_with(PREFIX)
 }
 
+/// Whether a value of another parameter changes no result.
+///
+/// Drivers send these at each login, and a connection that had to be set up anew for each caller
+/// would cost every request a round trip.
+#[must_use]
+pub fn is_usual(name: &str, value: &str) -> bool {
+    match name {
+        "application_name" | "fallback_application_name" => true,
+        "extra_float_digits" => value.parse().is_ok_and(|digits: i32| digits >= 1),
+        "datestyle" => value.to_ascii_uppercase().starts_with("ISO"),
+        "timezone" => value.eq_ignore_ascii_case("UTC"),
+        _ => false,
+    }
+}
+
 impl Parameters {
     /// Sets a parameter; `None` puts it back to its default.
     ///
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     future::poll_fn,
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     task::{Poll, Waker},
     time::Duration,
@@ -14,6 +15,7 @@
     BufResult,
     io::{AsyncRead, AsyncWriteExt},
 };
+use futures_util::future::{Either, select};
 
 /// Time that a cancel request to an upstream may take.
 const CANCEL: Duration = Duration::from_secs(2);
@@ -37,10 +39,32 @@
     turn: Cell<u64>,
     sending: Cell<u32>,
     sent: Cell<bool>,
+    /// Whether the session waits for a connection, and whether that was cancelled.
+    waiting: Cell<bool>,
+    abandoned: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Slot {
+    /// Waits for a connection; `None` when a cancel request comes first.
+    pub async fn unless_cancelled<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        self.abandoned.set(false);
+        self.waiting.set(true);
+        let cancelled = poll_fn(|cx| {
+            if self.abandoned.get() {
+                return Poll::Ready(());
+            }
+            self.waker.replace(Some(cx.waker().clone()));
+            Poll::Pending
+        });
+        let outcome = match select(pin!(work), cancelled).await {
+            Either::Left((outcome, _)) => Some(outcome),
+            Either::Right(((), _)) => None,
+        };
+        self.waiting.set(false);
+        outcome
+    }
+
     /// Notes that a statement runs at `target` from now on.
     pub fn start(&self, target: Option<Target>) {
         self.turn.set(self.turn.get() + 1);
@@ -141,6 +165,13 @@
         let Some(slot) = slot.filter(|slot| slot.secret == secret) else {
             return;
         };
+        if slot.waiting.get() {
+            slot.abandoned.set(true);
+            if let Some(waker) = slot.waker.take() {
+                waker.wake();
+            }
+            return;
+        }
         let turn = slot.turn.get();
         let Some(target) = slot.target.get() else {
             return;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -27,6 +27,8 @@
 
 /// Parameter kept with a connection: the settings of the session that used it last.
 const SETTINGS: &str = "goldcrestrail.settings";
+/// Value of that parameter when a connection has to be set up anew.
+const UNKNOWN: &str = "unknown";
 /// A request up to this size is one packet to the socket's empty buffer, so that a failed write
 /// sent none of it.
 const WHOLE_BYTES: usize = 4 << 10;
@@ -78,14 +80,14 @@
 }
 
 impl Meaning {
-    /// Meaning of a simple query.
-    pub(crate) fn of(script: &Script, text: &str, rules: &[Rule]) -> Self {
+    /// Meaning of a simple query, of which the first statements are answered here.
+    pub(crate) fn of(script: &Script, answered: usize, text: &str, rules: &[Rule]) -> Self {
         let mut meaning = Self {
             sync: true,
-            primary: !script.is_read(),
+            primary: !script.is_read_from(answered),
             ..Self::default()
         };
-        meaning.runs(script, text, rules);
+        meaning.runs(script, answered, text, rules);
         meaning
     }
 
@@ -94,9 +96,10 @@
         self.primary |= !prepared.script.is_read();
     }
 
-    /// Adds a statement that runs.
-    pub(crate) fn runs(&mut self, script: &Script, text: &str, rules: &[Rule]) {
-        let only = match script.statements.as_slice() {
+    /// Adds statements that run, but for the first ones, which are answered here.
+    pub(crate) fn runs(&mut self, script: &Script, answered: usize, text: &str, rules: &[Rule]) {
+        let statements = &script.statements[answered..];
+        let only = match statements {
             [only] if !self.executes => Some(&only.kind),
             _ => None,
         };
@@ -111,7 +114,7 @@
         if self.ruled.is_none() && !rules.is_empty() {
             self.ruled = rules::wants_key(text, script, rules).map(|rule| rule.table.clone());
         }
-        for statement in &script.statements {
+        for statement in statements {
             match &statement.kind {
                 Kind::Begin { read_only: false } => self.begins = true,
                 Kind::Commit | Kind::Rollback => {
@@ -350,9 +353,16 @@
         service: &Service,
         primary: bool,
         deadline: Instant,
-    ) -> Result<F::Lease, Refusal> {
+    ) -> Result<F::Lease, Trouble> {
+        let cancelled = || {
+            let text = "not run: cancelled while it waited for a connection";
+            Trouble::Error("57014", text.to_owned())
+        };
+        let slot = &self.entry.slot;
         if primary {
-            return self.shared.fleet.write(service, deadline).await;
+            let taking = self.shared.fleet.write(service, deadline);
+            let lease = slot.unless_cancelled(taking).await.ok_or_else(cancelled)?;
+            return Ok(lease?);
         }
         let own = &self.settings.parameters;
         let longest = Duration::from_millis(service.freshness.max_age_ms);
@@ -362,7 +372,9 @@
             since: self.since,
             deadline,
         };
-        let (lease, token) = self.shared.fleet.read(service, need).await?;
+        let taking = self.shared.fleet.read(service, need);
+        let outcome = slot.unless_cancelled(taking).await;
+        let (lease, token) = outcome.ok_or_else(cancelled)??;
         if token.is_some() {
             self.settings.parameters.token = token;
         }
@@ -465,10 +477,14 @@
         let position = position(lease.client());
         let failed = answer.sqlstate.is_some();
         if answer.status == b'I' {
-            if !failed && !meaning.sets.is_empty() {
-                self.settings.keep(&meaning.sets);
-                let kept = self.settings.prelude.clone();
-                lease.client().parameters.insert(SETTINGS.to_owned(), kept);
+            if !meaning.sets.is_empty() {
+                let left = if failed {
+                    UNKNOWN.to_owned()
+                } else {
+                    self.settings.keep(&meaning.sets);
+                    self.settings.prelude.clone()
+                };
+                lease.client().parameters.insert(SETTINGS.to_owned(), left);
             }
             give_back(lease, &answer, cancelled);
         } else {
@@ -484,16 +500,15 @@
                 record: None,
             }));
         }
-        self.acknowledge(
-            service,
-            term,
-            position,
-            &answer,
-            meaning.primary && (!failed || meaning.ends),
-            mark,
-            deadline,
-        )
-        .await?;
+        let opened = answer.status != b'I';
+        let writes = meaning.primary && (!failed || meaning.ends);
+        let acknowledged = self
+            .acknowledge(service, term, position, &answer, writes, mark, deadline)
+            .await;
+        if opened && acknowledged.is_err() {
+            self.state = State::Lost;
+        }
+        acknowledged?;
         Ok(failed)
     }
 
@@ -554,7 +569,7 @@
                 lease
                     .client()
                     .parameters
-                    .insert(SETTINGS.to_owned(), "unknown".to_owned());
+                    .insert(SETTINGS.to_owned(), UNKNOWN.to_owned());
             }
             give_back(lease, &answer, open.cancelled);
         } else {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -44,6 +44,11 @@
         for (name, statement) in sets {
             if name == "all" {
                 self.sets.clear();
+                // The token stays: without it the caller could miss its own writes.
+                self.parameters = Parameters {
+                    token: self.parameters.token,
+                    ..Parameters::default()
+                };
             }
             self.sets.retain(|(kept, _)| kept != name);
             if let Some(statement) = statement {
@@ -86,6 +91,20 @@
     Replay(Box<Replay>),
 }
 
+/// What a message of the caller asks for now.
+enum Work {
+    /// Carry out a simple query.
+    Query(Frame),
+    /// Carry out the batch and end it.
+    Sync,
+    /// Carry out the batch so far.
+    Flush,
+    /// Refuse a batch that is too large.
+    TooMuch,
+    /// End the session.
+    Leave,
+}
+
 /// The caller is gone, or has to go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Gone;
@@ -152,8 +171,16 @@
                     return;
                 }
             };
+            let work = match self.sort(frame) {
+                Ok(Some(work)) => work,
+                Ok(None) => continue,
+                Err(cause) => {
+                    self.end(&cause).await;
+                    return;
+                }
+            };
             // Boxed, because an idle session must not hold the space that a request needs.
-            if Box::pin(self.frame(frame)).await.is_err() {
+            if Box::pin(self.work(work)).await.is_err() {
                 return;
             }
         }
@@ -164,14 +191,16 @@
         &mut self,
         stop: Pin<&mut impl FusedFuture<Output = ()>>,
     ) -> Result<Option<Frame>, WireError> {
+        let boundary =
+            matches!(self.state, State::Idle) && self.gathered.is_empty() && !self.skipping;
+        if boundary && (stop.is_terminated() || self.shared.is_draining()) {
+            self.dismiss().await;
+            return Ok(None);
+        }
         if let Some(frame) = self.reader.buffered()? {
             return Ok(Some(frame));
         }
-        if matches!(self.state, State::Idle) && self.gathered.is_empty() && !self.skipping {
-            if stop.is_terminated() {
-                self.dismiss().await;
-                return Ok(None);
-            }
+        if boundary {
             if let Either::Left((frame, _)) = select(pin!(self.reader.next()), stop).await {
                 return frame;
             }
@@ -210,43 +239,56 @@
         Gone
     }
 
-    async fn frame(&mut self, frame: Frame) -> Result<(), Gone> {
-        let length = frame.body.len();
-        let front = match Front::parse(&frame) {
-            Ok(front) => front,
-            Err(cause) => return Err(self.fatal("08P01", &cause.to_string()).await),
-        };
-        if self.skipping && !matches!(front, Front::Sync | Front::Terminate) {
-            return Ok(());
+    /// Gathers a message, or tells what is to be done now.
+    fn sort(&mut self, frame: Frame) -> Result<Option<Work>, WireError> {
+        if self.skipping && !matches!(frame.tag, b'S' | b'X') {
+            return Ok(None);
+        }
+        if frame.tag == b'Q' {
+            return Ok(Some(Work::Query(frame)));
         }
-        match front {
-            Front::Query(_) => {
+        Ok(match Front::parse(&frame)? {
+            Front::Sync => Some(Work::Sync),
+            Front::Flush => Some(Work::Flush),
+            Front::Terminate => Some(Work::Leave),
+            // Left over from a COPY that was refused, as the protocol allows.
+            Front::CopyData(_) | Front::CopyDone | Front::CopyFail(_) => None,
+            Front::Password(_) => return Err(WireError::Malformed("no password was asked for")),
+            front => {
+                self.gathered_bytes += frame.body.len() + mem::size_of::<Front>();
+                if self.gathered_bytes > self.settings.message_bytes {
+                    return Ok(Some(Work::TooMuch));
+                }
+                self.gathered.push(front);
+                None
+            }
+        })
+    }
+
+    async fn work(&mut self, work: Work) -> Result<(), Gone> {
+        match work {
+            Work::Query(frame) => {
                 if !self.gathered.is_empty() {
                     self.batch(false).await?;
                 }
                 self.query(&frame).await
             }
-            Front::Sync => {
+            Work::Sync => {
                 self.skipping = false;
                 self.batch(true).await
             }
-            Front::Flush => self.batch(false).await,
-            Front::Terminate => Err(Gone),
-            // Left over from a COPY that was refused, as the protocol allows.
-            Front::CopyData(_) | Front::CopyDone | Front::CopyFail(_) => Ok(()),
-            Front::Password(_) => Err(self.fatal("08P01", "no password was asked for").await),
-            front => {
-                self.gathered_bytes += length;
-                if self.gathered_bytes > self.settings.message_bytes {
-                    self.gathered = Vec::new();
-                    self.gathered_bytes = 0;
-                    self.error("54000", "too many messages before a Sync; send it earlier");
-                    self.skipping = true;
-                    return self.flush().await;
+            Work::Flush => self.batch(false).await,
+            Work::TooMuch => {
+                self.gathered = Vec::new();
+                self.gathered_bytes = 0;
+                self.error("54000", "too many messages before a Sync; send it earlier");
+                if !matches!(self.state, State::Idle) {
+                    self.state = State::Lost;
                 }
-                self.gathered.push(front);
-                Ok(())
+                self.skipping = true;
+                self.flush().await
             }
+            Work::Leave => Err(Gone),
         }
     }
 
@@ -258,8 +300,9 @@
     }
 
     async fn query(&mut self, frame: &Frame) -> Result<(), Gone> {
-        let Ok(text) = Cursor::new(&frame.body).text() else {
-            return Err(self.fatal("08P01", "query without end").await);
+        let text = match Cursor::new(&frame.body).text() {
+            Ok(text) => text,
+            Err(cause) => return Err(self.fatal("08P01", &cause.to_string()).await),
         };
         let script = self.shared.script(text);
         let mut rest = 0;
@@ -307,7 +350,7 @@
                 return self.ready().await;
             }
         };
-        let meaning = Meaning::of(&script, text, &service.non_idempotent);
+        let meaning = Meaning::of(&script, rest, text, &service.non_idempotent);
         if rest == 0 {
             self.perform(&Request::Simple(&frame.body), meaning).await
         } else {
@@ -319,8 +362,17 @@
     /// The statement as one that is answered here, if it is.
     pub(crate) fn known_kind(&self, kind: &Kind) -> Option<Kind> {
         let known = match kind {
-            Kind::Set { name, .. } | Kind::Show(name) => parameters::is_own(name),
-            Kind::Deallocate(_) | Kind::Discard => true,
+            Kind::Set { name, value, .. } => {
+                let usual = || {
+                    value
+                        .as_deref()
+                        .is_some_and(|value| parameters::is_usual(name, value))
+                };
+                parameters::is_own(name) || matches!(self.state, State::Idle) && usual()
+            }
+            Kind::Show(name) => parameters::is_own(name),
+            Kind::Release("CLOSE CURSOR ALL") => !matches!(self.state, State::Open(_)),
+            Kind::Deallocate(_) | Kind::Discard | Kind::Release(_) => true,
             Kind::Commit | Kind::Rollback => matches!(self.state, State::Lost),
             _ => false,
         };
@@ -342,21 +394,23 @@
                     "the key of a transaction is set before its BEGIN".into(),
                 ));
             }
+            Kind::Set { name, .. } if !parameters::is_own(name) => {
+                self.settings.keep(&[(name.clone(), None)]);
+                "SET"
+            }
             Kind::Set { name, value, .. } => {
                 self.settings.parameters.set(name, value.as_deref())?;
                 if value.is_some() { "SET" } else { "RESET" }
             }
             Kind::Show(name) => {
                 let value = self.settings.parameters.show(name)?;
-                let mut out = if describe { columns(name) } else { Vec::new() };
-                let mut row = vec![0, 1];
-                let length = i32::try_from(value.len()).unwrap_or_default();
-                row.extend_from_slice(&length.to_be_bytes());
-                row.extend_from_slice(value.as_bytes());
-                out.extend(message(b'D', &row));
-                out.extend(message(b'C', b"SHOW\0"));
-                return Ok(out);
+                return Ok(row(describe.then_some(name), &value, "SHOW"));
             }
+            Kind::Release("SELECT 1") => {
+                let name = "pg_advisory_unlock_all";
+                return Ok(row(describe.then_some(name), "", "SELECT 1"));
+            }
+            Kind::Release(tag) => tag,
             Kind::Deallocate(None) => {
                 self.names.clear();
                 "DEALLOCATE ALL"
@@ -448,7 +502,19 @@
         })
 }
 
-/// Description of the row that SHOW returns.
+/// Answer with one row of one text, described under a name if there is one.
+fn row(name: Option<impl AsRef<str>>, value: &str, tag: &str) -> Vec<u8> {
+    let mut out = name.map(|name| columns(name.as_ref())).unwrap_or_default();
+    let mut body = vec![0, 1];
+    let length = i32::try_from(value.len()).unwrap_or_default();
+    body.extend_from_slice(&length.to_be_bytes());
+    body.extend_from_slice(value.as_bytes());
+    out.extend(message(b'D', &body));
+    out.extend(message(b'C', format!("{tag}\0").as_bytes()));
+    out
+}
+
+/// Description of a row of one text.
 pub(crate) fn columns(name: &str) -> Vec<u8> {
     const TEXT_TYPE: i32 = 25;
     let mut body = vec![0, 1];
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,6 +11,9 @@
 
 /// Statement texts whose classification is kept.
 const SCRIPTS: usize = 4_096;
+/// Connections beyond the limit of callers, for cancel requests and for logins to be told why they
+/// are refused.
+const SPARE: usize = 1_000;
 /// Retries that may be saved up, so that a burst after a failover isn't refused.
 const BUDGET: f64 = 20.0;
 /// Share of requests that may be sent again; more would multiply an overload.
@@ -28,6 +31,17 @@
     scripts: RefCell<Cache>,
     retries: Cell<f64>,
     draining: Cell<bool>,
+    connected: Rc<Cell<usize>>,
+}
+
+/// A connection, counted while it lasts.
+#[derive(Debug)]
+pub struct Connected(Rc<Cell<usize>>);
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl<F> Shared<F> {
@@ -41,6 +55,7 @@
             scripts: RefCell::new(Cache::new(SCRIPTS)),
             retries: Cell::new(BUDGET),
             draining: Cell::new(false),
+            connected: Rc::default(),
         }
     }
 
@@ -49,6 +64,15 @@
         self.scripts.borrow_mut().script(text)
     }
 
+    /// Counts a connection in; `None` when there are too many, logins and cancels included.
+    pub fn connect(&self) -> Option<Connected> {
+        let count = self.connected.get() + 1;
+        (count <= self.options.callers + SPARE).then(|| {
+            self.connected.set(count);
+            Connected(Rc::clone(&self.connected))
+        })
+    }
+
     /// Whether new callers are refused because the process stops.
     pub fn is_draining(&self) -> bool {
         self.draining.get()
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -121,6 +121,19 @@
             .map_or(0, |(_, prepared)| prepared.len())
     }
 
+    /// Makes the records of all keys as old as can be.
+    pub fn expire_keys(&self) {
+        for record in self
+            .store
+            .keys
+            .borrow_mut()
+            .iter_mut()
+            .flat_map(base::Map::values_mut)
+        {
+            "0".clone_into(&mut record[2]);
+        }
+    }
+
     async fn lease(&self, primary: bool) -> Result<FakeLease, Refusal> {
         let pool = Rc::clone(&self.pools[usize::from(primary)]);
         let kept = pool.borrow_mut().pop();
--- /dev/null
+++ b/crates/entry/tests/failures.rs
@@ -0,0 +1,261 @@
+//! Cancel requests, stops, slow callers and answers that break off.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{Bench, Fault, fleet::Confirm, options, run};
+use compio::time::{sleep, timeout};
+use rstest::rstest;
+
+const MOMENT: Duration = Duration::from_millis(50);
+
+/// Guards against a cancel that misses the statement it is meant for, or one with a wrong secret
+/// that hits.
+#[rstest]
+#[case::right(0, "57014")]
+#[case::wrong(1, "")]
+fn cancels_what_runs(#[case] error: i32, #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        let (pid, secret) = caller.0.key;
+        caller.send("SELECT slow").await;
+        sleep(MOMENT).await;
+
+        let stream = bench.stream().await;
+        wire::client::cancel(stream, (pid, secret ^ error))
+            .await
+            .unwrap();
+        let reply = caller.reply().await;
+
+        assert_eq!(reply.sqlstate(), expected);
+        assert_eq!(reply.status(), 'I');
+    });
+}
+
+/// Guards against a cancel that arrives after its statement ended and hits the next one, of this
+/// caller or of another.
+#[test]
+fn late_cancel_hits_nothing() {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+        caller.query("SELECT 1").await;
+        other.send("SELECT slow").await;
+        sleep(MOMENT).await;
+
+        let stream = bench.stream().await;
+        wire::client::cancel(stream, caller.0.key).await.unwrap();
+        let reply = other.reply().await;
+
+        assert_eq!(reply.rows(), ["slow"]);
+        assert!(bench.fleet.replica.cancels.borrow().is_empty());
+    });
+}
+
+/// Guards against a cancel that is slow on its way to the database and hits what the connection
+/// runs next.
+#[rstest]
+#[case::pooled("SELECT 1", "SELECT 1")]
+#[case::pinned("BEGIN READ ONLY", "ROLLBACK")]
+fn slow_cancel_hits_nothing_else(#[case] before: &str, #[case] after: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        bench
+            .fleet
+            .replica
+            .cancel_delay
+            .set(Duration::from_millis(700));
+        caller.query(before).await;
+        caller.send("SELECT slow").await;
+        sleep(MOMENT).await;
+
+        let stream = bench.stream().await;
+        wire::client::cancel(stream, caller.0.key).await.unwrap();
+        let first = caller.reply().await;
+        let next = caller.query("SELECT slow").await;
+        caller.query(after).await;
+
+        assert_eq!(
+            (first.rows(), next.rows()),
+            (vec!["slow".into()], vec!["slow".into()])
+        );
+        assert_eq!(bench.fleet.dropped.get(), 1);
+    });
+}
+
+/// Guards against an answer that ends early without an error, and frames of it that reach another
+/// request.
+#[rstest]
+#[case::small(10)]
+#[case::streamed(1_000)]
+fn broken_answer_is_an_error(#[case] rows: usize) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        bench.fleet.replica.fail("big", Fault::Middle);
+
+        let reply = caller.query(&format!("SELECT big LIMIT {rows}")).await;
+        let next = caller.query("SELECT 1").await;
+
+        assert_eq!((reply.sqlstate(), reply.status()), ("ZU001".into(), 'I'));
+        assert!(reply.commands().is_empty());
+        assert_eq!(
+            (next.tags(), next.rows()),
+            ("TDCZ".into(), vec!["1".into()])
+        );
+    });
+}
+
+/// Guards against an answer that comes after the deadline and reaches the next request.
+#[test]
+fn late_answer_reaches_nobody() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller.query("SET goldcrestrail.deadline = 50").await;
+
+        let late = caller.query("SELECT slow").await;
+        let next = caller.query("SELECT 1").await;
+        sleep(MOMENT).await;
+
+        assert_eq!(late.sqlstate(), "ZU001");
+        assert_eq!(
+            (next.tags(), next.rows()),
+            ("TDCZ".into(), vec!["1".into()])
+        );
+        assert_eq!(bench.fleet.dropped.get(), 1);
+        assert_eq!(bench.fleet.replica.cancels.borrow().len(), 1);
+    });
+}
+
+/// Guards against a transaction that goes on, or mixes with the next, on another connection.
+#[rstest]
+#[case::statement("INSERT INTO t VALUES ('b', '2')", "ZN002", 'E')]
+#[case::commit("COMMIT", "ZU001", 'I')]
+fn broken_transaction_ends(#[case] text: &str, #[case] expected: &str, #[case] status: char) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller.query("BEGIN").await;
+        caller.query("INSERT INTO t VALUES ('a', '1')").await;
+        bench.fleet.primary.fail(text, Fault::Before);
+
+        let broken = caller.query(text).await;
+        let end = caller.query("ROLLBACK").await;
+
+        assert_eq!(
+            (broken.sqlstate(), broken.status()),
+            (expected.into(), status)
+        );
+        assert_eq!(end.status(), 'I');
+        assert!(bench.fleet.store.rows.borrow().is_empty());
+    });
+}
+
+/// Guards against a caller that never reads and has the process gather its answer, or hold a
+/// connection forever.
+#[test]
+fn unread_answer_is_dropped() {
+    run(async {
+        let mut options = options();
+        options.stall = Duration::from_millis(200);
+        let bench = Bench::with(options).await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+
+        caller.send("SELECT big LIMIT 50000").await;
+        sleep(Duration::from_millis(600)).await;
+
+        assert_eq!(bench.fleet.dropped.get(), 1);
+        assert_eq!(other.query("SELECT 1").await.rows(), ["1"]);
+    });
+}
+
+/// Guards against a large answer of a replica that arrives in part, and one of the primary that is
+/// held without bound.
+#[rstest]
+#[case::replica(true, 20_000, "")]
+#[case::primary(false, 20_000, "54000")]
+#[case::held(false, 2_000, "")]
+fn large_answers(#[case] replica: bool, #[case] rows: usize, #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        bench.fleet.replica_reads.set(replica);
+        let mut caller = bench.caller().await;
+
+        let reply = caller.query(&format!("SELECT big LIMIT {rows}")).await;
+
+        assert_eq!(reply.sqlstate(), expected);
+        let count = if expected.is_empty() { rows } else { 0 };
+        assert_eq!((reply.rows().len(), reply.status()), (count, 'I'));
+    });
+}
+
+/// Guards against a stop that breaks a request or transaction, or leaves callers without a word.
+#[test]
+fn stops_gracefully() {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut idle, mut open) = (bench.caller().await, bench.caller().await);
+        open.query("BEGIN").await;
+        open.query("INSERT INTO t VALUES ('a', '1')").await;
+
+        bench.fleet.stop.set(true);
+        let dismissed = idle.reply().await;
+        let refused = bench.caller_with(&[]).await.err().unwrap();
+        let commit = open.query("COMMIT").await;
+        let end = open.reply().await;
+
+        assert_eq!(
+            (dismissed.tags(), dismissed.sqlstate()),
+            ("E".into(), "57P01".into())
+        );
+        assert_eq!(refused[0].sqlstate(), Some("57P03"));
+        assert_eq!((commit.commands(), commit.status()), (vec!["COMMIT"], 'I'));
+        assert_eq!(end.sqlstate(), "57P01");
+    });
+}
+
+/// Guards against a request that a stop interrupts.
+#[test]
+fn stop_waits_for_requests() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        bench.fleet.confirm.set(Confirm::Wait);
+        caller.send("INSERT INTO t VALUES ('a', '1')").await;
+        sleep(MOMENT).await;
+
+        bench.fleet.stop.set(true);
+        sleep(MOMENT).await;
+        bench.fleet.confirm.set(Confirm::Yes);
+        let reply = timeout(Duration::from_secs(1), caller.reply())
+            .await
+            .unwrap();
+
+        assert_eq!(reply.commands(), ["INSERT 0 1"]);
+    });
+}
+
+/// Guards against parameters of one session that change another's results on a shared connection.
+#[test]
+fn parameters_stay_with_their_session() {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+
+        caller.query("SET search_path TO a, b").await;
+        other.query("SELECT 1").await;
+        caller.query("SELECT 1").await;
+
+        let log = bench.fleet.replica.log.borrow();
+        let texts: Vec<_> = log.iter().map(|(_, text)| text.as_str()).collect();
+        let set = "SET search_path TO a, b";
+        assert_eq!(
+            texts,
+            [set, "RESET ALL", "SELECT 1", "RESET ALL", set, "SELECT 1"]
+        );
+    });
+}
--- a/crates/entry/tests/keyed.rs
+++ b/crates/entry/tests/keyed.rs
@@ -178,9 +178,7 @@
         let bench = Bench::new().await;
         let mut caller = bench.caller().await;
         keyed(&mut caller, BILL).await;
-        let mut keys = bench.fleet.store.keys.borrow_mut();
-        "1000".clone_into(&mut keys.as_mut().unwrap().get_mut("k").unwrap()[2]);
-        drop(keys);
+        bench.fleet.expire_keys();
 
         let later = keyed(&mut caller, "INSERT INTO bills VALUES ('c', '1')").await;
 
--- /dev/null
+++ b/crates/entry/tests/login.rs
@@ -0,0 +1,220 @@
+//! Logins, and input that is none.
+
+mod common;
+
+use std::time::Duration;
+
+use base::{Map, document::digest};
+use common::{Bench, Caller, options, run};
+use compio::{
+    BufResult,
+    io::{AsyncRead, AsyncWriteExt},
+    net::TcpStream,
+};
+use entry::options::Auth;
+use rstest::rstest;
+use wire::Frame;
+
+/// Sends bytes and reads until the end of the connection.
+async fn exchange(mut stream: TcpStream, bytes: &[u8]) -> Vec<u8> {
+    let BufResult(sent, _) = stream.write_all(bytes.to_vec()).await;
+    sent.unwrap();
+    let mut all = Vec::new();
+    loop {
+        let BufResult(read, part) = stream.read(Vec::with_capacity(4_096)).await;
+        match read {
+            Ok(1..) => all.extend(part),
+            _ => return all,
+        }
+    }
+}
+
+fn sqlstate(frames: &[Frame]) -> &str {
+    let last = frames.last().unwrap();
+    assert_eq!(last.field(b'S'), Some("FATAL"));
+    last.sqlstate().unwrap()
+}
+
+/// Guards against a first message that is taken for something else, hangs, or gets no clear error.
+#[rstest]
+#[case::garbage(b"GET / HTTP/1.1\r\n\r\n", "54000")]
+#[case::huge(b"\x7f\xff\xff\xff\0\x03\0\0", "54000")]
+#[case::short(b"\0\0\0\x04", "08P01")]
+#[case::negative(b"\xff\xff\xff\xff", "08P01")]
+#[case::unended(b"\0\0\0\x0d\0\x03\0\0user\0", "08P01")]
+#[case::old(b"\0\0\0\x08\0\x02\0\0", "0A000")]
+#[case::nobody(b"\0\0\0\x09\0\x03\0\0\0", "28000")]
+fn refuses_first_messages(#[case] bytes: &[u8], #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+
+        let answer = exchange(bench.stream().await, bytes).await;
+
+        let text = String::from_utf8_lossy(&answer);
+        assert!(text.contains(&format!("C{expected}\0")), "{text}");
+        assert_eq!(bench.caller().await.query("SELECT 1").await.rows(), ["1"]);
+    });
+}
+
+/// Guards against a wrong answer to a request for encryption, and a login behind it that fails.
+#[rstest]
+#[case::ssl(80_877_103)]
+#[case::gss(80_877_104)]
+fn declines_encryption(#[case] code: i32) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut stream = bench.stream().await;
+        let request = [8_i32.to_be_bytes(), code.to_be_bytes()].concat();
+        stream.write_all(request).await.0.unwrap();
+        let BufResult(read, answer) = stream.read(Vec::with_capacity(1)).await;
+
+        let client = wire::Client::open(stream, "anna", "orders").await.unwrap();
+
+        assert_eq!((read.unwrap(), answer), (1, b"N".to_vec()));
+        assert_eq!(Caller(client).query("SELECT 1").await.rows(), ["1"]);
+    });
+}
+
+/// Guards against a login that is refused without a reason, or let in with parameters ignored.
+#[rstest]
+#[case::service(&[("database", "nowhere")], "ZN007")]
+#[case::value(&[("goldcrestrail.token", "x")], "22023")]
+#[case::name(&[("goldcrestrail.toke", "1/1")], "42704")]
+#[case::options(&[("options", "-c goldcrestrail.deadline=soon")], "22023")]
+#[case::encoding(&[("client_encoding", "LATIN1")], "0A000")]
+#[case::replication(&[("replication", "database")], "0A000")]
+fn refuses_logins(#[case] parameters: &[(&str, &str)], #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+
+        let refused = bench.caller_with(parameters).await.err().unwrap();
+
+        assert_eq!(sqlstate(&refused), expected);
+    });
+}
+
+/// Guards against a session parameter that one of the three ways loses.
+#[rstest]
+#[case::startup(&[("goldcrestrail.token", "3/7")], "SELECT 1")]
+#[case::options(&[("options", "-c goldcrestrail.token=3/7 --x=a\\ b")], "SELECT 1")]
+#[case::set(&[], "SET goldcrestrail.token = '3/7'")]
+fn accepts_tokens(#[case] parameters: &[(&str, &str)], #[case] text: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller_with(parameters).await.ok().unwrap();
+
+        caller.query(text).await;
+        let shown = caller.query("SHOW goldcrestrail.token").await;
+        caller.query("SELECT 1").await;
+
+        assert_eq!(
+            (shown.tags(), shown.rows()),
+            ("TDCZ".into(), vec!["3/7".into()])
+        );
+        let needs = bench.fleet.needs.borrow();
+        assert_eq!(needs.last().unwrap().token.unwrap().to_string(), "3/7");
+    });
+}
+
+/// Guards against a password that is let through, or a right one that is refused.
+#[rstest]
+#[case::right("anna", "secret", true)]
+#[case::wrong("anna", "secreT", false)]
+#[case::unknown("eve", "", false)]
+fn checks_passwords(#[case] user: &str, #[case] password: &str, #[case] expected: bool) {
+    run(async {
+        let users = Map::from_iter([("anna".to_owned(), digest("secret"))]);
+        let mut options = options();
+        options.auth = Auth::Password(users);
+        let bench = Bench::with(options).await;
+        let body = format!("user\0{user}\0database\0orders\0\0");
+        let mut bytes = Vec::new();
+        bytes.extend(i32::try_from(body.len() + 8).unwrap().to_be_bytes());
+        bytes.extend(196_608_i32.to_be_bytes());
+        bytes.extend(body.as_bytes());
+        bytes.push(b'p');
+        bytes.extend(i32::try_from(password.len() + 5).unwrap().to_be_bytes());
+        bytes.extend(format!("{password}\0X\0\0\0\x04").as_bytes());
+
+        let answer = exchange(bench.stream().await, &bytes).await;
+
+        assert_eq!(&answer[..9], b"R\0\0\0\x08\0\0\0\x03");
+        let text = String::from_utf8_lossy(&answer);
+        assert_eq!(text.contains("C28P01\0"), !expected, "{text}");
+        assert_eq!(text.contains("server_version"), expected, "{text}");
+    });
+}
+
+/// Guards against half-open logins that stay forever.
+#[test]
+fn login_ends_in_time() {
+    run(async {
+        let mut options = options();
+        options.login = Duration::from_millis(50);
+        let bench = Bench::with(options).await;
+
+        let answer = exchange(bench.stream().await, b"\0\0\0\x20\0\x03").await;
+
+        assert_eq!(answer, b"");
+    });
+}
+
+/// Guards against a message that is too long, or none, in a session: it must end with a clear
+/// error and leave other callers alone.
+#[rstest]
+#[case::oversized(b"Q\x7f\xff\xff\xff", "54000")]
+#[case::unknown(b"!\0\0\0\x04", "08P01")]
+#[case::short(b"B\0\0\0\x05\0", "08P01")]
+#[case::negative(b"Q\xff\xff\xff\xff", "08P01")]
+#[case::password(b"p\0\0\0\x05\0", "08P01")]
+fn ends_sessions_on_garbage(#[case] bytes: &[u8], #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
+
+        caller.0.writer.bytes(bytes);
+        caller.0.writer.flush().await.unwrap();
+        let reply = caller.reply().await;
+
+        assert_eq!(
+            (reply.tags(), reply.sqlstate()),
+            ("E".into(), expected.into())
+        );
+        assert_eq!(other.query("SELECT 1").await.rows(), ["1"]);
+    });
+}
+
+/// Guards against a batch without Sync that gathers without bound.
+#[test]
+fn bounds_batches() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        for _ in 0..10_000 {
+            caller.add(b'E', b"\0\0\0\0\0");
+        }
+        let reply = caller.sync().await;
+
+        assert_eq!(
+            (reply.tags(), reply.sqlstate()),
+            ("EZ".into(), "54000".into())
+        );
+        assert_eq!(caller.query("SELECT 1").await.rows(), ["1"]);
+    });
+}
+
+/// Guards against a caller over the limit that is served, or that is dropped without a reason.
+#[test]
+fn limits_callers() {
+    run(async {
+        let mut options = options();
+        options.callers = 1;
+        let bench = Bench::with(options).await;
+        let _first = bench.caller().await;
+
+        let refused = bench.caller_with(&[]).await.err().unwrap();
+
+        assert_eq!(sqlstate(&refused), "53300");
+    });
+}
--- a/crates/entry/tests/session.rs
+++ b/crates/entry/tests/session.rs
@@ -165,3 +165,30 @@
         assert_eq!(caller.query("SELECT 1").await.rows(), ["1"]);
     });
 }
+
+/// Guards against a driver's pool whose reset of a connection is refused.
+#[rstest]
+#[case::discard("DISCARD ALL", "CZ")]
+#[case::many(
+    "SELECT pg_advisory_unlock_all(); CLOSE ALL; UNLISTEN *; RESET ALL;",
+    "TDCCCCZ"
+)]
+fn accepts_resets(#[case] text: &str, #[case] tags: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller
+            .query("SET goldcrestrail.key = 'k'; SET goldcrestrail.token = '1/0'")
+            .await;
+
+        let reset = caller.query(text).await;
+        let key = caller.query("SHOW goldcrestrail.key").await;
+        let token = caller.query("SHOW goldcrestrail.token").await;
+
+        assert_eq!(reset.tags(), tags);
+        assert_eq!(
+            (key.rows(), token.rows()),
+            (vec![String::new()], vec!["1/0".into()])
+        );
+    });
+}
--- a/crates/sql/src/functions.rs
+++ b/crates/sql/src/functions.rs
@@ -225,6 +225,28 @@
     "width_bucket",
 ];
 
+/// Functions whose effect stays with the session of the database, sorted.
+const STICKY: &[&str] = &[
+    "pg_advisory_lock",
+    "pg_advisory_lock_shared",
+    "pg_advisory_unlock",
+    "pg_advisory_unlock_all",
+    "pg_advisory_unlock_shared",
+    "pg_try_advisory_lock",
+    "pg_try_advisory_lock_shared",
+    "set_config",
+];
+
+/// The function's name, if its effect stays with the session of the database.
+pub(crate) fn sticky(name: &ObjectName) -> Option<&'static str> {
+    let ObjectNamePart::Identifier(ident) = name.0.last()? else {
+        return None;
+    };
+    let name = ident.value.to_ascii_lowercase();
+    let found = STICKY.binary_search(&name.as_str()).ok()?;
+    Some(STICKY[found])
+}
+
 /// Whether calling a function can change nothing.
 pub(crate) fn is_pure(name: &ObjectName) -> bool {
     let parts = name.0.as_slice();
--- a/crates/sql/src/inspect.rs
+++ b/crates/sql/src/inspect.rs
@@ -15,6 +15,9 @@
 pub(crate) fn inspect(statement: &Statement) -> (Kind, Vec<Change>) {
     let mut walk = Walk::default();
     let _never_breaks: ControlFlow<()> = statement.visit(&mut walk);
+    if let Some(function) = walk.sticky {
+        return (Kind::Sticky(function), walk.changes);
+    }
     let kind = match statement {
         Statement::StartTransaction {
             modes, statements, ..
@@ -53,6 +56,7 @@
 
 struct Walk {
     pure: bool,
+    sticky: Option<&'static str>,
     changes: Vec<Change>,
 }
 
@@ -60,6 +64,7 @@
     fn default() -> Self {
         Self {
             pure: true,
+            sticky: None,
             changes: Vec::new(),
         }
     }
@@ -157,7 +162,10 @@
                 args: Some(_),
                 ..
             }
-            | TableFactor::Function { name, .. } => self.pure &= functions::is_pure(name),
+            | TableFactor::Function { name, .. } => {
+                self.pure &= functions::is_pure(name);
+                self.sticky = self.sticky.or_else(|| functions::sticky(name));
+            }
             TableFactor::TableFunction { .. } => self.pure = false,
             _ => {}
         }
@@ -167,6 +175,7 @@
     fn pre_visit_expr(&mut self, expr: &Expr) -> ControlFlow<()> {
         if let Expr::Function(function) = expr {
             self.pure &= functions::is_pure(&function.name);
+            self.sticky = self.sticky.or_else(|| functions::sticky(&function.name));
         }
         ControlFlow::Continue(())
     }
--- a/crates/sql/src/script.rs
+++ b/crates/sql/src/script.rs
@@ -48,6 +48,9 @@
     Deallocate(Option<String>),
     /// DISCARD ALL.
     Discard,
+    /// Gives up cursors, locks or channels that a session over pooled connections never holds.
+    /// Holds the command tag of its answer.
+    Release(&'static str),
     /// Leaves state behind in the session of the database, so that it can't be used over a pooled
     /// connection. Holds the command.
     Sticky(&'static str),
@@ -105,7 +108,16 @@
     /// Whether a replica may run all of it outside a transaction.
     #[must_use]
     pub fn is_read(&self) -> bool {
-        self.statements.iter().all(|statement| {
+        self.is_read_from(0)
+    }
+
+    /// Whether a replica may run all of it but the first statements outside a transaction.
+    ///
+    /// # Panics
+    /// There are fewer statements than `first`.
+    #[must_use]
+    pub fn is_read_from(&self, first: usize) -> bool {
+        self.statements[first..].iter().all(|statement| {
             matches!(
                 statement.kind,
                 Kind::Read
--- a/crates/sql/src/session.rs
+++ b/crates/sql/src/session.rs
@@ -27,10 +27,11 @@
             }
         }
         "LISTEN" => Some(Kind::Sticky("LISTEN")),
-        "UNLISTEN" => Some(Kind::Sticky("UNLISTEN")),
-        "PREPARE" if rest.first().and_then(word).as_deref() == Some("TRANSACTION") => {
-            Some(Kind::Sticky("PREPARE TRANSACTION"))
-        }
+        "UNLISTEN" => Some(Kind::Release("UNLISTEN")),
+        "CLOSE" if is(rest.first(), "ALL") => Some(Kind::Release("CLOSE CURSOR ALL")),
+        "SELECT" if unlocks(rest) => Some(Kind::Release("SELECT 1")),
+        "DECLARE" if holds(rest) => Some(Kind::Sticky("DECLARE … WITH HOLD")),
+        "PREPARE" if is(rest.first(), "TRANSACTION") => Some(Kind::Sticky("PREPARE TRANSACTION")),
         "PREPARE" => Some(Kind::Sticky("PREPARE")),
         "EXECUTE" => Some(Kind::Sticky("EXECUTE")),
         "LOAD" => Some(Kind::Sticky("LOAD")),
@@ -39,6 +40,26 @@
     }
 }
 
+fn is(token: Option<&TokenWithSpan>, expected: &str) -> bool {
+    token.and_then(word).as_deref() == Some(expected)
+}
+
+/// Whether the rest of a SELECT gives up the locks of the session and does nothing else.
+fn unlocks(rest: &[TokenWithSpan]) -> bool {
+    matches!(rest, [function, open, close]
+        if is(Some(function), "PG_ADVISORY_UNLOCK_ALL")
+            && open.token == Token::LParen
+            && close.token == Token::RParen)
+}
+
+/// Whether the rest of a DECLARE makes a cursor that outlives its transaction.
+fn holds(rest: &[TokenWithSpan]) -> bool {
+    let pairs = rest.windows(2);
+    pairs
+        .take_while(|pair| !is(pair.first(), "FOR"))
+        .any(|pair| is(pair.first(), "WITH") && is(pair.get(1), "HOLD"))
+}
+
 fn temporary(rest: &[TokenWithSpan]) -> bool {
     rest.iter()
         .take(4)
--- a/crates/sql/tests/classify.rs
+++ b/crates/sql/tests/classify.rs
@@ -59,6 +59,15 @@
 #[case::copy_out("copy (select 1) to stdout", Kind::Copy)]
 #[case::listen("LISTEN a", Kind::Sticky("LISTEN"))]
 #[case::temporary("CREATE TEMP TABLE x (k int)", Kind::Sticky("CREATE TEMPORARY"))]
+#[case::set_config("SELECT set_config('a', 'b', false)", Kind::Sticky("set_config"))]
+#[case::session_lock("SELECT pg_advisory_lock(1)", Kind::Sticky("pg_advisory_lock"))]
+#[case::transaction_lock("SELECT pg_advisory_xact_lock(1)", Kind::Unsure)]
+#[case::held_cursor(
+    "DECLARE c CURSOR WITH HOLD FOR SELECT 1",
+    Kind::Sticky("DECLARE … WITH HOLD")
+)]
+#[case::unlisten("UNLISTEN *", Kind::Release("UNLISTEN"))]
+#[case::unlock("SELECT pg_advisory_unlock_all()", Kind::Release("SELECT 1"))]
 #[case::do_block("DO $$ BEGIN DELETE FROM t; END $$", Kind::Unsure)]
 fn tells_kinds_apart(#[case] text: &str, #[case] expected: Kind) {
     assert_eq!(kind(text), expected);
