--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -27,6 +27,8 @@
 
 /// Bytes of answers that are kept with one key.
 const KEPT_BYTES: usize = 32 << 10;
+/// Requests that a transaction with a key may have.
+const REQUESTS: usize = 1_000;
 const CREATE: &str = "CREATE TABLE IF NOT EXISTS goldcrestrail_keys \
     (key text PRIMARY KEY, digest text, outcome text, created bigint)";
 
@@ -65,6 +67,11 @@
 }
 
 impl Record {
+    /// Whether no further request fits.
+    pub(crate) fn is_full(&self) -> bool {
+        self.answers.len() >= REQUESTS
+    }
+
     /// Adds the answer to a request of the transaction.
     pub(crate) fn add(&mut self, request: &Request<'_>, messages: &[u8]) {
         self.kept += messages.len();
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -523,6 +523,13 @@
     ) -> Result<bool, Trouble> {
         let mark = self.writer.pending();
         let term = open.lease.primary();
+        if open.record.as_ref().is_some_and(|record| record.is_full()) {
+            self.state = State::Lost;
+            return Err(Refusal::Rule(
+                "a transaction with a key has too many requests; it is rolled back".into(),
+            )
+            .into());
+        }
         if meaning.closes && !meaning.rolls_back {
             self.write_record(&mut open, request, meaning, deadline)
                 .await?;
@@ -632,6 +639,11 @@
             }
             Err(refusal) => {
                 self.writer.truncate(mark);
+                // The request ran, whatever keeps it from being confirmed.
+                let refusal = match refusal {
+                    Refusal::Unknown(_) => refusal,
+                    _ => Refusal::Unknown(format!("it can't be confirmed: {refusal}")),
+                };
                 return Err(refusal.into());
             }
         }
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -2,7 +2,9 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future::poll_fn,
     rc::Rc,
+    task::{Poll, Waker},
     time::{Duration, Instant},
 };
 
@@ -40,7 +42,10 @@
     pub confirm: Cell<Confirm>,
     pub confirmed: RefCell<Vec<Position>>,
     pub needs: RefCell<Vec<Need>>,
-    pub stop: Cell<bool>,
+    /// Whether connections are kept from all requests.
+    pub hold: Cell<bool>,
+    stop: Cell<bool>,
+    waiting: RefCell<Vec<Waker>>,
     /// Connections that were dropped rather than given back.
     pub dropped: Rc<Cell<usize>>,
     pools: [Pool; 2],
@@ -102,7 +107,9 @@
             confirm: Cell::new(Confirm::Yes),
             confirmed: RefCell::default(),
             needs: RefCell::default(),
+            hold: Cell::new(false),
             stop: Cell::new(false),
+            waiting: RefCell::default(),
             dropped: Rc::default(),
             pools: [Pool::default(), Pool::default()],
         }
@@ -121,6 +128,12 @@
             .map_or(0, |(_, prepared)| prepared.len())
     }
 
+    /// Tells the process to stop.
+    pub fn stop(&self) {
+        self.stop.set(true);
+        self.waiting.take().into_iter().for_each(Waker::wake);
+    }
+
     /// Makes the records of all keys as old as can be.
     pub fn expire_keys(&self) {
         for record in self
@@ -135,6 +148,9 @@
     }
 
     async fn lease(&self, primary: bool) -> Result<FakeLease, Refusal> {
+        while self.hold.get() {
+            sleep(Duration::from_millis(5)).await;
+        }
         let pool = Rc::clone(&self.pools[usize::from(primary)]);
         let kept = pool.borrow_mut().pop();
         let held = if let Some(kept) = kept {
@@ -198,9 +214,14 @@
     }
 
     async fn stopping(&self) {
-        while !self.stop.get() {
-            sleep(Duration::from_millis(5)).await;
-        }
+        poll_fn(|cx| {
+            if self.stop.get() {
+                return Poll::Ready(());
+            }
+            self.waiting.borrow_mut().push(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
     }
 
     fn is_stopping(&self) -> bool {
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -34,6 +34,25 @@
     });
 }
 
+/// Guards against a caller that can't give up while its request waits for a connection.
+#[test]
+fn cancels_what_waits() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        bench.fleet.hold.set(true);
+        caller.send("INSERT INTO t VALUES ('a', '1')").await;
+        sleep(MOMENT).await;
+
+        let stream = bench.stream().await;
+        wire::client::cancel(stream, caller.0.key).await.unwrap();
+        let reply = caller.reply().await;
+
+        assert_eq!((reply.sqlstate(), reply.status()), ("57014".into(), 'I'));
+        assert_eq!(bench.fleet.primary.ran("INSERT"), 0);
+    });
+}
+
 /// Guards against a cancel that arrives after its statement ended and hits the next one, of this
 /// caller or of another.
 #[test]
@@ -166,9 +185,11 @@
         let (mut caller, mut other) = (bench.caller().await, bench.caller().await);
 
         caller.send("SELECT big LIMIT 50000").await;
-        sleep(Duration::from_millis(600)).await;
+        // The whole test ends after 20 s when this doesn't come about.
+        while bench.fleet.dropped.get() == 0 {
+            sleep(MOMENT).await;
+        }
 
-        assert_eq!(bench.fleet.dropped.get(), 1);
         assert_eq!(other.query("SELECT 1").await.rows(), ["1"]);
     });
 }
@@ -202,7 +223,7 @@
         open.query("BEGIN").await;
         open.query("INSERT INTO t VALUES ('a', '1')").await;
 
-        bench.fleet.stop.set(true);
+        bench.fleet.stop();
         let dismissed = idle.reply().await;
         let refused = bench.caller_with(&[]).await.err().unwrap();
         let commit = open.query("COMMIT").await;
@@ -228,7 +249,7 @@
         caller.send("INSERT INTO t VALUES ('a', '1')").await;
         sleep(MOMENT).await;
 
-        bench.fleet.stop.set(true);
+        bench.fleet.stop();
         sleep(MOMENT).await;
         bench.fleet.confirm.set(Confirm::Yes);
         let reply = timeout(Duration::from_secs(1), caller.reply())
@@ -259,3 +280,25 @@
         );
     });
 }
+
+/// Guards against an own parameter that is sent to the databases, or changes how the statements
+/// behind it are routed.
+#[test]
+fn own_parameters_stay_here() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        let reply = caller
+            .query("SET goldcrestrail.max_age = 5; SELECT 1")
+            .await;
+        caller.query("SELECT 1").await;
+
+        assert_eq!(reply.tags(), "CTDCZ");
+        let log = bench.fleet.replica.log.borrow();
+        assert!(
+            log.iter().all(|(_, text)| text.trim() == "SELECT 1"),
+            "{log:?}"
+        );
+    });
+}
--- a/crates/sql/src/functions.rs
+++ b/crates/sql/src/functions.rs
@@ -48,6 +48,7 @@
     "current_role",
     "current_schema",
     "current_schemas",
+    "current_setting",
     "current_time",
     "current_timestamp",
     "current_user",
