--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -12,6 +12,7 @@
     Term,
     document::{Service, digest},
 };
+use compio::runtime::spawn;
 use serde::{Deserialize, Serialize};
 use wire::{Client, Failure, Rows, WireError, pg::simplequery::Query};
 
@@ -29,6 +30,8 @@
 const KEPT_BYTES: usize = 32 << 10;
 /// Requests that a transaction with a key may have.
 const REQUESTS: usize = 1_000;
+/// Time that deleting expired keys may take.
+const PURGE: Duration = Duration::from_secs(10);
 const CREATE: &str = "CREATE TABLE IF NOT EXISTS goldcrestrail_keys \
     (key text PRIMARY KEY, digest text, outcome text, created bigint)";
 
@@ -342,7 +345,11 @@
         }
         answer.status = b'I';
         let (term, position) = (lease.primary(), position(lease.client()));
-        give_back(lease, &answer, attempt.cancelled);
+        if self.shared.count_keyed() {
+            spawn(purge(lease, service.limits.key_hours)).detach();
+        } else {
+            give_back(lease, &answer, attempt.cancelled);
+        }
         self.acknowledge(service, term, position, &answer, true, mark, deadline)
             .await?;
         Ok(false)
@@ -647,6 +654,16 @@
     }
 }
 
+/// Deletes expired keys, apart from any request.
+async fn purge<L: Lease>(mut lease: L, hours: u32) {
+    let oldest = now_seconds().saturating_sub(u64::from(hours) * 3_600);
+    let statement = format!("DELETE FROM goldcrestrail_keys WHERE created < {oldest}");
+    let deadline = Instant::now() + PURGE;
+    if ask(lease.client(), &[&statement], deadline).await.is_ok() {
+        lease.release();
+    }
+}
+
 fn other_statement() -> Trouble {
     Refusal::Key("the key belongs to another statement, and this one was not run".into()).into()
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,6 +11,9 @@
 
 /// Statement texts whose classification is kept.
 const SCRIPTS: usize = 4_096;
+/// Requests with a key between two deletions of expired keys. Each reads the whole table, because
+/// the times have no index.
+const PURGE: u32 = 500;
 /// Connections beyond the limit of callers, for cancel requests and for logins to be told why they
 /// are refused.
 const SPARE: usize = 1_000;
@@ -32,6 +35,7 @@
     retries: Cell<f64>,
     draining: Cell<bool>,
     connected: Rc<Cell<usize>>,
+    keyed: Cell<u32>,
 }
 
 /// A connection, counted while it lasts.
@@ -56,6 +60,7 @@
             retries: Cell::new(BUDGET),
             draining: Cell::new(false),
             connected: Rc::default(),
+            keyed: Cell::new(0),
         }
     }
 
@@ -83,6 +88,13 @@
         self.draining.set(true);
     }
 
+    /// Counts a request with a key; true when expired keys are to be deleted after it.
+    pub fn count_keyed(&self) -> bool {
+        let count = self.keyed.get() + 1;
+        self.keyed.set(count % PURGE);
+        count == PURGE
+    }
+
     /// Counts a request towards the retry budget.
     pub fn count_request(&self) {
         self.retries
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -44,6 +44,8 @@
     pub needs: RefCell<Vec<Need>>,
     /// Whether connections are kept from all requests.
     pub hold: Cell<bool>,
+    /// Whether some request was kept waiting.
+    pub held: Cell<bool>,
     stop: Cell<bool>,
     waiting: RefCell<Vec<Waker>>,
     /// Connections that were dropped rather than given back.
@@ -108,6 +110,7 @@
             confirmed: RefCell::default(),
             needs: RefCell::default(),
             hold: Cell::new(false),
+            held: Cell::new(false),
             stop: Cell::new(false),
             waiting: RefCell::default(),
             dropped: Rc::default(),
@@ -149,6 +152,7 @@
 
     async fn lease(&self, primary: bool) -> Result<FakeLease, Refusal> {
         while self.hold.get() {
+            self.held.set(true);
             sleep(Duration::from_millis(5)).await;
         }
         let pool = Rc::clone(&self.pools[usize::from(primary)]);
@@ -162,6 +166,7 @@
                 &self.replica
             };
             let stream = TcpStream::connect(upstream.address).await.unwrap();
+            stream.set_nodelay(true).unwrap();
             let client = Client::open(stream, "anna", "orders").await;
             (client.map_err(|_refused| Refusal::Primary)?, Set::default())
         };
--- a/crates/entry/tests/common/upstream.rs
+++ b/crates/entry/tests/common/upstream.rs
@@ -97,6 +97,7 @@
     }
 
     async fn connection(self: Rc<Self>, stream: TcpStream) -> Option<()> {
+        stream.set_nodelay(true).ok()?;
         let (read, write) = stream.into_split();
         let mut reader = Reader::new(read, 64 << 20);
         match reader.opening().await.ok()?? {
@@ -372,6 +373,13 @@
                     .push(Change::Row(words[0].clone(), words[1].clone()));
                 "INSERT 0 1".to_owned()
             }
+            "DELETE" if text.contains("created <") => {
+                let oldest: u64 = text.rsplit(' ').next()?.parse().ok()?;
+                let mut keys = self.upstream.store.keys.borrow_mut();
+                let keys = keys.get_or_insert_default();
+                keys.retain(|_, record| record[2].parse::<u64>().is_ok_and(|at| at >= oldest));
+                "DELETE 1".to_owned()
+            }
             "DELETE" => {
                 self.pending.push(Change::Key(words[0].clone(), None));
                 "DELETE 1".to_owned()
--- a/crates/entry/tests/keyed.rs
+++ b/crates/entry/tests/keyed.rs
@@ -5,6 +5,8 @@
 use common::{Bench, Caller, Fault, fleet::Confirm, run};
 use rstest::rstest;
 
+/// Requests with a key between two deletions of expired keys.
+const PURGE: usize = 500;
 const BILL: &str = "INSERT INTO bills VALUES ('b', '1')";
 
 async fn keyed(caller: &mut Caller, text: &str) -> common::Reply {
@@ -186,6 +188,28 @@
     });
 }
 
+/// Guards against a table of keys that grows forever.
+#[test]
+fn expired_keys_are_deleted() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        keyed(&mut caller, BILL).await;
+        bench.fleet.expire_keys();
+
+        for i in 0..PURGE {
+            let text = format!("/* goldcrestrail.key=n{i} */ INSERT INTO t VALUES ('a', '{i}')");
+            caller.query(&text).await;
+        }
+        caller.query("SELECT 1").await;
+
+        let keys = bench.fleet.store.keys.borrow();
+        let keys = keys.as_ref().unwrap();
+        assert!(!keys.contains_key("k"));
+        assert_eq!(keys.len(), PURGE);
+    });
+}
+
 async fn transaction(caller: &mut Caller) -> String {
     let mut tags = String::new();
     for text in [
