--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -18,7 +18,7 @@
 /// are refused.
 const SPARE: usize = 1_000;
 /// Retries that may be saved up, so that a burst after a failover isn't refused.
-const BUDGET: f64 = 20.0;
+const BUDGET: f64 = 100.0;
 /// Share of requests that may be sent again; more would multiply an overload.
 const RETRY_SHARE: f64 = 0.1;
 
--- a/crates/entry/tests/keyed.rs
+++ b/crates/entry/tests/keyed.rs
@@ -140,6 +140,7 @@
 #[case::record("INTO goldcrestrail_keys", Fault::After)]
 #[case::commit_lost("COMMIT", Fault::Before)]
 #[case::commit_done("COMMIT", Fault::After)]
+#[case::race("INTO goldcrestrail_keys", Fault::Refuse("23505"))]
 #[case::demoted("INTO bills", Fault::Refuse("25006"))]
 fn broken_connection_has_an_outcome(#[case] at: &str, #[case] fault: Fault) {
     run(async {
@@ -264,3 +265,25 @@
         assert_eq!((end.commands(), end.status()), (vec!["ROLLBACK"], 'I'));
     });
 }
+
+/// Guards against "not run" for a COMMIT that an old primary may still carry out, and "unknown"
+/// for one that is certainly lost.
+#[rstest]
+#[case::same_primary(1, "ZU001")]
+#[case::new_primary(2, "ZN002")]
+fn lost_commit_is_looked_up(#[case] term: u64, #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller.query("SET goldcrestrail.deadline = 500").await;
+        keyed(&mut caller, "BEGIN").await;
+        caller.query(BILL).await;
+        bench.fleet.primary.fail("COMMIT", Fault::Before);
+        bench.fleet.term.set(term);
+
+        let commit = caller.query("COMMIT").await;
+
+        assert_eq!((commit.sqlstate(), commit.status()), (expected.into(), 'I'));
+        assert!(bench.fleet.store.rows.borrow().is_empty());
+    });
+}
