--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,8 +11,14 @@
 
 /// Statement texts whose classification is kept.
 const SCRIPTS: usize = 4_096;
+/// Requests with a key between two deletions of expired keys. Each reads the whole table, because
+/// the times have no index.
+const PURGE: u32 = 500;
+/// Connections beyond the limit of callers, for cancel requests and for logins to be told why they
+/// are refused.
+const SPARE: usize = 1_000;
 /// Retries that may be saved up, so that a burst after a failover isn't refused.
-const BUDGET: f64 = 20.0;
+const BUDGET: f64 = 100.0;
 /// Share of requests that may be sent again; more would multiply an overload.
 const RETRY_SHARE: f64 = 0.1;
 
@@ -28,6 +34,18 @@
     scripts: RefCell<Cache>,
     retries: Cell<f64>,
     draining: Cell<bool>,
+    connected: Rc<Cell<usize>>,
+    keyed: Cell<u32>,
+}
+
+/// A connection, counted while it lasts.
+#[derive(Debug)]
+pub struct Connected(Rc<Cell<usize>>);
+
+impl Drop for Connected {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl<F> Shared<F> {
@@ -41,6 +59,8 @@
             scripts: RefCell::new(Cache::new(SCRIPTS)),
             retries: Cell::new(BUDGET),
             draining: Cell::new(false),
+            connected: Rc::default(),
+            keyed: Cell::new(0),
         }
     }
 
@@ -49,6 +69,15 @@
         self.scripts.borrow_mut().script(text)
     }
 
+    /// Counts a connection in; `None` when there are too many, logins and cancels included.
+    pub fn connect(&self) -> Option<Connected> {
+        let count = self.connected.get() + 1;
+        (count <= self.options.callers + SPARE).then(|| {
+            self.connected.set(count);
+            Connected(Rc::clone(&self.connected))
+        })
+    }
+
     /// Whether new callers are refused because the process stops.
     pub fn is_draining(&self) -> bool {
         self.draining.get()
@@ -59,6 +88,13 @@
         self.draining.set(true);
     }
 
+    /// Counts a request with a key; true when expired keys are to be deleted after it.
+    pub fn count_keyed(&self) -> bool {
+        let count = self.keyed.get() + 1;
+        self.keyed.set(count % PURGE);
+        count == PURGE
+    }
+
     /// Counts a request towards the retry budget.
     pub fn count_request(&self) {
         self.retries
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -2,7 +2,9 @@
 
 use std::{
     cell::{Cell, RefCell},
+    future::poll_fn,
     rc::Rc,
+    task::{Poll, Waker},
     time::{Duration, Instant},
 };
 
@@ -35,12 +37,19 @@
     pub store: Rc<Store>,
     pub primary: Rc<Upstream>,
     pub replica: Rc<Upstream>,
+    /// Term that the primary's connections are handed out in.
+    pub term: Cell<Term>,
     /// Whether reads go to the replica.
     pub replica_reads: Cell<bool>,
     pub confirm: Cell<Confirm>,
     pub confirmed: RefCell<Vec<Position>>,
     pub needs: RefCell<Vec<Need>>,
-    pub stop: Cell<bool>,
+    /// Whether connections are kept from all requests.
+    pub hold: Cell<bool>,
+    /// Whether some request was kept waiting.
+    pub held: Cell<bool>,
+    stop: Cell<bool>,
+    waiting: RefCell<Vec<Waker>>,
     /// Connections that were dropped rather than given back.
     pub dropped: Rc<Cell<usize>>,
     pools: [Pool; 2],
@@ -98,11 +107,15 @@
             store,
             primary,
             replica,
+            term: Cell::new(1),
             replica_reads: Cell::new(true),
             confirm: Cell::new(Confirm::Yes),
             confirmed: RefCell::default(),
             needs: RefCell::default(),
+            hold: Cell::new(false),
+            held: Cell::new(false),
             stop: Cell::new(false),
+            waiting: RefCell::default(),
             dropped: Rc::default(),
             pools: [Pool::default(), Pool::default()],
         }
@@ -121,7 +134,30 @@
             .map_or(0, |(_, prepared)| prepared.len())
     }
 
+    /// Tells the process to stop.
+    pub fn stop(&self) {
+        self.stop.set(true);
+        self.waiting.take().into_iter().for_each(Waker::wake);
+    }
+
+    /// Makes the records of all keys as old as can be.
+    pub fn expire_keys(&self) {
+        for record in self
+            .store
+            .keys
+            .borrow_mut()
+            .iter_mut()
+            .flat_map(base::Map::values_mut)
+        {
+            "0".clone_into(&mut record[2]);
+        }
+    }
+
     async fn lease(&self, primary: bool) -> Result<FakeLease, Refusal> {
+        while self.hold.get() {
+            self.held.set(true);
+            sleep(Duration::from_millis(5)).await;
+        }
         let pool = Rc::clone(&self.pools[usize::from(primary)]);
         let kept = pool.borrow_mut().pop();
         let held = if let Some(kept) = kept {
@@ -133,12 +169,13 @@
                 &self.replica
             };
             let stream = TcpStream::connect(upstream.address).await.unwrap();
+            stream.set_nodelay(true).unwrap();
             let client = Client::open(stream, "anna", "orders").await;
             (client.map_err(|_refused| Refusal::Primary)?, Set::default())
         };
         Ok(FakeLease {
             member: if primary { "a" } else { "b" }.to_owned(),
-            term: primary.then_some(1),
+            term: primary.then_some(self.term.get()),
             held: Some(held),
             pool,
             dropped: Rc::clone(&self.dropped),
@@ -185,9 +222,14 @@
     }
 
     async fn stopping(&self) {
-        while !self.stop.get() {
-            sleep(Duration::from_millis(5)).await;
-        }
+        poll_fn(|cx| {
+            if self.stop.get() {
+                return Poll::Ready(());
+            }
+            self.waiting.borrow_mut().push(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
     }
 
     fn is_stopping(&self) -> bool {
--- a/crates/entry/tests/keyed.rs
+++ b/crates/entry/tests/keyed.rs
@@ -5,6 +5,8 @@
 use common::{Bench, Caller, Fault, fleet::Confirm, run};
 use rstest::rstest;
 
+/// Requests with a key between two deletions of expired keys.
+const PURGE: usize = 500;
 const BILL: &str = "INSERT INTO bills VALUES ('b', '1')";
 
 async fn keyed(caller: &mut Caller, text: &str) -> common::Reply {
@@ -138,6 +140,7 @@
 #[case::record("INTO goldcrestrail_keys", Fault::After)]
 #[case::commit_lost("COMMIT", Fault::Before)]
 #[case::commit_done("COMMIT", Fault::After)]
+#[case::race("INTO goldcrestrail_keys", Fault::Refuse("23505"))]
 #[case::demoted("INTO bills", Fault::Refuse("25006"))]
 fn broken_connection_has_an_outcome(#[case] at: &str, #[case] fault: Fault) {
     run(async {
@@ -178,9 +181,7 @@
         let bench = Bench::new().await;
         let mut caller = bench.caller().await;
         keyed(&mut caller, BILL).await;
-        let mut keys = bench.fleet.store.keys.borrow_mut();
-        "1000".clone_into(&mut keys.as_mut().unwrap().get_mut("k").unwrap()[2]);
-        drop(keys);
+        bench.fleet.expire_keys();
 
         let later = keyed(&mut caller, "INSERT INTO bills VALUES ('c', '1')").await;
 
@@ -188,6 +189,28 @@
     });
 }
 
+/// Guards against a table of keys that grows forever.
+#[test]
+fn expired_keys_are_deleted() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        keyed(&mut caller, BILL).await;
+        bench.fleet.expire_keys();
+
+        for i in 0..PURGE {
+            let text = format!("/* goldcrestrail.key=n{i} */ INSERT INTO t VALUES ('a', '{i}')");
+            caller.query(&text).await;
+        }
+        caller.query("SELECT 1").await;
+
+        let keys = bench.fleet.store.keys.borrow();
+        let keys = keys.as_ref().unwrap();
+        assert!(!keys.contains_key("k"));
+        assert_eq!(keys.len(), PURGE);
+    });
+}
+
 async fn transaction(caller: &mut Caller) -> String {
     let mut tags = String::new();
     for text in [
@@ -242,3 +265,25 @@
         assert_eq!((end.commands(), end.status()), (vec!["ROLLBACK"], 'I'));
     });
 }
+
+/// Guards against "not run" for a COMMIT that an old primary may still carry out, and "unknown"
+/// for one that is certainly lost.
+#[rstest]
+#[case::same_primary(1, "ZU001")]
+#[case::new_primary(2, "ZN002")]
+fn lost_commit_is_looked_up(#[case] term: u64, #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller.query("SET goldcrestrail.deadline = 500").await;
+        keyed(&mut caller, "BEGIN").await;
+        caller.query(BILL).await;
+        bench.fleet.primary.fail("COMMIT", Fault::Before);
+        bench.fleet.term.set(term);
+
+        let commit = caller.query("COMMIT").await;
+
+        assert_eq!((commit.sqlstate(), commit.status()), (expected.into(), 'I'));
+        assert!(bench.fleet.store.rows.borrow().is_empty());
+    });
+}
