--- a/crates/agree/tests/rpc.rs
+++ b/crates/agree/tests/rpc.rs
@@ -110,6 +110,12 @@
     server: Task<Result<(), Box<dyn std::any::Any + Send>>>,
 }
 
+/// A port that no other test process uses.
+fn free_port() -> u16 {
+    let listener = std::net::TcpListener::bind("127.0.9.1:0").unwrap();
+    listener.local_addr().unwrap().port()
+}
+
 fn address(host: usize, port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 9, 1 + u8::try_from(host).unwrap()], port))
 }
@@ -170,7 +176,7 @@
     for name in ["a", "b", "c"] {
         agree::format(&data.path().join(name), name).unwrap();
     }
-    let port = 7_391;
+    let port = free_port();
     let mut hosts = Vec::new();
     for host in 0..3 {
         hosts.push(run(host, port, data.path(), 0).await);
@@ -216,9 +222,10 @@
     for name in ["a", "b", "c"] {
         agree::format(&data.path().join(name), name).unwrap();
     }
+    let port = free_port();
     let mut hosts = Vec::new();
     for host in 0..3 {
-        hosts.push(run(host, 7_393, data.path(), 4).await);
+        hosts.push(run(host, port, data.path(), 4).await);
     }
 
     settled(&hosts, |host| host.node.leader().is_some()).await;
@@ -239,9 +246,10 @@
     for name in ["a", "b", "c"] {
         agree::format(&data.path().join(name), name).unwrap();
     }
+    let port = free_port();
     let mut hosts = Vec::new();
     for host in 0..3 {
-        hosts.push(run(host, 7_392, data.path(), 0).await);
+        hosts.push(run(host, port, data.path(), 0).await);
     }
     let start = Instant::now();
     let leader = loop {
