--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -192,7 +192,8 @@
         node.run(Rc::clone(&node).elect());
         let others: Vec<_> = node.state.borrow().peers.keys().cloned().collect();
         for peer in others {
-            node.run(Rc::clone(&node).replicate(peer));
+            node.run(Rc::clone(&node).replicate(peer.clone()));
+            node.run(Rc::clone(&node).beat(peer));
         }
         Ok(node)
     }
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -20,6 +20,10 @@
 /// have noticed that the follower did.
 const INTRODUCE: Duration = Duration::from_secs(1);
 
+/// Time allowed per byte of entries on top of the call deadline: a quarter of the bandwidth of the
+/// link between regions.
+const PER_BYTE: Duration = Duration::from_micros(1);
+
 enum Plan {
     Append(AppendRequest, u64),
     Snapshot(Image, Identity, u64),
@@ -53,6 +57,40 @@
         }
     }
 
+    /// Sends heartbeats while a large entry or a snapshot is on its way to the peer, or while the
+    /// peer's disk is slow: a host must not take that for the loss of its leader.
+    pub(crate) async fn beat(self: Rc<Self>, peer: HostName) {
+        loop {
+            self.environment.sleep(self.tuning.heartbeat).await;
+            self.saved().await;
+            let beat = self.heartbeat(&mut self.state.borrow_mut(), &peer);
+            if let Some((request, round)) = beat {
+                self.send_append(&peer, request, round).await;
+            }
+        }
+    }
+
+    fn heartbeat(&self, state: &mut State, peer: &str) -> Option<(AppendRequest, u64)> {
+        let saved = state.is_saved() || self.lacks(Mechanism::Sync);
+        let progress = state.peers.get(peer)?;
+        let sent = self.environment.now().duration_since(progress.sent?);
+        if state.role != Role::Leader || !saved || sent < self.tuning.heartbeat * 3 / 2 {
+            return None;
+        }
+        // An entry that the peer certainly holds, or the start of the log.
+        let known = state.log.term(progress.matched);
+        let (prev_index, prev_term) = known.map_or((0, 0), |term| (progress.matched, term));
+        let request = AppendRequest {
+            from: state.hard.identity.clone(),
+            term: state.hard.term,
+            prev_index,
+            prev_term,
+            commit: state.commit,
+            entries: Vec::new(),
+        };
+        Some((request, state.round))
+    }
+
     /// What to send now, if anything.
     fn plan(
         &self,
@@ -127,10 +165,16 @@
 
     async fn send_append(&self, peer: &HostName, request: AppendRequest, round: u64) -> bool {
         let (sent, from, term) = (self.environment.now(), request.from.clone(), request.term);
+        let size: usize = request
+            .entries
+            .iter()
+            .map(|entry| entry.payload.len())
+            .sum();
+        let timeout = self.tuning.call + PER_BYTE * u32::try_from(size).unwrap_or(u32::MAX);
         let reply = self
             .environment
             .network()
-            .append(peer, request, self.tuning.call)
+            .append(peer, request, timeout)
             .await;
         let Ok(reply) = reply else {
             // The commit index may not have arrived.
@@ -182,7 +226,8 @@
         }
         if reply.success {
             progress.matched = progress.matched.max(reply.matched.min(last));
-            progress.next = progress.matched + 1;
+            // The reply to a heartbeat must not undo the search for the common prefix.
+            progress.next = progress.next.max(progress.matched + 1);
         } else if reply.matched < progress.matched && !self.lacks(Mechanism::BootCheck) {
             // A host never loses what it acknowledged in this term: its disk was replaced by an
             // older one between two boots that no peer could tell apart.
--- a/crates/agree/src/rpc.rs
+++ b/crates/agree/src/rpc.rs
@@ -24,11 +24,18 @@
 /// A peer in another region is 30 ms away; a connection that takes longer than this is not made.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// Messages with more bytes than this go over a second connection, so that heartbeats and votes do
+/// not queue behind them.
+const SMALL_BYTES: usize = 16 << 10;
+
+/// A peer, and whether the connection is for large messages.
+type Line = (HostName, bool);
+
 /// Connections to the other control hosts, opened when first needed and again after a failure.
 pub struct Remote {
     host: IpAddr,
     addresses: BTreeMap<HostName, SocketAddr>,
-    open: RefCell<BTreeMap<HostName, Rc<Connection>>>,
+    open: RefCell<BTreeMap<Line, Rc<Connection>>>,
 }
 
 struct Connection {
@@ -57,11 +64,11 @@
         }
     }
 
-    async fn connection(&self, to: &HostName) -> Result<Rc<Connection>, CallError> {
-        if let Some(open) = self.open.borrow().get(to) {
+    async fn connection(&self, line: &Line) -> Result<Rc<Connection>, CallError> {
+        if let Some(open) = self.open.borrow().get(line) {
             return Ok(Rc::clone(open));
         }
-        let address = *self.addresses.get(to).ok_or(CallError::Unsent)?;
+        let address = *self.addresses.get(&line.0).ok_or(CallError::Unsent)?;
         let stream = base::net::connect(self.host, address, CONNECT)
             .await
             .map_err(|_cause| CallError::Unsent)?;
@@ -75,7 +82,7 @@
         });
         self.open
             .borrow_mut()
-            .insert(to.clone(), Rc::clone(&connection));
+            .insert(line.clone(), Rc::clone(&connection));
         Ok(connection)
     }
 
@@ -83,10 +90,12 @@
     async fn call<T>(
         &self,
         to: &HostName,
+        size: usize,
         timeout: Duration,
         call: impl AsyncFnOnce(&peer::Client) -> capnp::Result<T>,
     ) -> Result<T, CallError> {
-        let connection = self.connection(to).await?;
+        let line = (to.clone(), size > SMALL_BYTES);
+        let connection = self.connection(&line).await?;
         let outcome = compio::time::timeout(timeout, call(&connection.peer)).await;
         let broken = match &outcome {
             Ok(Ok(_)) => false,
@@ -96,10 +105,10 @@
         if broken {
             let mut open = self.open.borrow_mut();
             if open
-                .get(to)
+                .get(&line)
                 .is_some_and(|current| Rc::ptr_eq(current, &connection))
             {
-                open.remove(to);
+                open.remove(&line);
             }
         }
         outcome
@@ -116,7 +125,7 @@
         request: VoteRequest,
         timeout: Duration,
     ) -> Result<VoteReply, CallError> {
-        self.call(to, timeout, async |peer| {
+        self.call(to, 0, timeout, async |peer| {
             let mut call = peer.vote_request();
             request.write(call.get().init_request());
             VoteReply::read(call.send().promise.await?.get()?.get_reply()?)
@@ -130,7 +139,12 @@
         request: AppendRequest,
         timeout: Duration,
     ) -> Result<AppendReply, CallError> {
-        self.call(to, timeout, async |peer| {
+        let size = request
+            .entries
+            .iter()
+            .map(|entry| entry.payload.len())
+            .sum();
+        self.call(to, size, timeout, async |peer| {
             let mut call = peer.append_request();
             request.write(call.get().init_request());
             AppendReply::read(call.send().promise.await?.get()?.get_reply()?)
@@ -144,7 +158,7 @@
         request: SnapshotRequest,
         timeout: Duration,
     ) -> Result<SnapshotReply, CallError> {
-        self.call(to, timeout, async |peer| {
+        self.call(to, request.chunk.len(), timeout, async |peer| {
             let mut call = peer.snapshot_request();
             request.write(call.get().init_request());
             SnapshotReply::read(call.send().promise.await?.get()?.get_reply()?)
@@ -158,7 +172,7 @@
         payload: Vec<u8>,
         timeout: Duration,
     ) -> Result<ProposeReply, CallError> {
-        self.call(to, timeout, async |peer| {
+        self.call(to, payload.len(), timeout, async |peer| {
             let mut call = peer.propose_request();
             call.get().set_payload(&payload);
             ProposeReply::read(call.send().promise.await?.get()?)
--- a/crates/agree/tests/cluster/mod.rs
+++ b/crates/agree/tests/cluster/mod.rs
@@ -120,6 +120,8 @@
     pub history: RefCell<BTreeMap<u64, Vec<u8>>>,
     pub violations: RefCell<Vec<String>>,
     pub chunks: Cell<u64>,
+    /// Bytes per second of each connection.
+    pub rate: Cell<u64>,
 }
 
 impl World {
@@ -262,6 +264,7 @@
         to: &str,
         timeout: Duration,
         repeats: bool,
+        size: usize,
         handle: impl Fn(Rc<Peer>) -> LocalBoxFuture<'static, Option<T>> + 'static,
     ) -> Result<T, CallError> {
         let world = Rc::clone(&self.world);
@@ -280,6 +283,8 @@
         let (sender, receiver) = oneshot::channel();
         let task = Rc::clone(&world);
         world.spawned.borrow_mut().push(Box::pin(async move {
+            let transfer = 1_000_000 * size as u64 / task.rate.get();
+            task.sleep(Duration::from_micros(transfer)).await;
             if let Some(reply) = deliver(&task, source, target, &*handle).await {
                 let _gone = sender.send(reply);
             } else {
@@ -344,7 +349,7 @@
         request: VoteRequest,
         timeout: Duration,
     ) -> Result<VoteReply, CallError> {
-        self.call(to, timeout, true, move |node| {
+        self.call(to, timeout, true, 0, move |node| {
             let request = request.clone();
             Box::pin(async move { Some(node.on_vote(request).await) })
         })
@@ -357,7 +362,12 @@
         request: AppendRequest,
         timeout: Duration,
     ) -> Result<AppendReply, CallError> {
-        self.call(to, timeout, true, move |node| {
+        let size = request
+            .entries
+            .iter()
+            .map(|entry| entry.payload.len())
+            .sum();
+        self.call(to, timeout, true, size, move |node| {
             let request = request.clone();
             Box::pin(async move { Some(node.on_append(request).await) })
         })
@@ -371,7 +381,7 @@
         timeout: Duration,
     ) -> Result<SnapshotReply, CallError> {
         self.world.chunks.set(self.world.chunks.get() + 1);
-        self.call(to, timeout, true, move |node| {
+        self.call(to, timeout, true, request.chunk.len(), move |node| {
             let request = request.clone();
             Box::pin(async move { Some(node.on_snapshot(request).await) })
         })
@@ -385,7 +395,7 @@
         timeout: Duration,
     ) -> Result<ProposeReply, CallError> {
         // A connection never delivers a call twice, and only this call relies on that.
-        self.call(to, timeout, false, move |node| {
+        self.call(to, timeout, false, payload.len(), move |node| {
             let payload = payload.clone();
             Box::pin(async move { node.on_propose(payload).await })
         })
@@ -471,6 +481,7 @@
             history: RefCell::default(),
             violations: RefCell::default(),
             chunks: Cell::default(),
+            rate: Cell::new(u64::MAX),
         });
         let tuning = Tuning {
             without,
--- a/crates/agree/tests/faults.rs
+++ b/crates/agree/tests/faults.rs
@@ -62,6 +62,26 @@
     all.assert_correct();
 }
 
+/// Guards against a large entry that holds up heartbeats, or that never fits into the deadline of
+/// a call.
+#[rstest]
+fn carries_large_entries(#[values(1, 2, 3)] seed: u64) {
+    let mut all = Cluster::new(seed, 3, Vec::new());
+    all.world.rate.set(1_900_000);
+    let leader = all.leader();
+    let term = all.node(leader).term();
+
+    for _ in 0..3 {
+        let node = all.node(leader);
+        let large = async move { node.propose(vec![7; 2 << 20]).await };
+        all.block(SECONDS, large).unwrap().unwrap();
+    }
+
+    assert_eq!((all.leader(), all.node(leader).term()), (leader, term));
+    all.converge();
+    all.assert_correct();
+}
+
 /// Guards against a kill in the middle of a write that loses an acknowledged entry, a vote, or
 /// leaves files that do not start again.
 #[rstest]
--- a/crates/agree/tests/rpc.rs
+++ b/crates/agree/tests/rpc.rs
@@ -229,7 +229,7 @@
     }
 
     settled(&hosts, |host| host.node.leader().is_some()).await;
-    let outcome = hosts[0].node.forward(b"x".to_vec()).await;
+    let outcome = hosts[0].node.forward(vec![7; 100_000]).await;
 
     assert!(outcome.is_ok(), "{outcome:?}");
     settled(&hosts, |host| host.tape.borrow().0.len() == 1).await;
