--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -261,8 +261,10 @@
 
     /// Records that changed after `version`.
     pub fn newer(&self, version: Version) -> impl Iterator<Item = &Record> {
-        self.records
-            .values()
+        // Most watches ask with the newest version.
+        let news = (version < self.version).then(|| self.records.values());
+        news.into_iter()
+            .flatten()
             .filter(move |record| record.version > version)
     }
 
