--- a/crates/agree/tests/cluster/mod.rs
+++ b/crates/agree/tests/cluster/mod.rs
@@ -112,12 +112,16 @@
     spawned: RefCell<Vec<LocalBoxFuture<'static, ()>>>,
     slots: RefCell<Vec<Slot>>,
     cuts: RefCell<Vec<(usize, usize)>>,
+    /// Hosts whose address belongs to another host by mistake.
+    pub mixed: RefCell<BTreeMap<usize, usize>>,
     /// Per cent of messages that are lost, and that are delivered a second time later.
     pub loss: Cell<u64>,
     pub duplicates: Cell<u64>,
     pub history: RefCell<BTreeMap<u64, Vec<u8>>>,
     pub violations: RefCell<Vec<String>>,
     pub chunks: Cell<u64>,
+    /// Bytes per second of each connection.
+    pub rate: Cell<u64>,
 }
 
 impl World {
@@ -260,10 +264,12 @@
         to: &str,
         timeout: Duration,
         repeats: bool,
+        size: usize,
         handle: impl Fn(Rc<Peer>) -> LocalBoxFuture<'static, Option<T>> + 'static,
     ) -> Result<T, CallError> {
-        let target = index(to);
         let world = Rc::clone(&self.world);
+        let target = index(to);
+        let target = world.mixed.borrow().get(&target).copied().unwrap_or(target);
         let (source, handle) = (self.host, Rc::new(handle));
         if repeats && world.below(100) < world.duplicates.get() {
             let (world, handle) = (Rc::clone(&world), Rc::clone(&handle));
@@ -277,6 +283,8 @@
         let (sender, receiver) = oneshot::channel();
         let task = Rc::clone(&world);
         world.spawned.borrow_mut().push(Box::pin(async move {
+            let transfer = 1_000_000 * size as u64 / task.rate.get();
+            task.sleep(Duration::from_micros(transfer)).await;
             if let Some(reply) = deliver(&task, source, target, &*handle).await {
                 let _gone = sender.send(reply);
             } else {
@@ -341,7 +349,7 @@
         request: VoteRequest,
         timeout: Duration,
     ) -> Result<VoteReply, CallError> {
-        self.call(to, timeout, true, move |node| {
+        self.call(to, timeout, true, 0, move |node| {
             let request = request.clone();
             Box::pin(async move { Some(node.on_vote(request).await) })
         })
@@ -354,7 +362,12 @@
         request: AppendRequest,
         timeout: Duration,
     ) -> Result<AppendReply, CallError> {
-        self.call(to, timeout, true, move |node| {
+        let size = request
+            .entries
+            .iter()
+            .map(|entry| entry.payload.len())
+            .sum();
+        self.call(to, timeout, true, size, move |node| {
             let request = request.clone();
             Box::pin(async move { Some(node.on_append(request).await) })
         })
@@ -368,7 +381,7 @@
         timeout: Duration,
     ) -> Result<SnapshotReply, CallError> {
         self.world.chunks.set(self.world.chunks.get() + 1);
-        self.call(to, timeout, true, move |node| {
+        self.call(to, timeout, true, request.chunk.len(), move |node| {
             let request = request.clone();
             Box::pin(async move { Some(node.on_snapshot(request).await) })
         })
@@ -382,7 +395,7 @@
         timeout: Duration,
     ) -> Result<ProposeReply, CallError> {
         // A connection never delivers a call twice, and only this call relies on that.
-        self.call(to, timeout, false, move |node| {
+        self.call(to, timeout, false, payload.len(), move |node| {
             let payload = payload.clone();
             Box::pin(async move { node.on_propose(payload).await })
         })
@@ -462,11 +475,13 @@
             spawned: RefCell::default(),
             slots: RefCell::default(),
             cuts: RefCell::default(),
+            mixed: RefCell::default(),
             loss: Cell::default(),
             duplicates: Cell::default(),
             history: RefCell::default(),
             violations: RefCell::default(),
             chunks: Cell::default(),
+            rate: Cell::new(u64::MAX),
         });
         let tuning = Tuning {
             without,
