--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -106,6 +106,8 @@
         self.check_service(service)?;
         let group = self.enter(service, start);
         let patience = Duration::from_millis(service.freshness.wait_ms);
+        let oldest = Duration::from_millis(service.freshness.max_age_ms);
+        let max_age = need.max_age.map(|age| age.min(oldest));
         let mut token = need.token;
         loop {
             self.check_service(service)?;
@@ -120,7 +122,7 @@
                         demand = Some(Demand::Token(position));
                     }
                     Err(refusal) => {
-                        let age = need.max_age.ok_or(refusal)?;
+                        let age = max_age.ok_or(refusal)?;
                         demand = Some(Demand::Age(age));
                     }
                 }
--- a/crates/entry/tests/pool.rs
+++ b/crates/entry/tests/pool.rs
@@ -52,6 +52,24 @@
     });
 }
 
+/// Bytes exchanged with a member of another region are counted, because the link is billed.
+#[test]
+fn region_bytes() {
+    run(async {
+        let upstream = Upstream::start("a").await;
+        let from = "127.0.0.1".parse().unwrap();
+        let metrics = Metrics::new();
+        let pool = Pool::new("a", "g", upstream.address, from, true, LIMITS, &metrics);
+        for _ in 0..2 {
+            query(pool.acquire(soon(1_000)).await.unwrap()).await;
+        }
+        let bytes = |direction| metrics.region.with_label_values(&["a", direction]).get();
+        // Startup (8 + 19 + 11 + 1) and two queries; login (9 + 6) and two answers (8 + 6).
+        assert_eq!(bytes("sent"), 39 + 2 * 14);
+        assert_eq!(bytes("received"), 15 + 2 * 14);
+    });
+}
+
 /// Lent connections are opened on demand and closed before the permit ends, also those in use.
 #[test]
 fn permit_ends() {
