--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -68,6 +68,8 @@
     pub completed: bool,
     /// Whether the last statement that completed was a ROLLBACK.
     pub rolled_back: bool,
+    /// Whether a COMMIT completed, after which another transaction may have begun.
+    pub committed: bool,
     /// Whether it holds rows.
     pub rows: bool,
     /// Whether some of it has been written to the caller.
@@ -253,7 +255,9 @@
             b'D' => answer.rows = true,
             b'C' => {
                 answer.completed = true;
-                answer.rolled_back = frame.command() == Some("ROLLBACK");
+                let command = frame.command();
+                answer.rolled_back = command == Some("ROLLBACK");
+                answer.committed |= command == Some("COMMIT");
             }
             b's' | b'I' => answer.completed = true,
             _ => {}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -561,6 +561,9 @@
         if let Some(record) = &mut open.record {
             record.add(request, &self.writer.waiting()[mark..]);
         }
+        if answer.committed {
+            open.record = None;
+        }
         let position = position(open.lease.client());
         let failed = answer.sqlstate.is_some();
         if !failed {
@@ -618,7 +621,7 @@
         mark: usize,
         deadline: Instant,
     ) -> Result<(), Trouble> {
-        let ended = answer.status == b'I' && !answer.rolled_back;
+        let ended = answer.committed || answer.status == b'I' && !answer.rolled_back;
         let Some(term) = term.filter(|_| ended || answer.rows || answer.overflow) else {
             return Ok(());
         };
--- a/crates/entry/tests/session.rs
+++ b/crates/entry/tests/session.rs
@@ -51,6 +51,8 @@
 #[case::write("INSERT INTO t VALUES ('k', 'v')")]
 #[case::unsure("SELECT nextval('s')")]
 #[case::transaction("BEGIN; INSERT INTO t VALUES ('k', 'v'); COMMIT")]
+#[case::next_begun("BEGIN; INSERT INTO t VALUES ('k', 'v'); COMMIT; BEGIN")]
+#[case::rolled_back_after("BEGIN; INSERT INTO t VALUES ('k', 'v'); COMMIT; BEGIN; ROLLBACK")]
 #[case::returning("SELECT v FROM t WHERE k = 'k' FOR UPDATE")]
 fn unconfirmed_is_unknown(#[case] text: &str) {
     run(async {
@@ -65,6 +67,7 @@
             ("EZ".into(), "ZU001".into())
         );
         bench.fleet.confirm.set(Confirm::Yes);
+        caller.query("ROLLBACK").await;
         assert_eq!(caller.query("SELECT 1").await.rows(), ["1"]);
     });
 }
