--- a/crates/sql/src/script.rs
+++ b/crates/sql/src/script.rs
@@ -11,7 +11,11 @@
 /// cases, and parsing it would hold up every other caller of the process.
 const PARSED_BYTES: usize = 256 << 10;
 /// Deepest nesting that the parser follows; a deeper statement is not classified.
-const DEPTH: usize = 64;
+const DEPTH: usize = 50;
+
+/// Most tokens of a statement that may each put an expression into another one. Chains of operators
+/// are parsed in a loop, but walked and dropped by recursion, which overflows the stack.
+const LINKS: usize = 1_000;
 
 /// What a statement does, as far as it is certain.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -149,6 +153,13 @@
             parsed: true,
         };
     }
+    let links = piece.tokens.iter().filter(|token| tokens::links(token));
+    if links.count() > LINKS {
+        return Statement {
+            range,
+            ..opaque(text)
+        };
+    }
     let dialect = PostgreSqlDialect {};
     let mut parser = Parser::new(&dialect)
         .with_recursion_limit(DEPTH)
--- a/crates/sql/src/tokens.rs
+++ b/crates/sql/src/tokens.rs
@@ -4,6 +4,7 @@
 
 use sqlparser::{
     dialect::PostgreSqlDialect,
+    keywords::Keyword,
     tokenizer::{Location, Token, TokenWithSpan, Tokenizer},
 };
 
@@ -103,3 +104,19 @@
         _ => None,
     }
 }
+
+/// Whether a token can put an expression into another one. Names, values and commas can't, so that
+/// long lists of them are parsed whatever their length; parentheses nest, which the parser bounds.
+pub(crate) fn links(token: &TokenWithSpan) -> bool {
+    match &token.token {
+        Token::Word(word) => word.keyword != Keyword::NoKeyword,
+        Token::Number(..)
+        | Token::SingleQuotedString(_)
+        | Token::Placeholder(_)
+        | Token::Comma
+        | Token::Period
+        | Token::LParen
+        | Token::RParen => false,
+        _ => true,
+    }
+}
--- a/crates/sql/tests/classify.rs
+++ b/crates/sql/tests/classify.rs
@@ -175,6 +175,45 @@
     assert!(cache.len() <= 10, "{}", cache.len());
 }
 
+/// Guards against a long chain of operators that overflows a stack of 4 MiB, half of what a
+/// process has.
+#[rstest]
+#[case::sum("SELECT 1", "+1")]
+#[case::or("SELECT 1 WHERE a", " OR a")]
+#[case::union("SELECT 1", " UNION SELECT 1")]
+#[case::cast("SELECT 1", "::int")]
+#[case::brackets("SELECT a", "[1]")]
+#[case::join("SELECT 1 FROM a", " JOIN a USING (b)")]
+#[case::is_null("SELECT a", " IS NULL")]
+#[case::dots("SELECT a", ".a")]
+#[case::minus("SELECT ", "- ")]
+#[case::case_when("SELECT ", "CASE WHEN ")]
+#[case::array("SELECT ", "ARRAY[")]
+#[case::interval("SELECT ", "INTERVAL ")]
+#[case::exists("SELECT ", "EXISTS (SELECT ")]
+#[case::from("SELECT * FROM ", "(")]
+#[case::lateral("SELECT * FROM ", "LATERAL (SELECT * FROM ")]
+#[case::with("", "WITH a AS (")]
+#[case::explain("", "EXPLAIN ")]
+#[case::cast_to("SELECT ", "CAST(a AS ")]
+#[case::function("SELECT ", "f(")]
+#[case::types("CREATE TABLE t (a ", "ARRAY<")]
+#[case::prepare("", "EXPLAIN ANALYZE ")]
+#[case::at_zone("SELECT a", " AT TIME ZONE 'x'")]
+#[case::collate("SELECT a", " COLLATE c")]
+#[case::between("SELECT a", " BETWEEN 1 AND 2")]
+#[case::json("SELECT a", "->'b'")]
+fn survives_long_chains(#[case] start: &str, #[case] link: &str) {
+    for links in [900, 250_000 / link.len()] {
+        let text = format!("{start}{}", link.repeat(links));
+        let small = std::thread::Builder::new().stack_size(4 << 20);
+
+        let script = small.spawn(move || Script::parse(&text)).unwrap().join();
+
+        assert_eq!(script.unwrap().statements.len(), 1);
+    }
+}
+
 /// Guards against a deeply nested text that overflows the stack.
 #[rstest]
 #[case::parentheses("(", ")")]
