--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,4 +1,4 @@
-//! Passing an upstream's answer on to the caller.
+//! Forwarder an upstream's answer on to the caller.
 
 use std::{
     collections::VecDeque,
@@ -36,15 +36,15 @@
     Describe,
     /// Rows and the end of a statement.
     Execute,
-    /// Answer that is known here, with the change of names that goes with it.
-    Known(Vec<u8>, Option<NameChange>),
+    /// Answer that is produced here, with the change of names that goes with it.
+    Local(Vec<u8>, Option<NameChange>),
     /// Refusal of a message that has the upstream skip the rest; replaced by this one.
     Fail(Vec<u8>),
 }
 
 /// How an answer reaches the caller.
 #[derive(Debug, Clone, Copy)]
-pub enum Way {
+pub enum Delivery {
     /// Kept in the caller's writer, up to so many bytes.
     Held(usize),
     /// Written to the caller as it comes.
@@ -129,7 +129,7 @@
 }
 
 /// Passes the answer to one request on, without its `ReadyForQuery`.
-pub(crate) struct Passing<'a> {
+pub(crate) struct Forwarder<'a> {
     /// Caller.
     pub(crate) writer: &'a mut Writer,
     /// Names of the caller.
@@ -137,7 +137,7 @@
     /// Messages to be answered; `None` for a simple query.
     pub(crate) expects: Option<VecDeque<Expect>>,
     /// How it reaches the caller.
-    pub(crate) way: Way,
+    pub(crate) delivery: Delivery,
     /// When the caller gives up.
     pub(crate) deadline: Instant,
     /// Longest pause of an upstream or caller in a streamed answer.
@@ -146,13 +146,13 @@
     pub(crate) written: bool,
 }
 
-impl Passing<'_> {
+impl Forwarder<'_> {
     /// Reads the answer up to its `ReadyForQuery`.
     pub(crate) async fn run<L: Lease>(&mut self, lease: &mut L) -> Result<Answer, Broken> {
         let mark = self.writer.pending();
         let mut answer = Answer::default();
         loop {
-            self.known();
+            self.push_local();
             let until = if self.written {
                 Instant::now() + self.stall
             } else {
@@ -189,12 +189,12 @@
                 }
             }
             let held = self.writer.pending() - mark;
-            match self.way {
-                Way::Held(limit) if answer.overflow || held > limit => {
+            match self.delivery {
+                Delivery::Held(limit) if answer.overflow || held > limit => {
                     answer.overflow = true;
                     self.writer.truncate(mark);
                 }
-                Way::Streamed if self.writer.pending() >= STREAM_BYTES => {
+                Delivery::Streamed if self.writer.pending() >= STREAM_BYTES => {
                     answer.written = true;
                     self.written = true;
                     match timeout(self.stall, self.writer.flush()).await {
@@ -207,13 +207,13 @@
         }
     }
 
-    /// Adds answers that are known here, once it is their turn.
-    fn known(&mut self) {
+    /// Adds answers that are produced here, in their turn.
+    fn push_local(&mut self) {
         let Some(expects) = &mut self.expects else {
             return;
         };
-        while let Some(Expect::Known(message, change)) =
-            expects.pop_front_if(|expect| matches!(expect, Expect::Known(..)))
+        while let Some(Expect::Local(message, change)) =
+            expects.pop_front_if(|expect| matches!(expect, Expect::Local(..)))
         {
             self.writer.bytes(&message);
             if let Some(change) = change {
--- a/crates/entry/src/batch.rs
+++ b/crates/entry/src/batch.rs
@@ -34,7 +34,7 @@
     /// Closes a portal.
     ClosePortal(String),
     /// Is answered here, with the change of names that goes with it.
-    Known(Vec<u8>, Option<NameChange>),
+    Local(Vec<u8>, Option<NameChange>),
     /// Is refused here, and ends the batch.
     Fail(Vec<u8>),
 }
@@ -49,8 +49,8 @@
 impl Batch {
     /// Whether everything is answered here.
     #[must_use]
-    pub fn is_known(&self) -> bool {
-        let upstream = |step: &Step| !matches!(step, Step::Known(..) | Step::Fail(_));
+    pub fn is_local(&self) -> bool {
+        let upstream = |step: &Step| !matches!(step, Step::Local(..) | Step::Fail(_));
         !self.steps.iter().any(upstream)
     }
 
@@ -120,8 +120,8 @@
                 self.message(b'C', &mut lease.client().writer);
                 self.expects.push_back(Expect::ClosePortal);
             }
-            Step::Known(message, change) => {
-                let known = Expect::Known(message.clone(), change.clone());
+            Step::Local(message, change) => {
+                let known = Expect::Local(message.clone(), change.clone());
                 self.expects.push_back(known);
             }
             Step::Fail(message) => {
@@ -138,7 +138,7 @@
         let change = NameChange::Add(name.to_owned(), Rc::clone(prepared));
         if self.holds(prepared, lease) {
             self.fresh.push(&prepared.upstream);
-            let known = Expect::Known(message(b'1', &[]), Some(change));
+            let known = Expect::Local(message(b'1', &[]), Some(change));
             self.expects.push_back(known);
         } else {
             self.prepare(prepared, Some(change), lease);
--- a/crates/entry/src/extended.rs
+++ b/crates/entry/src/extended.rs
@@ -10,7 +10,7 @@
     batch::{Batch, Step, message},
     fleet::Fleet,
     request::{Meaning, Request},
-    session::{ABORTED, Gone, Session, State, columns, refused},
+    session::{ABORTED, Disconnected, Session, State, columns, refused},
     statements::{NameChange, Portal, Prepared},
 };
 
@@ -18,7 +18,11 @@
 
 impl<F: Fleet> Session<F> {
     /// Carries out a batch, ended by a `Sync` or a `Flush`.
-    pub(crate) async fn extended(&mut self, fronts: Vec<Front>, sync: bool) -> Result<(), Gone> {
+    pub(crate) async fn extended(
+        &mut self,
+        fronts: Vec<Front>,
+        sync: bool,
+    ) -> Result<(), Disconnected> {
         let mut batch = Batch {
             steps: Vec::with_capacity(fronts.len()),
         };
@@ -40,13 +44,13 @@
             failed = true;
         }
         // In a transaction the upstream has to learn of a refusal, because it ends the transaction.
-        let told = failed && matches!(self.state, State::Open(_));
-        if told || !batch.is_known() {
+        let notify = failed && matches!(self.state, State::Open(_));
+        if notify || !batch.is_local() {
             return self.perform(&Request::Extended(&batch), meaning).await;
         }
         for step in batch.steps {
             match step {
-                Step::Known(messages, change) => {
+                Step::Local(messages, change) => {
                     self.writer.bytes(&messages);
                     if let Some(change) = change {
                         self.names.apply(change);
@@ -91,8 +95,8 @@
                 if !self.names.open(bound) {
                     return Err(("54000", "too many portals; close some".into()));
                 }
-                if self.known(&prepared).is_some() {
-                    batch.steps.push(Step::Known(message(b'2', &[]), None));
+                if self.local(&prepared).is_some() {
+                    batch.steps.push(Step::Local(message(b'2', &[]), None));
                 } else {
                     self.usable()?;
                     meaning.needs(&prepared);
@@ -102,10 +106,10 @@
             }
             Front::Describe(Target::Statement(name)) => {
                 let prepared = self.find(&name)?;
-                if let Some(known) = self.known(&prepared) {
+                if let Some(local) = self.local(&prepared) {
                     let mut messages = message(b't', &[0, 0]);
-                    messages.extend(describe(&known));
-                    batch.steps.push(Step::Known(messages, None));
+                    messages.extend(describe(&local));
+                    batch.steps.push(Step::Local(messages, None));
                 } else {
                     self.usable()?;
                     meaning.needs(&prepared);
@@ -115,8 +119,8 @@
             }
             Front::Describe(Target::Portal(name)) => {
                 let portal = self.portal(&name)?;
-                if let Some(known) = self.known(&portal.prepared) {
-                    batch.steps.push(Step::Known(describe(&known), None));
+                if let Some(local) = self.local(&portal.prepared) {
+                    batch.steps.push(Step::Local(describe(&local), None));
                 } else {
                     self.bind_again(portal, batch, meaning);
                     batch.steps.push(Step::DescribePortal(name));
@@ -129,12 +133,12 @@
                 self.names.propose(change.clone());
                 batch
                     .steps
-                    .push(Step::Known(message(b'3', &[]), Some(change)));
+                    .push(Step::Local(message(b'3', &[]), Some(change)));
                 Ok(())
             }
             Front::Close(Target::Portal(name)) => {
                 let upstream = match self.names.portal(&name) {
-                    Some(portal) => self.known(&portal.prepared).is_none(),
+                    Some(portal) => self.local(&portal.prepared).is_none(),
                     None => false,
                 };
                 let here = batch
@@ -146,7 +150,7 @@
                     if upstream && (here || matches!(self.state, State::Open(_))) {
                         Step::ClosePortal(name)
                     } else {
-                        Step::Known(message(b'3', &[]), None)
+                        Step::Local(message(b'3', &[]), None)
                     },
                 );
                 Ok(())
@@ -182,10 +186,10 @@
         let prepared = Rc::new(Prepared::new(!name.is_empty(), query, types, script));
         let change = NameChange::Add(name.clone(), Rc::clone(&prepared));
         self.names.propose(change.clone());
-        if self.known(&prepared).is_some() {
+        if self.local(&prepared).is_some() {
             batch
                 .steps
-                .push(Step::Known(message(b'1', &[]), Some(change)));
+                .push(Step::Local(message(b'1', &[]), Some(change)));
         } else {
             self.usable()?;
             meaning.needs(&prepared);
@@ -202,12 +206,12 @@
         meaning: &mut Meaning,
     ) -> Result<(), Refused> {
         let portal = self.portal(&name)?;
-        if let Some(known) = self.known(&portal.prepared) {
-            let messages = match known {
-                Known::Empty => message(b'I', &[]),
-                Known::Kind(kind) => self.run_known(&kind, false)?,
+        if let Some(local) = self.local(&portal.prepared) {
+            let messages = match local {
+                Local::Empty => message(b'I', &[]),
+                Local::Kind(kind) => self.run_local(&kind, false)?,
             };
-            batch.steps.push(Step::Known(messages, None));
+            batch.steps.push(Step::Local(messages, None));
             return Ok(());
         }
         let service = self.service();
@@ -260,27 +264,27 @@
     }
 
     /// The statement as one that is answered here, if it is.
-    fn known(&self, prepared: &Prepared) -> Option<Known> {
+    fn local(&self, prepared: &Prepared) -> Option<Local> {
         match prepared.script.statements.as_slice() {
-            [] if !matches!(self.state, State::Open(_)) => Some(Known::Empty),
-            [only] => self.known_kind(&only.kind).map(Known::Kind),
+            [] if !matches!(self.state, State::Open(_)) => Some(Local::Empty),
+            [only] => self.local_kind(&only.kind).map(Local::Kind),
             _ => None,
         }
     }
 }
 
 /// A statement that is answered here.
-enum Known {
+enum Local {
     /// No statement at all.
     Empty,
     /// One statement.
     Kind(Kind),
 }
 
-fn describe(known: &Known) -> Vec<u8> {
-    match known {
-        Known::Kind(Kind::Show(name)) => columns(name),
-        Known::Kind(Kind::Release("SELECT 1")) => columns("pg_advisory_unlock_all"),
+fn describe(local: &Local) -> Vec<u8> {
+    match local {
+        Local::Kind(Kind::Show(name)) => columns(name),
+        Local::Kind(Kind::Release("SELECT 1")) => columns("pg_advisory_unlock_all"),
         _ => message(b'n', &[]),
     }
 }
--- a/crates/entry/src/keyed.rs
+++ b/crates/entry/src/keyed.rs
@@ -21,7 +21,7 @@
     batch::{Batch, Step, message},
     fleet::{Fleet, Lease},
     refusal::Refusal,
-    request::{Meaning, Request, Trouble, give_back, refused_before},
+    request::{Meaning, Request, RequestError, refused_before, return_lease},
     session::{Open, Session, State},
     statements::{NameChange, Names},
 };
@@ -89,7 +89,7 @@
         let mut answers = self.answers.clone();
         answers.push(Answered {
             digest: request.digest(),
-            messages: Some(request.known_answer("COMMIT")),
+            messages: Some(request.expected_answer("COMMIT")),
         });
         let digests: String = answers.iter().map(|given| given.digest.as_str()).collect();
         let outcome = Outcome {
@@ -115,7 +115,7 @@
     }
 
     /// Answer when all that it runs is one statement without rows.
-    fn known_answer(&self, tag: &str) -> Vec<u8> {
+    fn expected_answer(&self, tag: &str) -> Vec<u8> {
         let complete = message(b'C', format!("{tag}\0").as_bytes());
         let Self::Extended(batch) = self else {
             return complete;
@@ -133,13 +133,13 @@
                 Step::DescribePortal(_) => out.extend(message(b'n', &[])),
                 Step::Execute(..) => out.extend_from_slice(&complete),
                 Step::ClosePortal(_) => out.extend(message(b'3', &[])),
-                Step::Known(messages, _) | Step::Fail(messages) => out.extend_from_slice(messages),
+                Step::Local(messages, _) | Step::Fail(messages) => out.extend_from_slice(messages),
             }
         }
         out
     }
 
-    /// Puts the changes of names into effect that go with an answer given again.
+    /// Applies the name changes that belong to a replayed answer.
     fn name(&self, names: &mut Names) {
         let Self::Extended(batch) = self else {
             return;
@@ -150,7 +150,7 @@
                     let prepared = std::rc::Rc::clone(prepared);
                     names.apply(NameChange::Add(name.clone(), prepared));
                 }
-                Step::Known(_, Some(change)) => names.apply(change.clone()),
+                Step::Local(_, Some(change)) => names.apply(change.clone()),
                 _ => {}
             }
         }
@@ -172,7 +172,7 @@
                 Step::DescribePortal(portal) => write!(text, "D{portal}"),
                 Step::Execute(portal, rows) => write!(text, "E{portal}\0{rows}"),
                 Step::ClosePortal(portal) => write!(text, "C{portal}"),
-                Step::Known(messages, _) => write!(text, "K{messages:?}"),
+                Step::Local(messages, _) => write!(text, "K{messages:?}"),
                 Step::Fail(_) => write!(text, "F"),
             };
             text.push('\0');
@@ -186,39 +186,41 @@
     Nothing,
     Expired,
     /// Digest and outcome.
-    Known(String, Outcome),
+    Recorded(String, Outcome),
 }
 
 /// Why one attempt on a connection gave no answer.
-enum Miss {
+enum KeyedError {
     /// Another attempt may succeed; the request has no effect so far.
-    Again(Refusal),
-    /// As `Again`, but the commit may have taken effect.
-    Unclear(Broken),
+    Retry(Refusal),
+    /// As `Retry`, but the commit may have taken effect.
+    Unknown(Broken),
     /// Nothing will help.
-    Stop(Trouble),
+    Fatal(RequestError),
 }
 
-impl From<Failure> for Miss {
+impl From<Failure> for KeyedError {
     fn from(failure: Failure) -> Self {
         match failure {
-            Failure::Wire(_) => Self::Again(Refusal::Primary),
-            Failure::Refused(sqlstate, _) if sqlstate == "53300" => Self::Again(Refusal::Deadline),
-            Failure::Refused(sqlstate, _) if sqlstate == "25006" => Self::Again(Refusal::Primary),
-            Failure::Refused(sqlstate, message) => Self::Stop(Trouble::Upstream(sqlstate, message)),
+            Failure::Wire(_) => Self::Retry(Refusal::Primary),
+            Failure::Refused(sqlstate, _) if sqlstate == "53300" => Self::Retry(Refusal::Deadline),
+            Failure::Refused(sqlstate, _) if sqlstate == "25006" => Self::Retry(Refusal::Primary),
+            Failure::Refused(sqlstate, message) => {
+                Self::Fatal(RequestError::Upstream(sqlstate, message))
+            }
         }
     }
 }
 
-impl From<Refusal> for Miss {
+impl From<Refusal> for KeyedError {
     fn from(refusal: Refusal) -> Self {
-        Self::Stop(refusal.into())
+        Self::Fatal(refusal.into())
     }
 }
 
-impl From<Trouble> for Miss {
-    fn from(trouble: Trouble) -> Self {
-        Self::Stop(trouble)
+impl From<RequestError> for KeyedError {
+    fn from(error: RequestError) -> Self {
+        Self::Fatal(error)
     }
 }
 
@@ -230,31 +232,31 @@
         request: &Request<'_>,
         key: &str,
         deadline: Instant,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         let mut pause = Duration::from_millis(10);
-        let mut unclear = None;
+        let mut unknown = None;
         loop {
             let refusal = match self.keyed_once(service, request, key, deadline).await {
                 Ok(failed) => return Ok(failed),
-                Err(Miss::Again(refusal)) => refusal,
-                Err(Miss::Unclear(broken)) => {
+                Err(KeyedError::Retry(refusal)) => refusal,
+                Err(KeyedError::Unknown(broken)) => {
                     let refusal = Refusal::Unknown(format!(
                         "{broken}; send it again with the same key to learn its outcome"
                     ));
-                    unclear = Some(refusal.clone());
+                    unknown = Some(refusal.clone());
                     refusal
                 }
-                Err(Miss::Stop(Trouble::Error(sqlstate, _)))
-                    if sqlstate.starts_with("ZN") && unclear.is_some() =>
+                Err(KeyedError::Fatal(RequestError::Error(sqlstate, _)))
+                    if sqlstate.starts_with("ZN") && unknown.is_some() =>
                 {
                     Refusal::Primary
                 }
-                Err(Miss::Stop(trouble)) => return Err(trouble),
+                Err(KeyedError::Fatal(error)) => return Err(error),
             };
             // Looking for an outcome is no retry.
-            let allowed = unclear.is_some() || self.shared.take_retry();
+            let allowed = unknown.is_some() || self.shared.take_retry();
             if !allowed || !self.pause(&mut pause, deadline).await {
-                return Err(unclear.unwrap_or(refusal).into());
+                return Err(unknown.unwrap_or(refusal).into());
             }
         }
     }
@@ -265,13 +267,13 @@
         request: &Request<'_>,
         key: &str,
         deadline: Instant,
-    ) -> Result<bool, Miss> {
+    ) -> Result<bool, KeyedError> {
         let mark = self.writer.pending();
         let (mut lease, found) = self.look_up(service, key, true, deadline).await?;
         let expired = match found {
-            Found::Known(known, outcome) => {
+            Found::Recorded(known, outcome) => {
                 return self
-                    .answer_again(service, lease, request, known, outcome, deadline)
+                    .replay_outcome(service, lease, request, known, outcome, deadline)
                     .await;
             }
             Found::Expired => true,
@@ -280,17 +282,17 @@
         let attempt = self.exchange(&mut lease, request, deadline).await;
         let mut answer = match attempt.answer {
             Ok(answer) => answer,
-            Err(Broken::Caller) => return Err(Miss::Stop(Trouble::Gone)),
+            Err(Broken::Caller) => return Err(KeyedError::Fatal(RequestError::Disconnected)),
             // The transaction ends with its connection, because its COMMIT was not sent.
-            Err(_rolled_back) => return Err(Miss::Again(Refusal::Primary)),
+            Err(_rolled_back) => return Err(KeyedError::Retry(Refusal::Primary)),
         };
         if let Some(sqlstate) = answer.sqlstate.clone() {
-            ask(lease.client(), &["ROLLBACK"], deadline).await?;
+            run_queries(lease.client(), &["ROLLBACK"], deadline).await?;
             answer.status = b'I';
             if let Some(refusal) = refused_before(&answer) {
                 self.writer.truncate(mark);
-                give_back(lease, &answer, attempt.cancelled);
-                return Err(Miss::Again(refusal));
+                return_lease(lease, &answer, attempt.cancelled);
+                return Err(KeyedError::Retry(refusal));
             }
             let outcome = Outcome {
                 failure: Some((sqlstate, answer.message.clone())),
@@ -301,15 +303,18 @@
                 statements.insert(0, delete(key));
             }
             // A failure that can't be recorded is one all the same: nothing of it is in force.
-            if ask_all(lease.client(), &statements, deadline).await.is_ok() {
-                give_back(lease, &answer, attempt.cancelled);
+            if run_statements(lease.client(), &statements, deadline)
+                .await
+                .is_ok()
+            {
+                return_lease(lease, &answer, attempt.cancelled);
             }
             return Ok(true);
         }
         if answer.status != b'T' {
             self.writer.truncate(mark);
             let cause = "the text ended the transaction of its own key".to_owned();
-            return Err(Miss::Stop(Refusal::Unknown(cause).into()));
+            return Err(KeyedError::Fatal(Refusal::Unknown(cause).into()));
         }
         let given = &self.writer.waiting()[mark..];
         let fits = given.len() <= KEPT_BYTES && !answer.overflow;
@@ -325,18 +330,18 @@
             statements.insert(0, delete(key));
         }
         statements.push("COMMIT".to_owned());
-        match ask_all(lease.client(), &statements, deadline).await {
+        match run_statements(lease.client(), &statements, deadline).await {
             Ok(()) => {}
             Err(Failure::Wire(cause)) => {
                 self.writer.truncate(mark);
-                return Err(Miss::Unclear(Broken::Upstream(cause)));
+                return Err(KeyedError::Unknown(Broken::Upstream(cause)));
             }
             // Another send with this key was faster, so that the next look finds its outcome.
             Err(Failure::Refused(sqlstate, _))
                 if matches!(sqlstate.as_str(), "23505" | "40001" | "40P01") =>
             {
                 self.writer.truncate(mark);
-                return Err(Miss::Again(Refusal::Primary));
+                return Err(KeyedError::Retry(Refusal::Primary));
             }
             Err(failure) => {
                 self.writer.truncate(mark);
@@ -348,28 +353,28 @@
         if self.shared.count_keyed() {
             spawn(purge(lease, service.limits.key_hours)).detach();
         } else {
-            give_back(lease, &answer, attempt.cancelled);
+            return_lease(lease, &answer, attempt.cancelled);
         }
         self.acknowledge(service, term, position, &answer, true, mark, deadline)
             .await?;
         Ok(false)
     }
 
-    /// Begins a transaction with a key, or the giving again of its answers.
+    /// Begins a transaction with a key, or the replay of its recorded answers.
     pub(crate) async fn keyed_begin(
         &mut self,
         service: &Service,
         request: &Request<'_>,
         key: Box<str>,
         deadline: Instant,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         let mut pause = Duration::from_millis(10);
         loop {
             let refusal = match self.begin_once(service, request, &key, deadline).await {
                 Ok(failed) => return Ok(failed),
-                Err(Miss::Again(refusal)) => refusal,
-                Err(Miss::Unclear(broken)) => return Err(broken.into()),
-                Err(Miss::Stop(trouble)) => return Err(trouble),
+                Err(KeyedError::Retry(refusal)) => refusal,
+                Err(KeyedError::Unknown(broken)) => return Err(broken.into()),
+                Err(KeyedError::Fatal(error)) => return Err(error),
             };
             if !self.shared.take_retry() || !self.pause(&mut pause, deadline).await {
                 return Err(refusal.into());
@@ -383,10 +388,10 @@
         request: &Request<'_>,
         key: &str,
         deadline: Instant,
-    ) -> Result<bool, Miss> {
+    ) -> Result<bool, KeyedError> {
         let (mut lease, found) = self.look_up(service, key, false, deadline).await?;
         let expired = match found {
-            Found::Known(_, outcome) => {
+            Found::Recorded(_, outcome) => {
                 let first = outcome.answers.first();
                 if first.is_none_or(|first| first.digest != request.digest()) {
                     return Err(other_statement().into());
@@ -406,15 +411,15 @@
         let attempt = self.exchange(&mut lease, request, deadline).await;
         let answer = match attempt.answer {
             Ok(answer) => answer,
-            Err(Broken::Caller) => return Err(Miss::Stop(Trouble::Gone)),
-            Err(_nothing_done) => return Err(Miss::Again(Refusal::Primary)),
+            Err(Broken::Caller) => return Err(KeyedError::Fatal(RequestError::Disconnected)),
+            Err(_nothing_done) => return Err(KeyedError::Retry(Refusal::Primary)),
         };
         if let Some(refusal) = refused_before(&answer) {
             self.writer.truncate(mark);
-            return Err(Miss::Again(refusal));
+            return Err(KeyedError::Retry(refusal));
         }
         if answer.status == b'I' {
-            give_back(lease, &answer, attempt.cancelled);
+            return_lease(lease, &answer, attempt.cancelled);
             return Ok(answer.sqlstate.is_some());
         }
         let mut record = Box::new(Record {
@@ -439,7 +444,7 @@
         &mut self,
         mut replay: Box<Replay>,
         request: &Request<'_>,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         let given = replay.answers.next();
         let Some(given) = given.filter(|given| given.digest == request.digest()) else {
             self.state = State::Lost;
@@ -452,7 +457,7 @@
         } else {
             State::Replay(replay)
         };
-        self.give(given, request)?;
+        self.write_recorded(given, request)?;
         if let Some(position) = position.filter(|_| last) {
             self.report(position);
         }
@@ -466,7 +471,7 @@
         request: &Request<'_>,
         meaning: &Meaning,
         deadline: Instant,
-    ) -> Result<(), Trouble> {
+    ) -> Result<(), RequestError> {
         let Some(record) = open.record.as_deref() else {
             return Ok(());
         };
@@ -482,9 +487,9 @@
             return Ok(());
         }
         let statements = record.statements(request);
-        match ask_all(open.lease.client(), &statements, deadline).await {
+        match run_statements(open.lease.client(), &statements, deadline).await {
             Ok(()) => Ok(()),
-            Err(Failure::Wire(cause)) => Err(Trouble::Error(
+            Err(Failure::Wire(cause)) => Err(RequestError::Error(
                 Refusal::Primary.sqlstate(),
                 format!("not run: the transaction is rolled back: {cause}"),
             )),
@@ -494,23 +499,25 @@
                     .into(),
             )
             .into()),
-            Err(Failure::Refused(sqlstate, message)) => Err(Trouble::Upstream(sqlstate, message)),
+            Err(Failure::Refused(sqlstate, message)) => {
+                Err(RequestError::Upstream(sqlstate, message))
+            }
         }
     }
 
     /// Learns whether a transaction committed whose connection broke at its COMMIT.
-    pub(crate) async fn find_out(
+    pub(crate) async fn resolve_commit(
         &mut self,
         service: &Service,
         record: &Record,
         request: &Request<'_>,
         term: Option<Term>,
         deadline: Instant,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         let mut pause = Duration::from_millis(10);
         loop {
             match self.look_up(service, &record.key, false, deadline).await {
-                Ok((lease, Found::Known(_, outcome))) => {
+                Ok((lease, Found::Recorded(_, outcome))) => {
                     let mine = outcome.answers.len() == record.answers.len() + 1
                         && outcome
                             .answers
@@ -522,7 +529,7 @@
                     let Some(last) = last else {
                         return Err(other_statement());
                     };
-                    self.give(last, request)?;
+                    self.write_recorded(last, request)?;
                     if let Some(at) = at {
                         self.report(at);
                     }
@@ -531,13 +538,15 @@
                 // What an old primary didn't get into the log of the new one never comes back.
                 Ok((lease, _)) if lease.primary() != term => {
                     self.confirm_record(service, lease, deadline).await?;
-                    return Err(Trouble::Error(
+                    return Err(RequestError::Error(
                         Refusal::Primary.sqlstate(),
                         "not run: the primary changed and the transaction is not in its log".into(),
                     ));
                 }
                 Ok((lease, _)) => lease.release(),
-                Err(Miss::Stop(Trouble::Gone)) => return Err(Trouble::Gone),
+                Err(KeyedError::Fatal(RequestError::Disconnected)) => {
+                    return Err(RequestError::Disconnected);
+                }
                 Err(_later) => {}
             }
             if !self.pause(&mut pause, deadline).await {
@@ -558,9 +567,9 @@
         key: &str,
         begin: bool,
         deadline: Instant,
-    ) -> Result<(F::Lease, Found), Miss> {
+    ) -> Result<(F::Lease, Found), KeyedError> {
         let mut lease = self.lease(service, true, deadline).await?;
-        self.set_up(&mut lease, deadline).await?;
+        self.apply_settings(&mut lease, deadline).await?;
         let select = format!(
             "SELECT digest, outcome, created FROM goldcrestrail_keys WHERE key = {}",
             literal(key)
@@ -568,13 +577,13 @@
         let first = if begin { "BEGIN" } else { "" };
         let texts = [first, select.as_str()];
         let texts = &texts[usize::from(!begin)..];
-        let rows = match ask(lease.client(), texts, deadline).await {
+        let rows = match run_queries(lease.client(), texts, deadline).await {
             Err(Failure::Refused(sqlstate, _)) if sqlstate == "42P01" => {
                 if begin {
-                    ask(lease.client(), &["ROLLBACK"], deadline).await?;
+                    run_queries(lease.client(), &["ROLLBACK"], deadline).await?;
                 }
-                ask(lease.client(), &[CREATE], deadline).await?;
-                ask(lease.client(), texts, deadline).await?
+                run_queries(lease.client(), &[CREATE], deadline).await?;
+                run_queries(lease.client(), texts, deadline).await?
             }
             outcome => outcome?,
         };
@@ -589,13 +598,13 @@
         }
         let outcome = serde_json::from_str(&text(1)).map_err(|cause| {
             let cause = format!("the record of the key can't be read: {cause}");
-            Miss::Stop(Refusal::Key(cause).into())
+            KeyedError::Fatal(Refusal::Key(cause).into())
         })?;
-        Ok((lease, Found::Known(text(0), outcome)))
+        Ok((lease, Found::Recorded(text(0), outcome)))
     }
 
-    /// Gives the first outcome of a key, once it is confirmed.
-    async fn answer_again(
+    /// Replays the first outcome of a key once it is confirmed.
+    async fn replay_outcome(
         &mut self,
         service: &Service,
         mut lease: F::Lease,
@@ -603,8 +612,8 @@
         known: String,
         outcome: Outcome,
         deadline: Instant,
-    ) -> Result<bool, Miss> {
-        ask(lease.client(), &["ROLLBACK"], deadline).await?;
+    ) -> Result<bool, KeyedError> {
+        run_queries(lease.client(), &["ROLLBACK"], deadline).await?;
         let at = self.confirm_record(service, lease, deadline).await?;
         if known != request.digest() {
             return Err(other_statement().into());
@@ -615,7 +624,7 @@
         let Some(given) = outcome.answers.into_iter().next() else {
             return Err(Refusal::Key("the record of the key is empty".into()).into());
         };
-        self.give(given, request)?;
+        self.write_recorded(given, request)?;
         if let Some(at) = at {
             self.report(at);
         }
@@ -638,9 +647,13 @@
         Ok(at)
     }
 
-    fn give(&mut self, given: Answered, request: &Request<'_>) -> Result<(), Trouble> {
+    fn write_recorded(
+        &mut self,
+        given: Answered,
+        request: &Request<'_>,
+    ) -> Result<(), RequestError> {
         let Some(messages) = given.messages else {
-            return Err(Trouble::Error(
+            return Err(RequestError::Error(
                 "54000",
                 format!(
                     "run before with success; its answer was over {KEPT_BYTES} bytes and is not \
@@ -659,12 +672,15 @@
     let oldest = now_seconds().saturating_sub(u64::from(hours) * 3_600);
     let statement = format!("DELETE FROM goldcrestrail_keys WHERE created < {oldest}");
     let deadline = Instant::now() + PURGE;
-    if ask(lease.client(), &[&statement], deadline).await.is_ok() {
+    if run_queries(lease.client(), &[&statement], deadline)
+        .await
+        .is_ok()
+    {
         lease.release();
     }
 }
 
-fn other_statement() -> Trouble {
+fn other_statement() -> RequestError {
     Refusal::Key("the key belongs to another statement, and this one was not run".into()).into()
 }
 
@@ -696,17 +712,17 @@
     since.map_or(0, |since| since.as_secs())
 }
 
-async fn ask_all(
+async fn run_statements(
     client: &mut Client,
     statements: &[String],
     deadline: Instant,
 ) -> Result<(), Failure> {
     let texts: Vec<&str> = statements.iter().map(String::as_str).collect();
-    ask(client, &texts, deadline).await.map(|_rows| ())
+    run_queries(client, &texts, deadline).await.map(|_rows| ())
 }
 
 /// Runs simple queries in one round trip; returns all rows, or the first refusal.
-pub(crate) async fn ask(
+pub(crate) async fn run_queries(
     client: &mut Client,
     texts: &[&str],
     deadline: Instant,
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -1,4 +1,4 @@
-//! What the callers' side of the process is told at start.
+//! Options of the caller-facing side of the process.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
     Password(Map<String, String>),
 }
 
-/// Limits and ways of the callers' side.
+/// Limits and methods of the caller-facing side.
 #[derive(Debug, Clone)]
 pub struct Options {
     /// How callers prove who they are.
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -184,7 +184,7 @@
         }
         slot.sent.set(true);
         slot.sending.set(slot.sending.get() + 1);
-        let _outcome = compio::time::timeout(CANCEL, ask(stream, target.key)).await;
+        let _outcome = compio::time::timeout(CANCEL, request_cancel(stream, target.key)).await;
         slot.sending.set(slot.sending.get() - 1);
         if let Some(waker) = slot.waker.take() {
             waker.wake();
@@ -195,7 +195,7 @@
 /// Cancels what an upstream session runs, on a connection that nobody uses any longer.
 pub(crate) async fn send(target: Target) {
     if let Ok(stream) = connect(target).await {
-        let _outcome = compio::time::timeout(CANCEL, ask(stream, target.key)).await;
+        let _outcome = compio::time::timeout(CANCEL, request_cancel(stream, target.key)).await;
     }
 }
 
@@ -206,7 +206,7 @@
 
 /// Sends the request and waits until the upstream closes the connection, which it does once the
 /// request took effect.
-async fn ask(mut stream: compio::net::TcpStream, key: (i32, i32)) {
+async fn request_cancel(mut stream: compio::net::TcpStream, key: (i32, i32)) {
     let mut request = Vec::with_capacity(16);
     for part in [16, CANCEL_CODE, key.0, key.1] {
         request.extend_from_slice(&part.to_be_bytes());
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -15,13 +15,13 @@
 use wire::{Failure, reply};
 
 use crate::{
-    answer::{Answer, Broken, Passing, Way, position},
+    answer::{Answer, Broken, Delivery, Forwarder, position},
     batch::Batch,
     fleet::{Fleet, Lease, Need},
-    keyed::ask,
+    keyed::run_queries,
     refusal::Refusal,
     registry::{self, Target},
-    session::{ABORTED, Gone, Open, Session, State},
+    session::{ABORTED, Disconnected, Open, Session, State},
     statements::Prepared,
 };
 
@@ -144,31 +144,31 @@
 
 /// Why a request has no answer of its own.
 #[derive(Debug)]
-pub(crate) enum Trouble {
+pub(crate) enum RequestError {
     /// The caller has to go.
-    Gone,
+    Disconnected,
     /// It gets an error instead, with SQLSTATE and message.
     Error(&'static str, String),
     /// It gets an error of the upstream that is not part of its answer.
     Upstream(String, String),
 }
 
-impl From<Refusal> for Trouble {
+impl From<Refusal> for RequestError {
     fn from(refusal: Refusal) -> Self {
         Self::Error(refusal.sqlstate(), refusal.to_string())
     }
 }
 
-impl From<Gone> for Trouble {
-    fn from(_gone: Gone) -> Self {
-        Self::Gone
+impl From<Disconnected> for RequestError {
+    fn from(_gone: Disconnected) -> Self {
+        Self::Disconnected
     }
 }
 
-impl From<Broken> for Trouble {
+impl From<Broken> for RequestError {
     fn from(broken: Broken) -> Self {
         match broken {
-            Broken::Caller => Self::Gone,
+            Broken::Caller => Self::Disconnected,
             _ => Refusal::Unknown(broken.to_string()).into(),
         }
     }
@@ -188,18 +188,18 @@
         &mut self,
         request: &Request<'_>,
         meaning: Meaning,
-    ) -> Result<(), Gone> {
+    ) -> Result<(), Disconnected> {
         self.shared.count_request();
         let outcome = self.attempt(request, &meaning).await;
         self.names.end_batch();
         let failed = match outcome {
             Ok(failed) => failed,
-            Err(Trouble::Gone) => return Err(Gone),
-            Err(Trouble::Error(sqlstate, message)) => {
+            Err(RequestError::Disconnected) => return Err(Disconnected),
+            Err(RequestError::Error(sqlstate, message)) => {
                 self.error(sqlstate, &message);
                 true
             }
-            Err(Trouble::Upstream(sqlstate, message)) => {
+            Err(RequestError::Upstream(sqlstate, message)) => {
                 self.error(&sqlstate, &message);
                 true
             }
@@ -212,7 +212,11 @@
     }
 
     /// Returns whether the answer is an error.
-    async fn attempt(&mut self, request: &Request<'_>, meaning: &Meaning) -> Result<bool, Trouble> {
+    async fn attempt(
+        &mut self,
+        request: &Request<'_>,
+        meaning: &Meaning,
+    ) -> Result<bool, RequestError> {
         let service = self.service()?;
         let limit = self
             .settings
@@ -221,19 +225,22 @@
             .unwrap_or(Duration::from_millis(service.limits.deadline_ms));
         let deadline = Instant::now() + limit;
         match mem::replace(&mut self.state, State::Idle) {
-            State::Idle => self.outside(&service, request, meaning, deadline).await,
+            State::Idle => {
+                self.run_outside_transaction(&service, request, meaning, deadline)
+                    .await
+            }
             State::Open(open) => {
-                if let Some(refusal) = misses_key(meaning, open.record.is_some()) {
+                if let Some(refusal) = missing_key(meaning, open.record.is_some()) {
                     self.state = State::Lost;
                     return Err(refusal.into());
                 }
-                self.within(&service, open, request, meaning, deadline)
+                self.run_in_transaction(&service, open, request, meaning, deadline)
                     .await
             }
             State::Replay(replay) => self.replay(replay, request),
             State::Lost => {
                 self.state = State::Lost;
-                Err(Trouble::Error(ABORTED.0, ABORTED.1.to_owned()))
+                Err(RequestError::Error(ABORTED.0, ABORTED.1.to_owned()))
             }
         }
     }
@@ -247,23 +254,27 @@
     }
 
     /// Carries out a request outside a transaction, with its key if it has one.
-    async fn outside(
+    async fn run_outside_transaction(
         &mut self,
         service: &Service,
         request: &Request<'_>,
         meaning: &Meaning,
         deadline: Instant,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         // A read leaves the key to the write that follows it, because drivers read on their own.
         if !meaning.writes && !meaning.begins {
-            return self.alone(service, request, meaning, deadline).await;
+            return self
+                .run_autocommit(service, request, meaning, deadline)
+                .await;
         }
         let kept = self.settings.parameters.key.take();
         let Some(key) = meaning.key.clone().or_else(|| kept.clone()) else {
-            if let Some(refusal) = misses_key(meaning, false) {
+            if let Some(refusal) = missing_key(meaning, false) {
                 return Err(refusal.into());
             }
-            return self.alone(service, request, meaning, deadline).await;
+            return self
+                .run_autocommit(service, request, meaning, deadline)
+                .await;
         };
         let outcome = if meaning.opens {
             self.keyed_begin(service, request, key, deadline).await
@@ -275,7 +286,7 @@
         } else {
             self.keyed(service, request, &key, deadline).await
         };
-        if let Err(Trouble::Error(sqlstate, _)) = &outcome
+        if let Err(RequestError::Error(sqlstate, _)) = &outcome
             && sqlstate.starts_with("ZN")
         {
             self.settings.parameters.key = kept;
@@ -284,19 +295,19 @@
     }
 
     /// Carries out a request outside a transaction.
-    async fn alone(
+    async fn run_autocommit(
         &mut self,
         service: &Service,
         request: &Request<'_>,
         meaning: &Meaning,
         deadline: Instant,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         let mut primary = meaning.primary;
         let mut pause = PAUSE.0;
         let mark = self.writer.pending();
         loop {
             let mut lease = self.lease(service, primary, deadline).await?;
-            let refusal = match self.set_up(&mut lease, deadline).await {
+            let refusal = match self.apply_settings(&mut lease, deadline).await {
                 Ok(()) => {
                     let attempt = self.exchange(&mut lease, request, deadline).await;
                     match attempt.answer {
@@ -306,12 +317,12 @@
                             Some(refusal) => {
                                 self.writer.truncate(mark);
                                 primary |= refusal == Refusal::Primary;
-                                give_back(lease, &answer, attempt.cancelled);
+                                return_lease(lease, &answer, attempt.cancelled);
                                 refusal
                             }
                             None => {
                                 return self
-                                    .settle_alone(
+                                    .settle_autocommit(
                                         service,
                                         lease,
                                         answer,
@@ -327,7 +338,7 @@
                 }
                 Err(Failure::Wire(_)) => Refusal::Primary,
                 Err(Failure::Refused(sqlstate, message)) => {
-                    return Err(Trouble::Upstream(sqlstate, message));
+                    return Err(RequestError::Upstream(sqlstate, message));
                 }
             };
             if !self.shared.take_retry() || !self.pause(&mut pause, deadline).await {
@@ -353,10 +364,10 @@
         service: &Service,
         primary: bool,
         deadline: Instant,
-    ) -> Result<F::Lease, Trouble> {
+    ) -> Result<F::Lease, RequestError> {
         let cancelled = || {
             let text = "not run: cancelled while it waited for a connection";
-            Trouble::Error("57014", text.to_owned())
+            RequestError::Error("57014", text.to_owned())
         };
         let slot = &self.entry.slot;
         if primary {
@@ -382,7 +393,7 @@
     }
 
     /// Gives a connection the parameters of this session, where another session left others.
-    pub(crate) async fn set_up(
+    pub(crate) async fn apply_settings(
         &self,
         lease: &mut F::Lease,
         deadline: Instant,
@@ -394,7 +405,7 @@
             return Ok(());
         }
         let text = format!("RESET ALL; {wanted}");
-        ask(client, &[text.trim_end_matches([';', ' '])], deadline).await?;
+        run_queries(client, &[text.trim_end_matches([';', ' '])], deadline).await?;
         client
             .parameters
             .insert(SETTINGS.to_owned(), wanted.to_owned());
@@ -416,10 +427,10 @@
             }
             Request::Extended(batch) => Some(batch.send(lease)),
         };
-        let way = if lease.primary().is_some() {
-            Way::Held(self.shared.options.held_bytes)
+        let delivery = if lease.primary().is_some() {
+            Delivery::Held(self.shared.options.held_bytes)
         } else {
-            Way::Streamed
+            Delivery::Streamed
         };
         let client = lease.client();
         let target = client.route.map(|route| Target {
@@ -431,17 +442,17 @@
         let mut written = false;
         let answer = match timeout_at(deadline, client.writer.flush()).await {
             Ok(Ok(())) => {
-                let mut passing = Passing {
+                let mut forwarder = Forwarder {
                     writer: &mut self.writer,
                     names: &mut self.names,
                     expects,
-                    way,
+                    delivery,
                     deadline,
                     stall: self.shared.options.stall,
                     written: false,
                 };
-                let answer = passing.run(lease).await;
-                written = passing.written;
+                let answer = forwarder.run(lease).await;
+                written = forwarder.written;
                 answer
             }
             Ok(Err(cause)) if whole => Err(Broken::Unsent(cause)),
@@ -463,7 +474,7 @@
         clippy::too_many_arguments,
         reason = "all of it is one attempt's result"
     )]
-    async fn settle_alone(
+    async fn settle_autocommit(
         &mut self,
         service: &Service,
         mut lease: F::Lease,
@@ -472,7 +483,7 @@
         meaning: &Meaning,
         mark: usize,
         deadline: Instant,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         let term = lease.primary();
         let position = position(lease.client());
         let failed = answer.sqlstate.is_some();
@@ -486,7 +497,7 @@
                 };
                 lease.client().parameters.insert(SETTINGS.to_owned(), left);
             }
-            give_back(lease, &answer, cancelled);
+            return_lease(lease, &answer, cancelled);
         } else {
             self.state = State::Open(Box::new(Open {
                 lease,
@@ -513,14 +524,14 @@
     }
 
     /// Carries out a request in the transaction at hand.
-    async fn within(
+    async fn run_in_transaction(
         &mut self,
         service: &Service,
         mut open: Box<Open<F::Lease>>,
         request: &Request<'_>,
         meaning: &Meaning,
         deadline: Instant,
-    ) -> Result<bool, Trouble> {
+    ) -> Result<bool, RequestError> {
         let mark = self.writer.pending();
         let term = open.lease.primary();
         if open.record.as_ref().is_some_and(|record| record.is_full()) {
@@ -543,7 +554,7 @@
                 };
                 drop(open);
                 return self
-                    .find_out(service, &record, request, term, deadline)
+                    .resolve_commit(service, &record, request, term, deadline)
                     .await;
             }
             Err(broken) if meaning.ends || matches!(broken, Broken::Caller) => {
@@ -551,7 +562,7 @@
             }
             Err(broken) => {
                 self.state = State::Lost;
-                return Err(Trouble::Error(
+                return Err(RequestError::Error(
                     Refusal::Primary.sqlstate(),
                     format!("not run: the transaction is rolled back: {broken}"),
                 ));
@@ -581,7 +592,7 @@
                     .parameters
                     .insert(SETTINGS.to_owned(), UNKNOWN.to_owned());
             }
-            give_back(lease, &answer, open.cancelled);
+            return_lease(lease, &answer, open.cancelled);
         } else {
             open.status = answer.status;
             self.state = State::Open(open);
@@ -597,11 +608,11 @@
                 deadline,
             )
             .await;
-        if let Err(trouble) = acknowledged {
+        if let Err(error) = acknowledged {
             if answer.status != b'I' {
                 self.state = State::Lost;
             }
-            return Err(trouble);
+            return Err(error);
         }
         Ok(failed)
     }
@@ -620,7 +631,7 @@
         writes: bool,
         mark: usize,
         deadline: Instant,
-    ) -> Result<(), Trouble> {
+    ) -> Result<(), RequestError> {
         let ended = answer.committed || answer.status == b'I' && !answer.rolled_back;
         let Some(term) = term.filter(|_| ended || answer.rows || answer.overflow) else {
             return Ok(());
@@ -651,7 +662,7 @@
             }
         }
         if answer.overflow {
-            return Err(Trouble::Error(
+            return Err(RequestError::Error(
                 "54000",
                 format!(
                     "run, but its answer is over {} bytes, more than can be held until it is \
@@ -676,7 +687,7 @@
 }
 
 /// Refuses a statement that a rule wants a key for, and a key that comes too late.
-fn misses_key(meaning: &Meaning, has_key: bool) -> Option<Refusal> {
+fn missing_key(meaning: &Meaning, has_key: bool) -> Option<Refusal> {
     if has_key {
         return None;
     }
@@ -705,7 +716,7 @@
 }
 
 /// Gives a connection back when it is certain to be in a clean state, and closes it otherwise.
-pub(crate) fn give_back<L: Lease>(mut lease: L, answer: &Answer, cancelled: bool) {
+pub(crate) fn return_lease<L: Lease>(mut lease: L, answer: &Answer, cancelled: bool) {
     // Errors that tell of prepared statements other than those that are noted.
     let muddled = matches!(
         answer.sqlstate.as_deref(),
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -87,7 +87,7 @@
     Open(Box<Open<L>>),
     /// In a transaction that was rolled back with its connection.
     Lost,
-    /// In a transaction that ran before; its recorded answers are given again.
+    /// In a transaction that ran before; its recorded answers are replayed.
     Replay(Box<Replay>),
 }
 
@@ -107,7 +107,7 @@
 
 /// The caller is gone, or has to go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Gone;
+pub struct Disconnected;
 
 /// A caller's session.
 pub struct Session<F: Fleet> {
@@ -229,14 +229,14 @@
         let _closing = match cause {
             WireError::TooLarge { .. } => self.fatal("54000", &cause.to_string()).await,
             WireError::Malformed(_) => self.fatal("08P01", &cause.to_string()).await,
-            WireError::Io(_) | WireError::Cut => Gone,
+            WireError::Io(_) | WireError::Cut => Disconnected,
         };
     }
 
-    pub(crate) async fn fatal(&mut self, sqlstate: &str, message: &str) -> Gone {
+    pub(crate) async fn fatal(&mut self, sqlstate: &str, message: &str) -> Disconnected {
         let _encoded = self.writer.message(&reply::fatal(sqlstate, message, ""));
         let _flushed = timeout(self.shared.options.stall, self.writer.flush()).await;
-        Gone
+        Disconnected
     }
 
     /// Gathers a message, or tells what is to be done now.
@@ -265,7 +265,7 @@
         })
     }
 
-    async fn work(&mut self, work: Work) -> Result<(), Gone> {
+    async fn work(&mut self, work: Work) -> Result<(), Disconnected> {
         match work {
             Work::Query(frame) => {
                 if !self.gathered.is_empty() {
@@ -288,18 +288,18 @@
                 self.skipping = true;
                 self.flush().await
             }
-            Work::Leave => Err(Gone),
+            Work::Leave => Err(Disconnected),
         }
     }
 
     /// Carries out the messages that were gathered.
-    async fn batch(&mut self, sync: bool) -> Result<(), Gone> {
+    async fn batch(&mut self, sync: bool) -> Result<(), Disconnected> {
         let fronts = mem::take(&mut self.gathered);
         self.gathered_bytes = 0;
         self.extended(fronts, sync).await
     }
 
-    async fn query(&mut self, frame: &Frame) -> Result<(), Gone> {
+    async fn query(&mut self, frame: &Frame) -> Result<(), Disconnected> {
         let text = match Cursor::new(&frame.body).text() {
             Ok(text) => text,
             Err(cause) => return Err(self.fatal("08P01", &cause.to_string()).await),
@@ -307,10 +307,10 @@
         let script = self.shared.script(text);
         let mut rest = 0;
         for (i, statement) in script.statements.iter().enumerate() {
-            let Some(known) = self.known_kind(&statement.kind) else {
+            let Some(known) = self.local_kind(&statement.kind) else {
                 if script.statements[i..]
                     .iter()
-                    .any(|statement| self.known_kind(&statement.kind).is_some())
+                    .any(|statement| self.local_kind(&statement.kind).is_some())
                 {
                     self.error(
                         "0A000",
@@ -320,7 +320,7 @@
                 }
                 break;
             };
-            match self.run_known(&known, true) {
+            match self.run_local(&known, true) {
                 Ok(messages) => self.writer.bytes(&messages),
                 Err((sqlstate, message)) => {
                     self.error(sqlstate, &message);
@@ -360,7 +360,7 @@
     }
 
     /// The statement as one that is answered here, if it is.
-    pub(crate) fn known_kind(&self, kind: &Kind) -> Option<Kind> {
+    pub(crate) fn local_kind(&self, kind: &Kind) -> Option<Kind> {
         let known = match kind {
             Kind::Set { name, value, .. } => {
                 let usual = || {
@@ -380,7 +380,7 @@
     }
 
     /// Runs a statement that is answered here, and returns its answer.
-    pub(crate) fn run_known(
+    pub(crate) fn run_local(
         &mut self,
         kind: &Kind,
         describe: bool,
@@ -458,7 +458,7 @@
     }
 
     /// Ends the answer to a `Query` or `Sync`.
-    pub(crate) async fn ready(&mut self) -> Result<(), Gone> {
+    pub(crate) async fn ready(&mut self) -> Result<(), Disconnected> {
         let status = self.status();
         if status == b'I' {
             self.names.portals = Vec::new();
@@ -467,10 +467,10 @@
         self.flush().await
     }
 
-    pub(crate) async fn flush(&mut self) -> Result<(), Gone> {
+    pub(crate) async fn flush(&mut self) -> Result<(), Disconnected> {
         match timeout(self.shared.options.stall, self.writer.flush()).await {
             Ok(Ok(())) => Ok(()),
-            _ => Err(Gone),
+            _ => Err(Disconnected),
         }
     }
 }
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -27,7 +27,7 @@
 pub struct Shared<F> {
     /// Services, members and connections.
     pub fleet: Rc<F>,
-    /// Limits and ways.
+    /// Limits and authentication.
     pub options: Options,
     /// Sessions by the numbers that a cancel request carries.
     pub registry: Rc<Registry>,
