Fault matrix: kill an entry process at each step of a write

Fault points of test builds are set by FAILPOINTS at start, and over HTTP while a process runs. Scenarios can set them, race operators and resend changes.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -36,7 +36,10 @@
 pub fn routes(report: Report) -> Router {
     let report = SendWrapper::new(report);
     let (metrics, dump, ready) = (report.clone(), report.clone(), report);
-    Router::new()
+    let router = Router::new();
+    #[cfg(feature = "failpoints")]
+    let router = router.route("/failpoint", axum::routing::post(set_point));
+    router
         .route(
             "/metrics",
             get(move || std::future::ready(metrics_text(&metrics.metrics))),
@@ -51,6 +54,20 @@
         )
 }
 
+/// Sets a fault point of the running process from `name=actions`, as the variable `FAILPOINTS`
+/// does at its start.
+#[cfg(feature = "failpoints")]
+async fn set_point(setting: String) -> (StatusCode, String) {
+    let result = match setting.split_once('=') {
+        Some((name, actions)) => fail::cfg(name.trim(), actions.trim()),
+        None => Err("write name=actions".to_owned()),
+    };
+    match result {
+        Ok(()) => (StatusCode::OK, "set\n".to_owned()),
+        Err(cause) => (StatusCode::BAD_REQUEST, cause),
+    }
+}
+
 fn metrics_text(registry: &Registry) -> Response {
     let mut text = Vec::new();
     match TextEncoder::new().encode(&registry.gather(), &mut text) {
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -320,7 +320,9 @@
             ));
         }
         self.host.busy.set(self.host.busy.get() + 1);
+        fail::fail_point!("change-forward");
         let answer = self.host.log.forward(command.encode()).await;
+        fail::fail_point!("change-reply");
         self.host.busy.set(self.host.busy.get() - 1);
         Ok(Answer::decode(&answer?.1))
     }
--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -154,7 +154,12 @@
     if answers.len() < record.reads() {
         return None;
     }
-    let top = answers.iter().map(|(_, status)| status.position).max()?;
+    let positions = answers.iter().map(|(_, status)| status.position);
+    let top = if disabled("choice-disabled") {
+        positions.min()?
+    } else {
+        positions.max()?
+    };
     let near = |member: &Member| {
         let before = record.member(old);
         before.map_or((false, false), |b| {
@@ -232,3 +237,15 @@
     (!follows && status.position.term <= record.term)
         .then(|| format!("FOLLOW '{}' TERM {}", primary.address, record.term))
 }
+
+/// Whether a fault point of a test build switches a rule off with the action `return`.
+#[cfg(feature = "failpoints")]
+fn disabled(point: &str) -> bool {
+    fail::fail_point!(point, |_| true);
+    false
+}
+
+#[cfg(not(feature = "failpoints"))]
+const fn disabled(_point: &str) -> bool {
+    false
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -21,6 +21,9 @@
 }
 
 fn main() -> Exit {
+    // The variable FAILPOINTS sets fault points at the start of a test build.
+    #[cfg(feature = "failpoints")]
+    let _scenario = fail::FailScenario::setup();
     let arguments = Arguments::parse_args_default_or_exit();
     let Some(path) = arguments.settings else {
         eprintln!("control: --settings is missing; give the settings file");
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -15,6 +15,9 @@
 }
 
 fn main() -> Exit {
+    // The variable FAILPOINTS sets fault points at the start of a test build.
+    #[cfg(feature = "failpoints")]
+    let _scenario = fail::FailScenario::setup();
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let options = match Options::parse_args_default(&arguments) {
         Ok(options) => options,
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Position, Term, document::Service};
+use base::{Position, Term, Version, document::Service};
 use rand::RngExt as _;
 use route::{
     Health, Place,
@@ -146,6 +146,7 @@
                 },
             };
             let Some((member, term)) = picked else {
+                fail::fail_point!("read-wait");
                 let asked = match choice {
                     Choice::Primary => Wanted::All,
                     Choice::Wait | Choice::Replica(_) => Wanted::Replicas,
@@ -183,6 +184,11 @@
         let Some(record) = group.current() else {
             return (Choice::Primary, Vec::new());
         };
+        let demand = if disabled("freshness-disabled") {
+            Demand::Token(Position::default())
+        } else {
+            demand
+        };
         let here = Place {
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
@@ -236,6 +242,7 @@
             }
             let changed = group.listen();
             if let Some(position) = group.barrier(need.since) {
+                fail::fail_point!("read-barrier");
                 let held = self.hold(group, position.term, position, until).await;
                 if held.is_ok() {
                     return Ok(position);
@@ -281,6 +288,7 @@
                     // The record or the lease may have changed in the queue.
                     if self.is_in_force(&group, record.term, Instant::now()) {
                         lease.set_primary(record.term);
+                        fail::fail_point!("write-send");
                         return Ok(lease);
                     }
                 }
@@ -307,17 +315,22 @@
         let usable = member.health(now).0 == Health::Ok
             && member.pool.is_usable(now)
             && self.directory.borrow().usable(&member.name, now);
-        if leads && known && usable && self.lease.borrow().valid(record.version, now) {
+        if leads && known && usable && self.leased(record.version, now) {
             Ok((member, record))
         } else {
             Err(Refusal::Primary)
         }
     }
 
+    /// Whether the write lease holds at `now` and knows record changes up to `version`.
+    fn leased(&self, version: Version, now: Instant) -> bool {
+        disabled("lease-disabled") || self.lease.borrow().valid(version, now)
+    }
+
     fn is_in_force(&self, group: &Group, term: Term, now: Instant) -> bool {
-        group.stable().is_some_and(|record| {
-            record.term == term && self.lease.borrow().valid(record.version, now)
-        })
+        group
+            .stable()
+            .is_some_and(|record| record.term == term && self.leased(record.version, now))
     }
 
     async fn await_confirm(
@@ -371,7 +384,7 @@
                     "term {term} of the primary ended"
                 )));
             }
-            if !group.is_confirmed(position) {
+            if !group.is_confirmed(position) && !disabled("confirm-disabled") {
                 let _urgency = group.urge(Wanted::Replicas);
                 let confirmed = group.wait(position.offset);
                 if compio::time::timeout_at(deadline, confirmed).await.is_err() {
@@ -382,7 +395,7 @@
             fail::fail_point!("confirm-after");
             // The time is read after the confirmation, however long this process was frozen.
             let now = Instant::now();
-            if self.lease.borrow().valid(record.version, now) {
+            if self.leased(record.version, now) {
                 fail::fail_point!("lease-after");
                 return Ok(());
             }
@@ -394,6 +407,18 @@
     }
 }
 
+/// Whether a fault point of a test build switches a mechanism off with the action `return`.
+#[cfg(feature = "failpoints")]
+fn disabled(point: &str) -> bool {
+    fail::fail_point!(point, |_| true);
+    false
+}
+
+#[cfg(not(feature = "failpoints"))]
+const fn disabled(_point: &str) -> bool {
+    false
+}
+
 /// Turns the failure of a pool into the refusal of the request, or lets it look for another member
 /// after a short pause.
 async fn refuse(cause: PoolError, deadline: Instant) -> Result<(), Refusal> {
--- a/crates/lab/src/admin.rs
+++ b/crates/lab/src/admin.rs
@@ -16,6 +16,39 @@
 /// Limit of one call.
 const CALL: Duration = Duration::from_secs(3);
 
+/// Whether a process answers on its HTTP address within `limit`.
+#[must_use]
+pub fn answers(address: SocketAddr, limit: Duration) -> bool {
+    let agent: Agent = Agent::config_builder()
+        .timeout_global(Some(limit))
+        .http_status_as_error(false)
+        .build()
+        .into();
+    agent.get(format!("http://{address}/ready")).call().is_ok()
+}
+
+/// Sets a fault point of a running test build.
+///
+/// # Errors
+/// There is no answer, the actions are malformed, or the program has no fault points.
+pub fn set_point(address: SocketAddr, point: &str, actions: &str) -> Result<(), LabError> {
+    let failed = |cause: &dyn std::fmt::Display| {
+        LabError::Admin(format!(
+            "{address}: fault point {point} not set: {cause}; build the programs with \
+             `cargo build --workspace --bins --all-features`"
+        ))
+    };
+    let answer = agent()
+        .post(format!("http://{address}/failpoint"))
+        .send(format!("{point}={actions}"))
+        .map_err(|cause| failed(&cause))?;
+    if answer.status().is_success() {
+        Ok(())
+    } else {
+        Err(failed(&answer.status()))
+    }
+}
+
 /// Client of the administration API of one deployment.
 #[derive(Debug, Clone)]
 pub struct Admin {
@@ -147,6 +180,62 @@
         }
     }
 
+    /// Lets two operators submit different documents on the same version at once, each to another
+    /// control host, and returns the status codes. A host without an answer has none.
+    ///
+    /// # Errors
+    /// The version can't be read.
+    pub fn race(&self, documents: [&str; 2]) -> Result<[Option<u16>; 2], LabError> {
+        let base = self.version()?;
+        let submit = |i: usize| {
+            let change = format!("race-{i}-{:016x}", rand::random::<u64>());
+            let body =
+                json!({"change": change, "base": base, "document": documents[i], "reason": "race"});
+            post_json(self.hosts[i], "/v1/config", &body)
+                .ok()
+                .map(|(status, _)| status)
+        };
+        Ok(std::thread::scope(|scope| {
+            let other = scope.spawn(|| submit(1));
+            [submit(0), other.join().unwrap_or(None)]
+        }))
+    }
+
+    /// Submits a change twice under one change id, the second time to another host, and returns
+    /// the version in force before it and the versions of both answers. An answer that is lost is
+    /// `None`.
+    ///
+    /// # Errors
+    /// The version can't be read, or the resend is not accepted before the end of `limit`.
+    pub fn resend(
+        &self,
+        document: &str,
+        limit: Duration,
+    ) -> Result<(u64, Option<u64>, u64), LabError> {
+        let base = self.version()?;
+        let change = format!("resend-{:016x}", rand::random::<u64>());
+        let body =
+            json!({"change": change, "base": base, "document": document, "reason": "resend"});
+        let version = |answer: (u16, Value)| match answer {
+            (200, answer) => answer["version"].as_u64(),
+            _ => None,
+        };
+        let first = post_json(self.hosts[0], "/v1/config", &body)
+            .ok()
+            .and_then(version);
+        let end = Instant::now() + limit;
+        loop {
+            for &host in self.hosts[1..].iter().chain(&self.hosts[..1]) {
+                if let Some(second) = post_json(host, "/v1/config", &body).ok().and_then(version) {
+                    return Ok((base, first, second));
+                }
+            }
+            if Instant::now() > end {
+                return Err(LabError::Admin("no answer to a resent change".into()));
+            }
+        }
+    }
+
     /// Orders a planned change of primary.
     ///
     /// # Errors
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -82,7 +82,8 @@
                 site.table
             ),
         ];
-        let count = i64::from((load.callers + load.probers) * zones(site));
+        // One caller more than the load has, for single requests.
+        let count = extra(site, load) + 1;
         let counters = (0..count).map(|i| {
             let caller = caller_number(service, i);
             format!(
@@ -120,6 +121,11 @@
     Ok(())
 }
 
+/// Number of the caller of a service that the load itself does not use.
+fn extra(site: &Site, load: &Load) -> i64 {
+    i64::from((load.callers + load.probers) * zones(site))
+}
+
 fn zones(site: &Site) -> u32 {
     u32::from(site.zone_count())
 }
@@ -195,6 +201,27 @@
             .clone()
     }
 
+    /// Writes once through the entry hosts of one zone, then reads through those of another in a
+    /// new session that has lost its token. Both are part of the history.
+    pub async fn roam(&self, site: &Site, load: &Load, service: usize, zones: (u8, u8)) {
+        let mut random = SmallRng::seed_from_u64(load.seed);
+        let caller = caller_number(service, extra(site, load));
+        let name = &site.services[service];
+        let only = |zone| {
+            let desk = desk(site, zone, service, name, caller, self);
+            Desk {
+                far: desk.entries.clone(),
+                ..desk
+            }
+        };
+        let number = u64::try_from(self.events().len()).unwrap_or_default();
+        let (writer, reader) = (only(zones.0), only(zones.1));
+        writer
+            .write(Kind::Count, number, &mut None, &mut None, &mut random)
+            .await;
+        reader.read(&mut None, &mut None, &mut random).await;
+    }
+
     /// Lets every caller end its cycle, and returns the whole history.
     pub async fn finish(self) -> Vec<Event> {
         self.stop.store(true, Ordering::SeqCst);
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -3,19 +3,20 @@
 use std::{
     fs,
     path::{Path, PathBuf},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::Exit;
 use gumdrop::Options;
 use serde::Deserialize;
 use serde_json::json;
+use tokio::task::JoinHandle;
 
 use crate::{
-    admin::post_json,
+    admin::{answers, post_json, set_point},
     checker::Verdict,
     demo::choice,
-    deployment::Deployment,
+    deployment::{Choice, Deployment},
     error::{Context, LabError},
     experiment,
     load::{self, Load, Running},
@@ -25,6 +26,10 @@
 
 /// How long a group may take to have a primary again before the checks.
 const WHOLE: Duration = Duration::from_secs(30);
+/// How long a process may take to reach a fault point.
+const STALL: Duration = Duration::from_secs(10);
+/// Time without an answer after which a process counts as stalled at a fault point.
+const SILENT: Duration = Duration::from_millis(400);
 /// How long a planned stop may take.
 const STOP: Duration = Duration::from_secs(35);
 
@@ -38,6 +43,12 @@
     pub site: String,
     /// Seed of the load.
     pub seed: u64,
+    /// Callers per service and zone.
+    #[serde(default = "callers")]
+    pub callers: u32,
+    /// Writers without pause per service and zone.
+    #[serde(default = "probers")]
+    pub probers: u32,
     /// Faults and pauses, in order.
     #[serde(rename = "step")]
     pub steps: Vec<Step>,
@@ -46,6 +57,14 @@
     pub expect: Expect,
 }
 
+const fn callers() -> u32 {
+    4
+}
+
+const fn probers() -> u32 {
+    1
+}
+
 /// One step of a scenario.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(tag = "do", rename_all = "kebab-case", deny_unknown_fields)]
@@ -113,6 +132,41 @@
         /// Number of changes.
         times: u32,
     },
+    /// Two operators submit different documents on the same version; exactly one must win.
+    Race,
+    /// A change is sent twice under one change id; it must count once.
+    Resend,
+    /// Submits a change in the background, so that the next steps meet it.
+    Submit,
+    /// Waits until every change submitted in the background is accepted.
+    Accepted,
+    /// Sets a fault point of a running test build.
+    Arm {
+        /// Which process.
+        target: Target,
+        /// Name of the point.
+        point: String,
+        /// Actions, as in the variable `FAILPOINTS`.
+        actions: String,
+    },
+    /// Waits until the process armed last answers no more, as it does at the action `pause`.
+    Stall,
+    /// Asks a process to stop, without waiting for its end.
+    Terminate {
+        /// Which one.
+        target: Target,
+    },
+    /// Waits until the process asked last to stop ended by itself.
+    Ended,
+    /// Starts every process again and waits until each is ready.
+    Rejoin,
+    /// A caller writes in one zone and reads in another without its token.
+    Roam {
+        /// Process whose zone takes the write.
+        write: Target,
+        /// Process whose zone takes the read.
+        read: Target,
+    },
 }
 
 /// A process, by its place.
@@ -123,6 +177,18 @@
     Primary(u8),
     /// The first replica of a service.
     Replica(u8),
+    /// The member that was the primary of a service when the scenario began.
+    Former(u8),
+    /// The second replica of a service.
+    Second(u8),
+    /// The leader of the control hosts.
+    Leader,
+    /// The first control host that is not the leader.
+    Follower,
+    /// The process armed last.
+    Armed,
+    /// The entry host in the zone of the member that was the primary of a service.
+    EntryOf(u8),
     /// The control host of a zone, numbered from 1.
     Control(u8),
     /// The first entry host of a zone.
@@ -220,7 +286,8 @@
         scenario.seed,
         scenario.guards
     );
-    crate::runtime()?.block_on(play(site, &scenario, arguments))
+    let choice = choice(&arguments.programs, &arguments.folder);
+    crate::runtime()?.block_on(play(site, &scenario, choice))
 }
 
 /// State of a scenario that runs.
@@ -231,48 +298,105 @@
     frozen: Vec<Host>,
     ended: Vec<Host>,
     faults: Vec<String>,
+    former: Vec<Option<Host>>,
+    armed: Option<Host>,
+    leaving: Option<Host>,
+    changes: Vec<JoinHandle<Result<u64, LabError>>>,
+    load: Load,
+    running: Option<Running>,
 }
 
-async fn play(
+/// Plays a scenario and returns what did not hold.
+///
+/// # Errors
+/// The deployment can't be started, or a step can't be taken.
+pub async fn play(
     site: Site,
     scenario: &Scenario,
-    arguments: &Arguments,
+    choice: Choice,
 ) -> Result<Vec<String>, LabError> {
     let relay = Relay::start(&site).await?;
-    let choice = choice(&arguments.programs, &arguments.folder);
     let deployment = tokio::task::block_in_place(|| Deployment::start(site, choice))?;
     let load = Load {
-        callers: 4,
+        callers: scenario.callers,
         pause: Duration::from_millis(100),
-        probers: 1,
+        probers: scenario.probers,
         step: Duration::from_millis(10),
         seed: scenario.seed,
     };
     load::prepare(&deployment.site, &load).await?;
     let running = load.start(&deployment.site);
+    let services = 0..deployment.site.service_count();
+    let former = services.map(|service| deployment.primary(service));
+    let former = former.collect::<Result<_, _>>()?;
     let mut stage = Stage {
         deployment,
         relay,
         frozen: Vec::new(),
         ended: Vec::new(),
         faults: Vec::new(),
+        former,
+        armed: None,
+        leaving: None,
+        changes: Vec::new(),
+        load,
+        running: None,
     };
     tokio::time::sleep(Duration::from_secs(1)).await;
     let from = running.now();
+    stage.running = Some(running);
     for step in &scenario.steps {
         stage.take(step).await?;
     }
     stage.take(&Step::Heal).await?;
     stage.take(&Step::Resume).await?;
     stage.take(&Step::Restart).await?;
+    stage.take(&Step::Accepted).await?;
     stage.deployment.wait_primaries(WHOLE)?;
     tokio::time::sleep(Duration::from_secs(2)).await;
-    stage.judge(scenario, running, from).await
+    stage.judge(scenario, from).await
 }
 
 impl Stage {
     async fn take(&mut self, step: &Step) -> Result<(), LabError> {
         match *step {
+            Step::Arm {
+                target,
+                ref point,
+                ref actions,
+            } => {
+                let host = self.find(target)?;
+                set_point(host.http(), point, actions)?;
+                self.armed = Some(host);
+            }
+            Step::Stall => self.stall().await,
+            Step::Race => self.race()?,
+            Step::Resend => self.resend()?,
+            Step::Submit => self.submit(),
+            Step::Accepted => self.accepted().await?,
+            Step::Terminate { target } => {
+                let host = self.find(target)?;
+                self.deployment.process(host).terminate();
+                self.leaving = Some(host);
+            }
+            Step::Ended => {
+                if let Some(host) = self.leaving.take() {
+                    self.ended(host);
+                }
+            }
+            Step::Rejoin => {
+                for host in std::mem::take(&mut self.ended) {
+                    self.deployment.process(host).restart()?;
+                    self.deployment.wait_ready(host)?;
+                }
+            }
+            Step::Roam { write, read } => {
+                let zones = (self.find(write)?.zone, self.find(read)?.zone);
+                if let Some(running) = &self.running {
+                    let site = &self.deployment.site;
+                    running.roam(site, &self.load, 0, zones).await;
+                }
+            }
             Step::Wait { ms } => tokio::time::sleep(Duration::from_millis(ms)).await,
             Step::Kill { target } => {
                 let host = self.find(target)?;
@@ -301,6 +425,7 @@
                 }
             }
             Step::Cut { zone, reset } => {
+                let zone = self.zone(zone);
                 self.relay
                     .isolate(zone, if reset { Fault::Reset } else { Fault::Cut });
             }
@@ -329,28 +454,154 @@
                 .primary(service)?
                 .ok_or_else(|| LabError::NotReady(format!("primary of service {service}")))
         };
+        let former = |service: u8| {
+            let host = self.former.get(usize::from(service)).copied().flatten();
+            host.ok_or_else(|| LabError::NotReady(format!("first primary of service {service}")))
+        };
+        let replica = |service, skipped| {
+            // While a change runs there is no primary, so the one of the start counts.
+            let primary = match self.deployment.primary(service)? {
+                Some(host) => host,
+                None => former(service)?,
+            };
+            let mut members = self.deployment.site.members(service);
+            let other = members
+                .by_ref()
+                .filter(|&host| host != primary)
+                .nth(skipped);
+            Ok::<_, LabError>(other.unwrap_or(primary))
+        };
         Ok(match target {
             Target::Primary(service) => primary(service)?,
-            Target::Replica(service) => {
-                let primary = primary(service)?;
-                let mut members = self.deployment.site.members(service);
-                members.find(|&host| host != primary).unwrap_or(primary)
-            }
+            Target::Replica(service) => replica(service, 0)?,
+            Target::Second(service) => replica(service, 1)?,
+            Target::Former(service) => former(service)?,
+            Target::EntryOf(service) => Host {
+                zone: former(service)?.zone,
+                role: Role::Entry(1),
+            },
+            Target::Leader => self.control(true)?,
+            Target::Follower => self.control(false)?,
+            Target::Armed => self
+                .armed
+                .ok_or_else(|| LabError::NotReady("a process with a fault point".into()))?,
             Target::Control(zone) => Host {
-                zone,
+                zone: self.zone(zone),
                 role: Role::Control,
             },
             Target::Entry(zone) => Host {
-                zone,
+                zone: self.zone(zone),
                 role: Role::Entry(1),
             },
         })
     }
 
+    /// Number of a zone that the scenario counts from 1.
+    const fn zone(&self, number: u8) -> u8 {
+        self.deployment.site.first + number - 1
+    }
+
+    /// The leader of the control hosts, or the first one that is not the leader.
+    fn control(&self, leads: bool) -> Result<Host, LabError> {
+        let status = self.deployment.admin().status()?;
+        let leader = status["leader"].as_str().unwrap_or_default();
+        let site = &self.deployment.site;
+        let mut hosts = site.controls().into_iter();
+        hosts
+            .find(|&host| (site.process_name(host) == leader) == leads)
+            .ok_or_else(|| LabError::NotReady("leader of the control hosts".into()))
+    }
+
+    async fn stall(&mut self) {
+        let Some(host) = self.armed else { return };
+        let end = Instant::now() + STALL;
+        // Two probes, so that one slow answer of a busy machine does not count.
+        let mut silent = 0;
+        while silent < 2 {
+            silent = if tokio::task::block_in_place(|| answers(host.http(), SILENT)) {
+                0
+            } else {
+                silent + 1
+            };
+            if Instant::now() > end {
+                let name = self.deployment.site.process_name(host);
+                self.faults
+                    .push(format!("{name} did not reach its fault point"));
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    fn documents(&self) -> [String; 2] {
+        let document = self.deployment.site.document();
+        ["first", "second"].map(|name| format!("# {name}\n{document}"))
+    }
+
+    fn race(&mut self) -> Result<(), LabError> {
+        let [first, second] = self.documents();
+        let won = self.deployment.admin().race([&first, &second])?;
+        let mut sorted = won;
+        sorted.sort_unstable();
+        if sorted != [Some(200), Some(409)] {
+            self.faults.push(format!(
+                "two operators on one version were answered {won:?}"
+            ));
+        }
+        Ok(())
+    }
+
+    fn resend(&mut self) -> Result<(), LabError> {
+        let [document, _] = self.documents();
+        let admin = self.deployment.admin();
+        let (base, first, second) = admin.resend(&document, WHOLE)?;
+        let version = admin.version()?;
+        if first.is_some_and(|first| first != second) || version != second || second <= base {
+            self.faults.push(format!(
+                "a change on version {base} was answered {first:?}, resent {second}, and version \
+                 {version} is in force"
+            ));
+        }
+        Ok(())
+    }
+
+    fn submit(&mut self) {
+        let admin = self.deployment.admin();
+        let [document, _] = self.documents();
+        let change = tokio::task::spawn_blocking(move || admin.submit(&document, WHOLE));
+        self.changes.push(change);
+    }
+
+    async fn accepted(&mut self) -> Result<(), LabError> {
+        for change in std::mem::take(&mut self.changes) {
+            let answer = change
+                .await
+                .map_err(|cause| LabError::Admin(cause.to_string()))?;
+            match answer {
+                Ok(version) => {
+                    let present = self.deployment.admin().version()?;
+                    if present < version {
+                        self.faults.push(format!(
+                            "configuration {version} was accepted and {present} is in force"
+                        ));
+                    }
+                }
+                Err(cause) => self.faults.push(format!("change not accepted: {cause}")),
+            }
+        }
+        Ok(())
+    }
+
     fn stop(&mut self, target: Target) -> Result<(), LabError> {
         let host = self.find(target)?;
+        self.deployment.process(host).terminate();
+        self.ended(host);
+        Ok(())
+    }
+
+    /// Waits for the end of a process that was asked to stop.
+    fn ended(&mut self, host: Host) {
         let process = self.deployment.process(host);
-        process.terminate();
         let status = tokio::task::block_in_place(|| process.wait(STOP));
         if status != Some(0) {
             let name = process.name().to_owned();
@@ -358,7 +609,6 @@
                 .push(format!("planned stop of {name} ended with {status:?}"));
         }
         self.ended.push(host);
-        Ok(())
     }
 
     fn configure(&self, times: u32) -> Result<(), LabError> {
@@ -370,13 +620,11 @@
         Ok(())
     }
 
-    async fn judge(
-        mut self,
-        scenario: &Scenario,
-        running: Running,
-        from: u64,
-    ) -> Result<Vec<String>, LabError> {
-        let events = running.finish().await;
+    async fn judge(mut self, scenario: &Scenario, from: u64) -> Result<Vec<String>, LabError> {
+        let events = match self.running.take() {
+            Some(running) => running.finish().await,
+            None => Vec::new(),
+        };
         let verdict = experiment::verdict(&self.deployment, &events).await?;
         println!(
             "  {}",
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -22,6 +22,8 @@
 pub struct Site {
     /// Name on the command line.
     pub name: &'static str,
+    /// Number of the first zone, and of its loopback network.
+    pub first: u8,
     /// Zones, in the order of their loopback networks.
     pub zones: Vec<Zone>,
     /// Services, each with one group of three databases, one in each zone.
@@ -63,7 +65,7 @@
 /// A host of a deployment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Host {
-    /// Zone number, from 1.
+    /// Zone number.
     pub zone: u8,
     /// What it runs.
     pub role: Role,
@@ -136,6 +138,7 @@
     pub fn teichwert() -> Self {
         Self {
             name: "teichwert",
+            first: 1,
             zones: vec![
                 Zone {
                     name: "wien-nord",
@@ -168,6 +171,7 @@
     pub fn watchrolls() -> Self {
         Self {
             name: "watchrolls",
+            first: 1,
             zones: vec![
                 Zone {
                     name: "onitsha-yard",
@@ -195,13 +199,36 @@
         }
     }
 
-    /// Zone with a number from 1.
+    /// Three zones in two regions with one entry and one control host each, and one service, on
+    /// loopback networks that the other deployments do not use.
+    #[must_use]
+    pub fn small() -> Self {
+        let zone = |name, region| Zone {
+            name,
+            region,
+            entries: 1,
+        };
+        Self {
+            name: "small",
+            first: 41,
+            zones: vec![
+                zone("north", "east"),
+                zone("south", "east"),
+                zone("hill", "west"),
+            ],
+            services: vec!["filing".into()],
+            far: Duration::from_millis(5),
+            ..Self::teichwert()
+        }
+    }
+
+    /// Zone with a number, counted from [`Site::first`].
     ///
     /// # Panics
     /// There is no such zone.
     #[must_use]
     pub fn zone(&self, number: u8) -> &Zone {
-        &self.zones[usize::from(number) - 1]
+        &self.zones[usize::from(number - self.first)]
     }
 
     /// Number of zones.
@@ -216,9 +243,9 @@
         u8::try_from(self.services.len()).unwrap_or(u8::MAX)
     }
 
-    /// Numbers of all zones, from 1.
+    /// Numbers of all zones.
     pub fn zone_numbers(&self) -> impl Iterator<Item = u8> + use<> {
-        1..=self.zone_count()
+        self.first..self.first + self.zone_count()
     }
 
     /// Hosts of the databases of a service, in the order of zones.
@@ -235,8 +262,8 @@
         match ip {
             IpAddr::V4(ip) => {
                 let zone = ip.octets()[2];
-                (1..=self.zones.len())
-                    .contains(&usize::from(zone))
+                self.zone_numbers()
+                    .any(|number| number == zone)
                     .then_some(zone)
             }
             IpAddr::V6(_) => None,
