Do not answer a batch that only prepares a statement with unknown

On a new connection the primary reports no position until a statement ran, and the entry took the missing position for an outcome that can't be confirmed.

--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -627,8 +627,9 @@
                 let confirming = self.shared.fleet.confirm(service, term, position, deadline);
                 confirming.await.map(|()| Some(position))
             }
-            // An upstream that refuses its first statement has not reported a position yet.
-            None if answer.sqlstate.is_some() && !answer.rows => Ok(None),
+            // An upstream that refuses its first statement, or was only asked to prepare one, has not
+            // reported a position yet.
+            None if !answer.rows && (answer.sqlstate.is_some() || !answer.completed) => Ok(None),
             None => Err(Refusal::Unknown("the database reported no position".into())),
         };
         match outcome {
--- a/crates/entry/tests/extended.rs
+++ b/crates/entry/tests/extended.rs
@@ -147,3 +147,19 @@
         assert!(bench.fleet.prepared() <= 256, "{}", bench.fleet.prepared());
     });
 }
+
+/// Guards against "unknown" for a batch that only prepares a statement, as drivers do first, on a
+/// new connection of the primary, which has not reported a position yet.
+#[test]
+fn prepares_on_new_connection_of_primary() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.add(b'P', b"s1\0INSERT INTO t VALUES ('a', $1)\0\0\0");
+        caller.add(b'D', b"Ss1\0");
+        let prepared = caller.sync().await;
+
+        assert_eq!(prepared.tags(), "1tnZ");
+    });
+}
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -220,6 +220,9 @@
             .write(Kind::Count, number, &mut None, &mut None, &mut random)
             .await;
         reader.read(&mut None, &mut None, &mut random).await;
+        for event in self.events().iter().filter(|event| event.caller == caller) {
+            println!("  {:?}: {:?}", event.action, event.outcome);
+        }
     }
 
     /// Lets every caller end its cycle, and returns the whole history.
