--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -82,7 +82,8 @@
                 site.table
             ),
         ];
-        let count = i64::from((load.callers + load.probers) * zones(site));
+        // One caller more than the load has, for single requests.
+        let count = extra(site, load) + 1;
         let counters = (0..count).map(|i| {
             let caller = caller_number(service, i);
             format!(
@@ -120,6 +121,11 @@
     Ok(())
 }
 
+/// Number of the caller of a service that the load itself does not use.
+fn extra(site: &Site, load: &Load) -> i64 {
+    i64::from((load.callers + load.probers) * zones(site))
+}
+
 fn zones(site: &Site) -> u32 {
     u32::from(site.zone_count())
 }
@@ -195,6 +201,29 @@
             .clone()
     }
 
+    /// Writes once through the entry hosts of one zone as the caller that the load does not use.
+    pub async fn write_in(&self, site: &Site, load: &Load, service: usize, zone: u8) {
+        let (desk, mut random) = self.single(site, load, service, zone);
+        let number = u64::try_from(self.events().len()).unwrap_or_default();
+        desk.write(Kind::Count, number, &mut None, &mut None, &mut random)
+            .await;
+    }
+
+    /// Reads once through the entry hosts of one zone as that caller, in a new session without a
+    /// token.
+    #[must_use = "the read is recorded when it ends"]
+    pub fn read_in(&self, site: &Site, load: &Load, service: usize, zone: u8) -> JoinHandle<()> {
+        let (desk, mut random) = self.single(site, load, service, zone);
+        tokio::spawn(async move { desk.read(&mut None, &mut None, &mut random).await })
+    }
+
+    fn single(&self, site: &Site, load: &Load, service: usize, zone: u8) -> (Desk, SmallRng) {
+        let caller = caller_number(service, extra(site, load));
+        let desk = desk(site, zone, service, &site.services[service], caller, self);
+        let far = desk.entries.clone();
+        (Desk { far, ..desk }, SmallRng::seed_from_u64(load.seed))
+    }
+
     /// Lets every caller end its cycle, and returns the whole history.
     pub async fn finish(self) -> Vec<Event> {
         self.stop.store(true, Ordering::SeqCst);
