Hold new writes before a planned change, order followers at once, drain over renewals

Planned change: entry processes ignored the announcement of a planned change (stable record with a next term), so that the fencing hit writes in flight; they now start nothing new on the primary while what runs may end. Drain: the control host posted to a route that entry processes do not have, and an open route would let anyone drain them; the request now travels in the answer to a renewal. The test of the drain checks the whole exchange as before.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -2,7 +2,6 @@
 
 use std::{
     cell::RefCell,
-    net::IpAddr,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -16,11 +15,7 @@
     routing::{get, post},
 };
 use base::{document, document::Document};
-use compio::{
-    buf::BufResult,
-    io::{AsyncRead, AsyncWriteExt as _},
-    time::timeout,
-};
+use compio::time::{sleep, timeout};
 use send_wrapper::SendWrapper;
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::{Value, json};
@@ -29,6 +24,7 @@
     access::{self, Sessions},
     host::{Host, millis},
     judge,
+    leases::Holder,
     log::Log,
     machine::{Answer, Change, Command, Planned},
     problem::Problem,
@@ -38,6 +34,8 @@
 
 /// Longest time for asking an entry process to drain.
 const DRAIN: Duration = Duration::from_secs(2);
+/// How often the answer of an entry process to a drain is looked for.
+const TICK: Duration = Duration::from_millis(20);
 /// Longest change id and reason, in bytes; they are kept in the history.
 const TEXT_MAX: usize = 1_024;
 
@@ -338,14 +336,11 @@
     /// # Errors
     /// It is unknown or does not answer.
     pub async fn drain(&self, entry: &str, author: &str) -> Result<(), Problem> {
-        let http = {
+        let run = {
             let directory = self.host.directory.borrow();
-            directory
-                .entries()
-                .get(entry)
-                .map(|entry| entry.http.clone())
+            directory.entries().get(entry).map(|entry| entry.run)
         };
-        let http = http.ok_or_else(|| Problem {
+        let run = run.ok_or_else(|| Problem {
             field: Some("entry".to_owned()),
             ..Problem::new(
                 StatusCode::NOT_FOUND,
@@ -354,16 +349,34 @@
             )
         })?;
         slog::info!(self.host.logger, "drain of an entry process"; "author" => author,
-            "entry" => entry, "http" => &http);
-        let asked = timeout(DRAIN, ask_drain(self.host.identity.host, &http)).await;
-        let asked = asked.unwrap_or_else(|_elapsed| Err("no answer in time".to_owned()));
-        asked.map_err(|cause| {
-            Problem::new(
-                StatusCode::BAD_GATEWAY,
-                &format!("{entry} at {http}: {cause}"),
-                "check that it runs, or send its process SIGTERM",
-            )
-        })
+            "entry" => entry);
+        let holder = (entry.to_owned(), run);
+        // The process learns of it from the answer to its next renewal.
+        self.host.drains.borrow_mut().insert(holder.clone());
+        let stopped = timeout(DRAIN, async {
+            while !self.is_stopping(&holder) {
+                sleep(TICK).await;
+            }
+        });
+        let answered = stopped.await.is_ok();
+        self.host.drains.borrow_mut().remove(&holder);
+        if answered {
+            return Ok(());
+        }
+        Err(Problem::new(
+            StatusCode::BAD_GATEWAY,
+            &format!("{entry} does not answer within {} s", DRAIN.as_secs()),
+            "check that it runs, or send its process SIGTERM",
+        ))
+    }
+
+    /// Whether a run of an entry process says that it stops, or has ended.
+    fn is_stopping(&self, (entry, run): &Holder) -> bool {
+        let directory = self.host.directory.borrow();
+        directory
+            .entries()
+            .get(entry)
+            .is_none_or(|known| known.stopping || known.run != *run)
     }
 
     /// Control hosts, groups and entry processes as this host knows them.
@@ -453,35 +466,3 @@
         )
     })
 }
-
-/// Sends `POST /v1/drain` to an entry process.
-async fn ask_drain(host: IpAddr, http: &str) -> Result<(), String> {
-    let address = http
-        .parse()
-        .map_err(|_cause| format!("{http} is no ip:port"))?;
-    let stream = base::net::connect(host, address, DRAIN)
-        .await
-        .map_err(|e| e.to_string())?;
-    let (mut read, mut write) = stream.into_split();
-    let request = format!(
-        "POST /v1/drain HTTP/1.1\r\nHost: {http}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-    );
-    let BufResult(sent, _) = write.write_all(request.into_bytes()).await;
-    sent.map_err(|e| e.to_string())?;
-    let mut head = Vec::new();
-    while !head.contains(&b'\n') && head.len() < TEXT_MAX {
-        let BufResult(count, chunk) = read.read(Vec::with_capacity(TEXT_MAX)).await;
-        if count.map_err(|e| e.to_string())? == 0 {
-            break;
-        }
-        head.extend(chunk);
-    }
-    let head = String::from_utf8_lossy(&head);
-    let line = head.lines().next().unwrap_or_default();
-    let status = line.split(' ').nth(1).unwrap_or_default();
-    if status.starts_with('2') {
-        Ok(())
-    } else {
-        Err(format!("it answers: {line}"))
-    }
-}
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -191,6 +191,7 @@
         reply.set_directory_version(self.host.directory.borrow().version());
         reply.set_host(&self.host.identity.name);
         reply.set_leader(renewed.leader);
+        reply.set_drain(renewed.drain);
         reply.set_permit_duration(wire_millis(permits::TERM));
         let mut list = reply.init_permits(length(&renewed.permits));
         for (i, (member, lent)) in (0..).zip(&renewed.permits) {
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{
-    EntryName, GroupName, HostName, Map, MemberName, RegionName, Version, ZoneName,
+    EntryName, GroupName, HostName, Map, MemberName, RegionName, Set, Version, ZoneName,
     document::{Document, Service},
 };
 use serde::Serialize;
@@ -18,7 +18,7 @@
 
 use crate::{
     directory::{Announcement, Directory, Entry},
-    leases::{Known, Leases},
+    leases::{Holder, Known, Leases},
     log::{Log, LogError},
     machine::{Answer, Command, Member, Record, State},
     metrics::Metrics,
@@ -103,6 +103,8 @@
     pub leader: bool,
     /// Lent connections.
     pub permits: Vec<(MemberName, u32)>,
+    /// Whether an operator asks this run of the entry process to stop.
+    pub drain: bool,
 }
 
 /// Who this host is.
@@ -154,6 +156,8 @@
 /// A control host.
 #[derive(Debug)]
 pub struct Host<L> {
+    /// Runs of entry processes that an operator asked to stop.
+    pub drains: RefCell<Set<Holder>>,
     /// Who this host is.
     pub identity: Identity,
     /// Replicated log.
@@ -219,6 +223,7 @@
             metrics: Metrics::new(),
             logger,
             stopping: Cell::new(false),
+            drains: RefCell::default(),
             busy: Cell::new(0),
             planned: RefCell::default(),
             suspects: RefCell::default(),
@@ -363,6 +368,7 @@
             granted,
             leader,
             permits,
+            drain: self.drains.borrow().contains(&holder),
         }
     }
 
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -43,7 +43,7 @@
 /// Longest time of one round of reads.
 const READ: Duration = Duration::from_secs(2);
 /// Time after which a read that has no direct answer is also tried through the other hosts.
-const DIRECT: Duration = Duration::from_millis(200);
+const DIRECT: Duration = Duration::from_millis(40);
 
 /// Runs the changes of one group until this host does not lead any more.
 pub async fn drive<L: Log>(host: Rc<Host<L>>, group: String) {
@@ -434,6 +434,9 @@
 
 /// Reads a status directly, and also through the other control hosts when that fails or takes
 /// long. The first answer counts.
+///
+/// A fresh connection to a member of another region takes three round trips, but the control host
+/// there is connected already, so that the wait before asking it is short.
 pub(crate) async fn probe<L: Log>(host: &Host<L>, address: String) -> Option<Status> {
     let mut direct = Box::pin(upstream::status(host.identity.host, &address));
     let failed = match timeout(DIRECT, &mut direct).await {
@@ -477,6 +480,27 @@
     Err(cause)
 }
 
+/// Orders every other recorded member to follow the member that is primary of the next term.
+async fn order_followers<L: Log>(host: Rc<Host<L>>, record: Record) {
+    let Some(primary) = record.member(&record.primary) else {
+        return;
+    };
+    let address = host.address(primary);
+    let statement = format!("FOLLOW '{address}' TERM {}", record.next);
+    let others = record
+        .members
+        .iter()
+        .filter(|member| member.member != record.primary);
+    let orders = others.map(|member| {
+        let (host, statement) = (&host, &statement);
+        async move {
+            // The sweep repeats an order that fails.
+            let _outcome = timeout(ORDER, order(host, &host.address(member), statement)).await;
+        }
+    });
+    join_all(orders).await;
+}
+
 /// Steps 5 and 6: orders the promotion that the record names, and commits the new term.
 async fn promote<L: Log>(
     host: &Rc<Host<L>>,
@@ -514,6 +538,9 @@
     }
     timing.order = Some(millis(start.elapsed()));
     fail::fail_point!("promotion-ordered");
+    // No write can be confirmed before another member follows. The sweep would order that only
+    // after it has waited for the failed member.
+    compio::runtime::spawn(order_followers(Rc::clone(host), record.clone())).detach();
 
     let start = Instant::now();
     let stable = Record {
--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -2,7 +2,12 @@
 
 mod common;
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use base::document;
 use common::{
@@ -10,13 +15,8 @@
     http::{self, Reply, encode},
     stable,
 };
-use compio::{
-    buf::BufResult,
-    io::{AsyncRead, AsyncWriteExt as _},
-    net::TcpListener,
-    runtime::JoinHandle,
-};
-use control::{admin::Admin, run, settings::Operator};
+use compio::{net::TcpListener, runtime::JoinHandle};
+use control::{admin::Admin, host::Renewal, run, settings::Operator};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -304,19 +304,23 @@
 #[compio::test]
 async fn drain_reaches_entry_process() {
     let (cluster, group) = stable().await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let mut renewal = group.renewal(0, 0, common::Group::truth);
-    renewal.http = listener.local_addr().unwrap().to_string();
+    let silent = group.renewal(1, 0, common::Group::truth);
+    let renewal = group.renewal(0, 0, common::Group::truth);
+    cluster.renew(&silent);
     cluster.renew(&renewal);
+    let host = Rc::clone(&cluster.hosts[0].host);
     let entry = compio::runtime::spawn(async move {
-        let (mut read, mut write) = listener.accept().await.unwrap().0.into_split();
-        let BufResult(_, request) = read.read(Vec::with_capacity(1_024)).await;
-        write
-            .write_all("HTTP/1.1 202 Accepted\r\n\r\n")
-            .await
-            .0
-            .unwrap();
-        String::from_utf8(request).unwrap()
+        while !host.renew(Instant::now(), renewal.clone()).drain {
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let stopping = true;
+        host.renew(
+            Instant::now(),
+            Renewal {
+                stopping,
+                ..renewal
+            },
+        );
     });
     let site = Site::over(cluster).await;
 
@@ -325,7 +329,7 @@
     let asked = site.api("/v1/entries/e0/drain", &json!({})).await;
 
     assert_eq!((unknown.status, gone.status, asked.status), (404, 502, 202));
-    assert!(entry.await.unwrap().starts_with("POST /v1/drain "));
+    entry.await.unwrap();
 }
 
 /// Guards against console pages without a session and cookies that scripts or sites can use.
--- a/crates/entry/src/group.rs
+++ b/crates/entry/src/group.rs
@@ -17,6 +17,9 @@
 pub enum Phase {
     /// The primary is in force.
     Stable,
+    /// The primary is in force and a planned change of it is coming: what runs may end, and
+    /// nothing new starts.
+    Draining,
     /// The term is being ended.
     Fencing,
     /// A primary of the next term is being appointed.
@@ -177,7 +180,7 @@
         self.confirmation
             .borrow_mut()
             .record(record.term, pairs, self.needed.get());
-        if term != record.term || record.phase != Phase::Stable {
+        if term != record.term || self.in_force().is_none() {
             // Dropped senders tell the waiting writes that their term has ended.
             self.waiting.borrow_mut().clear();
             self.barrier.set(None);
@@ -193,7 +196,14 @@
         self.record.borrow().clone()
     }
 
-    /// Record in force when its term is.
+    /// Record in force when its term is, which includes the time before a planned change.
+    #[must_use]
+    pub fn in_force(&self) -> Option<Rc<Record>> {
+        self.current()
+            .filter(|record| matches!(record.phase, Phase::Stable | Phase::Draining))
+    }
+
+    /// Record in force when new work may go to its primary.
     #[must_use]
     pub fn stable(&self) -> Option<Rc<Record>> {
         self.current()
@@ -205,7 +215,7 @@
         self.confirmation
             .borrow_mut()
             .note(&status.member, &status.store, status.position);
-        if let Some(record) = self.stable()
+        if let Some(record) = self.in_force()
             && status.primary
             && status.member == record.primary
             && status.position.term == record.term
@@ -222,7 +232,10 @@
 
     /// Notes a position that the primary of `term` reported on a data connection.
     pub fn note_primary(&self, position: Position) {
-        let Some(record) = self.stable().filter(|record| record.term == position.term) else {
+        let Some(record) = self
+            .in_force()
+            .filter(|record| record.term == position.term)
+        else {
             return;
         };
         if let Some(store) = record.store(&record.primary) {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -187,6 +187,9 @@
         network.permit(&permits, requested, term);
     }
     network.check_reachable(now);
+    if reply.get_drain() {
+        network.ask_to_stop();
+    }
     Ok(())
 }
 
@@ -398,6 +401,7 @@
         group: reader.get_group()?.to_string()?,
         term: reader.get_term(),
         phase: match reader.get_state()? {
+            schema::GroupState::Stable if reader.get_next() != 0 => Phase::Draining,
             schema::GroupState::Stable => Phase::Stable,
             schema::GroupState::Fencing => Phase::Fencing,
             schema::GroupState::Promoting => Phase::Promoting,
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -85,6 +85,7 @@
     members: RefCell<Map<MemberName, Rc<Member>>>,
     stopped: Cell<bool>,
     stop: Event,
+    asked: Event,
 }
 
 impl Network {
@@ -109,6 +110,7 @@
             members: RefCell::default(),
             stopped: Cell::default(),
             stop: Event::new(),
+            asked: Event::new(),
         })
     }
 
@@ -120,6 +122,16 @@
         compio::runtime::spawn(tick(Rc::clone(self))).detach();
     }
 
+    /// Asks for a graceful stop, on behalf of an operator.
+    pub fn ask_to_stop(&self) {
+        self.asked.notify(usize::MAX);
+    }
+
+    /// Waits until an operator asks for a graceful stop.
+    pub async fn asked_to_stop(&self) {
+        self.asked.listen().await;
+    }
+
     /// Tells the process to stop.
     pub fn stop(&self) {
         self.stopped.set(true);
@@ -218,7 +230,7 @@
             let phase = record.phase;
             let newer = group.apply(record);
             if newer {
-                let stable = group.stable().map(|record| record.term);
+                let stable = group.in_force().map(|record| record.term);
                 for member in self.members(&group.name) {
                     member.pool.cut_ended(stable);
                 }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     fleet::{Fleet, Need},
-    group::{Group, Phase, Record, Wanted},
+    group::{Group, Record, Wanted},
     member::Member,
     network::Network,
     pool::{PoolError, Pooled},
@@ -348,7 +348,7 @@
             return Err(Refusal::Unknown(cause));
         }
         let group = self.enter(service, Instant::now());
-        if let Some(record) = group.stable()
+        if let Some(record) = group.in_force()
             && let Some(store) = record.store(&record.primary)
             && let Some(member) = self.member(&record.primary)
             && member.has_store(store)
@@ -381,7 +381,7 @@
                 }
                 continue;
             };
-            if record.term != term || record.phase != Phase::Stable {
+            if record.term != term || group.in_force().is_none() {
                 return Err(Refusal::Unknown(format!(
                     "term {term} of the primary ended"
                 )));
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -65,7 +65,15 @@
     let options = Options::new(auth(settings), network.log.clone());
     let callers = listener::serve(listener, Rc::clone(network), options).fuse();
     let stop = async {
-        signals.next().await;
+        {
+            let signal = signals.next().fuse();
+            let asked = network.asked_to_stop().fuse();
+            pin_mut!(signal, asked);
+            select! {
+                () = signal => {},
+                () = asked => {},
+            }
+        }
         info!(network.log, "process stops");
         network.stop();
         let second = signals.next().fuse();
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -247,7 +247,7 @@
     builder.set_group(&record.group);
     builder.set_term(record.term);
     builder.set_state(match record.phase {
-        Phase::Stable => schema::GroupState::Stable,
+        Phase::Stable | Phase::Draining => schema::GroupState::Stable,
         Phase::Fencing => schema::GroupState::Fencing,
         Phase::Promoting => schema::GroupState::Promoting,
     });
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -176,6 +176,8 @@
   # Only from the leader: the whole list of lent connections, valid for permitDuration.
   permits @7 :List(Permit);
   permitDuration @8 :UInt32;
+  # An operator asks this run of the entry process to stop gracefully.
+  drain @9 :Bool;
 }
 
 enum GroupState {
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -12242,6 +12242,10 @@
         pub fn get_permit_duration(self) -> u32 {
             self.reader.get_data_field::<u32>(8)
         }
+        #[inline]
+        pub fn get_drain(self) -> bool {
+            self.reader.get_bool_field(2)
+        }
     }
 
     pub struct Builder<'a> {
@@ -12449,6 +12453,14 @@
         pub fn set_permit_duration(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(8, value);
         }
+        #[inline]
+        pub fn get_drain(self) -> bool {
+            self.builder.get_bool_field(2)
+        }
+        #[inline]
+        pub fn set_drain(&mut self, value: bool) {
+            self.builder.set_bool_field(2, value);
+        }
     }
 
     pub struct Pipeline {
@@ -12463,7 +12475,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 163] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 178] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(126, 79, 10, 231, 45, 48, 0, 204),
             ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
@@ -12473,7 +12485,7 @@
             ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -12481,70 +12493,77 @@
             ::capnp::word(112, 110, 112, 58, 82, 101, 110, 101),
             ::capnp::word(119, 82, 101, 112, 108, 121, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12627,6 +12646,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 114, 97, 105, 110, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -12639,6 +12666,7 @@
                 6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 7 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::permit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                9 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -12657,9 +12685,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 1, 0, 5, 6, 8, 7, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 9, 1, 0, 5, 6, 8, 7, 2];
         pub(crate) const TYPE_ID: u64 = 0xcc00_302d_e70a_4f7e;
     }
 }
