End requests on connections that went silent while fresh ones work

Ruled out: the probe itself, which was back on a fresh connection within 2 s. The probe now keeps the unanswered connection for 300 ms after a fresh one works; when it stays silent, connections handed out before are cut. A member that was frozen answers both, so that its requests go on.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -30,6 +30,9 @@
 const PAUSE: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(16));
 /// Pause after a failed probe, however urgent, with jitter from half to one and a half.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Time that an unanswered probe still has once a fresh connection works. A member that was frozen
+/// answers both; a path that lost track of its connections answers the fresh one only.
+const GRACE: Duration = Duration::from_millis(300);
 /// User of management connections.
 const MONITOR: &str = "monitor";
 
@@ -168,6 +171,8 @@
     let count = |result| metrics.probes.with_label_values(&[result]).inc();
     let mut client = None;
     let mut pause = Duration::ZERO;
+    // A connection whose probe was not answered, and when that was noticed.
+    let mut unanswered: Option<(wire::Client, Instant)> = None;
     loop {
         let sent = Instant::now();
         let fresh = client.is_none();
@@ -181,6 +186,9 @@
                 } else {
                     (pause * 5 / 4).clamp(PAUSE.0, PAUSE.1)
                 };
+                if let Some((old, noticed)) = unanswered.take() {
+                    compio::runtime::spawn(judge_path(Rc::clone(&member), old, noticed)).detach();
+                }
                 None
             }
             Ok(Err(Fault::Lost)) if !fresh => Some(Fault::Lost),
@@ -190,7 +198,7 @@
         match fault {
             None => wait(&member, pause).await,
             Some(fault) => {
-                client = None;
+                let old = client.take();
                 match fault {
                     Fault::Lost => {
                         count("lost");
@@ -204,6 +212,9 @@
                     Fault::Silent => {
                         count("silent");
                         member.failed(false);
+                        if let Some(old) = old.filter(|_| !fresh) {
+                            unanswered = Some((old, Instant::now()));
+                        }
                         retry_pause().await;
                     }
                 }
@@ -212,6 +223,15 @@
     }
 }
 
+/// Cuts the connections in use from before `noticed` when the probe on `old` stays unanswered
+/// although a fresh connection works.
+async fn judge_path(member: Rc<Member>, mut old: wire::Client, noticed: Instant) {
+    let answer = compio::time::timeout(GRACE, old.frame()).await;
+    if !matches!(answer, Ok(Ok(_))) {
+        member.pool.cut_before(noticed);
+    }
+}
+
 async fn retry_pause() {
     let jitter = rand::rng().random_range(0.5..1.5);
     compio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -419,6 +419,15 @@
         ended.for_each(Held::cut);
     }
 
+    /// Cuts the connections that were handed out before `time`, because the path that they use
+    /// swallows everything while fresh connections work. What runs on them would otherwise wait
+    /// for its deadline.
+    pub fn cut_before(&self, time: Instant) {
+        let state = self.state.borrow();
+        let old = state.held.values().filter(|held| held.since < time);
+        old.for_each(Held::cut);
+    }
+
     /// Stops or resumes new work. Connections in use stay until they are released.
     pub fn drain(&self, draining: bool) {
         let before = std::mem::replace(&mut self.state.borrow_mut().draining, draining);
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -251,6 +251,8 @@
         Phase::Fencing => schema::GroupState::Fencing,
         Phase::Promoting => schema::GroupState::Promoting,
     });
+    let planned = record.phase == Phase::Draining;
+    builder.set_next(if planned { record.term + 1 } else { 0 });
     builder.set_primary(&record.primary);
     builder.set_version(record.version);
     let mut list = builder.init_members(u32::try_from(record.members.len()).unwrap());
--- a/crates/entry/tests/write.rs
+++ b/crates/entry/tests/write.rs
@@ -226,6 +226,42 @@
     });
 }
 
+/// A write whose connection went silent, while fresh connections to the primary work, must end
+/// within seconds and not with its deadline.
+#[test]
+fn silent_path_to_primary() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let primary = &deployment.upstreams[0];
+        let mut lease = deployment.write(1_000).await.unwrap();
+        primary.silent.set(primary.accepted.get());
+        let limit = Duration::from_secs(5);
+        let result = compio::time::timeout(limit, lease.client().query("UPDATE")).await;
+        assert!(
+            matches!(result, Ok(Err(wire::Failure::Wire(_)))),
+            "{result:?}"
+        );
+    });
+}
+
+/// A planned change of primary must start no new write, and must let a running one be
+/// acknowledged.
+#[test]
+fn planned_change_holds_new_writes() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let lease = deployment.write(1_000).await.unwrap();
+        query(lease).await;
+        deployment.hold(&[0, 1], Position::new(1, 11));
+        deployment.put(1, Phase::Draining, "a");
+        sleep(300).await;
+        let running = deployment.confirm(Position::new(1, 11), 1_000).await;
+        let new = deployment.write(500).await;
+        assert_eq!(running, Ok(()));
+        assert_eq!(new.map(|_| ()), Err(Refusal::Primary));
+    });
+}
+
 /// A change of the members of a group must not disturb the writes of its term.
 #[test]
 fn changed_members() {
--- a/crates/lab/src/admin.rs
+++ b/crates/lab/src/admin.rs
@@ -132,19 +132,21 @@
         Err(last)
     }
 
-    /// Version of the configuration in force.
+    /// Highest version of the configuration that any control host has in force.
     ///
     /// # Errors
     /// No host answers.
     pub fn version(&self) -> Result<u64, LabError> {
+        let answers = self.hosts.iter().map(|&host| get_json(host, "/v1/config"));
         let mut last = LabError::Admin("no control host".into());
-        for &host in &self.hosts {
-            match get_json(host, "/v1/config") {
-                Ok(config) => return Ok(config["version"].as_u64().unwrap_or(0)),
+        let mut highest = None;
+        for answer in answers {
+            match answer {
+                Ok(config) => highest = highest.max(config["version"].as_u64()),
                 Err(cause) => last = cause,
             }
         }
-        Err(last)
+        highest.ok_or(last)
     }
 
     /// Submits a document, resending the same change until it has an answer.
