--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -350,13 +350,17 @@
     }
 
     fn upstream_settings(&self, host: Host, service: u8) -> String {
-        // A balancer would send the announcements of a zone to the entry hosts of that zone.
-        let entries: Vec<String> = self
+        // A balancer would send the announcements of a zone to the entry hosts of that zone, and
+        // to others when there are none.
+        let (near, far): (Vec<Host>, Vec<Host>) = self
             .site
             .entries()
             .into_iter()
-            .filter(|entry| entry.zone == host.zone)
-            .map(|entry| format!("\"{}\"", self.reached_http(entry)))
+            .partition(|entry| entry.zone == host.zone);
+        let entries = if near.is_empty() { far } else { near };
+        let entries: Vec<String> = entries
+            .iter()
+            .map(|&entry| format!("\"{}\"", self.reached_http(entry)))
             .collect();
         format!(
             "member = \"{}\"\ngroup = \"{}\"\n{}advertise = \"{}\"\ndata = \"{}\"\n\
--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -16,6 +16,9 @@
     time::timeout,
 };
 
+/// Numbers of the two zones, on loopback networks that no deployment uses.
+const NEAR: u8 = 61;
+const FAR: u8 = 62;
 const SHORT: Duration = Duration::from_millis(300);
 const LONG: Duration = Duration::from_secs(5);
 
@@ -27,6 +30,7 @@
         entries: 0,
     };
     Site {
+        first: NEAR,
         services: Vec::new(),
         zones: vec![zone("a"), zone("b")],
         ..Site::teichwert()
@@ -35,7 +39,7 @@
 
 fn far_host() -> Host {
     Host {
-        zone: 2,
+        zone: FAR,
         role: Role::Control,
     }
 }
@@ -53,7 +57,7 @@
     let socket = TcpSocket::new_v4().unwrap();
     socket
         .bind(SocketAddr::new(
-            IpAddr::V4(Ipv4Addr::new(127, 0, 1, 200)),
+            IpAddr::V4(Ipv4Addr::new(127, 0, NEAR, 200)),
             0,
         ))
         .unwrap();
@@ -87,7 +91,7 @@
         let mut stream = connect().await;
         assert!(round_trip(&mut stream, LONG).await.unwrap() >= site.near * 2);
 
-        relay.set(1, 2, Fault::Cut);
+        relay.set(NEAR, FAR, Fault::Cut);
         assert!(round_trip(&mut stream, SHORT).await.is_none());
         relay.heal();
         timeout(LONG, stream.read_exact(&mut [0]))
@@ -100,7 +104,7 @@
         let mut fresh = connect().await;
         assert!(round_trip(&mut fresh, LONG).await.is_some());
 
-        relay.set(1, 2, Fault::Reset);
+        relay.set(NEAR, FAR, Fault::Reset);
         timeout(LONG, fresh.read(&mut [0]))
             .await
             .unwrap()
