Serve HTTP without the adapter that keeps closed connections

Ruled out: open sockets (none in CLOSE_WAIT), connections of callers (60 logins left 5 more). An own loop reads requests with httparse and calls the axum router; it also limits head, body and idle time, which nothing did before.

--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -90,5 +90,25 @@
 /// The address can't be bound, or the listener fails.
 pub async fn serve(address: SocketAddr, router: Router) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    cyper_axum::serve(listener, router.into_make_service()).await
+    serve_on(listener, router).await
 }
+
+/// Serves `router` on a bound listener until the process ends.
+///
+/// # Errors
+/// None now; the type leaves room for a listener that fails for good.
+pub async fn serve_on(listener: TcpListener, router: Router) -> io::Result<()> {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                compio::runtime::spawn(crate::http1::answer(stream, router.clone())).detach();
+            }
+            Err(cause) if cause.kind() == io::ErrorKind::ConnectionAborted => {}
+            // Without descriptors an accept fails at once; others may end meanwhile.
+            Err(_cause) => compio::time::sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -159,7 +159,7 @@
         sessions: RefCell::default(),
     });
     let router = router(&admin);
-    if let Err(cause) = cyper_axum::serve(listener, router.into_make_service()).await {
+    if let Err(cause) = base::http::serve_on(listener, router).await {
         slog::error!(host.logger, "HTTP is not served any more"; "cause" => %cause);
     }
 }
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -112,7 +112,7 @@
         let following = compio::runtime::spawn(follow::run(Rc::clone(&member)));
         let announcing = compio::runtime::spawn(announce::run(Rc::clone(&member)));
         let router = http::router(&member);
-        let web = cyper_axum::serve(http, router.into_make_service());
+        let web = base::http::serve_on(http, router);
         let serving = async {
             stop().await;
             leave(&member, pin!(stop())).await;
