--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -48,9 +48,7 @@
         let address = listener.local_addr().unwrap();
         let router = run::router(&admin);
         let task = compio::runtime::spawn(async move {
-            cyper_axum::serve(listener, router.into_make_service())
-                .await
-                .unwrap();
+            base::http::serve_on(listener, router).await.unwrap();
         });
         Self {
             cluster,
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -336,7 +336,10 @@
                 continue;
             };
             taken.notify_one();
-            tokio::time::sleep_until(arrival.into()).await;
+            // The timer rounds up to whole milliseconds, also for a moment that has passed.
+            if arrival > Instant::now() {
+                tokio::time::sleep_until(arrival.into()).await;
+            }
             path.passable().await?;
             if chunk.is_empty() {
                 return write.shutdown().await;
