Choose the deployment of an experiment in one place

demo, measure and up each looked the name up, printed the same message and, twice, unpacked the runtime by hand. Site::chosen and the chain that up already used serve all three; messages and exit codes are as before (an unknown name still ends with 2).

--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -77,19 +77,12 @@
 /// Never: the line has plain values only.
 #[must_use]
 pub fn run(arguments: &Arguments) -> Exit {
-    let name = arguments.site.as_deref().unwrap_or("teichwert");
-    let Some(site) = Site::named(name) else {
-        eprintln!("demo: no deployment {name}; use teichwert or watchrolls");
-        return Exit::Usage;
+    let site = match Site::chosen("demo", arguments.site.as_deref()) {
+        Ok(site) => site,
+        Err(exit) => return exit,
     };
-    let runtime = match crate::runtime() {
-        Ok(runtime) => runtime,
-        Err(cause) => {
-            eprintln!("demo: {cause}");
-            return Exit::Failed;
-        }
-    };
-    match runtime.block_on(play(site, arguments)) {
+    let outcome = crate::runtime().and_then(|runtime| runtime.block_on(play(site, arguments)));
+    match outcome {
         Ok((line, violations)) => {
             println!("{}", serde_json::to_string(&line).expect("plain values"));
             if violations == 0 && line.stopped_badly.is_empty() {
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -67,19 +67,12 @@
 /// Runs the measurement.
 #[must_use]
 pub fn run(arguments: &Arguments) -> Exit {
-    let name = arguments.site.as_deref().unwrap_or("teichwert");
-    let Some(site) = Site::named(name) else {
-        eprintln!("measure: no deployment {name}; use teichwert or watchrolls");
-        return Exit::Usage;
+    let site = match Site::chosen("measure", arguments.site.as_deref()) {
+        Ok(site) => site,
+        Err(exit) => return exit,
     };
-    let runtime = match crate::runtime() {
-        Ok(runtime) => runtime,
-        Err(cause) => {
-            eprintln!("measure: {cause}");
-            return Exit::Failed;
-        }
-    };
-    match runtime.block_on(play(site, arguments)) {
+    let outcome = crate::runtime().and_then(|runtime| runtime.block_on(play(site, arguments)));
+    match outcome {
         Ok(0) => Exit::Done,
         Ok(violations) => {
             eprintln!("measure: {violations} violations");
--- a/crates/lab/src/site.rs
+++ b/crates/lab/src/site.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use base::Exit;
+
 /// An availability zone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Zone {
@@ -133,6 +135,18 @@
         }
     }
 
+    /// Finds the deployment named on the command line of `program`, Teichwert by default.
+    ///
+    /// # Errors
+    /// There is none of that name; the message is printed.
+    pub fn chosen(program: &str, name: Option<&str>) -> Result<Self, Exit> {
+        let name = name.unwrap_or("teichwert");
+        Self::named(name).ok_or_else(|| {
+            eprintln!("{program}: no deployment {name}; use teichwert or watchrolls");
+            Exit::Usage
+        })
+    }
+
     /// Teichwert Gruppe Österreich: 7 entry hosts, 3 valuation-records services.
     #[must_use]
     pub fn teichwert() -> Self {
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -33,10 +33,9 @@
 /// Starts a deployment and stops it when standard input ends.
 #[must_use]
 pub fn run(arguments: &Arguments) -> Exit {
-    let name = arguments.site.as_deref().unwrap_or("teichwert");
-    let Some(site) = Site::named(name) else {
-        eprintln!("up: no deployment {name}; use teichwert or watchrolls");
-        return Exit::Usage;
+    let site = match Site::chosen("up", arguments.site.as_deref()) {
+        Ok(site) => site,
+        Err(exit) => return exit,
     };
     let outcome = crate::runtime().and_then(|runtime| runtime.block_on(hold(site, arguments)));
     match outcome {
