Keep the fence of a fake control host after the group is stable again

Cause: the fake control host refused old versions only while a record was in the fencing phase and granted them again once it was stable. A real control host keeps the version of the last change that ended a term (State::fenced) and refuses everything older from then on. Ruled out: the lease check in the entry process; with the real rule it could not have got that grant. The fake now keeps that version; the check is unchanged.

--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -52,6 +52,9 @@
     pub granting: Cell<bool>,
     pub records: RefCell<Vec<Record>>,
     pub record_version: Cell<Version>,
+    /// Version of the last record that ended a term. As on a real control host it stays in force
+    /// after the group is stable again.
+    pub fenced: Cell<Version>,
     pub document: RefCell<String>,
     pub config_version: Cell<Version>,
     pub members: RefCell<Vec<(Announcement, u32)>>,
@@ -68,6 +71,10 @@
         let version = self.record_version.get() + 1;
         record.version = version;
         let mut records = self.records.borrow_mut();
+        let ended = |known: &Record| known.group == record.group && known.term < record.term;
+        if record.phase == Phase::Fencing || records.iter().any(ended) {
+            self.fenced.set(version);
+        }
         records.retain(|known| known.group != record.group);
         records.push(record);
         self.record_version.set(version);
@@ -159,15 +166,7 @@
                 .borrow_mut()
                 .push(announced.get_member()?.to_string()?);
         }
-        let fenced = truth
-            .records
-            .borrow()
-            .iter()
-            .filter(|record| record.phase == Phase::Fencing)
-            .map(|record| record.version)
-            .max();
-        let granted = truth.granting.get()
-            && fenced.is_none_or(|version| request.get_record_version() >= version);
+        let granted = truth.granting.get() && request.get_record_version() >= truth.fenced.get();
         let mut reply = results.get().init_reply();
         reply.set_granted(granted);
         reply.set_duration(2_000);
