End transactions whose connection went silent, and keep the others alive

Cause: a transaction on a silenced connection stays open at the database, which never learns that the connection is lost, and keeps its row locks. The caller's next write of that row waits for the lock until its deadline of 30 s, is unknown, and is sent again under its key; the load does that 40 times. Seen in the dump of the entry process: its only connection to the primary held for the whole time, nothing queued, all members healthy.

Ruled out: the end of requests on silent connections in the entry process (they did end), the probes, the replication streams. A cancel request does not help, it ends no idle transaction; pg_terminate_backend on another connection could hit a session that got the same number since.

Data connections now log in with idle_in_transaction_session_timeout of 5 s, and the entry process sends Sync every 1.5 s on a transaction that waits for its caller. The stand-in honours the parameter.

--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -20,6 +20,12 @@
 
 /// User of data connections.
 const USER: &str = "goldcrestrail";
+/// Defaults of data connections.
+///
+/// A transaction on a connection that went silent holds its locks until the database ends it, and
+/// everyone else who needs these rows waits. An entry process sends something on a transaction
+/// that waits for its caller each [`KEEPALIVE`](crate::session::KEEPALIVE).
+const DEFAULTS: [(&str, &str); 1] = [("idle_in_transaction_session_timeout", "5000")];
 /// Limit on opening a connection, and on the answer to a health check.
 const OPEN: Duration = Duration::from_secs(1);
 /// An idle connection is checked when it was not used for this long.
@@ -380,7 +386,8 @@
             let stream = base::net::connect(self.from, self.address, OPEN)
                 .await
                 .map_err(wire::WireError::from)?;
-            let client = wire::Client::open(stream.clone(), USER, &self.group).await?;
+            let client =
+                wire::Client::open_with(stream.clone(), USER, &self.group, &DEFAULTS).await?;
             Ok::<_, wire::Failure>((stream, client))
         })
         .await;
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -4,10 +4,10 @@
     mem,
     pin::{Pin, pin},
     rc::Rc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
-use compio::time::{sleep, timeout};
+use compio::time::{sleep, timeout, timeout_at};
 use futures_util::future::{Either, FusedFuture, FutureExt, select};
 use sql::{Kind, Script};
 use wire::{Cursor, Frame, Front, Reader, WireError, Writer, reply};
@@ -15,7 +15,7 @@
 use crate::{
     answer::flush_by,
     batch::message,
-    fleet::Fleet,
+    fleet::{Fleet, Lease},
     keyed::{Record, Replay},
     parameters::{self, Parameters},
     registry::Entry,
@@ -24,6 +24,10 @@
     statements::Names,
 };
 
+/// Time between two signs of life on a transaction that waits for its caller. Three fit into the
+/// time after which the upstream ends an idle transaction.
+pub(crate) const KEEPALIVE: Duration = Duration::from_millis(1_500);
+
 /// What a login settles for the session.
 #[derive(Debug)]
 pub struct Settings {
@@ -208,15 +212,26 @@
             self.dismiss().await;
             return Ok(None);
         }
-        match timeout(self.shared.options.stall, self.reader.next()).await {
-            Ok(frame) => frame,
-            Err(_elapsed) => {
-                let _closing = self
-                    .fatal("25P03", "the transaction was idle for too long")
-                    .await;
-                Ok(None)
+        let end = Instant::now() + self.shared.options.stall;
+        {
+            // A dropped read loses its place, so that the same one is awaited until the end.
+            let mut next = pin!(self.reader.next());
+            while Instant::now() < end {
+                let until = end.min(Instant::now() + KEEPALIVE);
+                if let Ok(frame) = timeout_at(until, next.as_mut()).await {
+                    return frame;
+                }
+                if let State::Open(open) = &mut self.state
+                    && keep_alive(open).await.is_err()
+                {
+                    self.state = State::Lost;
+                }
             }
         }
+        let _closing = self
+            .fatal("25P03", "the transaction was idle for too long")
+            .await;
+        Ok(None)
     }
 
     async fn dismiss(&mut self) {
@@ -477,6 +492,28 @@
     }
 }
 
+/// Keeps the transaction on an upstream from ending as idle, and notices when it has ended or its
+/// connection was lost.
+async fn keep_alive<L: Lease>(open: &mut Open<L>) -> Result<(), WireError> {
+    let client = open.lease.client();
+    let exchange = async {
+        client.writer.parts(b'S', &[]);
+        client.writer.flush().await?;
+        loop {
+            let frame = client.frame().await?;
+            match frame.tag {
+                b'Z' => return Ok(()),
+                b'S' => client.note(&frame),
+                b'E' => return Err(WireError::Cut),
+                _ => {}
+            }
+        }
+    };
+    timeout(KEEPALIVE, exchange)
+        .await
+        .unwrap_or(Err(WireError::Cut))
+}
+
 /// Error of a statement in a transaction that failed.
 pub(crate) const ABORTED: (&str, &str) = (
     "25P02",
--- a/crates/entry/tests/common/upstream.rs
+++ b/crates/entry/tests/common/upstream.rs
@@ -51,6 +51,8 @@
     pub log: RefCell<Vec<(i32, String)>>,
     /// Parse messages received.
     pub parses: Cell<usize>,
+    /// Sync messages received.
+    pub syncs: Cell<usize>,
     /// Connections that were cancelled.
     pub cancels: RefCell<Vec<i32>>,
     cancelled: RefCell<Map<i32, Rc<Cell<bool>>>>,
@@ -69,6 +71,7 @@
             fault: RefCell::default(),
             log: RefCell::default(),
             parses: Cell::default(),
+            syncs: Cell::default(),
             cancels: RefCell::default(),
             cancelled: RefCell::default(),
             cancel_delay: Cell::default(),
@@ -236,6 +239,7 @@
                 self.writer.parts(b'3', &[]);
             }
             Front::Sync => {
+                self.upstream.syncs.update(|count| count + 1);
                 self.skipping = false;
                 self.ready().await?;
             }
--- a/crates/entry/tests/session.rs
+++ b/crates/entry/tests/session.rs
@@ -195,3 +195,23 @@
         );
     });
 }
+
+/// Guards against a transaction that the database ends as idle while its caller takes its time,
+/// and against an answer to the sign of life that is taken for the answer to a request.
+#[test]
+fn waiting_transaction_is_kept_alive() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller.query("BEGIN").await;
+
+        compio::time::sleep(Duration::from_millis(3_500)).await;
+        let syncs = bench.fleet.primary.syncs.get();
+        let written = caller.query("INSERT INTO t VALUES ('k', 'v')").await;
+        let ended = caller.query("COMMIT").await;
+
+        assert!(syncs >= 2, "{syncs} signs of life in 3.5 s");
+        assert_eq!(written.tags(), "CZ");
+        assert_eq!(ended.tags(), "CSZ");
+    });
+}
--- a/crates/standin/src/session.rs
+++ b/crates/standin/src/session.rs
@@ -200,7 +200,8 @@
         managing: purpose == Purpose::Manage,
         statements: Map::default(),
         portals: Map::default(),
-        variables: parameters,
+        variables: parameters.clone(),
+        defaults: parameters,
         tx: None,
         skipping: false,
         settled: true,
@@ -223,6 +224,8 @@
     statements: Map<String, Rc<Prepared>>,
     portals: Map<String, Portal>,
     variables: Map<String, String>,
+    /// Parameters of the login, to which a reset goes back.
+    defaults: Map<String, String>,
     tx: Option<Tx>,
     /// After an error in an extended query, until Sync.
     skipping: bool,
@@ -283,7 +286,19 @@
     async fn wait(&mut self) -> Result<Either<Option<wire::Frame>, ()>, WireError> {
         let idle = self.tx.is_none() && !self.skipping && !self.reader.has_bytes();
         if !idle {
-            return self.reader.next().await.map(Either::Left);
+            let Some(limit) = self.idle_limit() else {
+                return self.reader.next().await.map(Either::Left);
+            };
+            return match compio::time::timeout(limit, self.reader.next()).await {
+                Ok(frame) => frame.map(Either::Left),
+                Err(_elapsed) => {
+                    self.tx = None;
+                    let message = "terminating connection due to idle-in-transaction timeout";
+                    self.writer.message(&reply::fatal("25P03", message, ""))?;
+                    self.writer.flush().await?;
+                    Ok(Either::Left(None))
+                }
+            };
         }
         // A dropped read loses its place, so that the same one is awaited until the end.
         let mut next = pin!(self.reader.next());
@@ -298,6 +313,14 @@
         }
     }
 
+    /// Longest wait for a message within a transaction.
+    fn idle_limit(&self) -> Option<Duration> {
+        let in_block = self.tx.as_ref().is_some_and(|tx| tx.block);
+        let limit = self.variables.get("idle_in_transaction_session_timeout");
+        let millis = limit.and_then(|limit| limit.parse().ok()).unwrap_or(0);
+        (in_block && millis > 0).then(|| Duration::from_millis(millis))
+    }
+
     /// Handles one message; a refusal of an extended query skips the rest up to Sync.
     async fn handle(&mut self, front: Front) -> Result<Result<(), Refusal>, WireError> {
         Ok(match front {
@@ -640,7 +663,10 @@
             Command::Set(name, value) => {
                 match value {
                     Some(value) => self.variables.insert(name.clone(), value.clone()),
-                    None => self.variables.remove(name),
+                    None => match self.defaults.get(name) {
+                        Some(value) => self.variables.insert(name.clone(), value.clone()),
+                        None => self.variables.remove(name),
+                    },
                 };
                 Ok(Outcome::tag("SET"))
             }
@@ -652,7 +678,7 @@
                 }
                 self.statements.clear();
                 self.portals.clear();
-                self.variables.clear();
+                self.variables.clone_from(&self.defaults);
                 Ok(Outcome::tag("DISCARD ALL"))
             }
             Command::Deallocate(name) => {
--- a/crates/standin/tests/protocol.rs
+++ b/crates/standin/tests/protocol.rs
@@ -276,3 +276,29 @@
         still.unwrap();
     });
 }
+
+/// Guards against a transaction on a connection that went silent, which would hold its locks until
+/// the process ends: everyone else who writes the row would wait.
+#[test]
+fn idle_transaction_ends_and_releases_its_locks() {
+    let (node, _folder) = member();
+    block_on(async {
+        let stream = TcpStream::connect(node.address).await.unwrap();
+        let limit = [("idle_in_transaction_session_timeout", "300")];
+        let mut silent = Client::open_with(stream, "caller", "orders", &limit)
+            .await
+            .unwrap();
+        query(&mut silent, "INSERT INTO t VALUES (1)").await;
+        query(&mut silent, "RESET ALL").await;
+        query(&mut silent, "BEGIN").await;
+        query(&mut silent, "DELETE FROM t WHERE id = 1").await;
+        let mut other = open(node.address, "caller").await;
+
+        let deleting = other.query("DELETE FROM t WHERE id = 1");
+        let deleted = compio::time::timeout(Duration::from_secs(2), deleting).await;
+        let last = silent.frame().await.unwrap();
+
+        assert!(deleted.is_ok_and(|rows| rows.is_ok()));
+        assert_eq!((last.tag, last.sqlstate()), (b'E', Some("25P03")));
+    });
+}
--- a/crates/wire/src/client.rs
+++ b/crates/wire/src/client.rs
@@ -65,6 +65,19 @@
     /// # Errors
     /// The stream failed, or the upstream refused the login or wants a password.
     pub async fn open(stream: TcpStream, user: &str, database: &str) -> Result<Self, Failure> {
+        Self::open_with(stream, user, database, &[]).await
+    }
+
+    /// Logs in as [`Client::open`] does, with further parameters as defaults of the session.
+    ///
+    /// # Errors
+    /// As [`Client::open`].
+    pub async fn open_with(
+        stream: TcpStream,
+        user: &str,
+        database: &str,
+        defaults: &[(&str, &str)],
+    ) -> Result<Self, Failure> {
         let route = stream.local_addr().ok().zip(stream.peer_addr().ok());
         let (read, write) = (stream.clone(), stream);
         let mut client = Self {
@@ -79,6 +92,10 @@
             ("user".to_owned(), user.to_owned()),
             ("database".to_owned(), database.to_owned()),
         ]);
+        let defaults = defaults
+            .iter()
+            .map(|&(name, value)| (name.to_owned(), value.to_owned()));
+        startup.parameters.extend(defaults);
         client.writer.message(&startup)?;
         client.writer.flush().await?;
         client.login().await?;
