--- a/crates/lab/src/stores.rs
+++ b/crates/lab/src/stores.rs
@@ -9,6 +9,9 @@
 
 use crate::{caller::Session, checker::Store, error::LabError};
 
+/// How long a database may take to tell its position.
+const ANSWER: Duration = Duration::from_secs(5);
+
 fn refused(outcome: &crate::caller::Outcome) -> LabError {
     LabError::Admin(format!("a database refused to be read: {outcome:?}"))
 }
@@ -53,10 +56,14 @@
         .port(address.port())
         .user("monitor")
         .dbname(group);
-    let (client, connection) = config.connect(tokio_postgres::NoTls).await?;
+    let late = || LabError::Admin(format!("{address} did not answer in {ANSWER:?}"));
+    let connecting = tokio::time::timeout(ANSWER, config.connect(tokio_postgres::NoTls));
+    let (client, connection) = connecting.await.map_err(|_elapsed| late())??;
     let driving = tokio::spawn(connection);
-    let rows = client.simple_query("SHOW upstream_status").await?;
+    let asking = tokio::time::timeout(ANSWER, client.simple_query("SHOW upstream_status"));
+    let rows = asking.await;
     driving.abort();
+    let rows = rows.map_err(|_elapsed| late())??;
     let row = rows.iter().find_map(|message| match message {
         tokio_postgres::SimpleQueryMessage::Row(row) => Some(row),
         _ => None,
