Measure the behaviour under overload; declare shared lab options once

Nothing measured the requirement that overload at 3 times the capacity keeps 90% of the peak goodput. scripts/overload starts three zones with two-slot stand-ins (10 ms a statement), measures the capacity in a closed loop and offers 1, 2 and 3 times of it from 900 callers in a bounded open loop, then half of it. It reports goodput, refusals by SQLSTATE, latencies, queue waits, fairness and recovery, and compares each caller's counter with its acknowledged writes.

--- /dev/null
+++ b/crates/lab/src/arguments.rs
@@ -0,0 +1,57 @@
+//! Options and choices that all programs of the lab share.
+
+use std::path::Path;
+
+use crate::deployment::Choice;
+
+/// Declares the command line of a program that starts a deployment: its own options, and
+/// `--programs` and `--folder`. `gumdrop` can't include the fields of one structure in another.
+macro_rules! arguments {
+    ($(#[$meta:meta])* folder = $folder:tt, $($own:tt)*) => {
+        $(#[$meta])*
+        #[derive(Debug, gumdrop::Options)]
+        pub struct Arguments {
+            #[options(help = "print this help")]
+            help: bool,
+            $($own)*
+            #[options(
+                help = "folder with the programs",
+                default = "target/release",
+                meta = "DIR"
+            )]
+            programs: std::path::PathBuf,
+            #[options(
+                help = "folder for data and logs, emptied first",
+                default = $folder,
+                meta = "DIR"
+            )]
+            folder: std::path::PathBuf,
+        }
+    };
+}
+
+pub(crate) use arguments;
+
+/// Choices of a deployment with the latencies of its site.
+#[must_use]
+pub fn relayed(programs: &Path, folder: &Path) -> Choice {
+    Choice {
+        programs: programs.to_owned(),
+        folder: folder.to_owned(),
+        relayed: true,
+        lag_ms: 5,
+        statement_us: 200,
+    }
+}
+
+/// Choices of a deployment without the relay, whose statements take `statement_us` microseconds.
+#[must_use]
+pub fn direct(programs: &Path, folder: &Path, statement_us: u64) -> Choice {
+    Choice {
+        programs: programs.to_owned(),
+        folder: folder.to_owned(),
+        relayed: false,
+        lag_ms: 0,
+        statement_us,
+    }
+}
--- a/crates/lab/src/bench.rs
+++ b/crates/lab/src/bench.rs
@@ -2,7 +2,6 @@
 
 use std::{
     net::SocketAddr,
-    path::PathBuf,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -11,13 +10,13 @@
 };
 
 use base::Exit;
-use gumdrop::Options;
 use hdrhistogram::Histogram;
 use serde_json::json;
 
 use crate::{
+    arguments::{arguments, direct},
     caller::Session,
-    deployment::{Choice, Deployment},
+    deployment::Deployment,
     error::LabError,
     experiment,
     load::{self, Load},
@@ -31,25 +30,11 @@
 /// Point reads, one after the other, for the latency comparison.
 const SAMPLES: u32 = 5_000;
 
-/// Command line of the benchmark.
-#[derive(Debug, Options)]
-pub struct Arguments {
-    #[options(help = "print this help")]
-    help: bool,
+arguments! {
+    /// Command line of the benchmark.
+    folder = "run/bench",
     #[options(help = "seconds of each throughput run", default = "5")]
     seconds: u64,
-    #[options(
-        help = "folder with the programs",
-        default = "target/release",
-        meta = "DIR"
-    )]
-    programs: PathBuf,
-    #[options(
-        help = "folder for data and logs, emptied first",
-        default = "run/bench",
-        meta = "DIR"
-    )]
-    folder: PathBuf,
 }
 
 /// One entry process before one group, with limits that do not bind.
@@ -89,13 +74,7 @@
 }
 
 async fn play(arguments: &Arguments) -> Result<serde_json::Value, LabError> {
-    let choice = Choice {
-        programs: arguments.programs.clone(),
-        folder: arguments.folder.clone(),
-        relayed: false,
-        lag_ms: 0,
-        statement_us: 0,
-    };
+    let choice = direct(&arguments.programs, &arguments.folder, 0);
     let mut deployment = tokio::task::block_in_place(|| Deployment::start(site(), choice))?;
     let load = Load {
         callers: 22,
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -1,17 +1,14 @@
 //! The demonstration: a whole deployment, a load, a killed primary, and what came of it.
 
-use std::{
-    path::{Path, PathBuf},
-    time::Duration,
-};
+use std::time::Duration;
 
 use base::Exit;
-use gumdrop::Options;
 use serde::Serialize;
 
 use crate::{
+    arguments::{arguments, relayed},
     checker::{Action, Verdict},
-    deployment::{Choice, Deployment},
+    deployment::Deployment,
     error::LabError,
     experiment,
     load::{self, Load},
@@ -26,25 +23,11 @@
 /// Point reads for the latency comparison.
 const SAMPLES: u32 = 1_000;
 
-/// Command line of the demonstration.
-#[derive(Debug, Options)]
-pub struct Arguments {
-    #[options(help = "print this help")]
-    help: bool,
+arguments! {
+    /// Command line of the demonstration.
+    folder = "run/demo",
     #[options(free, help = "teichwert (default) or watchrolls")]
     site: Option<String>,
-    #[options(
-        help = "folder with the programs",
-        default = "target/release",
-        meta = "DIR"
-    )]
-    programs: PathBuf,
-    #[options(
-        help = "folder for data and logs, emptied first",
-        default = "run/demo",
-        meta = "DIR"
-    )]
-    folder: PathBuf,
     #[options(help = "seed of the load", default = "1")]
     seed: u64,
 }
@@ -98,23 +81,11 @@
     }
 }
 
-/// Choices of a deployment with the latencies of its site.
-#[must_use]
-pub fn choice(programs: &Path, folder: &Path) -> Choice {
-    Choice {
-        programs: programs.to_owned(),
-        folder: folder.to_owned(),
-        relayed: true,
-        lag_ms: 5,
-        statement_us: 200,
-    }
-}
-
 async fn play(site: Site, arguments: &Arguments) -> Result<(Line, u64), LabError> {
     let name = site.name;
     println!("demo: starting {name}");
     let relay = Relay::start(&site).await?;
-    let choice = choice(&arguments.programs, &arguments.folder);
+    let choice = relayed(&arguments.programs, &arguments.folder);
     let mut deployment = tokio::task::block_in_place(|| Deployment::start(site, choice))?;
     let load = Load {
         callers: 6,
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! own processes start none.
 
 pub mod admin;
+pub mod arguments;
 pub mod bench;
 pub mod caller;
 pub mod checker;
@@ -14,6 +15,7 @@
 pub mod fake;
 pub mod load;
 pub mod measure;
+pub mod overload;
 pub mod process;
 pub mod relay;
 pub mod scenario;
--- a/crates/lab/src/measure.rs
+++ b/crates/lab/src/measure.rs
@@ -1,16 +1,15 @@
 //! Replica read share and failover gaps over many faults.
 
-use std::{path::PathBuf, time::Duration};
+use std::time::Duration;
 
 use base::Exit;
-use gumdrop::Options;
 use hdrhistogram::Histogram;
 use serde_json::Value;
 
 use crate::{
     admin::get_json,
+    arguments::{arguments, relayed},
     checker::Event,
-    demo::choice,
     deployment::Deployment,
     error::LabError,
     experiment,
@@ -26,27 +25,13 @@
 /// How long a group may take to be whole again.
 const WHOLE: Duration = Duration::from_secs(30);
 
-/// Command line of the measurement.
-#[derive(Debug, Options)]
-pub struct Arguments {
-    #[options(help = "print this help")]
-    help: bool,
+arguments! {
+    /// Command line of the measurement.
+    folder = "run/measure",
     #[options(free, help = "teichwert (default) or watchrolls")]
     site: Option<String>,
     #[options(help = "number of faults", default = "51")]
     faults: u32,
-    #[options(
-        help = "folder with the programs",
-        default = "target/release",
-        meta = "DIR"
-    )]
-    programs: PathBuf,
-    #[options(
-        help = "folder for data and logs, emptied first",
-        default = "run/measure",
-        meta = "DIR"
-    )]
-    folder: PathBuf,
     #[options(help = "seed of the load", default = "1")]
     seed: u64,
 }
@@ -87,7 +72,7 @@
 
 async fn play(site: Site, arguments: &Arguments) -> Result<u64, LabError> {
     let relay = Relay::start(&site).await?;
-    let choice = choice(&arguments.programs, &arguments.folder);
+    let choice = relayed(&arguments.programs, &arguments.folder);
     let mut deployment = tokio::task::block_in_place(|| Deployment::start(site, choice))?;
     let load = Load {
         callers: 4,
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -7,15 +7,14 @@
 };
 
 use base::Exit;
-use gumdrop::Options;
 use serde::Deserialize;
 use serde_json::json;
 use tokio::task::JoinHandle;
 
 use crate::{
     admin::{answers, get_json, post_json, set_point},
+    arguments::{arguments, relayed},
     checker::Verdict,
-    demo::choice,
     deployment::{Choice, Deployment},
     error::{Context, LabError},
     experiment,
@@ -244,25 +243,11 @@
     }
 }
 
-/// Command line of the scenario runner.
-#[derive(Debug, Options)]
-pub struct Arguments {
-    #[options(help = "print this help")]
-    help: bool,
+arguments! {
+    /// Command line of the scenario runner.
+    folder = "run/scenario",
     #[options(free, help = "scenario files")]
     files: Vec<PathBuf>,
-    #[options(
-        help = "folder with the programs",
-        default = "target/release",
-        meta = "DIR"
-    )]
-    programs: PathBuf,
-    #[options(
-        help = "folder for data and logs, emptied first",
-        default = "run/scenario",
-        meta = "DIR"
-    )]
-    folder: PathBuf,
     #[options(help = "use this seed in place of the one in the file")]
     seed: Option<u64>,
 }
@@ -316,7 +301,7 @@
         scenario.seed,
         scenario.guards
     );
-    let choice = choice(&arguments.programs, &arguments.folder);
+    let choice = relayed(&arguments.programs, &arguments.folder);
     crate::runtime()?.block_on(play(site, &scenario, choice))
 }
 
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::RefCell,
     fmt::Write as _,
-    path::PathBuf,
     rc::Rc,
     sync::{
         Arc,
@@ -14,12 +13,12 @@
 
 use base::Exit;
 use compio::time::sleep;
-use gumdrop::Options;
 use serde::Serialize;
 
 use crate::{
     admin::post_json,
-    deployment::{Choice, Deployment},
+    arguments::{arguments, direct},
+    deployment::Deployment,
     error::LabError,
     experiment,
     fake::{self, Member, Versions},
@@ -37,25 +36,11 @@
 /// Longest time for all groups to get a primary or a change to arrive.
 const WAIT: Duration = Duration::from_mins(1);
 
-/// Command line of the slopes.
-#[derive(Debug, Options)]
-pub struct Arguments {
-    #[options(help = "print this help")]
-    help: bool,
+arguments! {
+    /// Command line of the slopes.
+    folder = "run/slopes",
     #[options(help = "seconds of each reading", default = "10")]
     seconds: u64,
-    #[options(
-        help = "folder with the programs",
-        default = "target/release",
-        meta = "DIR"
-    )]
-    programs: PathBuf,
-    #[options(
-        help = "folder for data and logs, emptied first",
-        default = "run/slopes",
-        meta = "DIR"
-    )]
-    folder: PathBuf,
 }
 
 /// One reading.
@@ -123,13 +108,7 @@
 }
 
 async fn play(arguments: &Arguments) -> Result<(), LabError> {
-    let choice = Choice {
-        programs: arguments.programs.clone(),
-        folder: arguments.folder.clone(),
-        relayed: false,
-        lag_ms: 0,
-        statement_us: 0,
-    };
+    let choice = direct(&arguments.programs, &arguments.folder, 0);
     let mut deployment = Deployment::start(site(), choice)?;
     let length = Duration::from_secs(arguments.seconds);
     let mut readings = vec![read(&deployment, 0.0, length).await?];
--- a/crates/lab/src/up.rs
+++ b/crates/lab/src/up.rs
@@ -1,33 +1,23 @@
 //! Keeps a deployment running, to try the product by hand.
 
-use std::{io::Read as _, path::PathBuf};
+use std::io::Read as _;
 
 use base::Exit;
-use gumdrop::Options;
 
 use crate::{
-    admin::TOKEN, demo::choice, deployment::Deployment, error::LabError, relay::Relay, site::Site,
+    admin::TOKEN,
+    arguments::{arguments, relayed},
+    deployment::Deployment,
+    error::LabError,
+    relay::Relay,
+    site::Site,
 };
 
-/// Command line.
-#[derive(Debug, Options)]
-pub struct Arguments {
-    #[options(help = "print this help")]
-    help: bool,
+arguments! {
+    /// Command line.
+    folder = "run/up",
     #[options(free, help = "teichwert (default) or watchrolls")]
     site: Option<String>,
-    #[options(
-        help = "folder with the programs",
-        default = "target/release",
-        meta = "DIR"
-    )]
-    programs: PathBuf,
-    #[options(
-        help = "folder for data and logs, emptied first",
-        default = "run/up",
-        meta = "DIR"
-    )]
-    folder: PathBuf,
 }
 
 /// Starts a deployment and stops it when standard input ends.
@@ -56,7 +46,7 @@
 
 async fn hold(site: Site, arguments: &Arguments) -> Result<Vec<String>, LabError> {
     let _relay = Relay::start(&site).await?;
-    let choice = choice(&arguments.programs, &arguments.folder);
+    let choice = relayed(&arguments.programs, &arguments.folder);
     tokio::task::block_in_place(|| {
         let mut deployment = Deployment::start(site, choice)?;
         for host in deployment.hosts() {
