Send reads of a full replica elsewhere; start none that can't end in time

At the measured capacity, 173 requests in 6 s were refused although two of three entry processes shared one replica: a full queue refused at once instead of choosing the replica of the other region. (That it had free slots is reckoned from the rates, not measured.) A read whose replica is full now goes to the next one that covers it.

A request was started when one mean service time was left, so that some ended after their deadline: 7 unknown writes or reads in 6 s at 3 times the capacity. It now needs twice the mean.

The retry budget of the entry process is route::Budget, with the burst of 100 that it had; the second one is gone.

--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Position, Term, Version, document::Service};
+use base::{MemberName, Position, Set, Term, Version, document::Service};
 use rand::RngExt as _;
 use route::{
     Health, Place,
@@ -109,6 +109,7 @@
         let oldest = Duration::from_millis(service.freshness.max_age_ms);
         let max_age = need.max_age.map(|age| age.min(oldest));
         let mut token = need.token;
+        let mut full = Set::default();
         loop {
             self.check_service(service)?;
             let mut demand = token.map(Demand::Token);
@@ -135,7 +136,11 @@
             // Statuses that arrive between the decision and the wait must not be missed.
             let changed = group.listen();
             let waited = now.saturating_duration_since(start);
-            let (choice, members) = self.choose(&group, demand, waited, patience, now);
+            let (choice, members) = self.choose(&group, demand, &full, waited, patience, now);
+            if choice == Choice::Primary && !full.is_empty() {
+                // Reads that overflow to the primary would take its slots from the writes.
+                return Err(Refusal::Queue);
+            }
             let picked = match choice {
                 Choice::Replica(index) => Some((Rc::clone(&members[index]), None)),
                 Choice::Wait => None,
@@ -169,16 +174,21 @@
                     }
                     return Ok((lease, token));
                 }
+                // Another replica, even of another region, is better than a refusal.
+                Err(PoolError::Full) if term.is_none() => {
+                    full.insert(member.name.clone());
+                }
                 Err(cause) => refuse(cause, need.deadline).await?,
             }
         }
     }
 
-    /// Replicas that may serve a read, and the choice among them.
+    /// Replicas that may serve a read and whose queue is not `full`, and the choice among them.
     fn choose(
         &self,
         group: &Rc<Group>,
         demand: Demand,
+        full: &Set<MemberName>,
         waited: Duration,
         patience: Duration,
         now: Instant,
@@ -200,7 +210,8 @@
             .iter()
             .filter_map(|known| self.member(&known.member).map(|member| (known, member)))
             .filter(|(known, member)| {
-                member.has_store(&known.store)
+                !full.contains(&member.name)
+                    && member.has_store(&known.store)
                     && member.health(now).0 == Health::Ok
                     && member.pool.is_usable(now)
                     && self.directory.borrow().usable(&member.name, now)
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -5,6 +5,7 @@
     rc::Rc,
 };
 
+use route::Budget;
 use sql::Cache;
 
 use crate::{options::Options, registry::Registry};
@@ -17,10 +18,8 @@
 /// Connections beyond the limit of callers, for cancel requests and for logins to be told why they
 /// are refused.
 const SPARE: usize = 1_000;
-/// Retries that may be saved up, so that a burst after a failover isn't refused.
-const BUDGET: f64 = 100.0;
-/// Share of requests that may be sent again; more would multiply an overload.
-const RETRY_SHARE: f64 = 0.1;
+/// Retries that may be saved up: a failover makes all requests under way retry at once.
+const BURST: u32 = 100;
 
 /// What all callers' sessions of the process share.
 #[derive(Debug)]
@@ -32,7 +31,7 @@
     /// Sessions by the numbers that a cancel request carries.
     pub registry: Rc<Registry>,
     scripts: RefCell<Cache>,
-    retries: Cell<f64>,
+    retries: RefCell<Budget>,
     draining: Cell<bool>,
     connected: Rc<Cell<usize>>,
     keyed: Cell<u32>,
@@ -57,7 +56,7 @@
             options,
             registry: Rc::default(),
             scripts: RefCell::new(Cache::new(SCRIPTS)),
-            retries: Cell::new(BUDGET),
+            retries: RefCell::new(Budget::full(BURST)),
             draining: Cell::new(false),
             connected: Rc::default(),
             keyed: Cell::new(0),
@@ -97,17 +96,11 @@
 
     /// Counts a request towards the retry budget.
     pub fn count_request(&self) {
-        self.retries
-            .set((self.retries.get() + RETRY_SHARE).min(BUDGET));
+        self.retries.borrow_mut().deposit();
     }
 
     /// Takes one retry from the budget; false when it is used up.
     pub fn take_retry(&self) -> bool {
-        let left = self.retries.get();
-        if left < 1.0 {
-            return false;
-        }
-        self.retries.set(left - 1.0);
-        true
+        self.retries.borrow_mut().withdraw()
     }
 }
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -426,6 +426,11 @@
 
 impl Deployment {
     pub async fn start(document: &str) -> Self {
+        Self::spread(document, ["east"; 3]).await
+    }
+
+    /// Starts with a, b and c in these regions; the entry process is in `east`.
+    pub async fn spread(document: &str, regions: [&str; 3]) -> Self {
         let truth = Rc::new(Truth::default());
         truth.granting.set(true);
         let mut controls = Vec::new();
@@ -437,10 +442,16 @@
             upstreams.push(Upstream::start(name).await);
         }
         upstreams[0].primary.set(true);
-        for upstream in &upstreams {
-            truth.put_member(upstream.announcement(), 0);
+        let mut first = record(&upstreams, 1, Phase::Stable, "a");
+        for ((upstream, region), known) in upstreams.iter().zip(regions).zip(&mut first.members) {
+            let announcement = Announcement {
+                region: region.into(),
+                ..upstream.announcement()
+            };
+            truth.put_member(announcement, 0);
+            known.place.region = region.into();
         }
-        truth.put_record(record(&upstreams, 1, Phase::Stable, "a"));
+        truth.put_record(first);
         truth.put_document(document);
         let addresses: Vec<_> = controls
             .iter()
--- a/crates/entry/tests/read.rs
+++ b/crates/entry/tests/read.rs
@@ -166,3 +166,39 @@
         }
     });
 }
+
+/// Under overload, a read must not be refused while a replica of another region is free, and must
+/// not take the slots of writes on the primary.
+#[test]
+fn overflow() {
+    run(async {
+        let document = "[entries]\nmax = 1\n[[service]]\nname = \"orders\"\ngroup = \"orders\"\n\
+                        connections = 1\nslots = 1\n[service.limits]\nqueue = 1\n";
+        let deployment = Deployment::spread(document, ["east", "east", "west"]).await;
+        let token = Some(Position::new(1, 10));
+        drop(deployment.write(3_000).await.unwrap());
+
+        let (near, _) = deployment.read(token, None, 2_000).await.unwrap();
+        let waiting = deployment.read(token, None, 2_000);
+        let next = async {
+            let far = deployment.read(token, None, 2_000).await;
+            let second = deployment.read(token, None, 2_000);
+            let refused = async {
+                sleep(20).await;
+                deployment.read(token, None, 2_000).await
+            };
+            let ended = async {
+                sleep(100).await;
+                let member = far.map(|(lease, _)| lease.member().clone());
+                drop(near);
+                member
+            };
+            futures_util::future::join3(second, refused, ended).await
+        };
+        let (first, (second, refused, member)) = futures_util::future::join(waiting, next).await;
+
+        assert_eq!(member.unwrap(), "c");
+        assert_eq!(refused.err(), Some(Refusal::Queue));
+        assert!(first.is_ok() && second.is_ok());
+    });
+}
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -7,6 +7,9 @@
 
 /// Weight of a new measurement in a running mean.
 const WEIGHT: u32 = 16;
+/// Mean service times that a request must have left when it starts. With a single one, half of the
+/// requests that start last end after their deadline: the database did their work for nothing.
+const RESERVE: u32 = 2;
 
 /// Why a request was not queued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,7 +66,7 @@
         if self.waiting.len() >= self.limit {
             return Err(QueueError::Full);
         }
-        if now + self.expected_wait() + self.service > deadline {
+        if now + self.expected_wait() + self.service * RESERVE > deadline {
             // Without any request served, the means would never change and refuse for ever.
             if !self.waiting.is_empty() {
                 return Err(QueueError::Late);
@@ -78,7 +81,7 @@
     pub fn pop(&mut self, now: Instant, mut late: impl FnMut(T)) -> Option<T> {
         while let Some(first) = self.waiting.pop_front() {
             let last = self.waiting.is_empty();
-            if now >= first.deadline || (!last && now + self.service > first.deadline) {
+            if now >= first.deadline || (!last && now + self.service * RESERVE > first.deadline) {
                 late(first.item);
                 continue;
             }
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -73,6 +73,20 @@
     queue.push(92, now + millis(50), now).unwrap();
 }
 
+/// A request that starts so late that a statement of average length ends at its deadline must not be
+/// started: half of such requests would end after it.
+#[test]
+fn starts_only_with_time_to_spare() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10);
+    queue.finished(millis(10));
+    queue.push("late", now + millis(30), now).unwrap();
+    queue.push("next", now + millis(100), now).unwrap();
+    let mut late = Vec::new();
+    let served = queue.pop(now + millis(15), |item| late.push(item));
+    assert_eq!((served, late), (Some("next"), vec!["late"]));
+}
+
 /// Simulates one database with two slots of 10 ms and callers that arrive at `load` times its
 /// capacity, and counts the requests that finish before their deadline.
 fn goodput(load: f64) -> u64 {
