--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -4,10 +4,11 @@
 
 use base::{MemberName, Set};
 
+use route::Status;
+
 use crate::{
     machine::{GroupState, Member, Record},
     sighting::{Health, Observer, Observers},
-    upstream::Status,
 };
 
 /// A silent primary is declared failed after this time without an answer.
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -12,7 +12,9 @@
 use compio::{runtime::JoinHandle, time::timeout};
 use proto::schema::{gate, peer};
 
-use crate::upstream::{self, Status};
+use route::Status;
+
+use crate::upstream;
 
 /// Longest time for connecting to a peer.
 const CONNECT: Duration = Duration::from_millis(500);
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -14,6 +14,7 @@
     future::{Either, join_all, select},
     stream::FuturesUnordered,
 };
+use route::Status;
 
 use crate::{
     directory::Announcement,
@@ -23,7 +24,6 @@
     log::{Log, LogError},
     machine::{Command, GroupState, Member, Planned, Record},
     sweep, upstream,
-    upstream::Status,
 };
 
 /// Pause between attempts of a step that waits for others.
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Instant};
 
 use futures_util::future::join_all;
+use route::Status;
 
 use crate::{
     directory::Announcement,
@@ -12,7 +13,6 @@
     machine::{Member, Record},
     promotion::{member, order, probe},
     sighting::Health,
-    upstream::Status,
 };
 
 /// One sweep in so many asks every member, because a sighting does not tell whom a replica follows.
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -7,8 +7,8 @@
     judge::{Verdict, choose, correction, demoted, judge},
     machine::{GroupState, Member, Planned, Record},
     sighting::{Health, Observer, Observers, Sighting},
-    upstream::Status,
 };
+use route::Status;
 use rstest::rstest;
 
 fn record() -> Record {
--- a/crates/entry/src/group.rs
+++ b/crates/entry/src/group.rs
@@ -10,7 +10,7 @@
 use base::{GroupName, MemberName, Position, StoreId, Term, Version};
 use event_listener::{Event, EventListener};
 use futures_channel::oneshot;
-use route::{Confirmation, Place, Samples};
+use route::{Confirmation, Place, Samples, Status};
 
 /// State of a group in the records of the control hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,21 +67,6 @@
     }
 }
 
-/// Answer to a status probe.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Status {
-    /// Name of the member.
-    pub member: MemberName,
-    /// Random id of its data directory.
-    pub store: StoreId,
-    /// Whether it considers itself primary.
-    pub primary: bool,
-    /// Its position.
-    pub position: Position,
-    /// Address of the primary that it follows, or empty.
-    pub following: String,
-}
-
 /// Which members a wait wants to hear from at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Wanted {
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -12,14 +12,10 @@
 use compio::runtime::JoinHandle;
 use event_listener::Event;
 use rand::RngExt as _;
-use route::{Detector, Health, Place};
+use route::{Detector, Health, Place, SHOW_STATUS, Status};
 use wire::{Failure, WireError};
 
-use crate::{
-    group::{Group, Status},
-    metrics::Metrics,
-    pool::Pool,
-};
+use crate::{group::Group, metrics::Metrics, pool::Pool};
 
 /// Time between probes while nothing waits.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -277,13 +273,13 @@
         client.insert(opened.map_err(|failure| fault(&failure))?)
     };
     let rows = open
-        .query("SHOW upstream_status")
+        .query(SHOW_STATUS)
         .await
         .map_err(|failure| fault(&failure))?;
     let status = rows
         .into_iter()
         .next()
-        .and_then(parse)
+        .and_then(Status::parse)
         .ok_or(Fault::Refused)?;
     // Another process took over the address.
     if status.member == member.name {
@@ -302,19 +298,3 @@
         Failure::Wire(_) => Fault::Lost,
     }
 }
-
-/// Parses the row `member, store, role, term, offset, primary`.
-fn parse(row: Vec<Option<String>>) -> Option<Status> {
-    let mut values = row.into_iter().map(Option::unwrap_or_default);
-    let (member, store) = (values.next()?, values.next()?);
-    let role = values.next()?;
-    let term = values.next()?.parse().ok()?;
-    let offset = values.next()?.parse().ok()?;
-    Some(Status {
-        member,
-        store,
-        primary: role == "primary",
-        position: Position::new(term, offset),
-        following: values.next().unwrap_or_default(),
-    })
-}
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod observers;
 pub mod queue;
 pub mod share;
+pub mod status;
 
 pub use budget::Budget;
 pub use confirm::Confirmation;
@@ -21,3 +22,4 @@
 pub use lease::WriteLease;
 pub use queue::{Queue, QueueError};
 pub use share::Share;
+pub use status::{SHOW_STATUS, Status};
