Let operators remove a database from a group

There was no way to take a database out of a group record; one that was stopped for good kept its place. `goldcrestrail group remove GROUP MEMBER`, POST /v1/groups/{group}/remove and the console do it, and `group allow` undoes it. The order is a command of the replicated log: idempotent by change id, refused for the primary, during a change of primary, when fewer members than the confirmations would be left, and when the configuration changed after the confirmations were looked up.

Taking the member out of the record alone would lose writes: with 2 of 3 confirmations an acknowledged write may be on the primary and the removed member only, and a promotion would then read one of two members. Ruled out: refusing unless all members are level, because a write may still be confirmed by the removed member until the entry processes have the new record. The removed member counts in the number of members to read until no lease from before the removal is left and the others cover a later position of the primary.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -42,6 +42,8 @@
     Drain(Drain),
     #[options(help = "change the primary of a group")]
     Primary(Primary),
+    #[options(help = "remove a member from a group, or allow it again")]
+    Group(Group),
 }
 
 /// `status`
@@ -155,6 +157,41 @@
     pub member: Option<String>,
 }
 
+/// `group`
+#[derive(Debug, Options)]
+pub struct Group {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<GroupCommand>,
+}
+
+/// What to do with the members of a group.
+#[derive(Debug, Options)]
+pub enum GroupCommand {
+    #[options(help = "remove a member that is not the primary; it is not added again by itself")]
+    Remove(Membership),
+    #[options(help = "let a removed member be added again")]
+    Allow(Membership),
+}
+
+/// `group remove` and `group allow`
+#[derive(Debug, Options)]
+pub struct Membership {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(
+        no_short,
+        meta = "ID",
+        help = "id of a change whose answer was lost, to send it again"
+    )]
+    pub change: Option<String>,
+    #[options(free, required, help = "name of the group")]
+    pub group: Option<String>,
+    #[options(free, required, help = "name of the member")]
+    pub member: Option<String>,
+}
+
 /// Options that apply to every command, and whether a value follows.
 const GLOBAL: [(&str, bool); 3] = [
     ("--control", true),
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -9,7 +9,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    arguments::{Arguments, Command, ConfigCommand, Primary, Submit},
+    arguments::{Arguments, Command, ConfigCommand, GroupCommand, Membership, Primary, Submit},
     client::{self, Client, Content},
     failure::Failure,
     table,
@@ -18,7 +18,7 @@
 /// Runs the command that was given.
 pub fn run(parsed: &Arguments) -> Result<(), Failure> {
     let Some(command) = &parsed.command else {
-        return Err(missing("status, dump, config, drain or primary"));
+        return Err(missing("status, dump, config, drain, primary or group"));
     };
     if let Command::Dump(dump) = command {
         let address = dump.address.ok_or_else(|| missing("ADDRESS"))?;
@@ -37,6 +37,19 @@
             )
         }
         Command::Primary(primary) => change_primary(&client, primary, parsed.json),
+        Command::Group(group) => match &group.command {
+            None => Err(missing("remove or allow")),
+            Some(GroupCommand::Remove(order)) => {
+                change_member(&client, order, "remove", "is removed from", parsed.json)
+            }
+            Some(GroupCommand::Allow(order)) => change_member(
+                &client,
+                order,
+                "allow",
+                "may be added again to",
+                parsed.json,
+            ),
+        },
         Command::Config(config) => match &config.command {
             None => Err(missing("check, submit, show or history")),
             Some(command) => configure(&client, command, parsed.json),
@@ -111,6 +124,23 @@
     )
 }
 
+fn change_member(
+    client: &Client,
+    order: &Membership,
+    verb: &str,
+    done: &str,
+    json: bool,
+) -> Result<(), Failure> {
+    let group = segment(order.group.as_deref())?;
+    let member = segment(order.member.as_deref())?;
+    let change = announce(order.change.as_deref());
+    let body = json!({ "change": change, "member": member });
+    let path = format!("/v1/groups/{group}/{verb}");
+    let answer = client.call(&path, &Content::Change(&body))?;
+    let answer = parse(&answer).unwrap_or_default();
+    finish(&answer, &change, json, &format!("{member} {done} {group}"))
+}
+
 /// Prints the id of a change before it is sent, so that it is known when the answer is lost.
 fn announce(given: Option<&str>) -> String {
     let change = given.map_or_else(|| format!("{:032x}", rand::random::<u128>()), str::to_owned);
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -124,10 +124,12 @@
 #[case::drain(&["drain", "entry-1"], "POST /v1/entries/entry-1/drain ", "")]
 #[case::primary(&["primary", "valuation-1"], "POST /v1/groups/valuation-1/primary ", r#"{"change":"c1"}"#)]
 #[case::member(&["primary", "g", "m"], "POST /v1/groups/g/primary ", r#"{"change":"c1","member":"m"}"#)]
+#[case::remove(&["group", "remove", "g", "m"], "POST /v1/groups/g/remove ", r#"{"change":"c1","member":"m"}"#)]
+#[case::allow(&["group", "allow", "g", "m"], "POST /v1/groups/g/allow ", r#"{"change":"c1","member":"m"}"#)]
 fn calls_operation(#[case] arguments: &[&str], #[case] line: &str, #[case] body: &str) {
     let server = Server::ok(&json!({"document": "", "version": 1}));
     let mut arguments = arguments.to_vec();
-    if arguments[0] == "primary" {
+    if ["primary", "group"].contains(&arguments[0]) {
         arguments.extend(["--change", "c1"]);
     }
 
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -26,7 +26,7 @@
     judge,
     leases::Holder,
     log::Log,
-    machine::{Answer, Change, Command, Planned},
+    machine::{Answer, Change, Command, Membership, Planned},
     problem::Problem,
     settings::Operator,
     sighting::Health,
@@ -75,6 +75,16 @@
     pub member: Option<String>,
 }
 
+/// An order about the membership of a database as an operator sends it.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MemberRequest {
+    /// Id chosen by the sender.
+    pub change: String,
+    /// Member.
+    pub member: String,
+}
+
 type Body = Result<Bytes, BytesRejection>;
 
 /// Routes of the administration API.
@@ -86,6 +96,8 @@
     let check = shared(admin);
     let status = shared(admin);
     let primary = shared(admin);
+    let remove = shared(admin);
+    let allow = shared(admin);
     let drain = shared(admin);
     Router::new()
         .route(
@@ -124,6 +136,28 @@
                 },
             ),
         )
+        .route(
+            "/v1/groups/{group}/remove",
+            post(
+                move |Path(group): Path<String>, headers: HeaderMap, body: Body| {
+                    let admin = remove.clone();
+                    SendWrapper::new(
+                        async move { admin.post_member(group, true, &headers, body).await },
+                    )
+                },
+            ),
+        )
+        .route(
+            "/v1/groups/{group}/allow",
+            post(
+                move |Path(group): Path<String>, headers: HeaderMap, body: Body| {
+                    let admin = allow.clone();
+                    SendWrapper::new(async move {
+                        admin.post_member(group, false, &headers, body).await
+                    })
+                },
+            ),
+        )
         .route(
             "/v1/entries/{entry}/drain",
             post(move |Path(entry): Path<String>, headers: HeaderMap| {
@@ -309,6 +343,57 @@
         }
     }
 
+    async fn post_member(
+        &self,
+        group: String,
+        remove: bool,
+        headers: &HeaderMap,
+        body: Body,
+    ) -> Result<Response, Problem> {
+        let author = self.authorise(headers)?.to_owned();
+        let version = self
+            .membership(group, remove, parse(body)?, &author)
+            .await?;
+        Ok(Json(json!({ "version": version })).into_response())
+    }
+
+    /// Removes a member from a group, or allows a removed one to be added again, and returns the
+    /// record version.
+    ///
+    /// # Errors
+    /// The group or the member is unknown, the member is the primary, too few members would be
+    /// left, a change of primary runs, or no majority answers.
+    pub async fn membership(
+        &self,
+        group: String,
+        remove: bool,
+        request: MemberRequest,
+        author: &str,
+    ) -> Result<u64, Problem> {
+        limited("change", &request.change)?;
+        limited("member", &request.member)?;
+        let confirmations = self
+            .host
+            .document()
+            .of_group(&group)
+            .map_or(0, |service| service.confirmations);
+        let order = Membership {
+            group,
+            member: request.member,
+            change: request.change,
+            remove,
+            confirmations,
+            config: self.host.state.borrow().config.version,
+        };
+        slog::info!(self.host.logger, "change of members"; "author" => author,
+            "change" => &order.change, "group" => &order.group, "member" => &order.member,
+            "remove" => remove);
+        match self.send(Command::Membership(order)).await? {
+            Answer::Done { version, .. } => Ok(version),
+            other => Err(refusal(other)),
+        }
+    }
+
     async fn send(&self, command: Command) -> Result<Answer, Problem> {
         if self.host.stopping.get() {
             return Err(Problem::new(
@@ -453,6 +538,7 @@
             "primary": record.primary,
             "version": record.version,
             "members": members.collect::<Value>(),
+            "removed": record.removed,
         })
     }
 }
--- a/crates/control/src/console.rs
+++ b/crates/control/src/console.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     access::{self, Session},
-    admin::{Admin, ConfigRequest, PrimaryRequest, shared},
+    admin::{Admin, ConfigRequest, MemberRequest, PrimaryRequest, shared},
     form::ServiceForm,
     log::Log,
     machine::Event,
@@ -61,6 +61,7 @@
     state: String,
     term: String,
     members: Vec<Row>,
+    removed: Vec<String>,
 }
 
 #[derive(Template)]
@@ -245,6 +246,14 @@
             "/console/groups/{group}/primary",
             post(send_about!(post_group)),
         )
+        .route(
+            "/console/groups/{group}/remove",
+            post(send_about!(post_remove)),
+        )
+        .route(
+            "/console/groups/{group}/allow",
+            post(send_about!(post_allow)),
+        )
         .route(
             "/console/entries/{entry}/drain",
             post(send_about!(post_entry)),
@@ -340,6 +349,12 @@
                 primary: text(&group["primary"]),
                 state: text(&group["state"]),
                 term: text(&group["term"]),
+                removed: group["removed"]
+                    .as_array()
+                    .into_iter()
+                    .flatten()
+                    .map(text)
+                    .collect(),
                 members: rows(
                     &group["members"],
                     "member",
@@ -548,6 +563,43 @@
         })
     }
 
+    async fn post_remove(
+        &self,
+        group: String,
+        headers: &HeaderMap,
+        form: Posted<PrimaryForm>,
+    ) -> Result<Response, Stop> {
+        self.change_member(group, true, headers, form).await
+    }
+
+    async fn post_allow(
+        &self,
+        group: String,
+        headers: &HeaderMap,
+        form: Posted<PrimaryForm>,
+    ) -> Result<Response, Stop> {
+        self.change_member(group, false, headers, form).await
+    }
+
+    async fn change_member(
+        &self,
+        group: String,
+        remove: bool,
+        headers: &HeaderMap,
+        form: Posted<PrimaryForm>,
+    ) -> Result<Response, Stop> {
+        let (session, form) = self.posted(headers, form, |form| &form.form)?;
+        let request = MemberRequest {
+            change: form.change,
+            member: form.member,
+        };
+        let changed = self.membership(group, remove, request, &session.operator);
+        Ok(match changed.await {
+            Ok(_) => Redirect::to("/console").into_response(),
+            Err(problem) => self.render_status(session, Some(problem)),
+        })
+    }
+
     async fn post_entry(
         &self,
         entry: String,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod access;
 pub mod admin;
 pub mod console;
+mod cover;
 pub mod directory;
 pub mod form;
 pub mod gate;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -3,7 +3,7 @@
 //! Applying a command is deterministic: times and everything else that differs between hosts is
 //! part of the command.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use base::{GroupName, MemberName, RegionName, StoreId, Term, Version, ZoneName, document};
 use serde::{Deserialize, Serialize};
@@ -53,6 +53,23 @@
     pub member: Option<MemberName>,
 }
 
+/// An operator's order about the membership of one database.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Membership {
+    /// Group.
+    pub group: GroupName,
+    /// Database.
+    pub member: MemberName,
+    /// Change id of the order.
+    pub change: String,
+    /// Whether the database is removed; otherwise a removed one may be added again.
+    pub remove: bool,
+    /// Confirmations that the configuration of version `config` asks for.
+    pub confirmations: u32,
+    /// Version of that configuration.
+    pub config: Version,
+}
+
 /// Record of a group.
 ///
 /// `state` stable with `next` set announces a planned change: entries hold new writes and let
@@ -75,6 +92,12 @@
     pub confirmations: u32,
     /// Planned change that runs.
     pub planned: Option<Planned>,
+    /// Databases that an operator removed; they are not added again until one allows it.
+    #[serde(default)]
+    pub removed: BTreeSet<MemberName>,
+    /// Removed databases that may hold the only second copy of an acknowledged write.
+    #[serde(default)]
+    pub uncovered: u32,
     /// Log index of the last change.
     pub version: Version,
 }
@@ -89,11 +112,16 @@
     /// Members that must be read before a promotion, so that one of them holds every
     /// acknowledged write.
     ///
-    /// At least one member is always read.
+    /// At least one member is always read. A removed member may have confirmed writes that another
+    /// member lacks, so that it counts until the others are known to hold them.
     #[must_use]
     pub fn reads(&self) -> usize {
         let confirmations = usize::try_from(self.confirmations).unwrap_or(usize::MAX);
-        (self.members.len() + 1)
+        let uncovered = usize::try_from(self.uncovered).unwrap_or(usize::MAX);
+        self.members
+            .len()
+            .saturating_add(uncovered)
+            .saturating_add(1)
             .saturating_sub(confirmations)
             .max(1)
     }
@@ -142,6 +170,8 @@
         /// The order.
         planned: Planned,
     },
+    /// Order to remove a database from a group, or to allow it again.
+    Membership(Membership),
 }
 
 impl Command {
@@ -256,6 +286,7 @@
             Command::Configure(change) => self.configure(change),
             Command::Record { base, record } => self.record(index, base, record),
             Command::Plan { group, planned } => self.plan(index, &group, planned),
+            Command::Membership(order) => self.membership(index, order),
         }
     }
 
@@ -377,6 +408,80 @@
         answer
     }
 
+    fn membership(&mut self, index: u64, order: Membership) -> Answer {
+        if let Some(answer) = self.answered(&order.change) {
+            return answer;
+        }
+        let changed = match self.reordered(&order) {
+            Ok(changed) => changed,
+            Err((field, cause)) => {
+                return Answer::Refused {
+                    field: field.into(),
+                    cause,
+                };
+            }
+        };
+        let answer = match changed {
+            Ok(record) => self.put(index, record),
+            Err(version) => Answer::Done {
+                version,
+                digest: String::new(),
+            },
+        };
+        self.keep(order.change, &answer);
+        answer
+    }
+
+    /// Record after an order about its members, or its version when nothing is to be changed.
+    fn reordered(
+        &self,
+        order: &Membership,
+    ) -> Result<Result<Record, Version>, (&'static str, String)> {
+        let (group, member) = (&order.group, &order.member);
+        let Some(record) = self.records.get(group) else {
+            return Err(("group", format!("group {group} has no record yet")));
+        };
+        let mut changed = record.clone();
+        if !order.remove {
+            return Ok(if changed.removed.remove(member) {
+                Ok(changed)
+            } else {
+                Err(record.version)
+            });
+        }
+        if record.removed.contains(member) {
+            return Ok(Err(record.version));
+        }
+        if record.state != GroupState::Stable || record.next != 0 {
+            return Err(("", format!("group {group} is changing its primary")));
+        }
+        if record.member(member).is_none() {
+            return Err(("member", format!("{member} is no member of group {group}")));
+        }
+        if record.primary == *member {
+            let cause = format!("{member} is the primary of group {group}; change it first");
+            return Err(("member", cause));
+        }
+        if order.config != self.config.version {
+            let cause = "the configuration was changed at the same time; send the order again";
+            return Err(("", cause.to_owned()));
+        }
+        let needed = usize::try_from(order.confirmations.max(record.confirmations));
+        let left = record.members.len() - 1;
+        if needed.is_ok_and(|needed| left < needed) || needed.is_err() {
+            let cause = format!(
+                "{left} members of group {group} would be left, fewer than the {} confirmations \
+                 of a write",
+                order.confirmations.max(record.confirmations)
+            );
+            return Err(("member", cause));
+        }
+        changed.members.retain(|known| known.member != *member);
+        changed.removed.insert(member.clone());
+        changed.uncovered += 1;
+        Ok(Ok(changed))
+    }
+
     fn put(&mut self, index: u64, mut record: Record) -> Answer {
         record.version = index;
         self.version = index;
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -3,6 +3,7 @@
 //! Every step starts from the record, so that another leader goes on where this one stopped.
 
 use std::{
+    collections::BTreeSet,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -14,6 +15,7 @@
     future::{Either, join_all, select},
     stream::FuturesUnordered,
 };
+
 use route::Status;
 
 use crate::{
@@ -136,6 +138,8 @@
         members,
         confirmations: service.confirmations,
         planned: None,
+        removed: BTreeSet::new(),
+        uncovered: 0,
         version: 0,
     };
     slog::info!(host.logger, "first record of a group"; "group" => group,
@@ -374,7 +378,7 @@
 }
 
 /// Waits until a majority of control hosts hold no grant older than the record.
-async fn released<L: Log>(host: &Host<L>, record: &Record) {
+pub(crate) async fn released<L: Log>(host: &Host<L>, record: &Record) {
     let start = Instant::now();
     loop {
         let own = host.released(Instant::now(), record.version);
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -3,15 +3,17 @@
 use std::{rc::Rc, time::Instant};
 
 use futures_util::future::join_all;
+
 use route::Status;
 
 use crate::{
+    cover,
     directory::Announcement,
     host::Host,
     judge,
     log::{Log, LogError},
     machine::{Member, Record},
-    promotion::{member, order, probe},
+    promotion::{member, order, probe, released},
     sighting::Health,
 };
 
@@ -37,7 +39,15 @@
     let moved = moved(host, record);
     let record = moved.as_ref().unwrap_or(record);
     let newcomers = newcomers(host, record);
-    let full = moved.is_some() || !newcomers.is_empty() || rand::random_ratio(1, FULL);
+    if record.uncovered > 0 {
+        // After this no write is confirmed by a removed member any more, so that the position of
+        // the primary, read below, includes all that were.
+        released(host, record).await;
+    }
+    let full = moved.is_some()
+        || !newcomers.is_empty()
+        || record.uncovered > 0
+        || rand::random_ratio(1, FULL);
     let suspects: Vec<_> = record
         .members
         .iter()
@@ -76,6 +86,12 @@
         let answers = statuses.iter().map(|(_, status)| status);
         readmitted(record, primary, answers, &newcomers)
     });
+    let changed = match (changed, primary) {
+        (None, Some(primary)) if record.uncovered > 0 => {
+            cover::covered(host, record, primary).await
+        }
+        (changed, _) => changed,
+    };
     let changed = changed.or_else(|| moved.clone());
     if let Some(changed) = changed {
         slog::info!(host.logger, "members of a group changed"; "group" => &record.group,
@@ -127,10 +143,10 @@
             .member(&a.member)
             .is_some_and(|member| member.store != a.store)
     });
-    replaced
-        .chain(new.into_iter().take(missing))
-        .cloned()
-        .collect()
+    let allowed = new
+        .into_iter()
+        .filter(|a| !record.removed.contains(&a.member));
+    replaced.chain(allowed.take(missing)).cloned().collect()
 }
 
 /// Record with the newcomers that follow the primary of the term and cover its position, which
--- a/crates/control/tests/admin.rs
+++ b/crates/control/tests/admin.rs
@@ -13,7 +13,7 @@
 use common::{
     Cluster,
     http::{self, Reply, encode},
-    stable,
+    stable, until,
 };
 use compio::{net::TcpListener, runtime::JoinHandle};
 use control::{admin::Admin, host::Renewal, run, settings::Operator};
@@ -298,6 +298,73 @@
     assert_eq!(status["leader"], "c0");
 }
 
+/// Guards against a removal that does nothing, that takes the primary or too many members, or whose
+/// member comes back by itself.
+#[compio::test]
+async fn member_is_removed_and_stays_away_until_allowed() {
+    let (cluster, group) = stable().await;
+    let site = Site::over(cluster).await;
+    group.observe(&site.cluster);
+    let order = |change: &str, member: &str| json!({ "change": change, "member": member });
+    let remove = "/v1/groups/g/remove";
+
+    let primary = site.api(remove, &order("p", "a")).await;
+    let missing = site.api("/v1/groups/h/remove", &order("q", "c")).await;
+    let done = site.api(remove, &order("r", "c")).await;
+    let again = site.api(remove, &order("r", "c")).await;
+    let second = site.api(remove, &order("s", "b")).await;
+
+    assert_eq!((primary.status, missing.status), (400, 404));
+    assert_eq!((done.status, second.status), (200, 400), "{}", done.body);
+    assert_eq!(done.json(), again.json());
+    // The others hold everything, so that a promotion needs one of them only.
+    until(&site.cluster, &group, Duration::from_secs(8), || {
+        let record = site.cluster.record().unwrap();
+        record.members.len() == 2 && record.reads() == 1
+    })
+    .await;
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        group.observe(&site.cluster);
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(site.cluster.record().unwrap().member("c").is_none());
+
+    let allowed = site.api("/v1/groups/g/allow", &order("t", "c")).await;
+
+    assert_eq!(allowed.status, 200, "{}", allowed.body);
+    until(&site.cluster, &group, Duration::from_secs(8), || {
+        site.cluster.record().unwrap().member("c").is_some()
+    })
+    .await;
+}
+
+/// Guards against a promotion from a member that lacks a write which only the primary and the
+/// removed member hold.
+#[compio::test]
+async fn removed_member_counts_until_others_caught_up() {
+    let (cluster, group) = stable().await;
+    let site = Site::over(cluster).await;
+    group.members[0].state.borrow_mut().position.offset = 12;
+    group.observe(&site.cluster);
+    let order = json!({ "change": "r", "member": "c" });
+
+    let done = site.api("/v1/groups/g/remove", &order).await;
+    let end = Instant::now() + Duration::from_secs(3);
+    while Instant::now() < end {
+        group.observe(&site.cluster);
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let lagging = site.cluster.record().unwrap().reads();
+    group.members[1].state.borrow_mut().position.offset = 12;
+
+    assert_eq!((done.status, lagging), (200, 2));
+    until(&site.cluster, &group, Duration::from_secs(8), || {
+        site.cluster.record().unwrap().reads() == 1
+    })
+    .await;
+}
+
 /// Guards against a drain that is reported as done but reached nobody.
 #[compio::test]
 async fn drain_reaches_entry_process() {
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -32,6 +32,8 @@
         ],
         confirmations: 2,
         planned: None,
+        removed: std::collections::BTreeSet::new(),
+        uncovered: 0,
         version: 7,
     }
 }
--- a/crates/control/tests/machine.rs
+++ b/crates/control/tests/machine.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::collections::BTreeSet;
+
 use common::configure;
-use control::machine::{Answer, Command, GroupState, Member, Planned, Record, State};
+use control::machine::{Answer, Command, GroupState, Member, Membership, Planned, Record, State};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -24,6 +26,8 @@
         members: vec![member("a"), member("b"), member("c")],
         confirmations: 2,
         planned: None,
+        removed: BTreeSet::new(),
+        uncovered: 0,
         version: 0,
     }
 }
@@ -136,6 +140,102 @@
     assert_eq!(state.records, before);
 }
 
+fn removal(change: &str, member: &str) -> Command {
+    Command::Membership(Membership {
+        group: "g".to_owned(),
+        member: member.to_owned(),
+        change: change.to_owned(),
+        remove: true,
+        confirmations: 2,
+        config: 0,
+    })
+}
+
+/// Guards against a removal that runs twice when its answer was lost, also after a restart, and
+/// against one that takes the place of a member that was allowed again since.
+#[test]
+fn resent_removal_gets_first_answer() {
+    let mut state = State::default();
+    state.apply(1, put(0, record(GroupState::Stable, 1)));
+    let first = state.apply(2, removal("one", "c"));
+    let mut restored = State::default();
+    restored.restore(&state.snapshot());
+    let Command::Membership(order) = removal("two", "c") else {
+        unreachable!("removal makes a membership order")
+    };
+    let allowed = Membership {
+        remove: false,
+        ..order
+    };
+    restored.apply(3, Command::Membership(allowed));
+
+    let again = restored.apply(4, removal("one", "c"));
+
+    assert_eq!(
+        first,
+        Answer::Done {
+            version: 2,
+            digest: String::new()
+        }
+    );
+    assert_eq!(again, first);
+    assert_eq!(restored.records["g"].version, 3);
+    assert!(restored.records["g"].removed.is_empty());
+}
+
+/// Guards against two operators who together remove more members than writes can spare.
+#[test]
+fn one_of_two_removals_wins() {
+    let mut state = State::default();
+    state.apply(1, put(0, record(GroupState::Stable, 1)));
+
+    let first = state.apply(2, removal("anna", "b"));
+    let second = state.apply(3, removal("ben", "c"));
+    let same = state.apply(4, removal("ben-again", "b"));
+
+    assert!(matches!(first, Answer::Done { version: 2, .. }));
+    assert!(matches!(second, Answer::Refused { .. }));
+    assert_eq!(same, first);
+    assert_eq!(state.records["g"].members.len(), 2);
+}
+
+/// Guards against a promotion that reads one member only, while the removed one holds the second
+/// copy of an acknowledged write.
+#[test]
+fn removed_member_counts_for_promotion() {
+    let mut state = State::default();
+    state.apply(1, put(0, record(GroupState::Stable, 1)));
+
+    state.apply(2, removal("one", "c"));
+
+    assert_eq!(state.records["g"].reads(), 2);
+}
+
+/// Guards against the removal of a primary, of a foreign member, during a change of primary, and
+/// under another configuration than the one whose confirmations were checked.
+#[rstest]
+#[case::primary(GroupState::Stable, "a", 0)]
+#[case::unknown(GroupState::Stable, "x", 0)]
+#[case::while_fencing(GroupState::Fencing, "b", 0)]
+#[case::other_configuration(GroupState::Stable, "b", 1)]
+fn impossible_removal_is_refused(
+    #[case] now: GroupState,
+    #[case] member: &str,
+    #[case] changes: u64,
+) {
+    let mut state = State::default();
+    state.apply(1, put(0, record(now, 1)));
+    (0..changes).for_each(|i| {
+        state.apply(2 + i, configure("raise", i, "a = 1"));
+    });
+    let before = state.records.clone();
+
+    let answer = state.apply(9, removal("one", member));
+
+    assert!(matches!(answer, Answer::Refused { .. }));
+    assert_eq!(state.records, before);
+}
+
 /// Guards against a panic or a change by bytes that are no command.
 #[test]
 fn garbage_is_refused() {
