--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -7,8 +7,8 @@
     judge::{Verdict, choose, correction, demoted, judge},
     machine::{GroupState, Member, Planned, Record},
     sighting::{Health, Observer, Observers, Sighting},
-    upstream::Status,
 };
+use route::Status;
 use rstest::rstest;
 
 fn record() -> Record {
@@ -32,6 +32,8 @@
         ],
         confirmations: 2,
         planned: None,
+        removed: std::collections::BTreeSet::new(),
+        uncovered: 0,
         version: 7,
     }
 }
