--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -30,12 +30,16 @@
                 }
             };
             if wait.is_zero() {
-                self.campaign().await;
+                self.campaign(None).await;
+                self.postpone(&mut self.state.borrow_mut());
+                continue;
+            }
+            let summoned = self.until(|state| state.transfer.summoned.take());
+            let wait = wait.min(self.tuning.heartbeat);
+            if let Some(term) = self.within(wait, summoned).await {
+                self.campaign(Some(term)).await;
                 self.postpone(&mut self.state.borrow_mut());
             } else {
-                self.environment
-                    .sleep(wait.min(self.tuning.heartbeat))
-                    .await;
                 self.check_quorum();
             }
         }
@@ -75,9 +79,11 @@
         }
     }
 
-    async fn campaign(&self) {
+    /// Stands for election. The leader of the term `summoned` gave up in favour of this host, so
+    /// that no pre-vote is needed: it would be denied because that leader was heard a moment ago.
+    async fn campaign(&self, summoned: Option<u64>) {
         self.saved().await;
-        if !self.lacks(Mechanism::PreVote) {
+        if summoned.is_none() && !self.lacks(Mechanism::PreVote) {
             let request = Self::vote_request(&self.state.borrow(), true);
             let start = self.environment.now();
             if !self.poll(&request).await {
@@ -91,6 +97,11 @@
         }
         let request = {
             let mut state = self.state.borrow_mut();
+            let valid =
+                |term| state.hard.term == term && state.role == Role::Follower && state.is_voter();
+            if !summoned.is_none_or(valid) {
+                return;
+            }
             state.hard.term += 1;
             state.hard.vote = Some(self.options.name.clone());
             state.touch();
--- a/crates/agree/src/environment.rs
+++ b/crates/agree/src/environment.rs
@@ -11,8 +11,8 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::message::{
-    AppendReply, AppendRequest, ProposeReply, SnapshotReply, SnapshotRequest, VoteReply,
-    VoteRequest,
+    AppendReply, AppendRequest, ProposeReply, SnapshotReply, SnapshotRequest, TransferReply,
+    TransferRequest, VoteReply, VoteRequest,
 };
 
 /// File of a data directory.
@@ -116,6 +116,17 @@
         payload: Vec<u8>,
         timeout: Duration,
     ) -> impl Future<Output = Result<ProposeReply, CallError>>;
+
+    /// Asks `to` to stand for election at once.
+    ///
+    /// # Errors
+    /// No reply arrived in time.
+    fn transfer(
+        &self,
+        to: &HostName,
+        request: TransferRequest,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<TransferReply, CallError>>;
 }
 
 /// Surroundings of one node.
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -27,6 +27,7 @@
 mod rpc;
 mod signal;
 mod state;
+mod transfer;
 mod writer;
 
 pub use codec::{Frame, LogFile, parse_log};
--- a/crates/agree/src/message.rs
+++ b/crates/agree/src/message.rs
@@ -112,6 +112,28 @@
     pub next: u64,
 }
 
+/// Asks a host that holds the whole log to stand for election at once.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TransferRequest {
+    /// Leader that gave up.
+    pub from: Identity,
+    /// Term that it led.
+    pub term: u64,
+    /// Index of its last log entry.
+    pub last_index: u64,
+    /// Term of its last log entry.
+    pub last_term: u64,
+}
+
+/// Answer to [`TransferRequest`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TransferReply {
+    /// Receiver.
+    pub from: Identity,
+    /// Whether it starts an election.
+    pub accepted: bool,
+}
+
 /// Answer to a forwarded proposal whose outcome is known.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ProposeReply {
@@ -322,6 +344,48 @@
     }
 }
 
+impl TransferRequest {
+    /// Reads the Cap'n Proto form.
+    ///
+    /// # Errors
+    /// The message is malformed.
+    pub fn read(reader: schema::transfer_request::Reader<'_>) -> capnp::Result<Self> {
+        Ok(Self {
+            from: Identity::read(reader.get_from()?)?,
+            term: reader.get_term(),
+            last_index: reader.get_last_index(),
+            last_term: reader.get_last_term(),
+        })
+    }
+
+    /// Writes the Cap'n Proto form.
+    pub fn write(&self, mut builder: schema::transfer_request::Builder<'_>) {
+        self.from.write(builder.reborrow().init_from());
+        builder.set_term(self.term);
+        builder.set_last_index(self.last_index);
+        builder.set_last_term(self.last_term);
+    }
+}
+
+impl TransferReply {
+    /// Reads the Cap'n Proto form.
+    ///
+    /// # Errors
+    /// The message is malformed.
+    pub fn read(reader: schema::transfer_reply::Reader<'_>) -> capnp::Result<Self> {
+        Ok(Self {
+            from: Identity::read(reader.get_from()?)?,
+            accepted: reader.get_accepted(),
+        })
+    }
+
+    /// Writes the Cap'n Proto form.
+    pub fn write(&self, mut builder: schema::transfer_reply::Builder<'_>) {
+        self.from.write(builder.reborrow().init_from());
+        builder.set_accepted(self.accepted);
+    }
+}
+
 impl ProposeReply {
     /// Reads the results of `Peer.propose`.
     ///
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -29,7 +29,7 @@
     message::{Identity, ProposeReply},
     recover::recover,
     signal::Signal,
-    state::{Image, Progress, Role, State, Waiter},
+    state::{Image, Progress, Role, State, Transfer, Waiter},
 };
 
 /// State machine that every host applies the same commands to.
@@ -218,6 +218,9 @@
             if state.role != Role::Leader || state.stopping {
                 return Err(ProposeError::NotLeader(state.leader.clone()));
             }
+            if state.transfer.ceding {
+                return Err(ProposeError::NotLeader(None));
+            }
             let index = state.lead_entry(&Payload::Command(&payload));
             let (sender, answer) = oneshot::channel();
             let term = state.hard.term;
@@ -782,6 +785,7 @@
         incoming: None,
         failure: None,
         stopping: false,
+        transfer: Transfer::default(),
         closed: false,
     })
 }
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -257,7 +257,7 @@
             .readmits
             .values()
             .any(|(name, other)| name == peer && *other == number);
-        if (complete || self.lacks(Mechanism::CatchUp)) && !proposed {
+        if (complete || self.lacks(Mechanism::CatchUp)) && !proposed && !state.transfer.ceding {
             info!(self.options.log, "readmitting host"; "host" => peer, "incarnation" => number);
             state.lead_entry(&Payload::Readmit(peer.clone(), number));
         }
--- a/crates/agree/src/rpc.rs
+++ b/crates/agree/src/rpc.rs
@@ -16,8 +16,8 @@
 use crate::{
     environment::{CallError, Network},
     message::{
-        AppendReply, AppendRequest, ProposeReply, SnapshotReply, SnapshotRequest, VoteReply,
-        VoteRequest,
+        AppendReply, AppendRequest, ProposeReply, SnapshotReply, SnapshotRequest, TransferReply,
+        TransferRequest, VoteReply, VoteRequest,
     },
 };
 
@@ -179,4 +179,18 @@
         })
         .await
     }
+
+    async fn transfer(
+        &self,
+        to: &HostName,
+        request: TransferRequest,
+        timeout: Duration,
+    ) -> Result<TransferReply, CallError> {
+        self.call(to, 0, timeout, async |peer| {
+            let mut call = peer.transfer_request();
+            request.write(call.get().init_request());
+            TransferReply::read(call.send().promise.await?.get()?.get_reply()?)
+        })
+        .await
+    }
 }
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -62,6 +62,15 @@
     pub bytes: Vec<u8>,
 }
 
+/// Transfer of the leadership away from this host or to it.
+#[derive(Debug, Default)]
+pub struct Transfer {
+    /// Whether this leader takes no more entries because it is about to give up its leadership.
+    pub ceding: bool,
+    /// Term whose leader asked this host to stand for election.
+    pub summoned: Option<u64>,
+}
+
 #[derive(Debug)]
 pub struct Waiter {
     pub term: u64,
@@ -111,6 +120,7 @@
     pub incoming: Option<Incoming>,
     pub failure: Option<String>,
     pub stopping: bool,
+    pub transfer: Transfer,
     pub closed: bool,
 }
 
--- a/crates/agree/tests/cluster/mod.rs
+++ b/crates/agree/tests/cluster/mod.rs
@@ -20,8 +20,8 @@
     Hard, Machine, Node, Options, ProposeError, Safety, Tuning,
     environment::{CallError, Disk, Environment, File, Network},
     message::{
-        AppendReply, AppendRequest, ProposeReply, SnapshotReply, SnapshotRequest, VoteReply,
-        VoteRequest,
+        AppendReply, AppendRequest, ProposeReply, SnapshotReply, SnapshotRequest, TransferReply,
+        TransferRequest, VoteReply, VoteRequest,
     },
 };
 use futures_channel::oneshot;
@@ -401,6 +401,19 @@
         })
         .await
     }
+
+    async fn transfer(
+        &self,
+        to: &String,
+        request: TransferRequest,
+        timeout: Duration,
+    ) -> Result<TransferReply, CallError> {
+        self.call(to, timeout, true, 0, move |node| {
+            let request = request.clone();
+            Box::pin(async move { Some(node.on_transfer(request).await) })
+        })
+        .await
+    }
 }
 
 impl Environment for Place {
@@ -452,6 +465,8 @@
     pub world: Rc<World>,
     pub tuning: Tuning,
     pub size: usize,
+    /// Whether two hosts that take themselves for the leader at one time are a violation.
+    pub sole: bool,
     tasks: FuturesUnordered<LocalBoxFuture<'static, ()>>,
     woken: Arc<Woken>,
     leaders: BTreeMap<u64, usize>,
@@ -493,6 +508,7 @@
             size,
             tasks: FuturesUnordered::new(),
             woken: Arc::new(Woken(AtomicBool::new(false))),
+            sole: false,
             leaders: BTreeMap::new(),
             acked: Rc::default(),
             lost: Rc::default(),
@@ -646,6 +662,7 @@
     /// Checks that hold at any time.
     fn observe(&mut self) {
         let now = self.world.now();
+        let mut leading = 0;
         for host in 0..self.size {
             if !self.alive(host) {
                 continue;
@@ -655,6 +672,7 @@
                 self.world.violation(format!("host {host} failed: {cause}"));
                 self.crash(host);
             } else if node.is_leader(now) {
+                leading += 1;
                 let first = *self.leaders.entry(node.term()).or_insert(host);
                 if first != host {
                     self.world
@@ -662,6 +680,10 @@
                 }
             }
         }
+        if self.sole && leading > 1 {
+            self.world
+                .violation("two hosts take themselves for the leader".into());
+        }
     }
 
     pub fn run(&mut self, duration: Duration) {
@@ -759,6 +781,14 @@
         }));
     }
 
+    /// Starts a transfer of the leadership away from a host, as at a planned stop.
+    pub fn submit_transfer(&self, host: usize) {
+        let node = self.node(host);
+        self.world.spawned.borrow_mut().push(Box::pin(async move {
+            let _other_leads = node.transfer().await;
+        }));
+    }
+
     /// Proposes one command on the leader and waits for the acknowledgement.
     pub fn write(&mut self) -> u64 {
         for _try in 0..20 {
--- a/crates/agree/tests/random.rs
+++ b/crates/agree/tests/random.rs
@@ -63,7 +63,8 @@
                     }
                 }
             }
-            60..70 if up => self.all.submit_barrier(host),
+            60..68 if up => self.all.submit_barrier(host),
+            68..70 if up => self.all.submit_transfer(host),
             70..74 => {
                 self.all.crash(host);
                 self.copies[host] = Some(self.all.files(host));
--- a/crates/agree/tests/rpc.rs
+++ b/crates/agree/tests/rpc.rs
@@ -10,7 +10,7 @@
 
 use agree::{
     Machine, Node, Options,
-    message::{AppendRequest, SnapshotRequest, VoteRequest},
+    message::{AppendRequest, SnapshotRequest, TransferRequest, VoteRequest},
 };
 use capnp::capability::Rc as Held;
 use compio::{net::TcpListener, runtime::Task};
@@ -88,6 +88,19 @@
         reply.ok_or_else(unknown)?.write(results.get());
         Ok(())
     }
+
+    async fn transfer(
+        self: Held<Self>,
+        params: peer::TransferParams,
+        mut results: peer::TransferResults,
+    ) -> capnp::Result<()> {
+        let request = TransferRequest::read(params.get()?.get_request()?)?;
+        self.0
+            .on_transfer(request)
+            .await
+            .write(results.get().init_reply());
+        Ok(())
+    }
 }
 
 struct Front(peer::Client);
@@ -214,6 +227,38 @@
     }
 }
 
+/// Guards against a transfer of the leadership that loses a field on the wire.
+#[rstest]
+#[compio::test]
+async fn transfers_leadership_over_connections() {
+    let data = tempfile::tempdir().unwrap();
+    for name in ["a", "b", "c"] {
+        agree::format(&data.path().join(name), name).unwrap();
+    }
+    let port = free_port();
+    let mut hosts = Vec::new();
+    for host in 0..3 {
+        hosts.push(run(host, port, data.path(), 0).await);
+    }
+    settled(&hosts, |host| host.node.leader().is_some()).await;
+    hosts[0].node.forward(vec![1]).await.unwrap();
+    let former = hosts[0].node.leader().unwrap();
+    let leading = hosts
+        .iter()
+        .find(|host| host.node.is_leader(Instant::now()));
+
+    let transferred = leading.unwrap().node.transfer().await;
+
+    assert!(transferred);
+    settled(&hosts, |host| {
+        host.node.leader().is_some_and(|leader| leader != former)
+    })
+    .await;
+    for host in hosts {
+        stop(host).await;
+    }
+}
+
 /// Guards against a host that waits for a connection that went silent while new ones work.
 #[rstest]
 #[compio::test]
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -342,6 +342,14 @@
         self.host.log.snapshot(params, results).await
     }
 
+    async fn transfer(
+        self: Rc<Self>,
+        params: peer::TransferParams,
+        results: peer::TransferResults,
+    ) -> Result<(), Error> {
+        self.host.log.transfer(params, results).await
+    }
+
     async fn grants(
         self: Rc<Self>,
         params: peer::GrantsParams,
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -66,6 +66,9 @@
     async fn changed(&self);
     /// State for `/dump`.
     fn dump(&self) -> Value;
+    /// Gives up the leadership in favour of a host that holds the whole log, and returns whether
+    /// another host leads then.
+    async fn hand_over(&self) -> bool;
     /// Stops taking part, with everything accepted on disk.
     async fn stop(&self);
     /// Answers a peer's vote request.
@@ -83,4 +86,10 @@
         params: peer::SnapshotParams,
         results: peer::SnapshotResults,
     ) -> Result<(), Error>;
+    /// Answers a leader that hands over.
+    async fn transfer(
+        &self,
+        params: peer::TransferParams,
+        results: peer::TransferResults,
+    ) -> Result<(), Error>;
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -7,7 +7,7 @@
 
 use agree::{
     BarrierError, Machine, Node, ProposeError,
-    message::{AppendRequest, SnapshotRequest, VoteRequest},
+    message::{AppendRequest, SnapshotRequest, TransferRequest, VoteRequest},
 };
 use base::HostName;
 use capnp::Error;
@@ -103,6 +103,10 @@
         Node::dump(self)
     }
 
+    async fn hand_over(&self) -> bool {
+        Node::transfer(self).await
+    }
+
     async fn stop(&self) {
         Node::stop(self).await;
     }
@@ -139,4 +143,15 @@
         reply.write(results.get().init_reply());
         Ok(())
     }
+
+    async fn transfer(
+        &self,
+        params: peer::TransferParams,
+        mut results: peer::TransferResults,
+    ) -> Result<(), Error> {
+        let request = TransferRequest::read(params.get()?.get_request()?)?;
+        let reply = self.on_transfer(request).await;
+        reply.write(results.get().init_reply());
+        Ok(())
+    }
 }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -130,6 +130,9 @@
     // Answers of finished changes still have to be written.
     sleep(TICK).await;
     drop(leading);
+    if host.log.hand_over().await {
+        slog::info!(logger, "leadership handed over"; "leader" => host.log.leader());
+    }
     host.log.stop().await;
     drop((tasks, web));
     slog::info!(logger, "stopped");
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -173,8 +173,20 @@
         json!({ "term": self.shared.term.get() })
     }
 
+    async fn hand_over(&self) -> bool {
+        false
+    }
+
     async fn stop(&self) {}
 
+    async fn transfer(
+        &self,
+        _: peer::TransferParams,
+        _: peer::TransferResults,
+    ) -> Result<(), Error> {
+        Err(Error::unimplemented("the fake log has no transfer".into()))
+    }
+
     async fn vote(&self, _: peer::VoteParams, _: peer::VoteResults) -> Result<(), Error> {
         Err(Error::unimplemented("the fake log has no votes".into()))
     }
--- a/crates/control/tests/daemon.rs
+++ b/crates/control/tests/daemon.rs
@@ -308,6 +308,33 @@
     assert_eq!(again["version"], 1);
 }
 
+/// Guards against a planned stop of the leader that costs an election timeout of at least 600 ms.
+#[compio::test]
+async fn sigterm_hands_leadership_over() {
+    let mut deployment = Deployment::started(5).await;
+    let leader = deployment.leader().await;
+    let child = deployment.daemons[leader].child.as_mut().unwrap();
+    let sent = Command::new("kill")
+        .arg("-TERM")
+        .arg(child.id().to_string())
+        .status()
+        .unwrap();
+    assert!(sent.success());
+    let start = Instant::now();
+    while child.try_wait().unwrap().is_none() {
+        assert!(start.elapsed() < LIMIT, "still running");
+        sleep(Duration::from_millis(5)).await;
+    }
+    deployment.daemons[leader].child = None;
+
+    let stopped = Instant::now();
+    let next = deployment.leader().await;
+
+    let took = stopped.elapsed();
+    assert_ne!(next, leader);
+    assert!(took < Duration::from_millis(400), "took {took:?}");
+}
+
 /// Renews for three entry processes at every host until `done` of a status, and returns it.
 async fn observe(
     deployment: &Deployment,
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -39,6 +39,22 @@
   stale @3 :Bool;
 }
 
+# Sent by a leader that has given up its leadership.
+struct TransferRequest {
+  from @0 :Identity;
+  # Term that the sender led.
+  term @1 :UInt64;
+  # End of the sender's log, which the receiver must hold on disk.
+  lastIndex @2 :UInt64;
+  lastTerm @3 :UInt64;
+}
+
+struct TransferReply {
+  from @0 :Identity;
+  # Whether the receiver starts an election.
+  accepted @1 :Bool;
+}
+
 struct AppendRequest {
   from @0 :Identity;
   term @1 :UInt64;
@@ -98,6 +114,8 @@
   order @5 (address :Text, statement :Text) -> (done :Bool, cause :Text);
   # Forwards a proposal to the leader.
   propose @6 (payload :Data) -> (accepted :Bool, index :UInt64, answer :Data, leader :Text);
+  # Asks the receiver to stand for election at once, because the leader is about to stop.
+  transfer @7 (request :TransferRequest) -> (reply :TransferReply);
 }
 
 struct Announcement {
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -1889,7 +1889,7 @@
     }
 }
 
-pub mod append_request {
+pub mod transfer_request {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -2008,32 +2008,13 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_prev_index(self) -> u64 {
+        pub fn get_last_index(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_prev_term(self) -> u64 {
+        pub fn get_last_term(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
-        #[inline]
-        pub fn get_commit(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn get_entries(
-            self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::log_entry::Owned>,
-        > {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_entries(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
-        }
     }
 
     pub struct Builder<'a> {
@@ -2042,8 +2023,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
-                pointers: 2,
+                data: 3,
+                pointers: 1,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -2162,66 +2143,21 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_prev_index(self) -> u64 {
+        pub fn get_last_index(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_prev_index(&mut self, value: u64) {
+        pub fn set_last_index(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_prev_term(self) -> u64 {
+        pub fn get_last_term(self) -> u64 {
             self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_prev_term(&mut self, value: u64) {
+        pub fn set_last_term(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
-        #[inline]
-        pub fn get_commit(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn set_commit(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(3, value);
-        }
-        #[inline]
-        pub fn get_entries(
-            self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::log_entry::Owned>,
-        > {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_entries(
-            &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::log_entry::Owned>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
-        }
-        #[inline]
-        pub fn init_entries(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::log_entry::Owned>
-        {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(1),
-                size,
-            )
-        }
-        #[inline]
-        pub fn has_entries(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
-        }
     }
 
     pub struct Pipeline {
@@ -2240,68 +2176,54 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 115] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(25, 29, 108, 182, 246, 7, 191, 168),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(200, 90, 45, 74, 183, 47, 80, 234),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
             ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 65, 112, 112, 101),
-            ::capnp::word(110, 100, 82, 101, 113, 117, 101, 115),
-            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 84, 114, 97, 110),
+            ::capnp::word(115, 102, 101, 114, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(216, 221, 65, 206, 242, 176, 25, 152),
@@ -2318,7 +2240,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 101, 118, 73, 110, 100, 101),
+            ::capnp::word(108, 97, 115, 116, 73, 110, 100, 101),
             ::capnp::word(120, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2327,16 +2249,8 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 101, 118, 84, 101, 114, 109),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 115, 116, 84, 101, 114, 109),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 111, 109, 109, 105, 116, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2344,18 +2258,6 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(159, 89, 232, 25, 193, 59, 253, 249),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2363,8 +2265,6 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::log_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2383,14 +2283,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 5, 0, 2, 3, 1];
-        pub(crate) const TYPE_ID: u64 = 0xa8bf_07f6_b66c_1d19;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 3, 1];
+        pub(crate) const TYPE_ID: u64 = 0xea50_2fb7_4a2d_5ac8;
     }
 }
 
-pub mod append_reply {
+pub mod transfer_reply {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -2505,24 +2405,8 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_term(self) -> u64 {
-            self.reader.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn get_success(self) -> bool {
-            self.reader.get_bool_field(64)
-        }
-        #[inline]
-        pub fn get_matched(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn get_stale(self) -> bool {
-            self.reader.get_bool_field(65)
-        }
-        #[inline]
-        pub fn get_learner(self) -> bool {
-            self.reader.get_bool_field(66)
+        pub fn get_accepted(self) -> bool {
+            self.reader.get_bool_field(0)
         }
     }
 
@@ -2532,7 +2416,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 3,
+                data: 1,
                 pointers: 1,
             };
     }
@@ -2644,44 +2528,12 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_term(self) -> u64 {
-            self.builder.get_data_field::<u64>(0)
-        }
-        #[inline]
-        pub fn set_term(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(0, value);
-        }
-        #[inline]
-        pub fn get_success(self) -> bool {
-            self.builder.get_bool_field(64)
-        }
-        #[inline]
-        pub fn set_success(&mut self, value: bool) {
-            self.builder.set_bool_field(64, value);
-        }
-        #[inline]
-        pub fn get_matched(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_matched(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-        #[inline]
-        pub fn get_stale(self) -> bool {
-            self.builder.get_bool_field(65)
-        }
-        #[inline]
-        pub fn set_stale(&mut self, value: bool) {
-            self.builder.set_bool_field(65, value);
-        }
-        #[inline]
-        pub fn get_learner(self) -> bool {
-            self.builder.get_bool_field(66)
+        pub fn get_accepted(self) -> bool {
+            self.builder.get_bool_field(0)
         }
         #[inline]
-        pub fn set_learner(&mut self, value: bool) {
-            self.builder.set_bool_field(66, value);
+        pub fn set_accepted(&mut self, value: bool) {
+            self.builder.set_bool_field(0, value);
         }
     }
 
@@ -2701,108 +2553,50 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 50] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(31, 134, 44, 93, 166, 231, 16, 249),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(91, 67, 77, 150, 57, 87, 247, 173),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
             ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 65, 112, 112, 101),
-            ::capnp::word(110, 100, 82, 101, 112, 108, 121, 0),
+            ::capnp::word(112, 110, 112, 58, 84, 114, 97, 110),
+            ::capnp::word(115, 102, 101, 114, 82, 101, 112, 108),
+            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 221, 65, 206, 242, 176, 25, 152),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(4, 0, 0, 0, 65, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 221, 65, 206, 242, 176, 25, 152),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 99, 101, 112, 116, 101, 100),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 97, 116, 99, 104, 101, 100, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 116, 97, 108, 101, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 101, 97, 114, 110, 101, 114, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2814,11 +2608,7 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::goldcrestrail_capnp::identity::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2837,14 +2627,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 3, 4, 2, 1];
-        pub(crate) const TYPE_ID: u64 = 0xf910_e7a6_5d2c_861f;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xadf7_5739_964d_435b;
     }
 }
 
-pub mod snapshot_request {
+pub mod append_request {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -2963,32 +2753,32 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_last_index(self) -> u64 {
+        pub fn get_prev_index(self) -> u64 {
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_last_term(self) -> u64 {
+        pub fn get_prev_term(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_offset(self) -> u64 {
+        pub fn get_commit(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_chunk(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+        pub fn get_entries(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::log_entry::Owned>,
+        > {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_chunk(&self) -> bool {
+        pub fn has_entries(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
-        #[inline]
-        pub fn get_done(self) -> bool {
-            self.reader.get_bool_field(256)
-        }
     }
 
     pub struct Builder<'a> {
@@ -2997,7 +2787,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 5,
+                data: 4,
                 pointers: 2,
             };
     }
@@ -3117,56 +2907,66 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_last_index(self) -> u64 {
+        pub fn get_prev_index(self) -> u64 {
             self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn set_last_index(&mut self, value: u64) {
+        pub fn set_prev_index(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_last_term(self) -> u64 {
+        pub fn get_prev_term(self) -> u64 {
             self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_last_term(&mut self, value: u64) {
+        pub fn set_prev_term(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_offset(self) -> u64 {
+        pub fn get_commit(self) -> u64 {
             self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn set_offset(&mut self, value: u64) {
+        pub fn set_commit(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
         #[inline]
-        pub fn get_chunk(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+        pub fn get_entries(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::log_entry::Owned>,
+        > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_chunk(&mut self, value: ::capnp::data::Reader<'_>) {
-            self.builder.reborrow().get_pointer_field(1).set_data(value);
+        pub fn set_entries(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::log_entry::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
         }
         #[inline]
-        pub fn init_chunk(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(1).init_data(size)
+        pub fn init_entries(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::log_entry::Owned>
+        {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
         }
         #[inline]
-        pub fn has_chunk(&self) -> bool {
+        pub fn has_entries(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
-        #[inline]
-        pub fn get_done(self) -> bool {
-            self.builder.get_bool_field(256)
-        }
-        #[inline]
-        pub fn set_done(&mut self, value: bool) {
-            self.builder.set_bool_field(256, value);
-        }
     }
 
     pub struct Pipeline {
@@ -3185,75 +2985,68 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 115] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(230, 200, 161, 249, 106, 67, 46, 201),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(25, 29, 108, 182, 246, 7, 191, 168),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
             ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 83, 110, 97, 112),
-            ::capnp::word(115, 104, 111, 116, 82, 101, 113, 117),
-            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 65, 112, 112, 101),
+            ::capnp::word(110, 100, 82, 101, 113, 117, 101, 115),
+            ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(6, 0, 0, 0, 0, 1, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(216, 221, 65, 206, 242, 176, 25, 152),
@@ -3270,7 +3063,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 97, 115, 116, 73, 110, 100, 101),
+            ::capnp::word(112, 114, 101, 118, 73, 110, 100, 101),
             ::capnp::word(120, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3279,7 +3072,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 97, 115, 116, 84, 101, 114, 109),
+            ::capnp::word(112, 114, 101, 118, 84, 101, 114, 109),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3288,7 +3081,7 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(111, 102, 102, 115, 101, 116, 0, 0),
+            ::capnp::word(99, 111, 109, 109, 105, 116, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3296,20 +3089,16 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 104, 117, 110, 107, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 111, 110, 101, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(159, 89, 232, 25, 193, 59, 253, 249),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -3320,8 +3109,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::log_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3340,14 +3128,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 6, 0, 2, 3, 4, 1];
-        pub(crate) const TYPE_ID: u64 = 0xc92e_436a_f9a1_c8e6;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 5, 0, 2, 3, 1];
+        pub(crate) const TYPE_ID: u64 = 0xa8bf_07f6_b66c_1d19;
     }
 }
 
-pub mod snapshot_reply {
+pub mod append_reply {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -3466,8 +3254,20 @@
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_next(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
+        pub fn get_success(self) -> bool {
+            self.reader.get_bool_field(64)
+        }
+        #[inline]
+        pub fn get_matched(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_stale(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
+        #[inline]
+        pub fn get_learner(self) -> bool {
+            self.reader.get_bool_field(66)
         }
     }
 
@@ -3477,7 +3277,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 2,
+                data: 3,
                 pointers: 1,
             };
     }
@@ -3597,12 +3397,36 @@
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn get_next(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
+        pub fn get_success(self) -> bool {
+            self.builder.get_bool_field(64)
         }
         #[inline]
-        pub fn set_next(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
+        pub fn set_success(&mut self, value: bool) {
+            self.builder.set_bool_field(64, value);
+        }
+        #[inline]
+        pub fn get_matched(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_matched(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_stale(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_stale(&mut self, value: bool) {
+            self.builder.set_bool_field(65, value);
+        }
+        #[inline]
+        pub fn get_learner(self) -> bool {
+            self.builder.get_bool_field(66)
+        }
+        #[inline]
+        pub fn set_learner(&mut self, value: bool) {
+            self.builder.set_bool_field(66, value);
         }
     }
 
@@ -3622,47 +3446,67 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(112, 59, 180, 136, 130, 46, 49, 223),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(31, 134, 44, 93, 166, 231, 16, 249),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
             ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 83, 110, 97, 112),
-            ::capnp::word(115, 104, 111, 116, 82, 101, 112, 108),
-            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 65, 112, 112, 101),
+            ::capnp::word(110, 100, 82, 101, 112, 108, 121, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(216, 221, 65, 206, 242, 176, 25, 152),
@@ -3679,7 +3523,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+            ::capnp::word(115, 117, 99, 99, 101, 115, 115, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 97, 116, 99, 104, 101, 100, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3687,12 +3539,31 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 108, 101, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 114, 110, 101, 114, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::goldcrestrail_capnp::identity::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3711,14 +3582,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
-        pub(crate) const TYPE_ID: u64 = 0xdf31_2e82_88b4_3b70;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 5, 3, 4, 2, 1];
+        pub(crate) const TYPE_ID: u64 = 0xf910_e7a6_5d2c_861f;
     }
 }
 
-pub mod upstream_status {
+pub mod snapshot_request {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -3822,54 +3693,46 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_from(self) -> ::capnp::Result<crate::goldcrestrail_capnp::identity::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_member(&self) -> bool {
+        pub fn has_from(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_store(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_store(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn get_primary(self) -> bool {
-            self.reader.get_bool_field(0)
+        pub fn get_last_index(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_position(
-            self,
-        ) -> ::capnp::Result<crate::goldcrestrail_capnp::position::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
+        pub fn get_last_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_position(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
+        pub fn get_offset(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn get_following(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_chunk(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(3),
+                &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_following(&self) -> bool {
-            !self.reader.get_pointer_field(3).is_null()
+        pub fn has_chunk(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_done(self) -> bool {
+            self.reader.get_bool_field(256)
         }
     }
 
@@ -3879,8 +3742,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 4,
+                data: 5,
+                pointers: 2,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -3963,121 +3826,91 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_from(
+            self,
+        ) -> ::capnp::Result<crate::goldcrestrail_capnp::identity::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_member(
+        pub fn set_from(
             &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
+            value: crate::goldcrestrail_capnp::identity::Reader<'_>,
+        ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
                 false,
             )
-            .unwrap()
         }
         #[inline]
-        pub fn init_member(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn init_from(self) -> crate::goldcrestrail_capnp::identity::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
         }
         #[inline]
-        pub fn has_member(&self) -> bool {
+        pub fn has_from(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_store(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
+        pub fn get_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_store(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
-            .unwrap()
+        pub fn set_term(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
-        pub fn init_store(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+        pub fn get_last_index(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_store(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_last_index(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_primary(self) -> bool {
-            self.builder.get_bool_field(0)
+        pub fn get_last_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_primary(&mut self, value: bool) {
-            self.builder.set_bool_field(0, value);
+        pub fn set_last_term(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_position(
-            self,
-        ) -> ::capnp::Result<crate::goldcrestrail_capnp::position::Builder<'a>> {
+        pub fn get_offset(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_offset(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_chunk(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(2),
+                self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_position(
-            &mut self,
-            value: crate::goldcrestrail_capnp::position::Reader<'_>,
-        ) -> ::capnp::Result<()> {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(2),
-                value,
-                false,
-            )
+        pub fn set_chunk(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(1).set_data(value);
         }
         #[inline]
-        pub fn init_position(self) -> crate::goldcrestrail_capnp::position::Builder<'a> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        pub fn init_chunk(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(1).init_data(size)
         }
         #[inline]
-        pub fn has_position(&self) -> bool {
-            !self.builder.is_pointer_field_null(2)
-        }
-        #[inline]
-        pub fn get_following(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(3),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_following(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(3),
-                value,
-                false,
-            )
-            .unwrap()
+        pub fn has_chunk(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn init_following(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(3).init_text(size)
+        pub fn get_done(self) -> bool {
+            self.builder.get_bool_field(256)
         }
         #[inline]
-        pub fn has_following(&self) -> bool {
-            !self.builder.is_pointer_field_null(3)
+        pub fn set_done(&mut self, value: bool) {
+            self.builder.set_bool_field(256, value);
         }
     }
 
@@ -4092,116 +3925,148 @@
         }
     }
     impl Pipeline {
-        pub fn get_position(&self) -> crate::goldcrestrail_capnp::position::Pipeline {
-            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        pub fn get_from(&self) -> crate::goldcrestrail_capnp::identity::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 126] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(17, 207, 151, 191, 139, 118, 30, 165),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(230, 200, 161, 249, 106, 67, 46, 201),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
             ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 85, 112, 115, 116),
-            ::capnp::word(114, 101, 97, 109, 83, 116, 97, 116),
-            ::capnp::word(117, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 110, 112, 58, 83, 110, 97, 112),
+            ::capnp::word(115, 104, 111, 116, 82, 101, 113, 117),
+            ::capnp::word(101, 115, 116, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(189, 0, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(197, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 221, 65, 206, 242, 176, 25, 152),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 116, 111, 114, 101, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 105, 109, 97, 114, 121, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 115, 116, 73, 110, 100, 101),
+            ::capnp::word(120, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(211, 107, 141, 145, 85, 38, 80, 251),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 97, 115, 116, 84, 101, 114, 109),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(102, 111, 108, 108, 111, 119, 105, 110),
-            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 102, 102, 115, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 117, 110, 107, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                3 => <crate::goldcrestrail_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                0 => <crate::goldcrestrail_capnp::identity::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4220,375 +4085,1942 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 0, 3, 2, 1];
-        pub(crate) const TYPE_ID: u64 = 0xa51e_768b_bf97_cf11;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 6, 0, 2, 3, 4, 1];
+        pub(crate) const TYPE_ID: u64 = 0xc92e_436a_f9a1_c8e6;
     }
 }
 
-pub mod peer {
-    #![allow(unused_variables)]
-    pub type VoteParams =
-        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::vote_params::Owned>;
-    pub type VoteResults =
-        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::vote_results::Owned>;
-    pub type AppendParams =
-        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::append_params::Owned>;
-    pub type AppendResults =
-        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::append_results::Owned>;
-    pub type SnapshotParams =
-        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::snapshot_params::Owned>;
-    pub type SnapshotResults =
-        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::snapshot_results::Owned>;
-    pub type GrantsParams =
-        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::grants_params::Owned>;
-    pub type GrantsResults =
-        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::grants_results::Owned>;
-    pub type ProbeParams =
-        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::probe_params::Owned>;
-    pub type ProbeResults =
-        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::probe_results::Owned>;
-    pub type OrderParams =
-        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::order_params::Owned>;
-    pub type OrderResults =
-        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::order_results::Owned>;
-    pub type ProposeParams =
-        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::propose_params::Owned>;
-    pub type ProposeResults =
-        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::propose_results::Owned>;
-
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self {
-                client: ::capnp::capability::Client::new(hook),
-            }
-        }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
-        }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
-        }
-    }
+pub mod snapshot_reply {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
         fn introspect() -> ::capnp::introspect::Type {
-            ::capnp::introspect::TypeVariant::Capability.into()
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
         }
     }
     impl ::capnp::traits::Owned for Owned {
-        type Reader<'a> = Client;
-        type Builder<'a> = Client;
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
     }
     impl ::capnp::traits::Pipelined for Owned {
-        type Pipeline = Client;
+        type Pipeline = Pipeline;
     }
-    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
-        fn get_from_pointer(
-            reader: &::capnp::private::layout::PointerReader<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                reader.get_capability()?,
-            ))
-        }
-    }
-    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
-        fn init_pointer(
-            _builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _size: u32,
-        ) -> Self {
-            unimplemented!()
-        }
-        fn get_from_pointer(
-            builder: ::capnp::private::layout::PointerBuilder<'a>,
-            _default: ::core::option::Option<&'a [::capnp::Word]>,
-        ) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
-                builder.get_capability()?,
-            ))
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
         }
     }
 
-    impl ::capnp::traits::SetterInput<Owned> for Client {
-        fn set_pointer_builder(
-            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
-            from: Self,
-            _canonicalize: bool,
-        ) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
-        }
-    }
-    impl ::capnp::traits::HasTypeId for Client {
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
         const TYPE_ID: u64 = _private::TYPE_ID;
     }
-    impl Clone for Client {
-        fn clone(&self) -> Self {
-            Self {
-                client: self.client.clone(),
-            }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
         }
     }
-    impl Client {
-        pub fn vote_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::goldcrestrail_capnp::peer::vote_params::Owned,
-            crate::goldcrestrail_capnp::peer::vote_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
-        }
-        pub fn append_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::goldcrestrail_capnp::peer::append_params::Owned,
-            crate::goldcrestrail_capnp::peer::append_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
-        }
-        pub fn snapshot_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::goldcrestrail_capnp::peer::snapshot_params::Owned,
-            crate::goldcrestrail_capnp::peer::snapshot_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
-        }
-        pub fn grants_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::goldcrestrail_capnp::peer::grants_params::Owned,
-            crate::goldcrestrail_capnp::peer::grants_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
-        pub fn probe_request(
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
             &self,
-        ) -> ::capnp::capability::Request<
-            crate::goldcrestrail_capnp::peer::probe_params::Owned,
-            crate::goldcrestrail_capnp::peer::probe_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
         }
-        pub fn order_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::goldcrestrail_capnp::peer::order_params::Owned,
-            crate::goldcrestrail_capnp::peer::order_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
         }
-        pub fn propose_request(
-            &self,
-        ) -> ::capnp::capability::Request<
-            crate::goldcrestrail_capnp::peer::propose_params::Owned,
-            crate::goldcrestrail_capnp::peer::propose_results::Owned,
-        > {
-            self.client
-                .new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
         }
     }
-    pub trait Server: 'static {
-        fn vote(
-            self: ::capnp::capability::Rc<Self>,
-            _: VoteParams,
-            _: VoteResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::vote not implemented".to_string(),
-            )))
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
         }
-        fn append(
-            self: ::capnp::capability::Rc<Self>,
-            _: AppendParams,
-            _: AppendResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::append not implemented".to_string(),
-            )))
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
         }
-        fn snapshot(
-            self: ::capnp::capability::Rc<Self>,
-            _: SnapshotParams,
-            _: SnapshotResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::snapshot not implemented".to_string(),
-            )))
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
         }
-        fn grants(
-            self: ::capnp::capability::Rc<Self>,
-            _: GrantsParams,
-            _: GrantsResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::grants not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn get_from(self) -> ::capnp::Result<crate::goldcrestrail_capnp::identity::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
         }
-        fn probe(
-            self: ::capnp::capability::Rc<Self>,
-            _: ProbeParams,
-            _: ProbeResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::probe not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
         }
-        fn order(
-            self: ::capnp::capability::Rc<Self>,
-            _: OrderParams,
-            _: OrderResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::order not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
         }
-        fn propose(
-            self: ::capnp::capability::Rc<Self>,
-            _: ProposeParams,
-            _: ProposeResults,
-        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
-            ::core::future::ready(Err(::capnp::Error::unimplemented(
-                "method peer::Server::propose not implemented".to_string(),
-            )))
+        #[inline]
+        pub fn get_next(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
     }
-    pub struct ServerDispatch<_T> {
-        pub server: ::capnp::capability::Rc<_T>,
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
     }
-    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
-        type Dispatch = ServerDispatch<_S>;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
-            ServerDispatch { server: s }
-        }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 1,
+            };
     }
-    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T {
-            &self.server
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
         }
     }
-    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self {
-            Self {
-                server: self.server.clone(),
-            }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
         }
     }
-    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_from(
             self,
-            interface_id: u64,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => {
-                    Self::dispatch_call_internal(self.server, method_id, params, results)
+        ) -> ::capnp::Result<crate::goldcrestrail_capnp::identity::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_from(
+            &mut self,
+            value: crate::goldcrestrail_capnp::identity::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_from(self) -> crate::goldcrestrail_capnp::identity::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_from(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_term(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_next(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_next(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {
+        pub fn get_from(&self) -> crate::goldcrestrail_capnp::identity::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(112, 59, 180, 136, 130, 46, 49, 223),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 83, 110, 97, 112),
+            ::capnp::word(115, 104, 111, 116, 82, 101, 112, 108),
+            ::capnp::word(121, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(102, 114, 111, 109, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(216, 221, 65, 206, 242, 176, 25, 152),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 120, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <crate::goldcrestrail_capnp::identity::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
+        pub(crate) const TYPE_ID: u64 = 0xdf31_2e82_88b4_3b70;
+    }
+}
+
+pub mod upstream_status {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_store(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_store(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_primary(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_position(
+            self,
+        ) -> ::capnp::Result<crate::goldcrestrail_capnp::position::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_position(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_following(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_following(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 4,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_member(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_member(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_store(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_store(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_store(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_store(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_primary(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_primary(&mut self, value: bool) {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_position(
+            self,
+        ) -> ::capnp::Result<crate::goldcrestrail_capnp::position::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_position(
+            &mut self,
+            value: crate::goldcrestrail_capnp::position::Reader<'_>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_position(self) -> crate::goldcrestrail_capnp::position::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), 0)
+        }
+        #[inline]
+        pub fn has_position(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+        #[inline]
+        pub fn get_following(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_following(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_following(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(3).init_text(size)
+        }
+        #[inline]
+        pub fn has_following(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {
+        pub fn get_position(&self) -> crate::goldcrestrail_capnp::position::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(2))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(17, 207, 151, 191, 139, 118, 30, 165),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 26, 1, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 85, 112, 115, 116),
+            ::capnp::word(114, 101, 97, 109, 83, 116, 97, 116),
+            ::capnp::word(117, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 111, 114, 101, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 105, 109, 97, 114, 121, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 111, 115, 105, 116, 105, 111, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(211, 107, 141, 145, 85, 38, 80, 251),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 111, 108, 108, 111, 119, 105, 110),
+            ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <crate::goldcrestrail_capnp::position::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 0, 3, 2, 1];
+        pub(crate) const TYPE_ID: u64 = 0xa51e_768b_bf97_cf11;
+    }
+}
+
+pub mod peer {
+    #![allow(unused_variables)]
+    pub type VoteParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::vote_params::Owned>;
+    pub type VoteResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::vote_results::Owned>;
+    pub type AppendParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::append_params::Owned>;
+    pub type AppendResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::append_results::Owned>;
+    pub type SnapshotParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::snapshot_params::Owned>;
+    pub type SnapshotResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::snapshot_results::Owned>;
+    pub type GrantsParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::grants_params::Owned>;
+    pub type GrantsResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::grants_results::Owned>;
+    pub type ProbeParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::probe_params::Owned>;
+    pub type ProbeResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::probe_results::Owned>;
+    pub type OrderParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::order_params::Owned>;
+    pub type OrderResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::order_results::Owned>;
+    pub type ProposeParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::propose_params::Owned>;
+    pub type ProposeResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::propose_results::Owned>;
+    pub type TransferParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::transfer_params::Owned>;
+    pub type TransferResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::transfer_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self {
+                client: ::capnp::capability::Client::new(hook),
+            }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Capability.into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Client;
+        type Builder<'a> = Client;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Client;
+    }
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Client {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
+                reader.get_capability()?,
+            ))
+        }
+    }
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Client {
+        fn init_pointer(
+            _builder: ::capnp::private::layout::PointerBuilder<'a>,
+            _size: u32,
+        ) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            _default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(
+                builder.get_capability()?,
+            ))
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Client {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            from: Self,
+            _canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl Clone for Client {
+        fn clone(&self) -> Self {
+            Self {
+                client: self.client.clone(),
+            }
+        }
+    }
+    impl Client {
+        pub fn vote_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::vote_params::Owned,
+            crate::goldcrestrail_capnp::peer::vote_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn append_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::append_params::Owned,
+            crate::goldcrestrail_capnp::peer::append_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn snapshot_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::snapshot_params::Owned,
+            crate::goldcrestrail_capnp::peer::snapshot_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
+        pub fn grants_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::grants_params::Owned,
+            crate::goldcrestrail_capnp::peer::grants_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
+        pub fn probe_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::probe_params::Owned,
+            crate::goldcrestrail_capnp::peer::probe_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 4, ::core::option::Option::None)
+        }
+        pub fn order_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::order_params::Owned,
+            crate::goldcrestrail_capnp::peer::order_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
+        }
+        pub fn propose_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::propose_params::Owned,
+            crate::goldcrestrail_capnp::peer::propose_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+        }
+        pub fn transfer_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::transfer_params::Owned,
+            crate::goldcrestrail_capnp::peer::transfer_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
+        }
+    }
+    pub trait Server: 'static {
+        fn vote(
+            self: ::capnp::capability::Rc<Self>,
+            _: VoteParams,
+            _: VoteResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::vote not implemented".to_string(),
+            )))
+        }
+        fn append(
+            self: ::capnp::capability::Rc<Self>,
+            _: AppendParams,
+            _: AppendResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::append not implemented".to_string(),
+            )))
+        }
+        fn snapshot(
+            self: ::capnp::capability::Rc<Self>,
+            _: SnapshotParams,
+            _: SnapshotResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::snapshot not implemented".to_string(),
+            )))
+        }
+        fn grants(
+            self: ::capnp::capability::Rc<Self>,
+            _: GrantsParams,
+            _: GrantsResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::grants not implemented".to_string(),
+            )))
+        }
+        fn probe(
+            self: ::capnp::capability::Rc<Self>,
+            _: ProbeParams,
+            _: ProbeResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::probe not implemented".to_string(),
+            )))
+        }
+        fn order(
+            self: ::capnp::capability::Rc<Self>,
+            _: OrderParams,
+            _: OrderResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::order not implemented".to_string(),
+            )))
+        }
+        fn propose(
+            self: ::capnp::capability::Rc<Self>,
+            _: ProposeParams,
+            _: ProposeResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::propose not implemented".to_string(),
+            )))
+        }
+        fn transfer(
+            self: ::capnp::capability::Rc<Self>,
+            _: TransferParams,
+            _: TransferResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::transfer not implemented".to_string(),
+            )))
+        }
+    }
+    pub struct ServerDispatch<_T> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl<_S: Server + 'static> ::capnp::capability::FromServer<_S> for Client {
+        type Dispatch = ServerDispatch<_S>;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S> {
+            ServerDispatch { server: s }
+        }
+    }
+    impl<_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T {
+            &self.server
+        }
+    }
+    impl<_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self {
+            Self {
+                server: self.server.clone(),
+            }
+        }
+    }
+    impl<_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(
+            self,
+            interface_id: u64,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => {
+                    Self::dispatch_call_internal(self.server, method_id, params, results)
+                }
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+        fn as_ptr(&self) -> usize {
+            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+        }
+    }
+    impl<_T: Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(
+            this: ::capnp::capability::Rc<_T>,
+            method_id: u16,
+            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
+            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
+        ) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::vote(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                1 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::append(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                2 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::snapshot(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                3 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::grants(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                4 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::probe(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                5 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::order(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                6 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::propose(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                7 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::transfer(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                _ => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
+                        "Method not implemented.".to_string(),
+                    )),
+                    false,
+                ),
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xc362_32ea_b86e_155f;
+    }
+
+    pub mod vote_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_request(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_request::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_request(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_request::Builder<'a>>
+            {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_request(
+                &mut self,
+                value: crate::goldcrestrail_capnp::vote_request::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_request(self) -> crate::goldcrestrail_capnp::vote_request::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_request(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {
+            pub fn get_request(&self) -> crate::goldcrestrail_capnp::vote_request::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(209, 202, 232, 139, 255, 231, 233, 190),
+                ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+                ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 118, 111, 116, 101, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(218, 143, 240, 231, 255, 153, 222, 136),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::goldcrestrail_capnp::vote_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xbee9_e7ff_8be8_cad1;
+        }
+    }
+
+    pub mod vote_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_reply(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_reply::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_reply(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
                 }
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_reply(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_reply::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_reply(
+                &mut self,
+                value: crate::goldcrestrail_capnp::vote_reply::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
                     false,
-                ),
+                )
+            }
+            #[inline]
+            pub fn init_reply(self) -> crate::goldcrestrail_capnp::vote_reply::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_reply(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
             }
         }
-        fn as_ptr(&self) -> usize {
-            ::capnp::capability::Rc::as_ptr(&self.server) as usize
+        impl Pipeline {
+            pub fn get_reply(&self) -> crate::goldcrestrail_capnp::vote_reply::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
         }
-    }
-    impl<_T: Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(
-            this: ::capnp::capability::Rc<_T>,
-            method_id: u16,
-            params: ::capnp::capability::Params<::capnp::any_pointer::Owned>,
-            results: ::capnp::capability::Results<::capnp::any_pointer::Owned>,
-        ) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::vote(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                1 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::append(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                2 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::snapshot(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                3 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::grants(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                4 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::probe(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                5 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::order(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                6 => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::from_future(<_T as Server>::propose(
-                        this,
-                        ::capnp::private::capability::internal_get_typed_params(params),
-                        ::capnp::private::capability::internal_get_typed_results(results),
-                    )),
-                    false,
-                ),
-                _ => ::capnp::capability::DispatchCallResult::new(
-                    ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
-                        "Method not implemented.".to_string(),
-                    )),
-                    false,
-                ),
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(73, 25, 208, 59, 255, 93, 191, 155),
+                ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+                ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+                ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
+                ::capnp::word(46, 118, 111, 116, 101, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 93, 163, 251, 21, 154, 124, 221),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::goldcrestrail_capnp::vote_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
             }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0x9bbf_5dff_3bd0_1949;
         }
     }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xc362_32ea_b86e_155f;
-    }
 
-    pub mod vote_params {
+    pub mod append_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -4698,7 +6130,8 @@
             #[inline]
             pub fn get_request(
                 self,
-            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_request::Reader<'a>> {
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::append_request::Reader<'a>>
+            {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
@@ -4807,7 +6240,7 @@
             #[inline]
             pub fn get_request(
                 self,
-            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_request::Builder<'a>>
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::append_request::Builder<'a>>
             {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
@@ -4817,7 +6250,7 @@
             #[inline]
             pub fn set_request(
                 &mut self,
-                value: crate::goldcrestrail_capnp::vote_request::Reader<'_>,
+                value: crate::goldcrestrail_capnp::append_request::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -4826,7 +6259,7 @@
                 )
             }
             #[inline]
-            pub fn init_request(self) -> crate::goldcrestrail_capnp::vote_request::Builder<'a> {
+            pub fn init_request(self) -> crate::goldcrestrail_capnp::append_request::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
                     0,
@@ -4849,19 +6282,19 @@
             }
         }
         impl Pipeline {
-            pub fn get_request(&self) -> crate::goldcrestrail_capnp::vote_request::Pipeline {
+            pub fn get_request(&self) -> crate::goldcrestrail_capnp::append_request::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(209, 202, 232, 139, 255, 231, 233, 190),
+                ::capnp::word(116, 46, 50, 82, 46, 244, 102, 145),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
@@ -4870,8 +6303,8 @@
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
                 ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
-                ::capnp::word(46, 118, 111, 116, 101, 36, 80, 97),
-                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(46, 97, 112, 112, 101, 110, 100, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -4882,7 +6315,7 @@
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(218, 143, 240, 231, 255, 153, 222, 136),
+                ::capnp::word(25, 29, 108, 182, 246, 7, 191, 168),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4891,7 +6324,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::goldcrestrail_capnp::vote_request::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::goldcrestrail_capnp::append_request::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4913,11 +6346,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xbee9_e7ff_8be8_cad1;
+            pub(crate) const TYPE_ID: u64 = 0x9166_f42e_5232_2e74;
         }
     }
 
-    pub mod vote_results {
+    pub mod append_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5027,7 +6460,7 @@
             #[inline]
             pub fn get_reply(
                 self,
-            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_reply::Reader<'a>> {
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::append_reply::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
@@ -5136,7 +6569,8 @@
             #[inline]
             pub fn get_reply(
                 self,
-            ) -> ::capnp::Result<crate::goldcrestrail_capnp::vote_reply::Builder<'a>> {
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::append_reply::Builder<'a>>
+            {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
@@ -5145,7 +6579,7 @@
             #[inline]
             pub fn set_reply(
                 &mut self,
-                value: crate::goldcrestrail_capnp::vote_reply::Reader<'_>,
+                value: crate::goldcrestrail_capnp::append_reply::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -5154,7 +6588,7 @@
                 )
             }
             #[inline]
-            pub fn init_reply(self) -> crate::goldcrestrail_capnp::vote_reply::Builder<'a> {
+            pub fn init_reply(self) -> crate::goldcrestrail_capnp::append_reply::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
                     0,
@@ -5177,19 +6611,19 @@
             }
         }
         impl Pipeline {
-            pub fn get_reply(&self) -> crate::goldcrestrail_capnp::vote_reply::Pipeline {
+            pub fn get_reply(&self) -> crate::goldcrestrail_capnp::append_reply::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(73, 25, 208, 59, 255, 93, 191, 155),
+                ::capnp::word(133, 116, 234, 141, 153, 7, 120, 166),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 50, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
@@ -5198,8 +6632,8 @@
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
                 ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
-                ::capnp::word(46, 118, 111, 116, 101, 36, 82, 101),
-                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(46, 97, 112, 112, 101, 110, 100, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
@@ -5210,7 +6644,7 @@
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 112, 108, 121, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 93, 163, 251, 21, 154, 124, 221),
+                ::capnp::word(31, 134, 44, 93, 166, 231, 16, 249),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -5219,7 +6653,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::goldcrestrail_capnp::vote_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::goldcrestrail_capnp::append_reply::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -5241,11 +6675,11 @@
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0x9bbf_5dff_3bd0_1949;
+            pub(crate) const TYPE_ID: u64 = 0xa678_0799_8dea_7485;
         }
     }
 
-    pub mod append_params {
+    pub mod snapshot_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -5355,7 +6789,7 @@
             #[inline]
             pub fn get_request(
                 self,
-            ) -> ::capnp::Result<crate::goldcrestrail_capnp::append_request::Reader<'a>>
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::snapshot_request::Reader<'a>>
             {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
@@ -5465,7 +6899,7 @@
             #[inline]
             pub fn get_request(
                 self,
-            ) -> ::capnp::Result<crate::goldcrestrail_capnp::append_request::Builder<'a>>
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::snapshot_request::Builder<'a>>
             {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
@@ -5475,7 +6909,7 @@
             #[inline]
             pub fn set_request(
                 &mut self,
-                value: crate::goldcrestrail_capnp::append_request::Reader<'_>,
+                value: crate::goldcrestrail_capnp::snapshot_request::Reader<'_>,
             ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
@@ -5484,7 +6918,7 @@
                 )
             }
             #[inline]
-            pub fn init_request(self) -> crate::goldcrestrail_capnp::append_request::Builder<'a> {
+            pub fn init_request(self) -> crate::goldcrestrail_capnp::snapshot_request::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(
                     self.builder.get_pointer_field(0),
                     0,
@@ -5507,29 +6941,30 @@
             }
         }
         impl Pipeline {
-            pub fn get_request(&self) -> crate::goldcrestrail_capnp::append_request::Pipeline {
+            pub fn get_request(&self) -> crate::goldcrestrail_capnp::snapshot_request::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(116, 46, 50, 82, 46, 244, 102, 145),
+                ::capnp::word(83, 62, 240, 6, 38, 70, 18, 217),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
                 ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
-                ::capnp::word(46, 97, 112, 112, 101, 110, 100, 36),
-                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+                ::capnp::word(46, 115, 110, 97, 112, 115, 104, 111),
+                ::capnp::word(116, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
