Probe a member at once when its management connection ends

A killed primary was noticed by the next probe, up to 250 ms later, although its management connection had ended at once. The wait between two probes now also ends when that connection becomes readable or ends.

The wait takes no bytes, so that it can be dropped when the interval is over. A reconnect is still needed before the member counts as refused, and silence is judged as before. After a wait that ended this way the next one lasts the whole interval, so that a member that sends messages unasked is not asked without pause.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -4,6 +4,7 @@
     cell::RefCell,
     io,
     net::{IpAddr, SocketAddr},
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -11,6 +12,7 @@
 use base::{MemberName, Position};
 use compio::runtime::JoinHandle;
 use event_listener::Event;
+use futures_util::future::{Either, select};
 use rand::RngExt as _;
 use route::{Detector, Health, Place};
 use wire::{Failure, WireError};
@@ -171,6 +173,7 @@
     let count = |result| metrics.probes.with_label_values(&[result]).inc();
     let mut client = None;
     let mut pause = Duration::ZERO;
+    let mut watched = true;
     // A connection whose probe was not answered, and when that was noticed.
     let mut unanswered: Option<(wire::Client, Instant)> = None;
     loop {
@@ -196,7 +199,11 @@
             Ok(Err(Fault::Silent)) | Err(_) => Some(Fault::Silent),
         };
         match fault {
-            None => wait(&member, pause).await,
+            None => {
+                // A member that sends something unasked after every probe is not asked more often.
+                let idle = client.as_ref().filter(|_| watched);
+                watched = !wait(&member, pause, idle).await;
+            }
             Some(fault) => {
                 let old = client.take();
                 match fault {
@@ -237,25 +244,34 @@
     compio::time::sleep(RETRY_PAUSE.mul_f64(jitter)).await;
 }
 
-/// Waits for the next probe: the interval, or less when something waits for this member.
-async fn wait(member: &Member, pause: Duration) {
+/// Waits for the next probe: the interval, or less when something waits for this member or the
+/// connection `idle` ends. Returns whether the connection ended or brought something.
+async fn wait(member: &Member, pause: Duration, idle: Option<&wire::Client>) -> bool {
     if member.group.is_urgent(member.is_primary()) {
         if !pause.is_zero() {
             let urgent = member.group.listen_urgent();
             let _elapsed = compio::time::timeout(pause, urgent).await;
         }
-        return;
+        return false;
     }
     let end = Instant::now() + INTERVAL;
-    loop {
-        let urgent = member.group.listen_urgent();
-        if member.group.is_urgent(member.is_primary()) {
-            return;
+    let news = pin!(async {
+        match idle {
+            Some(client) => client.reader.readable().await,
+            None => std::future::pending().await,
         }
-        if compio::time::timeout_at(end, urgent).await.is_err() {
-            return;
+    });
+    let urgent = pin!(async {
+        loop {
+            let urgent = member.group.listen_urgent();
+            if member.group.is_urgent(member.is_primary()) {
+                return;
+            }
+            urgent.await;
         }
-    }
+    });
+    let woken = compio::time::timeout_at(end, select(news, urgent)).await;
+    matches!(woken, Ok(Either::Left(_)))
 }
 
 async fn ask(
--- /dev/null
+++ b/crates/entry/tests/detect.rs
@@ -0,0 +1,46 @@
+//! Reports of failed members.
+
+mod fakes;
+
+use std::time::{Duration, Instant};
+
+use fakes::{Deployment, run, sleep, until};
+use rstest::rstest;
+
+/// Guards against the death of a primary that is noticed only at the next probe, up to 250 ms
+/// later, or reported only with the next renewal, up to 300 ms later.
+#[rstest]
+fn death_of_primary_is_reported_at_once(#[values(20, 80, 140)] phase: u64) {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let primary = &deployment.upstreams[0];
+        sleep(600).await;
+        let probes = primary.statuses.get();
+        until("the next probe", || primary.statuses.get() > probes).await;
+        sleep(phase).await;
+
+        let start = Instant::now();
+        primary.kill();
+        until("the report", || deployment.truth.refused.get().is_some()).await;
+
+        let took = deployment.truth.refused.get().unwrap() - start;
+        assert!(took < Duration::from_millis(60), "took {took:?}");
+    });
+}
+
+/// Guards against probes without a pause to a member that sends messages unasked.
+#[test]
+fn unasked_messages_cause_no_flood() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let member = &deployment.upstreams[1];
+        member.chatty.set(true);
+        sleep(300).await;
+
+        let before = member.statuses.get();
+        sleep(1_000).await;
+
+        let probes = member.statuses.get() - before;
+        assert!(probes <= 9, "{probes} probes in a second");
+    });
+}
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -5,6 +5,7 @@
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -20,6 +21,7 @@
     settings::Settings,
 };
 use event_listener::Event;
+use futures_util::future::{Either, select};
 use proto::schema::{self, control, gate};
 use route::{Announcement, Place};
 use wire::{Opening, Reader, Writer};
@@ -63,6 +65,8 @@
     pub sightings: Cell<u32>,
     pub heard: RefCell<Vec<String>>,
     pub renewals: Cell<u32>,
+    /// When a member was first reported as refusing.
+    pub refused: Cell<Option<Instant>>,
     changed: Event,
 }
 
@@ -160,6 +164,12 @@
         truth
             .sightings
             .update(|count| count + request.get_sightings().unwrap().len());
+        let refused = |seen: schema::sighting::Reader<'_>| {
+            matches!(seen.get_health(), Ok(schema::Health::Refused))
+        };
+        if request.get_sightings()?.iter().any(refused) && truth.refused.get().is_none() {
+            truth.refused.set(Some(Instant::now()));
+        }
         for announced in request.get_announcements()? {
             truth
                 .heard
@@ -283,6 +293,10 @@
     pub hangup: Cell<bool>,
     /// Time that a query takes.
     pub work: Cell<u64>,
+    /// Sends a message unasked after each status.
+    pub chatty: Cell<bool>,
+    /// Notified when the process ends.
+    killed: Event,
 }
 
 impl Upstream {
@@ -302,11 +316,16 @@
             queries: Cell::new(0),
             hangup: Cell::new(false),
             work: Cell::new(0),
+            chatty: Cell::new(false),
+            killed: Event::new(),
         });
         let server = Rc::clone(&upstream);
         compio::runtime::spawn(async move {
-            loop {
-                let (stream, _) = listener.accept().await.unwrap();
+            let mut killed = server.killed.listen();
+            while let Either::Left((accepted, _)) =
+                select(pin!(listener.accept()), &mut killed).await
+            {
+                let (stream, _) = accepted.unwrap();
                 let number = server.accepted.get();
                 server.accepted.set(number + 1);
                 let server = Rc::clone(&server);
@@ -314,7 +333,8 @@
                     let (read, write) = (stream.clone(), stream);
                     let mut reader = Reader::new(read, 1 << 20);
                     let mut writer = Writer::new(write);
-                    let _ended = server.session(number, &mut reader, &mut writer).await;
+                    let session = pin!(server.session(number, &mut reader, &mut writer));
+                    let _ended = select(session, server.killed.listen()).await;
                 })
                 .detach();
             }
@@ -323,6 +343,11 @@
         upstream
     }
 
+    /// Ends the listener and all connections, as the death of the process does.
+    pub fn kill(&self) {
+        self.killed.notify(usize::MAX);
+    }
+
     async fn session(
         &self,
         number: u32,
@@ -367,6 +392,11 @@
             }
             writer.parts(b'Z', b"I");
             writer.flush().await?;
+            if self.chatty.get() {
+                sleep(5).await;
+                writer.parts(b'S', b"name\0value\0");
+                writer.flush().await?;
+            }
             if self.hangup.get() && frame.body.starts_with(b"SELECT") {
                 return Ok(());
             }
--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -158,6 +158,15 @@
         }
     }
 
+    /// Waits until something arrives or the connection ends, and takes nothing: unlike a read, the
+    /// wait may be dropped at any time.
+    pub async fn readable(&self) {
+        // A stream that can't be waited for shows its fault in the next read.
+        if let Ok(stream) = self.stream.to_poll_fd() {
+            let _ready = stream.read_ready().await;
+        }
+    }
+
     /// Whether bytes have arrived that are not taken yet.
     #[must_use]
     pub fn has_bytes(&self) -> bool {
