Keep a leaving primary at work until its role has moved

A primary that announced its stop got no new work at once, so that writes waited for the whole planned change, and the stand-in ended as soon as its entry hosts had taken their connections away, whether or not the change was done.

An entry process now goes on sending work to a leaving primary while its term is stable, for at most 3 s (a leaving upstream gets no new work after a few seconds). The record of the planned change ends that. While it waits for the connections in use, an entry process renews every 25 ms in place of 300 ms, because renewals carry the number of connections that the change waits for. The stand-in stays until it is no longer primary, for at most 5 s, unless no entry host accepted its announcement.

--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -20,6 +20,9 @@
 
 /// Time between renewals.
 const INTERVAL: Duration = Duration::from_millis(300);
+/// Time between renewals while a planned change of primary waits for the connections in use, which
+/// renewals report: writes wait too, for at most 5 s.
+const DRAINING: Duration = Duration::from_millis(25);
 /// Limit on a connection attempt and on a renewal.
 const DEADLINE: Duration = Duration::from_secs(1);
 /// Limit on a watch, which the host answers after a second at the latest.
@@ -121,7 +124,12 @@
             return cause;
         }
         passed = Some(requested);
-        let next = requested + INTERVAL;
+        let pause = if network.is_draining() {
+            DRAINING
+        } else {
+            INTERVAL
+        };
+        let next = requested + pause;
         let _early = compio::time::timeout_at(next, at_once).await;
     }
 }
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, info, warn};
 
 use crate::{
-    group::{Group, Record},
+    group::{Group, Phase, Record},
     member::Member,
     metrics::Metrics,
     pool::{Limits, Pool},
@@ -332,6 +332,13 @@
         self.members.borrow().get(name).cloned()
     }
 
+    /// Whether a planned change of primary waits for this process to finish its work.
+    pub(crate) fn is_draining(&self) -> bool {
+        let groups = self.groups.borrow();
+        let mut records = groups.values().filter_map(|group| group.current());
+        records.any(|record| record.phase == Phase::Draining)
+    }
+
     /// Members of a group that are in use.
     #[must_use]
     pub fn members(&self, group: &str) -> Vec<Rc<Member>> {
@@ -486,7 +493,14 @@
             .borrow_mut()
             .retain(|_, (_, at)| now.saturating_duration_since(*at) < FORGET);
         for member in self.all_members() {
-            let usable = self.directory.borrow().usable(&member.name, now);
+            let in_force = member.is_primary() && member.group.stable().is_some();
+            let directory = self.directory.borrow();
+            let usable = if in_force {
+                directory.serves(&member.name, now)
+            } else {
+                directory.usable(&member.name, now)
+            };
+            drop(directory);
             member.pool.drain(!usable);
             let (health, since) = member.health(now);
             if health != Health::Ok {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -316,7 +316,7 @@
             .is_some_and(|store| member.has_store(store));
         let usable = member.health(now).0 == Health::Ok
             && member.pool.is_usable(now)
-            && self.directory.borrow().usable(&member.name, now);
+            && self.directory.borrow().serves(&member.name, now);
         if leads && known && usable && self.leased(record.version, now) {
             Ok((member, record))
         } else {
--- a/crates/entry/tests/write.rs
+++ b/crates/entry/tests/write.rs
@@ -262,6 +262,30 @@
     });
 }
 
+/// A primary that announces its stop must take writes until the control hosts move its role: the
+/// writes would wait for the whole change otherwise. Without a change it must get none after a few
+/// seconds.
+#[test]
+fn leaving_primary_serves_until_it_is_replaced() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let mut announcement = deployment.upstreams[0].announcement();
+        announcement.leaving = true;
+        deployment.truth.put_member(announcement, 0);
+        sleep(300).await;
+
+        let start = Instant::now();
+        let leaving = deployment.write(500).await;
+        let took = start.elapsed();
+        drop(leaving.unwrap());
+        sleep(3_200).await;
+        let late = deployment.write(300).await;
+
+        assert!(took < Duration::from_millis(50), "took {took:?}");
+        assert_eq!(late.map(|_| ()), Err(Refusal::Primary));
+    });
+}
+
 /// A change of the members of a group must not disturb the writes of its term.
 #[test]
 fn changed_members() {
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -8,6 +8,10 @@
 /// A member that is not heard from for this long gets no new work.
 pub const SILENCE: Duration = Duration::from_secs(3);
 
+/// A leaving member that is the primary in force gets new work for this long, while the control
+/// hosts move its role. After that no work goes to it, whatever became of the change.
+pub const HAND_OVER: Duration = Duration::from_secs(3);
+
 /// What an upstream tells about itself every second.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -50,6 +54,8 @@
     pub announcement: Announcement,
     /// When the latest content was sent, on the local clock.
     pub at: Instant,
+    /// When it was first heard that the member leaves.
+    left: Option<Instant>,
     here: Option<Instant>,
     words: Map<HostName, Word>,
 }
@@ -101,12 +107,15 @@
             Heard {
                 announcement: announcement.clone(),
                 at,
+                left: None,
                 here: None,
                 words: Map::default(),
             }
         });
         if at >= known.at {
             changed |= known.announcement != announcement;
+            let leaving = announcement.leaving;
+            known.left = leaving.then(|| known.left.unwrap_or(at));
             known.announcement = announcement;
             known.at = at;
         }
@@ -139,9 +148,22 @@
         let Some(known) = self.members.get(member) else {
             return false;
         };
-        if known.announcement.leaving {
+        !known.announcement.leaving && self.is_live(known, now)
+    }
+
+    /// Whether the primary in force may get new work: as any member, but a leaving one for
+    /// [`HAND_OVER`] longer. Writes would otherwise wait from the announcement on until another
+    /// member is promoted.
+    #[must_use]
+    pub fn serves(&self, primary: &str, now: Instant) -> bool {
+        let Some(known) = self.members.get(primary) else {
             return false;
-        }
+        };
+        let handing = |left: Instant| now.saturating_duration_since(left) < HAND_OVER;
+        known.left.is_none_or(handing) && self.is_live(known, now)
+    }
+
+    fn is_live(&self, known: &Heard, now: Instant) -> bool {
         let recent = |at: Instant| now.saturating_duration_since(at) < SILENCE;
         // A host that has just become reachable again may not have heard anything either.
         let settling = self.since.is_none_or(recent);
--- a/crates/standin/src/announce.rs
+++ b/crates/standin/src/announce.rs
@@ -28,7 +28,8 @@
         let stop = member.stop.listen();
         if member.leaving.get() && !member.told.get() {
             let posts = addresses.iter().map(|address| post(&member, *address));
-            futures_util::future::join_all(posts).await;
+            let accepted = futures_util::future::join_all(posts).await;
+            member.heard.set(accepted.contains(&true));
             member.told.set(true);
         } else {
             // The next address is tried when one fails, as a load balancer would.
--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -18,7 +18,8 @@
     store::Store,
 };
 
-/// Time that entry hosts have to take their work elsewhere, before idle sessions are closed.
+/// Time that the control hosts have to promote another member, and entry hosts to take their work
+/// elsewhere, before idle sessions are closed.
 const LEAVE: Duration = Duration::from_secs(5);
 /// Time after which a planned stop no longer waits for sessions.
 const STOP: Duration = Duration::from_secs(30);
@@ -171,6 +172,11 @@
                 compio::time::sleep(LOOK).await;
             }
         };
+        // A primary goes on until another has its role, so that the change interrupts nothing. When
+        // no entry host knows of the stop there is nobody to change it.
+        let handed =
+            || member.told.get() && !(member.heard.get() && member.store.borrow().is_primary());
+        look(&handed, LEAVE).await;
         let idle = || member.told.get() && member.connections.get() == 0;
         look(&idle, LEAVE).await;
         member.closing.set(true);
--- a/crates/standin/src/member.rs
+++ b/crates/standin/src/member.rs
@@ -59,6 +59,8 @@
     pub leaving: Cell<bool>,
     /// Whether every address was told so.
     pub told: Cell<bool>,
+    /// Whether one of them accepted it.
+    pub heard: Cell<bool>,
     /// Whether idle sessions are being closed.
     pub closing: Cell<bool>,
     /// Notified when `leaving` or `closing` is set.
@@ -86,6 +88,7 @@
             changed: Event::new(),
             leaving: Cell::new(false),
             told: Cell::new(false),
+            heard: Cell::new(false),
             closing: Cell::new(false),
             stop: Event::new(),
             ended: Event::new(),
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -159,6 +159,54 @@
     }
 }
 
+/// Guards against a primary that goes before another member has its role, or that stays although
+/// nobody can change that.
+#[rstest]
+#[case::handed_over(true, true, 400..1_500)]
+#[case::never_handed_over(true, false, 4_800..7_000)]
+#[case::unheard(false, false, 0..1_500)]
+#[tokio::test]
+async fn sigterm_of_primary_waits_for_hand_over(
+    #[case] heard: bool,
+    #[case] handed: bool,
+    #[case] expected: std::ops::Range<u128>,
+) {
+    let folder = tempfile::tempdir().unwrap();
+    let (entries, _announced): (Vec<_>, Vec<_>) = heard.then(entry).into_iter().unzip();
+    let address = free("127.0.0.1");
+    let path = write_settings(folder.path(), address, &entries);
+    let mut child = standin(&["--settings", &path]);
+    let monitor = format!(
+        "host=127.0.0.1 port={} user=monitor dbname=orders",
+        address.port()
+    );
+    let started = Instant::now();
+    let (client, connection) = loop {
+        match tokio_postgres::connect(&monitor, NoTls).await {
+            Ok(pair) => break pair,
+            Err(cause) => assert!(started.elapsed() < Duration::from_secs(10), "{cause}"),
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    };
+    let _connection = tokio::spawn(connection);
+    client.simple_query("PROMOTE TERM 1").await.unwrap();
+
+    let start = Instant::now();
+    terminate(&child);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    if handed {
+        let follow = "FOLLOW '127.0.0.1:9' TERM 2";
+        client.simple_query(follow).await.expect("it still runs");
+    }
+    let status = tokio::task::spawn_blocking(move || child.wait().unwrap())
+        .await
+        .unwrap();
+
+    let took = start.elapsed().as_millis();
+    assert!(expected.contains(&took), "took {took} ms");
+    assert_eq!(status.code(), Some(0));
+}
+
 /// Guards against a member without sessions that exits before the entry hosts have heard of it.
 #[test]
 fn sigterm_is_announced_without_sessions() {
