Wait only for the answers that a change of primary needs

A change of primary waited for hosts whose answers it did not need: - The end of old leases was asked for in rounds over all control hosts. With one of them cut off, every round took the 500 ms of its deadline. Each host is now asked on its own, and holds its answer back until it can say yes. - A database in another region was contacted directly for 40 ms (reads) or until that failed (orders), with three round trips for a fresh connection. The control hosts are now asked at the same time; the one there is connected already. Orders name their term, so that repeating them changes nothing. - A planned change waited up to 2 s for a third member that does not answer. The announcement now wakes the task of the group.

Reports against a primary already woke that task at once, so that the majority was judged as it was complete; nothing changed there. SILENCE and the rule of a majority in several zones are untouched.

Tests against the code before: change_is_planned_as_leaving_is_announced failed (not within 100 ms), silent_replica_does_not_delay_planned_change took 1.12 s, silent_control_host_does_not_delay_end_of_leases took 2.43 s. All pass now.

--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -8,7 +8,10 @@
 
 use base::{Position, Version};
 use capnp::Error;
-use compio::{net::TcpListener, time::timeout};
+use compio::{
+    net::TcpListener,
+    time::{sleep, timeout},
+};
 use proto::schema::{self, control, gate, peer};
 
 use crate::{
@@ -24,6 +27,10 @@
 
 /// A watch without news is answered after this time.
 const POLL: Duration = Duration::from_secs(1);
+/// Longest wait of a question for old grants; a caller gives up after 500 ms.
+const HOLD: Duration = Duration::from_millis(300);
+/// Pause between looks at the grants while such a question waits.
+const LOOK: Duration = Duration::from_millis(5);
 /// RPC connections at once; each entry process and peer holds one or two.
 const CONNECTIONS_MAX: usize = 10_000;
 
@@ -356,7 +363,15 @@
         mut results: peer::GrantsResults,
     ) -> Result<(), Error> {
         let version = params.get()?.get_version();
-        let clear = self.host.released(Instant::now(), version);
+        let end = Instant::now() + HOLD;
+        let clear = loop {
+            let now = Instant::now();
+            let clear = self.host.released(now, version);
+            if clear == Some(true) || now >= end {
+                break clear;
+            }
+            sleep(LOOK).await;
+        };
         results.get().set_known(clear.is_some());
         results.get().set_clear(clear == Some(true));
         Ok(())
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -328,8 +328,12 @@
         let mut news = false;
         let count = u64::try_from(renewal.announcements.len()).unwrap_or_default();
         self.metrics.announcements.inc_by(count);
+        let mut leaving = Vec::new();
         for (announcement, age) in renewal.announcements {
-            news |= directory.announce(now, age, announcement);
+            let group = announcement.leaving.then(|| announcement.group.clone());
+            let changed = directory.announce(now, age, announcement);
+            leaving.extend(group.filter(|_| changed));
+            news |= changed;
         }
         let used = renewal
             .demands
@@ -351,6 +355,12 @@
         if news {
             self.changed.notify();
         }
+        // The next sweep would plan the change of a leaving primary up to a second later.
+        for group in leaving {
+            if let Some(notify) = self.suspects.borrow().get(&group) {
+                notify.notify();
+            }
+        }
         self.sight(
             now,
             &renewal.entry,
--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -130,6 +130,42 @@
     known.collect()
 }
 
+/// Whether the members that a choice needs have answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answered {
+    /// Not yet.
+    TooFew,
+    /// A choice is safe; a further answer may show a member that is nearer or further ahead.
+    Enough,
+    /// No further answer changes the choice.
+    All,
+}
+
+/// Judges the answers so far. After a failure nobody waits for the old primary. A planned change
+/// waits for it and for the member asked for, but not for one that does not answer.
+#[must_use]
+pub fn answered(record: &Record, statuses: &[Status]) -> Answered {
+    let counted = counted(record, statuses);
+    let has = |name: &str| counted.iter().any(|(member, _)| member.member == name);
+    let old = has(&record.primary);
+    let others = counted.len() - usize::from(old);
+    match &record.planned {
+        None if others < record.reads() => Answered::TooFew,
+        None if others + 1 == record.members.len() => Answered::All,
+        None => Answered::Enough,
+        Some(planned) => {
+            let target = planned.member.as_ref().map_or(others > 0, |name| has(name));
+            if counted.len() == record.members.len() {
+                Answered::All
+            } else if counted.len() >= record.reads() && old && target {
+                Answered::Enough
+            } else {
+                Answered::TooFew
+            }
+        }
+    }
+}
+
 /// Chooses the member to promote from the answers of recorded stores, or `None` when too few
 /// answered.
 ///
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -18,7 +18,7 @@
 use crate::{
     directory::Announcement,
     host::{Host, Timing, millis},
-    judge::{self, Verdict},
+    judge::{self, Answered, Verdict},
     leases::LEASE,
     log::{Log, LogError},
     machine::{Command, GroupState, Member, Planned, Record},
@@ -42,8 +42,13 @@
 const REPLAN: Duration = Duration::from_secs(10);
 /// Longest time of one round of reads.
 const READ: Duration = Duration::from_secs(2);
-/// Time after which a read that has no direct answer is also tried through the other hosts.
-const DIRECT: Duration = Duration::from_millis(40);
+/// Time after which a read or an order in the own region that has no direct answer is also tried
+/// through the other hosts.
+pub(crate) const DIRECT: Duration = Duration::from_millis(40);
+/// Time that further answers get once enough members were read.
+const FURTHER: Duration = Duration::from_millis(50);
+/// Pause between looks at the own grants, which are in memory.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// Runs the changes of one group until this host does not lead any more.
 pub async fn drive<L: Log>(host: Rc<Host<L>>, group: String) {
@@ -104,7 +109,7 @@
     }
     let members: Vec<_> = announced.iter().map(member).collect();
     let addresses = members.iter().map(|member| member.address.clone());
-    let statuses = join_all(addresses.map(|address| probe(host, address))).await;
+    let statuses = join_all(addresses.map(|address| probe(host, address, DIRECT))).await;
     let statuses: Vec<Status> = statuses.into_iter().flatten().collect();
     let complete = members.iter().all(|m| {
         statuses
@@ -374,57 +379,61 @@
 }
 
 /// Waits until a majority of control hosts hold no grant older than the record.
+///
+/// Every host is asked on its own, so that one that can't be reached does not hold up the answers
+/// of the others. An answer stays true: a host grants nothing older from its answer on.
 async fn released<L: Log>(host: &Host<L>, record: &Record) {
-    let start = Instant::now();
-    loop {
-        let own = host.released(Instant::now(), record.version);
-        let mut clear = usize::from(own == Some(true));
-        let mut asked: FuturesUnordered<_> = host
-            .peers
-            .names()
-            .map(|name| host.peers.grants(name, record.version))
-            .collect();
-        while clear < host.majority() {
-            match asked.next().await {
-                Some(Ok(Some(true))) => clear += 1,
-                Some(_) => {}
-                None => break,
-            }
+    let own = async {
+        while host.released(Instant::now(), record.version) != Some(true) {
+            sleep(LOOK).await;
         }
-        if clear >= host.majority() {
-            return;
-        }
-        if start.elapsed() > 2 * LEASE {
-            slog::warn!(host.logger, "no majority of control hosts reports the end of old leases";
-                "group" => &record.group, "clear" => clear);
-            sleep(RETRY_UPSTREAM).await;
+    };
+    let others = host.peers.names().map(|name| {
+        let asking = async move {
+            loop {
+                match host.peers.grants(name, record.version).await {
+                    Ok(Some(true)) => return,
+                    Ok(_) => sleep(LOOK).await,
+                    Err(_cause) => sleep(RETRY).await,
+                }
+            }
+        };
+        asking.boxed_local()
+    });
+    let mut waits: FuturesUnordered<_> = others.collect();
+    waits.push(own.boxed_local());
+    let mut clear = 0;
+    while clear < host.majority() {
+        match timeout(2 * LEASE, waits.next()).await {
+            Ok(Some(())) => clear += 1,
+            // Never: there are as many waits as hosts.
+            Ok(None) => return,
+            Err(_elapsed) => {
+                slog::warn!(host.logger,
+                    "no majority of control hosts reports the end of old leases";
+                    "group" => &record.group, "clear" => clear);
+            }
         }
-        sleep(RETRY).await;
     }
 }
 
-/// Reads the status of every recorded member, and returns early once all but the old primary
-/// have answered and suffice.
+/// Reads the status of every recorded member, and returns early once those have answered that the
+/// choice needs.
 async fn read<L: Log>(host: &Rc<Host<L>>, record: &Record) -> Vec<Status> {
     let mut answers: FuturesUnordered<_> = record
         .members
         .iter()
-        .map(|member| probe(host, host.address(member)))
+        .map(|member| probe(host, host.address(member), patience(host, member)))
         .collect();
     let mut statuses = Vec::new();
     let all = async {
-        while let Some(answer) = answers.next().await {
+        let mut limit = READ;
+        while let Ok(Some(answer)) = timeout(limit, answers.next()).await {
             statuses.extend(answer);
-            let counted = judge::counted(record, &statuses);
-            let others = counted
-                .iter()
-                .filter(|(m, _)| m.member != record.primary)
-                .count();
-            if record.planned.is_none()
-                && others >= record.reads()
-                && others + 1 == record.members.len()
-            {
-                break;
+            match judge::answered(record, &statuses) {
+                Answered::All => break,
+                Answered::Enough => limit = FURTHER,
+                Answered::TooFew => {}
             }
         }
     };
@@ -432,14 +441,25 @@
     statuses
 }
 
+/// Time that a direct attempt gets before the other control hosts are asked too. A fresh connection
+/// to another region takes three round trips, while the hosts there are connected already.
+fn patience<L: Log>(host: &Host<L>, member: &Member) -> Duration {
+    if member.region == host.identity.region {
+        DIRECT
+    } else {
+        Duration::ZERO
+    }
+}
+
 /// Reads a status directly, and also through the other control hosts when that fails or takes
-/// long. The first answer counts.
-///
-/// A fresh connection to a member of another region takes three round trips, but the control host
-/// there is connected already, so that the wait before asking it is short.
-pub(crate) async fn probe<L: Log>(host: &Host<L>, address: String) -> Option<Status> {
+/// longer than `patience`. The first answer counts.
+pub(crate) async fn probe<L: Log>(
+    host: &Host<L>,
+    address: String,
+    patience: Duration,
+) -> Option<Status> {
     let mut direct = Box::pin(upstream::status(host.identity.host, &address));
-    let failed = match timeout(DIRECT, &mut direct).await {
+    let failed = match timeout(patience, &mut direct).await {
         Ok(Ok(status)) => return Some(status),
         Ok(Err(_cause)) => true,
         Err(_elapsed) => false,
@@ -460,24 +480,42 @@
     None
 }
 
-/// Sends a statement directly, or through the other control hosts one after the other.
+/// Sends a statement directly, and also through the other control hosts when that fails or takes
+/// longer than `patience`.
 ///
-/// Sending twice is harmless: an order names its term.
+/// Sending it several times is harmless: an order names its term, and repeating it changes nothing.
 pub(crate) async fn order<L: Log>(
     host: &Host<L>,
     address: &str,
     statement: &str,
+    patience: Duration,
 ) -> Result<(), String> {
-    let cause = match upstream::order(host.identity.host, address, statement).await {
-        Ok(()) => return Ok(()),
-        Err(cause) => cause,
+    let mut direct = Box::pin(upstream::order(host.identity.host, address, statement));
+    let mut cause = match timeout(patience, &mut direct).await {
+        Ok(Err(cause)) if !is_final(&cause) => Some(cause),
+        Ok(outcome) => return outcome,
+        Err(_elapsed) => None,
     };
-    for name in host.peers.names() {
-        if host.peers.order(name, address, statement).await.is_ok() {
-            return Ok(());
+    let relayed = host
+        .peers
+        .names()
+        .map(|name| host.peers.order(name, address, statement).boxed_local());
+    let mut attempts: FuturesUnordered<_> = relayed.collect();
+    if cause.is_none() {
+        attempts.push(direct);
+    }
+    while let Some(outcome) = attempts.next().await {
+        match outcome {
+            Err(failed) if !is_final(&failed) => cause = cause.or(Some(failed)),
+            outcome => return outcome,
         }
     }
-    Err(cause)
+    Err(cause.unwrap_or_default())
+}
+
+/// Whether an order failed because the member refuses it, whoever sends it.
+fn is_final(cause: &str) -> bool {
+    cause.starts_with("55000")
 }
 
 /// Orders every other recorded member to follow the member that is primary of the next term.
@@ -495,7 +533,9 @@
         let (host, statement) = (&host, &statement);
         async move {
             // The sweep repeats an order that fails.
-            let _outcome = timeout(ORDER, order(host, &host.address(member), statement)).await;
+            let address = host.address(member);
+            let ordering = order(host, &address, statement, patience(host, member));
+            let _outcome = timeout(ORDER, ordering).await;
         }
     });
     join_all(orders).await;
@@ -514,9 +554,16 @@
     let statement = format!("PROMOTE TERM {}", record.next);
     let ordered = timeout(ORDER, async {
         loop {
-            match order(host, &host.address(target), &statement).await {
+            match order(
+                host,
+                &host.address(target),
+                &statement,
+                patience(host, target),
+            )
+            .await
+            {
                 Ok(()) => return Ok(()),
-                Err(cause) if cause.starts_with("55000") => return Err(cause),
+                Err(cause) if is_final(&cause) => return Err(cause),
                 Err(_cause) => sleep(RETRY_UPSTREAM).await,
             }
         }
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -10,9 +10,9 @@
     judge,
     log::{Log, LogError},
     machine::{Member, Record},
-    promotion::{member, order, probe},
+    promotion::{DIRECT, member, order, probe},
     sighting::Health,
-    upstream::Status,
+    upstream::{self, Status},
 };
 
 /// One sweep in so many asks every member, because a sighting does not tell whom a replica follows.
@@ -45,7 +45,12 @@
         .map(|member| host.address(member))
         .chain(newcomers.iter().map(|newcomer| newcomer.address.clone()))
         .collect();
-    let statuses = join_all(suspects.iter().map(|address| probe(host, address.clone()))).await;
+    let statuses = join_all(
+        suspects
+            .iter()
+            .map(|address| probe(host, address.clone(), DIRECT)),
+    )
+    .await;
     let statuses: Vec<_> = suspects
         .into_iter()
         .zip(statuses)
@@ -65,7 +70,7 @@
         let Some(statement) = judge::correction(record, status) else {
             continue;
         };
-        match order(host, address, &statement).await {
+        match order(host, address, &statement, upstream::DEADLINE).await {
             Ok(()) => slog::info!(host.logger, "member ordered to follow";
                 "group" => &record.group, "member" => &status.member, "term" => record.term),
             Err(cause) => slog::warn!(host.logger, "member can't be ordered to follow";
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -453,6 +453,20 @@
         self.hosts[i] = self.run(i, listener, now);
     }
 
+    /// Cuts host `i` off: its address accepts connections and answers nothing.
+    pub async fn silence(&mut self, i: usize) {
+        self.hosts[i].crash();
+        sleep(Duration::from_millis(5)).await;
+        let listener = TcpListener::bind(self.addresses[i].1).await.unwrap();
+        let silent = compio::runtime::spawn(async move {
+            let mut held = Vec::new();
+            while let Ok((stream, _from)) = listener.accept().await {
+                held.push(stream);
+            }
+        });
+        self.hosts[i].tasks.push(silent);
+    }
+
     pub fn leader(&self) -> &Rc<Host<FakeLog>> {
         let leader = self.shared.leader.borrow().clone().unwrap();
         &self
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -4,7 +4,7 @@
 
 use base::Position;
 use control::{
-    judge::{Verdict, choose, correction, demoted, judge},
+    judge::{Answered, Verdict, answered, choose, correction, demoted, judge},
     machine::{GroupState, Member, Planned, Record},
     sighting::{Health, Observer, Observers, Sighting},
     upstream::Status,
@@ -225,3 +225,39 @@
         expected.then_some("FOLLOW '127.0.0.1:97' TERM 3")
     );
 }
+
+/// Guards against a choice before the members have answered that make it safe, and against a wait
+/// for one that the choice does not need.
+#[rstest]
+#[case::failure_needs_others(None, &["a", "b"], Answered::TooFew)]
+#[case::failure_without_old_primary(None, &["b", "c"], Answered::All)]
+#[case::planned_needs_target(Some("c"), &["a", "b"], Answered::TooFew)]
+#[case::planned_needs_old_primary(Some("c"), &["b", "c"], Answered::TooFew)]
+#[case::planned_without_third(Some("c"), &["a", "c"], Answered::Enough)]
+#[case::planned_with_all(Some("c"), &["a", "b", "c"], Answered::All)]
+fn waits_for_needed_answers(
+    #[case] target: Option<&str>,
+    #[case] members: &[&str],
+    #[case] expected: Answered,
+) {
+    let planned = target.map(|name| Planned {
+        change: "move".to_owned(),
+        member: Some(name.to_owned()),
+    });
+    let record = Record {
+        planned,
+        ..record()
+    };
+    let status = |name: &&str| Status {
+        member: (*name).to_owned(),
+        store: format!("store-{name}"),
+        primary: false,
+        position: Position::new(3, 10),
+        following: String::new(),
+    };
+    let statuses: Vec<_> = members.iter().map(status).collect();
+
+    let found = answered(&record, &statuses);
+
+    assert_eq!(found, expected);
+}
--- a/crates/control/tests/promotion.rs
+++ b/crates/control/tests/promotion.rs
@@ -229,6 +229,68 @@
     assert_eq!(cluster.record().unwrap().primary, "c");
 }
 
+/// Guards against a change that is planned only with the next sweep, up to a second after the
+/// primary announced its stop.
+#[compio::test]
+async fn change_is_planned_as_leaving_is_announced() {
+    let (cluster, group) = stable().await;
+    until(&cluster, &group, LIMIT, || settled(&cluster, &group)).await;
+    sleep(Duration::from_millis(200)).await;
+    group.members[0].state.borrow_mut().leaving = true;
+
+    let start = Instant::now();
+    group.observe(&cluster);
+    while cluster.record().unwrap().next == 0 {
+        assert!(start.elapsed() < Duration::from_millis(100), "not planned");
+        sleep(Duration::from_millis(2)).await;
+    }
+}
+
+/// Guards against a planned change that holds up writes while it waits for a silent replica.
+#[compio::test]
+async fn silent_replica_does_not_delay_planned_change() {
+    let (cluster, group) = stable().await;
+    group.members[2].state.borrow_mut().fault = Some(Health::Silent);
+    let planned = Planned {
+        change: "move".to_owned(),
+        member: Some("b".to_owned()),
+    };
+    let command = Command::Plan {
+        group: "g".to_owned(),
+        planned,
+    };
+
+    cluster.propose(command).await;
+    let took = until_term(&cluster, &group, 2).await;
+
+    assert_eq!(cluster.record().unwrap().primary, "b");
+    assert!(took < Duration::from_millis(800), "took {took:?}");
+}
+
+/// Guards against a wait for old leases that goes at the pace of a control host that is cut off.
+#[compio::test]
+async fn silent_control_host_does_not_delay_end_of_leases() {
+    let (mut cluster, group) = stable().await;
+    cluster.silence(2).await;
+    let version = cluster.record().unwrap().version;
+    let mut dead = group.renewal(7, version, Group::truth);
+    dead.sightings.clear();
+    cluster.renew(&dead);
+    let granted = Instant::now();
+    sleep(Duration::from_millis(300)).await;
+    group.members[0].state.borrow_mut().fault = Some(Health::Refused);
+
+    until(&cluster, &group, LIMIT, || {
+        cluster.record().unwrap().state == GroupState::Promoting
+            || cluster.record().unwrap().term == 2
+    })
+    .await;
+
+    let waited = granted.elapsed();
+    assert!(waited >= Duration::from_secs(2), "after {waited:?}");
+    assert!(waited < Duration::from_millis(2_200), "after {waited:?}");
+}
+
 /// Guards against a planned change that does not reach the member asked for.
 #[compio::test]
 async fn planned_change_moves_primary() {
