--- a/crates/control/src/cover.rs
+++ b/crates/control/src/cover.rs
@@ -7,7 +7,12 @@
 
 use route::Status;
 
-use crate::{host::Host, log::Log, machine::Record, promotion::probe};
+use crate::{
+    host::Host,
+    log::Log,
+    machine::Record,
+    promotion::{DIRECT, probe},
+};
 
 /// Reads of the members in one sweep, and the pause between them. Under a steady load a replica
 /// reaches the position of the primary only some time after it was read.
@@ -25,7 +30,7 @@
     }
     for _ in 0..READS.0 {
         let members = record.members.iter();
-        let reads = members.map(|member| probe(host, host.address(member)));
+        let reads = members.map(|member| probe(host, host.address(member), DIRECT));
         let statuses = join_all(reads).await;
         let all = record
             .members
