Keep prepared statements over RESET ALL in the stand-in database

The stand-in treated RESET ALL as DISCARD ALL and dropped the prepared statements. The entry process sends RESET ALL when a connection changes hands between sessions with different parameters, and still counted the statements as prepared: asyncpg got 26000 for its next statement in two of its checks against a deployment. PostgreSQL keeps them, so the fault is the stand-in's; the entry process is unchanged.

--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -184,6 +184,8 @@
     Show(String),
     /// DISCARD ALL.
     Discard,
+    /// RESET ALL, which keeps prepared statements and portals.
+    ResetAll,
     /// DEALLOCATE; `None` for all.
     Deallocate(Option<String>),
     /// CREATE TABLE, with IF NOT EXISTS.
@@ -220,6 +222,7 @@
             Self::Set(..) => "SET",
             Self::Show(_) => "SHOW",
             Self::Discard => "DISCARD ALL",
+            Self::ResetAll => "RESET",
             Self::Deallocate(_) => "DEALLOCATE",
             Self::Create(..) => "CREATE TABLE",
             Self::Drop(..) => "DROP TABLE",
--- a/crates/standin/src/parse.rs
+++ b/crates/standin/src/parse.rs
@@ -91,7 +91,7 @@
         } => Ok(Command::Rollback),
         Statement::Set(set) => assign(set),
         Statement::Reset(reset) => match reset.reset {
-            ast::Reset::ALL => Ok(Command::Discard),
+            ast::Reset::ALL => Ok(Command::ResetAll),
             ast::Reset::ConfigurationParameter(name) => {
                 Ok(Command::Set(name.to_string().to_lowercase(), None))
             }
--- a/crates/standin/src/session.rs
+++ b/crates/standin/src/session.rs
@@ -79,7 +79,7 @@
                 member.cancel(pid, secret);
                 return Ok(None);
             }
-            Some(Opening::Startup(parameters)) => return Ok(Some(parameters)),
+            Some(Opening::Startup(parameters, _)) => return Ok(Some(parameters)),
             Some(Opening::Version(major, minor)) => {
                 let message = format!("protocol {major}.{minor} is not supported; use 3.0");
                 writer.message(&reply::fatal("0A000", &message, ""))?;
@@ -655,6 +655,10 @@
                 self.variables.clear();
                 Ok(Outcome::tag("DISCARD ALL"))
             }
+            Command::ResetAll => {
+                self.variables.clear();
+                Ok(Outcome::tag("RESET"))
+            }
             Command::Deallocate(name) => {
                 match name {
                     Some(name) => drop(self.statements.remove(name)),
--- a/crates/standin/tests/protocol.rs
+++ b/crates/standin/tests/protocol.rs
@@ -276,3 +276,33 @@
         still.unwrap();
     });
 }
+
+/// Guards against a reset of the parameters that drops prepared statements: only DISCARD ALL and
+/// DEALLOCATE do so.
+#[rstest]
+#[case::reset("RESET ALL", "2DCZ")]
+#[case::discard("DISCARD ALL", "EZ")]
+fn reset_keeps_prepared_statements(#[case] sql: &str, #[case] expected: &str) {
+    let folder = tempfile::tempdir().unwrap();
+    let node = Node::start(settings(folder.path()));
+    block_on(async {
+        let mut client = open(node.address, "anna").await;
+        client.writer.parts(b'P', b"s1\0SELECT 1\0\0\0");
+        client.writer.parts(b'S', &[]);
+        client.writer.flush().await.unwrap();
+        until_ready(&mut client).await;
+
+        query(&mut client, sql).await;
+        client.writer.parts(b'B', b"\0s1\0\0\0\0\0\0\0");
+        client.writer.parts(b'E', b"\0\0\0\0\0");
+        client.writer.parts(b'S', &[]);
+        client.writer.flush().await.unwrap();
+        let frames = until_ready(&mut client).await;
+
+        let frames: Vec<_> = frames
+            .into_iter()
+            .filter(|frame| frame.tag != b'S')
+            .collect();
+        assert_eq!(tags(&frames), expected);
+    });
+}
