Serve what pg8000, psycopg and asyncpg expect of a session

- A write followed by Flush outside a transaction was refused with 0A000. pg8000 sends Flush before each Sync, so none of its parameterised writes ran.
A Flush with the Sync right behind it is now left out; any other one runs the write in an implicit transaction, which the Sync commits, as a pipeline of PostgreSQL does.
Committing at the Flush was ruled out: a later error could not undo the write.
- default_transaction_read_only and in_hot_standby were not reported, so that libpq asked the server, and a replica answered: target_session_attrs read-write and primary failed.
They are reported now, with IntervalStyle, is_superuser, session_authorization and application_name, and the primary answers the questions.
- SET application_name was accepted and forgotten.
The session keeps it.
- NegotiateProtocolVersion answers minor versions above 3.0 and options with the prefix _pq_., which were ignored in silence.

--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -288,7 +288,7 @@
 async fn talk(stream: TcpStream, state: Rc<RefCell<Database>>) -> Option<()> {
     let (read, write) = (stream.clone(), stream);
     let (mut reader, mut writer) = (Reader::new(read, 1 << 20), Writer::new(write));
-    let Some(Opening::Startup(_)) = reader.opening().await.ok()? else {
+    let Some(Opening::Startup(..)) = reader.opening().await.ok()? else {
         return None;
     };
     writer.parts(b'R', &0_i32.to_be_bytes());
--- a/crates/entry/src/extended.rs
+++ b/crates/entry/src/extended.rs
@@ -38,10 +38,16 @@
                 break;
             }
         }
-        if !sync && meaning.executes && matches!(self.state, State::Idle) && meaning.primary {
-            let text = "not run: a write outside a transaction ends with Sync, not Flush";
-            batch.steps = vec![Step::Fail(error("0A000", text))];
-            failed = true;
+        // The answers to a Flush leave before the Sync that commits, so that the write needs a
+        // transaction that stays open until then.
+        let unfinished = !sync && meaning.executes && matches!(self.state, State::Idle);
+        if unfinished && meaning.primary && !meaning.begins && !meaning.ends {
+            let key = meaning.key.clone();
+            if !self.begin_implicit(key).await? {
+                self.names.end_batch();
+                self.skipping = true;
+                return self.flush().await;
+            }
         }
         // In a transaction the upstream has to learn of a refusal, because it ends the transaction.
         let notify = failed && matches!(self.state, State::Open(_));
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 mod extended;
 pub mod fleet;
 pub mod group;
+mod implicit;
 mod keyed;
 pub mod link;
 pub mod listener;
--- a/crates/entry/src/login.rs
+++ b/crates/entry/src/login.rs
@@ -10,7 +10,7 @@
 use crate::{
     fleet::Fleet,
     options::Auth,
-    parameters::{self, Parameters},
+    parameters::{self, Application, Parameters},
     refusal::Refusal,
     session::{Session, Settings},
     shared::Shared,
@@ -20,15 +20,22 @@
 const LOGIN_BYTES: usize = 10_000;
 /// Encryption requests that a caller may make before its startup message: one for each kind.
 const ENCRYPTION_ASKS: usize = 2;
+/// Prefix of startup parameters that ask for options of the protocol, none of which is spoken.
+const OPTION: &str = "_pq_.";
 /// Parameters that drivers expect at login; they hold for every database of a group.
 const REPORTED: &[(&str, &str)] = &[
     ("server_version", "16.0"),
     ("server_encoding", "UTF8"),
     ("client_encoding", "UTF8"),
     ("DateStyle", "ISO, MDY"),
+    ("IntervalStyle", "postgres"),
     ("TimeZone", "UTC"),
     ("integer_datetimes", "on"),
     ("standard_conforming_strings", "on"),
+    // Without these two, libpq asks the server whether the session can write.
+    ("default_transaction_read_only", "off"),
+    ("in_hot_standby", "off"),
+    ("is_superuser", "off"),
 ];
 
 /// What a connection turned out to be.
@@ -83,7 +90,8 @@
     shared: &Rc<Shared<F>>,
 ) -> Login<F> {
     let outcome = match greeting {
-        Ok(Some(Opening::Startup(startup))) => {
+        Ok(Some(Opening::Startup(startup, minor))) => {
+            negotiate(&startup, minor, &mut writer);
             admit(startup, &mut reader, &mut writer, shared).await
         }
         Ok(Some(Opening::Cancel { pid, secret })) => return Login::Cancel(pid, secret),
@@ -105,6 +113,16 @@
     }
 }
 
+/// Tells a caller that asks for more than protocol 3.0 what is spoken here.
+fn negotiate(startup: &Map<String, String>, minor: u16, writer: &mut Writer) {
+    let names = startup.keys().map(String::as_str);
+    let mut options: Vec<_> = names.filter(|name| name.starts_with(OPTION)).collect();
+    options.sort_unstable();
+    if minor > 0 || !options.is_empty() {
+        writer.parts(b'v', &reply::negotiation(&options));
+    }
+}
+
 async fn admit<F: Fleet>(
     startup: Map<String, String>,
     reader: &mut Reader,
@@ -149,6 +167,8 @@
         service: service.name.as_str().into(),
         message_bytes: service.limits.message_bytes as usize,
         parameters: Parameters::default(),
+        user: user.as_str().into(),
+        application: Application::default(),
         sets: Vec::new(),
         prelude: String::new(),
     };
@@ -184,8 +204,7 @@
                 .map_err(|(sqlstate, message)| Denied(sqlstate, message, ""));
         }
         let plain = |c: char| c.is_ascii_alphanumeric() || c == '_' || c == '.';
-        // Names with the prefix _pq_. ask for options of the protocol, none of which is spoken.
-        if name.starts_with("_pq_.") {
+        if name.starts_with(OPTION) {
             return Ok(());
         }
         if !name.chars().all(plain) || name.is_empty() {
@@ -207,6 +226,10 @@
                 "use UTF8",
             ));
         }
+        if name == parameters::APPLICATION {
+            self.application = Application::new(value);
+            return Ok(());
+        }
         let usual = parameters::is_usual(name, value);
         if !usual {
             let quoted = value.replace('\'', "''");
@@ -255,6 +278,12 @@
     for (name, value) in REPORTED {
         let _short = writer.message(&reply::parameter(name, value));
     }
+    for (name, value) in [
+        ("session_authorization", &settings.user),
+        (parameters::APPLICATION, &settings.application.now),
+    ] {
+        let _short = writer.message(&reply::parameter(name, value));
+    }
     let _short = writer.message(&reply::key(entry.pid, entry.secret()));
     writer.parts(b'Z', b"I");
     if writer.flush().await.is_err() {
--- a/crates/entry/src/parameters.rs
+++ b/crates/entry/src/parameters.rs
@@ -9,6 +9,34 @@
 /// Longest key, in bytes; the key is an index entry of the database.
 const KEY_BYTES: usize = 512;
 
+/// Name that a caller gives itself. No result depends on it, so that it stays with the session.
+pub const APPLICATION: &str = "application_name";
+
+/// Name of the caller's program.
+#[derive(Debug, Clone, Default)]
+pub struct Application {
+    /// Present value.
+    pub now: Box<str>,
+    /// Value given at login, which a reset restores.
+    login: Box<str>,
+}
+
+impl Application {
+    /// Starts with the value given at login.
+    #[must_use]
+    pub fn new(value: &str) -> Self {
+        Self {
+            now: value.into(),
+            login: value.into(),
+        }
+    }
+
+    /// Sets the value; `None` restores the one given at login.
+    pub fn set(&mut self, value: Option<&str>) {
+        self.now = value.map_or_else(|| self.login.clone(), Into::into);
+    }
+}
+
 /// Values of a session.
 #[derive(Debug, Clone, Default)]
 pub struct Parameters {
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -212,7 +212,7 @@
     }
 
     /// Returns whether the answer is an error.
-    async fn attempt(
+    pub(crate) async fn attempt(
         &mut self,
         request: &Request<'_>,
         meaning: &Meaning,
@@ -224,6 +224,8 @@
             .deadline
             .unwrap_or(Duration::from_millis(service.limits.deadline_ms));
         let deadline = Instant::now() + limit;
+        // A BEGIN of the caller turns the implicit transaction into one that it ends itself.
+        self.implicit &= !meaning.begins && !meaning.opens && !matches!(self.state, State::Idle);
         match mem::replace(&mut self.state, State::Idle) {
             State::Idle => {
                 self.run_outside_transaction(&service, request, meaning, deadline)
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -7,17 +7,18 @@
     time::Instant,
 };
 
+use bytes::BytesMut;
 use compio::time::{sleep, timeout};
 use futures_util::future::{Either, FusedFuture, FutureExt, select};
 use sql::{Kind, Script};
-use wire::{Cursor, Frame, Front, Reader, WireError, Writer, reply};
+use wire::{Cursor, Frame, Front, Reader, WireError, Writer, pg::Message, reply};
 
 use crate::{
     answer::flush_by,
     batch::message,
     fleet::Fleet,
     keyed::{Record, Replay},
-    parameters::{self, Parameters},
+    parameters::{self, APPLICATION, Application, Parameters},
     registry::Entry,
     request::{Meaning, Request},
     shared::Shared,
@@ -31,6 +32,10 @@
     pub service: Box<str>,
     /// Largest message that the caller may send, in bytes.
     pub message_bytes: usize,
+    /// User that the caller logged in as.
+    pub user: Box<str>,
+    /// Name of the caller's program.
+    pub application: Application,
     /// Own parameters.
     pub parameters: Parameters,
     /// Other parameters by name, with the statement that sets each on a connection.
@@ -45,6 +50,7 @@
         for (name, statement) in sets {
             if name == "all" {
                 self.sets.clear();
+                self.application.set(None);
                 // The token stays: without it the caller could miss its own writes.
                 self.parameters = Parameters {
                     token: self.parameters.token,
@@ -122,6 +128,11 @@
     pub(crate) state: State<F::Lease>,
     /// Messages are skipped until the next `Sync`.
     pub(crate) skipping: bool,
+    /// Whether the open transaction was begun for a write that ended with a `Flush`. The next
+    /// `ReadyForQuery` ends it, as it ends the implicit transaction of a pipeline.
+    pub(crate) implicit: bool,
+    /// Message that was read in advance.
+    ahead: Option<Frame>,
     /// Messages since the last `Sync` or `Flush`.
     gathered: Vec<Front>,
     gathered_bytes: usize,
@@ -148,6 +159,8 @@
             names: Names::default(),
             state: State::Idle,
             skipping: false,
+            implicit: false,
+            ahead: None,
             gathered: Vec::new(),
             gathered_bytes: 0,
         }
@@ -192,6 +205,9 @@
         &mut self,
         stop: Pin<&mut impl FusedFuture<Output = ()>>,
     ) -> Result<Option<Frame>, WireError> {
+        if let Some(frame) = self.ahead.take() {
+            return Ok(Some(frame));
+        }
         let boundary =
             matches!(self.state, State::Idle) && self.gathered.is_empty() && !self.skipping;
         if boundary && (stop.is_terminated() || self.shared.is_draining()) {
@@ -278,7 +294,15 @@
                 self.skipping = false;
                 self.batch(true).await
             }
-            Work::Flush => self.batch(false).await,
+            Work::Flush => {
+                // Drivers that send a Flush before each Sync need no answer in between.
+                let next = self.reader.buffered().ok().flatten();
+                if next.as_ref().is_some_and(|frame| frame.tag == b'S') {
+                    return self.batch(true).await;
+                }
+                self.ahead = next;
+                self.batch(false).await
+            }
             Work::TooMuch => {
                 self.gathered = Vec::new();
                 self.gathered_bytes = 0;
@@ -363,6 +387,9 @@
     /// The statement as one that is answered here, if it is.
     pub(crate) fn local_kind(&self, kind: &Kind) -> Option<Kind> {
         let known = match kind {
+            Kind::Set {
+                name, local: false, ..
+            } if name == APPLICATION => !matches!(self.state, State::Lost),
             Kind::Set { name, value, .. } => {
                 let usual = || {
                     value
@@ -371,6 +398,7 @@
                 };
                 parameters::is_own(name) || matches!(self.state, State::Idle) && usual()
             }
+            Kind::Show(name) if name == APPLICATION => !matches!(self.state, State::Lost),
             Kind::Show(name) => parameters::is_own(name),
             Kind::Release("CLOSE CURSOR ALL") => !matches!(self.state, State::Open(_)),
             Kind::Deallocate(_) | Kind::Discard | Kind::Release(_) => true,
@@ -395,6 +423,19 @@
                     "the key of a transaction is set before its BEGIN".into(),
                 ));
             }
+            Kind::Set {
+                name,
+                value,
+                local: false,
+            } if name == APPLICATION => {
+                self.settings.application.set(value.as_deref());
+                let report = reply::parameter(name, &self.settings.application.now);
+                let mut out = BytesMut::new();
+                let _short = report.encode(&mut out);
+                let tag = if value.is_some() { "SET" } else { "RESET" };
+                out.extend(message(b'C', format!("{tag}\0").as_bytes()));
+                return Ok(out.into());
+            }
             Kind::Set { name, .. } if !parameters::is_own(name) => {
                 self.settings.keep(&[(name.clone(), None)]);
                 "SET"
@@ -403,6 +444,10 @@
                 self.settings.parameters.set(name, value.as_deref())?;
                 if value.is_some() { "SET" } else { "RESET" }
             }
+            Kind::Show(name) if name == APPLICATION => {
+                let value = &self.settings.application.now;
+                return Ok(row(describe.then_some(name), value, "SHOW"));
+            }
             Kind::Show(name) => {
                 let value = self.settings.parameters.show(name)?;
                 return Ok(row(describe.then_some(name), &value, "SHOW"));
@@ -460,6 +505,9 @@
 
     /// Ends the answer to a `Query` or `Sync`.
     pub(crate) async fn ready(&mut self) -> Result<(), Disconnected> {
+        if mem::take(&mut self.implicit) {
+            self.end_implicit().await?;
+        }
         let status = self.status();
         if status == b'I' {
             self.names.portals = Vec::new();
--- a/crates/entry/tests/common/upstream.rs
+++ b/crates/entry/tests/common/upstream.rs
@@ -109,7 +109,7 @@
                 }
                 return None;
             }
-            Opening::Startup(_) => {}
+            Opening::Startup(..) => {}
             _ => return None,
         }
         let pid = self.last.get() + 1;
--- a/crates/entry/tests/extended.rs
+++ b/crates/entry/tests/extended.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::{Bench, Fault, run};
+use rstest::rstest;
 
 /// Guards against a prepared statement that is lost, or sent again, when the caller's next request
 /// runs on another connection.
@@ -100,6 +101,88 @@
     });
 }
 
+/// Guards against a write that is refused, or costs further round trips, because a driver such as
+/// pg8000 sends a Flush in front of each Sync.
+#[test]
+fn flush_before_sync_is_left_out() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.add_statement("INSERT INTO t VALUES ('a', '1')");
+        caller.add(b'H', &[]);
+        let reply = caller.sync().await;
+
+        assert_eq!(reply.tags(), "12nCSZ");
+        assert_eq!(bench.fleet.store.rows.borrow().len(), 1);
+        assert_eq!(bench.fleet.primary.ran("BEGIN"), 0);
+    });
+}
+
+/// Guards against a write whose answer is asked for before the Sync and that is refused, committed
+/// without the rest of its pipeline, or left in an open transaction.
+#[rstest]
+#[case::commit("INSERT INTO t VALUES ('b', '2')", "12nCSZ", 2)]
+#[case::error("INSERT INTO t VALUES ('dup', '2')", "12nEZ", 0)]
+fn flushed_write_commits_with_its_pipeline(
+    #[case] second: &str,
+    #[case] tags: &str,
+    #[case] rows: usize,
+) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller.add_statement("INSERT INTO t VALUES ('a', '1')");
+        caller.add(b'H', &[]);
+        caller.0.writer.flush().await.unwrap();
+        let mut early = String::new();
+        for _ in 0..4 {
+            early.push(caller.0.frame().await.unwrap().tag.into());
+        }
+        let before = bench.fleet.store.rows.borrow().len();
+
+        caller.add_statement(second);
+        let rest = caller.sync().await;
+        let next = caller.query("SELECT 1").await;
+
+        assert_eq!((early.as_str(), before), ("12nC", 0));
+        assert_eq!((rest.tags().as_str(), rest.status()), (tags, 'I'));
+        assert_eq!(bench.fleet.store.rows.borrow().len(), rows);
+        assert_eq!(next.rows(), ["1"]);
+    });
+}
+
+/// Guards against an implicit transaction that outlives an error before the Sync, and against a
+/// transaction of the caller that the Sync ends.
+#[rstest]
+#[case::error("INSERT INTO t VALUES ('dup', '1')", "", "EZ", 'I')]
+#[case::begin("INSERT INTO t VALUES ('a', '1')", "BEGIN", "12nCZ", 'T')]
+fn sync_ends_only_implicit_transactions(
+    #[case] first: &str,
+    #[case] second: &str,
+    #[case] tags: &str,
+    #[case] status: char,
+) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+        caller.add_statement(first);
+        caller.add(b'H', &[]);
+        caller.0.writer.flush().await.unwrap();
+        for _ in 0..3 {
+            caller.0.frame().await.unwrap();
+        }
+        if !second.is_empty() {
+            caller.0.frame().await.unwrap();
+            caller.add_statement(second);
+        }
+
+        let reply = caller.sync().await;
+
+        assert_eq!((reply.tags().as_str(), reply.status()), (tags, status));
+    });
+}
+
 /// Guards against a statement that counts as prepared although its Parse was refused.
 #[test]
 fn refused_parse_is_not_kept() {
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -329,7 +329,7 @@
         reader: &mut Reader,
         writer: &mut Writer,
     ) -> Result<(), wire::WireError> {
-        let Some(Opening::Startup(parameters)) = reader.opening().await? else {
+        let Some(Opening::Startup(parameters, _)) = reader.opening().await? else {
             return Ok(());
         };
         let data = parameters["user"] != "monitor";
--- a/crates/entry/tests/login.rs
+++ b/crates/entry/tests/login.rs
@@ -218,3 +218,106 @@
         assert_eq!(sqlstate(&refused), "53300");
     });
 }
+
+/// Guards against a driver that asks for what is not reported at login: libpq then asks the server
+/// whether the session can write, and got the answer of a replica.
+#[rstest]
+#[case::writable("default_transaction_read_only", "off")]
+#[case::primary("in_hot_standby", "off")]
+#[case::intervals("IntervalStyle", "postgres")]
+#[case::user("session_authorization", "anna")]
+#[case::program("application_name", "psql")]
+fn reports_parameters_at_login(#[case] name: &str, #[case] expected: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut body = 196_608_i32.to_be_bytes().to_vec();
+        body.extend_from_slice(b"user\0anna\0database\0orders\0application_name\0psql\0\0");
+        let length = i32::try_from(body.len() + 4).unwrap();
+        let mut bytes = length.to_be_bytes().to_vec();
+        bytes.extend(body);
+        bytes.extend_from_slice(b"X\0\0\0\x04");
+
+        let answer = exchange(bench.stream().await, &bytes).await;
+
+        let text = String::from_utf8_lossy(&answer);
+        assert!(text.contains(&format!("{name}\0{expected}\0")), "{text}");
+    });
+}
+
+/// Guards against a program name that is accepted and forgotten.
+#[test]
+fn keeps_the_application_name() {
+    run(async {
+        let bench = Bench::new().await;
+        let login = bench.caller_with(&[("application_name", "first")]).await;
+        let mut caller = login.unwrap();
+
+        let set = caller.query("SET application_name = 'second'").await;
+        let shown = caller.query("SHOW application_name").await;
+        caller.query("RESET application_name").await;
+        let reset = caller.query("SHOW application_name").await;
+
+        assert_eq!(set.tags(), "SCZ");
+        assert_eq!(set.0[0].parameter(), Some(("application_name", "second")));
+        assert_eq!(shown.rows(), ["second"]);
+        assert_eq!(reset.rows(), ["first"]);
+        assert_eq!(bench.fleet.replica.ran("application_name"), 0);
+    });
+}
+
+/// Guards against a session that a replica tells to be read-only.
+#[rstest]
+#[case::show("SHOW transaction_read_only")]
+#[case::show_default("SHOW default_transaction_read_only")]
+#[case::recovery("SELECT pg_is_in_recovery()")]
+fn asks_the_primary_whether_it_can_write(#[case] text: &str) {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.query(text).await;
+
+        assert_eq!(bench.fleet.primary.ran(text), 1);
+        assert_eq!(bench.fleet.replica.ran(text), 0);
+    });
+}
+
+/// Guards against a caller of a newer minor version, or with options of the protocol, that takes
+/// them for granted because nothing was said against them.
+#[rstest]
+#[case::plain(b"\0\x03\0\0", "", None)]
+#[case::minor(b"\0\x03\0\x02", "", Some("\0\x03\0\0\0\0\0\0"))]
+#[case::highest(b"\0\x03\x27\x0f", "", Some("\0\x03\0\0\0\0\0\0"))]
+#[case::option(
+    b"\0\x03\0\0",
+    "_pq_.b\0on\0_pq_.a\0on\0",
+    Some("\0\x03\0\0\0\0\0\x02_pq_.a\0_pq_.b\0")
+)]
+fn negotiates_the_protocol(
+    #[case] version: &[u8],
+    #[case] options: &str,
+    #[case] expected: Option<&str>,
+) {
+    run(async {
+        let bench = Bench::new().await;
+        let parameters = format!("user\0anna\0database\0orders\0{options}\0");
+        let length = u32::try_from(8 + parameters.len()).unwrap();
+        let startup = [&length.to_be_bytes(), version, parameters.as_bytes()].concat();
+
+        let answer = exchange(
+            bench.stream().await,
+            &[&startup, &b"X\0\0\0\x04"[..]].concat(),
+        )
+        .await;
+
+        let login = match expected {
+            Some(body) => {
+                let length = u32::try_from(4 + body.len()).unwrap();
+                let message = [b"v", &length.to_be_bytes()[..], body.as_bytes()].concat();
+                answer.strip_prefix(message.as_slice()).unwrap_or_default()
+            }
+            None => &answer,
+        };
+        assert!(login.starts_with(b"R\0\0\0\x08\0\0\0\0"), "{answer:?}");
+    });
+}
--- a/crates/lab/src/fake.rs
+++ b/crates/lab/src/fake.rs
@@ -90,7 +90,7 @@
         let (read, write) = (stream.clone(), stream);
         let mut reader = Reader::new(read, LIMIT_BYTES);
         let mut writer = Writer::new(write);
-        let Some(Opening::Startup(_parameters)) = reader.opening().await? else {
+        let Some(Opening::Startup(..)) = reader.opening().await? else {
             return Ok(());
         };
         writer.message(&Authentication::Ok)?;
--- a/crates/sql/src/functions.rs
+++ b/crates/sql/src/functions.rs
@@ -153,7 +153,6 @@
     "pg_get_keywords",
     "pg_get_userbyid",
     "pg_get_viewdef",
-    "pg_is_in_recovery",
     "pg_table_is_visible",
     "pg_type_is_visible",
     "pg_typeof",
--- a/crates/wire/src/front.rs
+++ b/crates/wire/src/front.rs
@@ -19,8 +19,9 @@
         /// Secret from `BackendKeyData`.
         secret: i32,
     },
-    /// Starts a session, with the parameters by name.
-    Startup(Map<String, String>),
+    /// Starts a session, with the parameters by name and the minor version of the protocol that is
+    /// asked for.
+    Startup(Map<String, String>, u16),
     /// Asks for a protocol version that is not spoken here, as (major, minor).
     Version(u16, u16),
 }
@@ -49,7 +50,7 @@
                 if major != 3 {
                     return Ok(Self::Version(major, minor));
                 }
-                parameters(&mut cursor).map(Self::Startup)
+                parameters(&mut cursor).map(|found| Self::Startup(found, minor))
             }
         }
     }
--- a/crates/wire/src/reply.rs
+++ b/crates/wire/src/reply.rs
@@ -32,6 +32,24 @@
     ErrorResponse::new(fields)
 }
 
+/// Answer to a caller that asks for a newer minor version or for options of the protocol: protocol
+/// 3.0 without any of `options` is spoken.
+///
+/// Returned as the body of a message of type `v`. The version is sent whole, major and minor, as
+/// PostgreSQL sends it; libpq refuses a bare minor version.
+#[must_use]
+pub fn negotiation(options: &[&str]) -> Vec<u8> {
+    const VERSION: i32 = 3 << 16;
+    let mut body = VERSION.to_be_bytes().to_vec();
+    let count = i32::try_from(options.len()).unwrap_or_default();
+    body.extend_from_slice(&count.to_be_bytes());
+    for option in options {
+        body.extend_from_slice(option.as_bytes());
+        body.push(0);
+    }
+    body
+}
+
 /// Ready for the next request, with the transaction status.
 #[must_use]
 pub fn ready(status: TransactionStatus) -> ReadyForQuery {
