--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod access;
 pub mod admin;
+pub mod cancel;
 pub mod console;
 mod cover;
 pub mod directory;
