Order a promotion only to the recorded store

A member that loses its disk after it was chosen, and answers again before the order, obeyed PROMOTE with an empty log. The others were ordered to follow it and discarded theirs; the record still named the old store, so that the next promotion counted the truncated replicas.

Ruled out: a wrong count of answers; the choice was made from recorded stores, and only the order that followed went to another store.

The control host now reads the store on the connection that carries the order. A connection ends with the process of the database, so the disk can't change in between. Another store refuses the order at once, and the next term begins. Orders passed on by other control hosts carry the store in their text, because the message schema has no field for it; PROMOTE without a store is not passed on any more.

--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -19,7 +19,7 @@
     machine::{GroupState, Record},
     permits,
     sighting::{Health, Sighting},
-    upstream,
+    upstream::{self, Order},
 };
 
 /// A watch without news is answered after this time.
@@ -384,11 +384,11 @@
         let address = text(params.get()?.get_address())?;
         let statement = text(params.get()?.get_statement())?;
         let mut builder = results.get();
-        if !(statement.starts_with("PROMOTE ") || statement.starts_with("FOLLOW ")) {
-            builder.set_cause("only PROMOTE and FOLLOW are passed on");
+        let Some(order) = Order::parse(&statement) else {
+            builder.set_cause("only FOLLOW, and PROMOTE for a given store, are passed on");
             return Ok(());
-        }
-        match upstream::order(self.host.identity.host, &address, &statement).await {
+        };
+        match upstream::order(self.host.identity.host, &address, &order).await {
             Ok(()) => builder.set_done(true),
             Err(cause) => builder.set_cause(&cause),
         }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -12,7 +12,7 @@
 use compio::{runtime::JoinHandle, time::timeout};
 use proto::schema::{gate, peer};
 
-use crate::upstream::{self, Status};
+use crate::upstream::{self, Order, Status};
 
 /// Longest time for connecting to a peer.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -157,11 +157,11 @@
     ///
     /// # Errors
     /// The host or the database can't be reached, or the database refuses.
-    pub async fn order(&self, name: &str, address: &str, statement: &str) -> Result<(), String> {
+    pub async fn order(&self, name: &str, address: &str, order: &Order) -> Result<(), String> {
         self.call(name, RELAYED, async |client| {
             let mut request = client.order_request();
             request.get().set_address(address);
-            request.get().set_statement(statement);
+            request.get().set_statement(order.to_string());
             let response = request.send().promise.await?;
             let answer = response.get()?;
             Ok(if answer.get_done() {
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -23,7 +23,7 @@
     log::{Log, LogError},
     machine::{Command, GroupState, Member, Planned, Record},
     sweep, upstream,
-    upstream::Status,
+    upstream::{Order, Status},
 };
 
 /// Pause between attempts of a step that waits for others.
@@ -466,14 +466,14 @@
 pub(crate) async fn order<L: Log>(
     host: &Host<L>,
     address: &str,
-    statement: &str,
+    order: &Order,
 ) -> Result<(), String> {
-    let cause = match upstream::order(host.identity.host, address, statement).await {
+    let cause = match upstream::order(host.identity.host, address, order).await {
         Ok(()) => return Ok(()),
         Err(cause) => cause,
     };
     for name in host.peers.names() {
-        if host.peers.order(name, address, statement).await.is_ok() {
+        if host.peers.order(name, address, order).await.is_ok() {
             return Ok(());
         }
     }
@@ -486,16 +486,19 @@
         return;
     };
     let address = host.address(primary);
-    let statement = format!("FOLLOW '{address}' TERM {}", record.next);
+    let follow = Order {
+        statement: format!("FOLLOW '{address}' TERM {}", record.next),
+        store: None,
+    };
     let others = record
         .members
         .iter()
         .filter(|member| member.member != record.primary);
     let orders = others.map(|member| {
-        let (host, statement) = (&host, &statement);
+        let (host, follow) = (&host, &follow);
         async move {
             // The sweep repeats an order that fails.
-            let _outcome = timeout(ORDER, order(host, &host.address(member), statement)).await;
+            let _outcome = timeout(ORDER, order(host, &host.address(member), follow)).await;
         }
     });
     join_all(orders).await;
@@ -511,12 +514,15 @@
     let Some(target) = record.member(&record.primary) else {
         return fence(host, record, record.next + 1, timing).await;
     };
-    let statement = format!("PROMOTE TERM {}", record.next);
+    let promotion = Order {
+        statement: format!("PROMOTE TERM {}", record.next),
+        store: Some(target.store.clone()),
+    };
     let ordered = timeout(ORDER, async {
         loop {
-            match order(host, &host.address(target), &statement).await {
+            match order(host, &host.address(target), &promotion).await {
                 Ok(()) => return Ok(()),
-                Err(cause) if cause.starts_with("55000") => return Err(cause),
+                Err(cause) if cause.starts_with(upstream::REFUSED) => return Err(cause),
                 Err(_cause) => sleep(RETRY_UPSTREAM).await,
             }
         }
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -12,7 +12,7 @@
     machine::{Member, Record},
     promotion::{member, order, probe},
     sighting::Health,
-    upstream::Status,
+    upstream::{Order, Status},
 };
 
 /// One sweep in so many asks every member, because a sighting does not tell whom a replica follows.
@@ -65,7 +65,11 @@
         let Some(statement) = judge::correction(record, status) else {
             continue;
         };
-        match order(host, address, &statement).await {
+        let follow = Order {
+            statement,
+            store: None,
+        };
+        match order(host, address, &follow).await {
             Ok(()) => slog::info!(host.logger, "member ordered to follow";
                 "group" => &record.group, "member" => &status.member, "term" => record.term),
             Err(cause) => slog::warn!(host.logger, "member can't be ordered to follow";
@@ -135,7 +139,7 @@
 
 /// Record with the newcomers that follow the primary of the term and cover its position, which
 /// was read first.
-fn readmitted<'a>(
+pub fn readmitted<'a>(
     record: &Record,
     primary: &Status,
     answers: impl Iterator<Item = &'a Status>,
--- a/crates/control/tests/promotion.rs
+++ b/crates/control/tests/promotion.rs
@@ -13,6 +13,7 @@
 use control::{
     machine::{Command, GroupState, Planned},
     sighting::Health,
+    upstream::Order,
 };
 use rstest::rstest;
 
@@ -110,6 +111,24 @@
     assert_eq!((record.term, record.primary.as_str()), (2, "b"));
 }
 
+/// Guards against an empty primary, whose followers discard acknowledged writes, when the disk of
+/// the chosen member is lost before the order.
+#[compio::test]
+async fn candidate_that_loses_its_disk_is_not_promoted() {
+    let (mut cluster, group) = stable().await;
+    cluster.hosts[0].crash();
+    cluster.interrupt(GroupState::Promoting, "b").await;
+    group.members[1].lose_disk();
+
+    cluster.restart(0, long_ago()).await;
+    cluster.shared.lead("c1");
+    until(&cluster, &group, LIMIT, || settled(&cluster, &group)).await;
+
+    let promoted = group.members[1].promoted();
+    assert!(promoted.is_empty(), "{promoted:?}");
+    assert_ne!(cluster.record().unwrap().primary, "b");
+}
+
 /// Guards against a group without primary when the promoted member dies at once.
 #[compio::test]
 async fn candidate_that_dies_after_order_is_replaced() {
@@ -328,15 +347,26 @@
     let host = Rc::clone(cluster.leader());
 
     let status = host.peers.probe("c1", &address).await.unwrap();
-    let order = host
-        .peers
-        .order("c2", &address, "FOLLOW '127.0.0.1:1' TERM 1")
-        .await;
-    let foreign = host.peers.order("c2", &address, "DROP TABLE x").await;
+    let relay = async |statement: &str, store: Option<&str>| {
+        let order = Order {
+            statement: statement.to_owned(),
+            store: store.map(str::to_owned),
+        };
+        host.peers.order("c2", &address, &order).await
+    };
+    let follow = relay("FOLLOW '127.0.0.1:1' TERM 1", None).await;
+    let foreign = relay("DROP TABLE x", None).await;
+    let anywhere = relay("PROMOTE TERM 9", None).await;
+    let elsewhere = relay("PROMOTE TERM 9", Some("store-c")).await;
+    let promotion = relay("PROMOTE TERM 9", Some("store-b")).await;
 
     assert_eq!(status.member, "b");
-    order.unwrap();
+    follow.unwrap();
     foreign.unwrap_err();
+    anywhere.unwrap_err();
+    elsewhere.unwrap_err();
+    promotion.unwrap();
+    assert_eq!(group.members[1].promoted(), ["PROMOTE TERM 9"]);
 }
 
 /// Guards against two clusters' worth of state: a restarted host must know what it knew.
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -94,7 +94,8 @@
   grants @3 (version :UInt64) -> (clear :Bool, known :Bool);
   # Reads the status of an upstream on behalf of a host that can't reach it.
   probe @4 (address :Text) -> (reached :Bool, status :UpstreamStatus);
-  # Sends a PROMOTE or FOLLOW statement to an upstream on behalf of a host that can't reach it.
+  # Sends FOLLOW, or STORE 'id' PROMOTE, to an upstream on behalf of a host that can't reach it. The
+  # PROMOTE is sent only to a database that has this store.
   order @5 (address :Text, statement :Text) -> (done :Bool, cause :Text);
   # Forwards a proposal to the leader.
   propose @6 (payload :Data) -> (accepted :Bool, index :UInt64, answer :Data, leader :Text);
