Split the verdict on a primary into its two conditions

Whether observers lost the primary, and whether a change would serve more, can be asked for separately, so that the second rule can be measured.

--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -52,23 +52,36 @@
         })
 }
 
-fn live(now: Instant, observer: &Observer) -> bool {
+fn live_at(now: Instant, observer: &Observer) -> bool {
     !observer.stopping && now.saturating_duration_since(observer.at) < LIVE
 }
 
+/// Observers whose report counts now.
+fn reports<'a>(now: Instant, record: &Record, observers: &'a Observers) -> Vec<&'a Observer> {
+    let mut live: Vec<_> = observers.values().collect();
+    live.retain(|o| live_at(now, o) && o.members.contains_key(&record.primary));
+    live
+}
+
 /// Decides whether the primary of a stable group failed and a change would serve more.
+#[must_use]
+pub fn judge(now: Instant, record: &Record, observers: &Observers) -> Verdict {
+    match lost(now, record, observers) {
+        Verdict::Failed { .. } if !serves_more(now, record, observers) => Verdict::Stay,
+        verdict => verdict,
+    }
+}
+
+/// Decides whether the observers of a stable group lost the primary.
 ///
 /// A report counts by itself only while it is fresh. When several entry processes were heard from
 /// lately, at least two of them must agree, and in several zones when there are several.
 #[must_use]
-pub fn judge(now: Instant, record: &Record, observers: &Observers) -> Verdict {
+pub fn lost(now: Instant, record: &Record, observers: &Observers) -> Verdict {
     if record.state != GroupState::Stable {
         return Verdict::Stay;
     }
-    let live: Vec<_> = observers
-        .values()
-        .filter(|o| live(now, o) && o.members.contains_key(&record.primary))
-        .collect();
+    let live = reports(now, record, observers);
     let against: Vec<_> = live.iter().filter(|o| failed(o, &record.primary)).collect();
     let zones = |set: &mut dyn Iterator<Item = &Observer>| -> usize {
         set.map(|o| o.zone.as_str()).collect::<Set<_>>().len()
@@ -81,23 +94,6 @@
     {
         return Verdict::Stay;
     }
-    let reach = |member: &str| live.iter().filter(|o| reaches(o, member)).count();
-    let now_served = reach(&record.primary);
-    let others = record
-        .members
-        .iter()
-        .filter(|member| member.member != record.primary);
-    let better = others
-        .clone()
-        .any(|member| reach(&member.member) > now_served);
-    let readable = record
-        .members
-        .iter()
-        .filter(|member| reach(&member.member) > 0)
-        .count();
-    if !better || readable < record.reads() {
-        return Verdict::Stay;
-    }
     let since = against
         .iter()
         .filter_map(|o| Some(o.members.get(&record.primary)?.since));
@@ -119,6 +115,26 @@
     }
 }
 
+/// Whether more observers reach another member than the primary, and enough members are reached
+/// for a promotion.
+#[must_use]
+pub fn serves_more(now: Instant, record: &Record, observers: &Observers) -> bool {
+    let live = reports(now, record, observers);
+    let reach = |member: &str| live.iter().filter(|o| reaches(o, member)).count();
+    let now_served = reach(&record.primary);
+    let mut others = record
+        .members
+        .iter()
+        .filter(|member| member.member != record.primary);
+    let better = others.any(|member| reach(&member.member) > now_served);
+    let readable = record
+        .members
+        .iter()
+        .filter(|member| reach(&member.member) > 0)
+        .count();
+    better && readable >= record.reads()
+}
+
 /// Status answers of recorded stores; another store's answer does not count.
 #[must_use]
 pub fn counted<'a>(record: &'a Record, statuses: &[Status]) -> Vec<(&'a Member, Status)> {
