Play scenarios against fakes in virtual time

Eleven small scenario files are played with the decisions of control (leases, judge, machine, directory, permits, readmission) and route (confirmation, lease, share, detector) over fakes of network, log, databases and processes. Time is passed in and all random choices come from one seed, which is printed. Rules: no acknowledged write missing on a promoted member, none acknowledged in a later term, one primary in a term, no lease older than a fence that ended it, no configuration that reverts, each change applied once, no more connections than there are. Every run must also acknowledge writes in its last 3 s.

Stuck runs in restarts and faults-together were a fault of the model: it passed the commit index on only with heartbeats, while agree sends it at once.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -4,24 +4,34 @@
 //! own processes start none.
 
 pub mod admin;
+mod audit;
 pub mod bench;
 pub mod caller;
 pub mod checker;
+mod council;
+mod database;
 pub mod demo;
 pub mod deployment;
 pub mod error;
 pub mod experiment;
 pub mod fake;
+mod gateway;
+mod ledger;
 pub mod load;
 pub mod measure;
+mod network;
+mod operator;
 pub mod process;
+pub mod reachability;
 pub mod relay;
 pub mod scenario;
+pub mod script;
 pub mod site;
 pub mod slopes;
 pub mod stores;
 pub mod up;
 pub mod usage;
+pub mod world;
 
 pub use error::LabError;
 
