Promote the member that most observers reach among equals

The verdict asks that a change serves more observers, but the choice among equally advanced members went by region and name, so that a change could go to a member that fewer observers reach than the old primary.

The most advanced member still comes first, and the target of a planned change before reach. A leader without reports chooses as before.

choose takes the reach as an argument; the calls in the existing judge tests pass an empty one, their cases and expectations are unchanged.

--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use base::{MemberName, Set};
+use base::{Map, MemberName, Set};
 
 use crate::{
     machine::{GroupState, Member, Record},
@@ -52,6 +52,20 @@
         })
 }
 
+/// Number of observers that reach each member.
+pub type Reach = Map<MemberName, usize>;
+
+/// Counts the observers that reach each member, by the reports that are fresh.
+#[must_use]
+pub fn reach(now: Instant, record: &Record, observers: &Observers) -> Reach {
+    let live = reports(now, record, observers);
+    let count = |member: &Member| {
+        let reaching = live.iter().filter(|o| reaches(o, &member.member));
+        (member.member.clone(), reaching.count())
+    };
+    record.members.iter().map(count).collect()
+}
+
 fn live_at(now: Instant, observer: &Observer) -> bool {
     !observer.stopping && now.saturating_duration_since(observer.at) < LIVE
 }
@@ -119,19 +133,10 @@
 /// for a promotion.
 #[must_use]
 pub fn serves_more(now: Instant, record: &Record, observers: &Observers) -> bool {
-    let live = reports(now, record, observers);
-    let reach = |member: &str| live.iter().filter(|o| reaches(o, member)).count();
-    let now_served = reach(&record.primary);
-    let mut others = record
-        .members
-        .iter()
-        .filter(|member| member.member != record.primary);
-    let better = others.any(|member| reach(&member.member) > now_served);
-    let readable = record
-        .members
-        .iter()
-        .filter(|member| reach(&member.member) > 0)
-        .count();
+    let reach = reach(now, record, observers);
+    let served = reach.get(&record.primary).copied().unwrap_or_default();
+    let better = reach.values().any(|count| *count > served);
+    let readable = reach.values().filter(|count| **count > 0).count();
     better && readable >= record.reads()
 }
 
@@ -152,9 +157,10 @@
 /// The most advanced member is the choice, because it holds every acknowledged write when
 /// [`Record::reads`] members answered. After a failure, the old primary is left out when the
 /// others suffice: entry processes can't reach it even if this host can. A planned change goes to
-/// the member asked for when it has caught up.
+/// the member asked for when it has caught up. Among equals the one that most observers reach is
+/// preferred, because the verdict promised that the change serves more.
 #[must_use]
-pub fn choose(record: &Record, statuses: &[Status]) -> Option<MemberName> {
+pub fn choose(record: &Record, statuses: &[Status], reach: &Reach) -> Option<MemberName> {
     let mut answers = counted(record, statuses);
     let old = record.primary.as_str();
     if record.planned.is_none() {
@@ -196,6 +202,7 @@
     let best = best.max_by_key(|(member, _)| {
         (
             wanted(member),
+            reach.get(&member.member),
             near(member),
             std::cmp::Reverse(member.member.clone()),
         )
@@ -206,9 +213,9 @@
 /// Whether a planned change may still wait for its target to catch up: the old primary answered,
 /// and no wanted member is as advanced.
 #[must_use]
-pub fn catching_up(record: &Record, statuses: &[Status]) -> bool {
+pub fn catching_up(record: &Record, statuses: &[Status], reach: &Reach) -> bool {
     record.planned.is_some()
-        && choose(record, statuses).is_none_or(|choice| {
+        && choose(record, statuses, reach).is_none_or(|choice| {
             let planned = record
                 .planned
                 .as_ref()
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -18,7 +18,7 @@
 use crate::{
     directory::Announcement,
     host::{Host, Timing, millis},
-    judge::{self, Verdict},
+    judge::{self, Reach, Verdict},
     leases::LEASE,
     log::{Log, LogError},
     machine::{Command, GroupState, Member, Planned, Record},
@@ -264,6 +264,14 @@
     })
 }
 
+fn reach<L: Log>(host: &Host<L>, record: &Record) -> Reach {
+    let sightings = host.sightings.borrow();
+    let observers = sightings.of(&record.group);
+    observers.map_or_else(Reach::default, |observers| {
+        judge::reach(Instant::now(), record, observers)
+    })
+}
+
 /// Planned change: gives running transactions time to finish, then fences.
 async fn drain<L: Log>(
     host: &Rc<Host<L>>,
@@ -343,8 +351,9 @@
     let mut told = start;
     let (choice, top) = loop {
         let statuses = read(host, record).await;
-        let choice = judge::choose(record, &statuses);
-        let wait = judge::catching_up(record, &statuses) && start.elapsed() < CATCH_UP;
+        let reach = reach(host, record);
+        let choice = judge::choose(record, &statuses, &reach);
+        let wait = judge::catching_up(record, &statuses, &reach) && start.elapsed() < CATCH_UP;
         if let Some(choice) = choice.filter(|_| !wait) {
             break (choice, statuses.iter().map(|s| s.position.term).max());
         }
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -4,7 +4,7 @@
 
 use base::Position;
 use control::{
-    judge::{Verdict, choose, correction, demoted, judge},
+    judge::{Reach, Verdict, choose, correction, demoted, judge, reach},
     machine::{GroupState, Member, Planned, Record},
     sighting::{Health, Observer, Observers, Sighting},
     upstream::Status,
@@ -144,7 +144,27 @@
 ) {
     let statuses: Vec<_> = answers.iter().map(|(m, t, o)| status(m, *t, *o)).collect();
 
-    assert_eq!(choose(&record(), &statuses).as_deref(), expected);
+    assert_eq!(
+        choose(&record(), &statuses, &Reach::default()).as_deref(),
+        expected
+    );
+}
+
+/// Guards against a change that serves no more than before, because it goes to a member that fewer
+/// observers reach than another one with the same data; data comes first.
+#[rstest]
+#[case::equal_data(10, "b")]
+#[case::less_data(9, "c")]
+fn most_reached_among_equals_is_chosen(#[case] offset: u64, #[case] expected: &str) {
+    let (mut observers, now) = observers(&[("z1", Refused, 9, 0), ("z2", Refused, 9, 0)]);
+    let lost = observers.get_mut("e0").unwrap().members.get_mut("c");
+    lost.unwrap().health = Refused;
+    let reach = reach(now, &record(), &observers);
+    let statuses = [status("b", 3, offset), status("c", 3, 10)];
+
+    let choice = choose(&record(), &statuses, &reach);
+
+    assert_eq!(choice.as_deref(), Some(expected));
 }
 
 /// Guards against counting a member that lost its disk.
@@ -153,7 +173,7 @@
     let mut statuses = [status("b", 3, 10), status("c", 3, 12)];
     statuses[1].store = "new".to_owned();
 
-    assert_eq!(choose(&record(), &statuses), None);
+    assert_eq!(choose(&record(), &statuses, &Reach::default()), None);
 }
 
 /// Guards against a planned change that loses writes its target does not hold yet.
@@ -175,7 +195,10 @@
         status("c", 3, 9),
     ];
 
-    assert_eq!(choose(&record, &statuses).as_deref(), Some(expected));
+    assert_eq!(
+        choose(&record, &statuses, &Reach::default()).as_deref(),
+        Some(expected)
+    );
 }
 
 /// Guards against a primary that answers without being one, and against fencing a good one.
--- a/crates/lab/src/council.rs
+++ b/crates/lab/src/council.rs
@@ -480,11 +480,14 @@
                 .min_by_key(|(_, s)| s.position)
                 .map(|(m, _)| m.member.clone())
         };
-        let choice = judge::choose(record, statuses).and_then(|choice| match self.off {
+        let observers = self.hosts[node].sightings.of(GROUP);
+        let reach = observers.map(|observers| judge::reach(now, record, observers));
+        let reach = reach.unwrap_or_default();
+        let choice = judge::choose(record, statuses, &reach).and_then(|choice| match self.off {
             Some(Mechanism::Choice) => worst(),
             _ => Some(choice),
         });
-        let wait = judge::catching_up(record, statuses) && now < released + CATCH_UP;
+        let wait = judge::catching_up(record, statuses, &reach) && now < released + CATCH_UP;
         let top = statuses.iter().map(|s| s.position.term).max();
         let Some(primary) = choice.filter(|_| !wait) else {
             return self.ask(node);
--- a/crates/lab/tests/reachability.rs
+++ b/crates/lab/tests/reachability.rs
@@ -55,6 +55,11 @@
             sum::<Duration>(reports, |r| r.blocked).as_secs_f64(),
         );
     }
+    let worse = |value: fn(&Report) -> usize| sum(&with, value) > sum(&without, value);
+    assert!(!worse(|r| r.promotions), "the rule causes changes");
+    assert!(!worse(|r| r.needless), "the rule causes needless changes");
+    let blocked = |reports| sum::<Duration>(reports, |r| r.blocked);
+    assert!(blocked(&with) <= blocked(&without), "the rule costs writes");
     let broken: Vec<_> = with.iter().chain(&without).map(|r| &r.broken).collect();
     assert!(broken.iter().all(|rules| rules.is_empty()), "{broken:?}");
 }
