--- a/crates/lab/src/council.rs
+++ b/crates/lab/src/control_host.rs
@@ -53,7 +53,7 @@
 
 /// A control host.
 #[derive(Debug)]
-pub(crate) struct Council {
+pub(crate) struct ControlHost {
     pub(crate) state: State,
     leases: Leases,
     directory: Directory,
@@ -71,7 +71,7 @@
     rounds: u64,
 }
 
-impl Council {
+impl ControlHost {
     pub(crate) fn new(now: Instant, saved: (Vec<u8>, usize), off: Option<Mechanism>) -> Self {
         let mut state = State::default();
         if saved.1 > 0 {
@@ -261,7 +261,7 @@
     }
 
     /// Regular work of a control host.
-    pub(crate) fn govern(&mut self, node: Node) {
+    pub(crate) fn run_control(&mut self, node: Node) {
         let now = self.network.now;
         let host = &mut self.hosts[node];
         host.sightings.expire(now);
--- a/crates/lab/src/gateway.rs
+++ b/crates/lab/src/gateway.rs
@@ -106,7 +106,7 @@
     }
 
     /// Regular work of an entry process.
-    pub(crate) fn serve(&mut self, node: Node) {
+    pub(crate) fn run_entry(&mut self, node: Node) {
         let now = self.network.now;
         let wanted = self.network.random.random_range(0..CONNECTIONS);
         for i in 0..ZONES {
@@ -180,7 +180,7 @@
     }
 
     /// Notes the status of a member and the writes that it confirms.
-    pub(crate) fn noted(&mut self, node: Node, from: Node, status: &Status) {
+    pub(crate) fn note_status(&mut self, node: Node, from: Node, status: &Status) {
         let now = self.network.now;
         let gateway = &mut self.gateways[node - ENTRY];
         gateway.detectors[from - MEMBER].answered(now);
@@ -221,7 +221,7 @@
             let delay = self.network.between(0, 5);
             let confirmed = Message::Confirmed(id, term);
             self.network.send_after(delay, node, node, confirmed);
-            self.spring(node);
+            self.trigger(node);
         }
     }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod bench;
 pub mod caller;
 pub mod checker;
-mod council;
+mod control_host;
 mod database;
 pub mod demo;
 pub mod deployment;
--- a/crates/lab/src/operator.rs
+++ b/crates/lab/src/operator.rs
@@ -50,7 +50,7 @@
 
 impl World {
     /// Drafts the next change, or sends one again that has no answer.
-    pub(crate) fn operate(&mut self, node: Node) {
+    pub(crate) fn run_operator(&mut self, node: Node) {
         let now = self.network.now;
         let i = node - OPERATOR;
         if self.script.pause == 0 || now < self.operators[i].next {
@@ -103,7 +103,7 @@
     }
 
     /// Takes the answer to the change that waits.
-    pub(crate) fn told(&mut self, node: Node, change: &str, answer: &Answer) {
+    pub(crate) fn settle(&mut self, node: Node, change: &str, answer: &Answer) {
         let operator = &mut self.operators[node - OPERATOR];
         let waits = |command: &Command| crate::audit::origin(id(command)) == change;
         if !operator.command.as_ref().is_some_and(waits) {
--- a/crates/lab/src/script.rs
+++ b/crates/lab/src/script.rs
@@ -9,7 +9,7 @@
 /// What happens to the target of a step.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Harm {
+pub enum Fault {
     /// No message passes in either direction.
     Cut,
     /// Its messages are lost; it still receives.
@@ -36,7 +36,7 @@
 /// Who a step concerns, found when it begins.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
-pub enum Whom {
+pub enum Target {
     /// The recorded primary.
     Primary,
     /// A member that is not the recorded primary.
@@ -65,9 +65,9 @@
     #[serde(default)]
     pub spread: u64,
     /// What happens.
-    pub harm: Harm,
+    pub fault: Fault,
     /// To whom.
-    pub target: Whom,
+    pub target: Target,
     /// Shortest and longest duration, in milliseconds.
     pub lasts: (u64, u64),
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -21,14 +21,14 @@
 
 use crate::{
     audit::Audit,
-    council::Council,
+    control_host::ControlHost,
     database::{self, Database, Entries},
     gateway::Gateway,
     ledger::Ledger,
     network::{ENTRY, MEMBER, NODES, Network, Node, OPERATOR, ZONES},
     operator::Operator,
     reachability::{Cut, cuts},
-    script::{Harm, Script, Step, Whom},
+    script::{Fault, Script, Step, Target},
 };
 
 /// The only group.
@@ -162,7 +162,7 @@
 pub(crate) struct World {
     pub(crate) network: Network<Message>,
     pub(crate) ledger: Ledger,
-    pub(crate) hosts: Vec<Council>,
+    pub(crate) hosts: Vec<ControlHost>,
     pub(crate) gateways: Vec<Gateway>,
     pub(crate) members: Vec<Database>,
     pub(crate) operators: Vec<Operator>,
@@ -172,8 +172,8 @@
     pub(crate) written: u64,
     pub(crate) late: Instant,
     /// Faults that wait for what a process does next, and when they end.
-    armed: [Option<(Harm, Instant)>; NODES],
-    sprung: Vec<(Instant, Harm, Node)>,
+    armed: [Option<(Fault, Instant)>; NODES],
+    triggered: Vec<(Instant, Fault, Node)>,
     ticks: u32,
     /// Member that was promoted last.
     serving: Option<Node>,
@@ -206,7 +206,7 @@
         network,
         ledger: Ledger::new(start),
         hosts: (0..ZONES)
-            .map(|_| Council::new(start, (Vec::new(), 0), off))
+            .map(|_| ControlHost::new(start, (Vec::new(), 0), off))
             .collect(),
         gateways: (0..ZONES).map(|_| Gateway::new(start, 0)).collect(),
         members: (MEMBER..MEMBER + ZONES).map(Database::new).collect(),
@@ -217,14 +217,14 @@
         written: 0,
         late: end.checked_sub(LATE).unwrap_or(end),
         armed: [None; NODES],
-        sprung: Vec::new(),
+        triggered: Vec::new(),
         ticks: 0,
         serving: None,
         cuts: cuts(&script.links, start, seed),
     };
     let mut last = Vec::new();
     while world.network.now < end {
-        world.harm(&mut steps, &mut last);
+        world.fault(&mut steps, &mut last);
         world.tick();
         let until = world.network.now + TICK;
         while let Some((from, to, message)) = world.network.next(until) {
@@ -237,13 +237,13 @@
 
 impl World {
     /// Begins and ends faults.
-    fn harm(&mut self, steps: &mut Vec<Planned>, last: &mut Vec<Node>) {
+    fn fault(&mut self, steps: &mut Vec<Planned>, last: &mut Vec<Node>) {
         let now = self.network.now;
         for planned in steps.iter_mut() {
             if planned.nodes.is_none() && planned.from <= now {
                 *last = self.find(planned.step.target, last);
                 for node in last.clone() {
-                    self.inflict(planned.step.harm, node, 1, planned.until);
+                    self.inject(planned.step.fault, node, 1, planned.until);
                 }
                 planned.nodes = Some(last.clone());
             }
@@ -254,7 +254,7 @@
         *steps = left;
         for planned in over {
             for node in planned.nodes.into_iter().flatten() {
-                self.inflict(planned.step.harm, node, -1, planned.until);
+                self.inject(planned.step.fault, node, -1, planned.until);
             }
         }
         for cut in &mut self.cuts {
@@ -265,9 +265,9 @@
                     .unlink(cut.sender, cut.receiver, if active { 1 } else { -1 });
             }
         }
-        let over: Vec<_> = self.sprung.extract_if(.., |s| s.0 <= now).collect();
-        for (until, harm, node) in over {
-            self.inflict(harm, node, -1, until);
+        let over: Vec<_> = self.triggered.extract_if(.., |s| s.0 <= now).collect();
+        for (until, fault, node) in over {
+            self.inject(fault, node, -1, until);
         }
     }
 
@@ -276,65 +276,65 @@
         newest.state.records.get(GROUP)
     }
 
-    fn find(&mut self, target: Whom, last: &[Node]) -> Vec<Node> {
+    fn find(&mut self, target: Target, last: &[Node]) -> Vec<Node> {
         let primary = self.record().map_or(MEMBER, |r| database::node(&r.primary));
         let leader = self.ledger.leader;
         let any = self.network.random.random_range(0..ZONES);
         let other = self.network.random.random_range(1..ZONES);
         match target {
-            Whom::Primary => vec![primary],
-            Whom::Replica => vec![MEMBER + (primary - MEMBER + other) % ZONES],
-            Whom::Leader => vec![leader],
-            Whom::Control => vec![(leader + other) % ZONES],
-            Whom::Others => (0..ZONES).filter(|node| *node != leader).collect(),
-            Whom::Entry => vec![ENTRY + any],
-            Whom::Zone => (0..OPERATOR)
+            Target::Primary => vec![primary],
+            Target::Replica => vec![MEMBER + (primary - MEMBER + other) % ZONES],
+            Target::Leader => vec![leader],
+            Target::Control => vec![(leader + other) % ZONES],
+            Target::Others => (0..ZONES).filter(|node| *node != leader).collect(),
+            Target::Entry => vec![ENTRY + any],
+            Target::Zone => (0..OPERATOR)
                 .filter(|n| n % ZONES == primary % ZONES)
                 .collect(),
-            Whom::Last => last.to_vec(),
+            Target::Last => last.to_vec(),
         }
     }
 
-    fn inflict(&mut self, harm: Harm, node: Node, by: i8, until: Instant) {
+    fn inject(&mut self, fault: Fault, node: Node, by: i8, until: Instant) {
         let what = if by > 0 { "begins" } else { "ends" };
         self.audit
-            .note(&format!("{harm:?} of process {node} {what}"));
-        match harm {
-            Harm::Cut => self.network.cut(node, 0..NODES, (true, true), by),
-            Harm::Mute => self.network.cut(node, 0..NODES, (true, false), by),
-            Harm::Deaf => self.network.cut(node, 0..NODES, (false, true), by),
-            Harm::Part => {
+            .note(&format!("{fault:?} of process {node} {what}"));
+        match fault {
+            Fault::Cut => self.network.cut(node, 0..NODES, (true, true), by),
+            Fault::Mute => self.network.cut(node, 0..NODES, (true, false), by),
+            Fault::Deaf => self.network.cut(node, 0..NODES, (false, true), by),
+            Fault::Part => {
                 let others = (0..MEMBER).filter(|other| other % ZONES != node % ZONES);
                 self.network.cut(node, others, (true, true), by);
             }
-            Harm::Freeze => self.network.freeze(node, by),
-            Harm::FreezeConfirmed | Harm::MutePromoted => {
-                self.armed[node] = (by > 0).then_some((harm, until));
+            Fault::Freeze => self.network.freeze(node, by),
+            Fault::FreezeConfirmed | Fault::MutePromoted => {
+                self.armed[node] = (by > 0).then_some((fault, until));
             }
-            Harm::Kill | Harm::Wipe | Harm::Rewind => {
+            Fault::Kill | Fault::Wipe | Fault::Rewind => {
                 if self.network.stop(node, by) {
-                    self.restart(harm, node);
+                    self.restart(fault, node);
                 }
             }
         }
     }
 
     /// Begins a fault that waited for what the process has just done.
-    pub(crate) fn spring(&mut self, node: Node) {
-        if let Some((harm, until)) = self.armed[node].take() {
-            let harm = match harm {
-                Harm::FreezeConfirmed => Harm::Freeze,
-                _ => Harm::Mute,
+    pub(crate) fn trigger(&mut self, node: Node) {
+        if let Some((fault, until)) = self.armed[node].take() {
+            let fault = match fault {
+                Fault::FreezeConfirmed => Fault::Freeze,
+                _ => Fault::Mute,
             };
-            self.inflict(harm, node, 1, until);
-            self.sprung.push((until, harm, node));
+            self.inject(fault, node, 1, until);
+            self.triggered.push((until, fault, node));
         }
     }
 
-    fn restart(&mut self, harm: Harm, node: Node) {
+    fn restart(&mut self, fault: Fault, node: Node) {
         let now = self.network.now;
         if node >= MEMBER {
-            return self.members[node - MEMBER].restart(harm == Harm::Wipe);
+            return self.members[node - MEMBER].restart(fault == Fault::Wipe);
         }
         if node >= ENTRY {
             let run = self.gateway(node).run + 1;
@@ -342,15 +342,15 @@
             return;
         }
         let mut saved = std::mem::take(&mut self.hosts[node].saved);
-        if harm == Harm::Wipe {
+        if fault == Fault::Wipe {
             saved = (Vec::new(), 0);
         }
-        if harm != Harm::Kill {
+        if fault != Fault::Kill {
             // The boot number shows the peers that the disk is not the one they know.
             self.ledger.stored[node] = saved.1;
             self.ledger.learner[node] = true;
         }
-        self.hosts[node] = Council::new(now, saved, self.off);
+        self.hosts[node] = ControlHost::new(now, saved, self.off);
     }
 
     /// Regular work of all processes that run.
@@ -365,10 +365,10 @@
                 continue;
             }
             match node {
-                0..ENTRY => self.govern(node),
-                ENTRY..MEMBER => self.serve(node),
+                0..ENTRY => self.run_control(node),
+                ENTRY..MEMBER => self.run_entry(node),
                 MEMBER..OPERATOR => self.replicate(node),
-                _ => self.operate(node),
+                _ => self.run_operator(node),
             }
         }
     }
@@ -410,7 +410,7 @@
                 let status = Box::new(self.members[to - MEMBER].status());
                 self.network.send(to, from, Message::Status(round, status));
             }
-            Message::Status(_, status) if to >= ENTRY => self.noted(to, from, &status),
+            Message::Status(_, status) if to >= ENTRY => self.note_status(to, from, &status),
             Message::Status(round, status) => self.answered(to, from, round, &status),
             Message::Write(id) => {
                 let member = &mut self.members[to - MEMBER];
@@ -445,7 +445,7 @@
                 if obeyed {
                     self.compare(to);
                     self.audit.promote(term, &self.members[to - MEMBER]);
-                    self.spring(to);
+                    self.trigger(to);
                 }
                 self.network.send(to, from, Message::Promoted(term, obeyed));
             }
@@ -455,7 +455,7 @@
             Message::Append(epoch, sent) => self.append(to, from, epoch, sent),
             Message::Appended(epoch) => self.appended(to, from, epoch),
             Message::Propose(operator, command) => self.propose(to, operator, command),
-            Message::Answer(change, answer) => self.told(to, &change, &answer),
+            Message::Answer(change, answer) => self.settle(to, &change, &answer),
         }
     }
 
