--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use base::{MemberName, Set};
+use base::{Map, MemberName, Set};
 
 use route::Status;
 
@@ -53,23 +53,50 @@
         })
 }
 
-fn live(now: Instant, observer: &Observer) -> bool {
+/// Number of observers that reach each member.
+pub type Reach = Map<MemberName, usize>;
+
+/// Counts the observers that reach each member, by the reports that are fresh.
+#[must_use]
+pub fn reach(now: Instant, record: &Record, observers: &Observers) -> Reach {
+    let live = reports(now, record, observers);
+    let count = |member: &Member| {
+        let reaching = live.iter().filter(|o| reaches(o, &member.member));
+        (member.member.clone(), reaching.count())
+    };
+    record.members.iter().map(count).collect()
+}
+
+fn live_at(now: Instant, observer: &Observer) -> bool {
     !observer.stopping && now.saturating_duration_since(observer.at) < LIVE
 }
 
+/// Observers whose report counts now.
+fn reports<'a>(now: Instant, record: &Record, observers: &'a Observers) -> Vec<&'a Observer> {
+    let mut live: Vec<_> = observers.values().collect();
+    live.retain(|o| live_at(now, o) && o.members.contains_key(&record.primary));
+    live
+}
+
 /// Decides whether the primary of a stable group failed and a change would serve more.
+#[must_use]
+pub fn judge(now: Instant, record: &Record, observers: &Observers) -> Verdict {
+    match lost(now, record, observers) {
+        Verdict::Failed { .. } if !serves_more(now, record, observers) => Verdict::Stay,
+        verdict => verdict,
+    }
+}
+
+/// Decides whether the observers of a stable group lost the primary.
 ///
 /// A report counts by itself only while it is fresh. When several entry processes were heard from
 /// lately, at least two of them must agree, and in several zones when there are several.
 #[must_use]
-pub fn judge(now: Instant, record: &Record, observers: &Observers) -> Verdict {
+pub fn lost(now: Instant, record: &Record, observers: &Observers) -> Verdict {
     if record.state != GroupState::Stable {
         return Verdict::Stay;
     }
-    let live: Vec<_> = observers
-        .values()
-        .filter(|o| live(now, o) && o.members.contains_key(&record.primary))
-        .collect();
+    let live = reports(now, record, observers);
     let against: Vec<_> = live.iter().filter(|o| failed(o, &record.primary)).collect();
     let zones = |set: &mut dyn Iterator<Item = &Observer>| -> usize {
         set.map(|o| o.zone.as_str()).collect::<Set<_>>().len()
@@ -82,23 +109,6 @@
     {
         return Verdict::Stay;
     }
-    let reach = |member: &str| live.iter().filter(|o| reaches(o, member)).count();
-    let now_served = reach(&record.primary);
-    let others = record
-        .members
-        .iter()
-        .filter(|member| member.member != record.primary);
-    let better = others
-        .clone()
-        .any(|member| reach(&member.member) > now_served);
-    let readable = record
-        .members
-        .iter()
-        .filter(|member| reach(&member.member) > 0)
-        .count();
-    if !better || readable < record.reads() {
-        return Verdict::Stay;
-    }
     let since = against
         .iter()
         .filter_map(|o| Some(o.members.get(&record.primary)?.since));
@@ -120,6 +130,17 @@
     }
 }
 
+/// Whether more observers reach another member than the primary, and enough members are reached
+/// for a promotion.
+#[must_use]
+pub fn serves_more(now: Instant, record: &Record, observers: &Observers) -> bool {
+    let reach = reach(now, record, observers);
+    let served = reach.get(&record.primary).copied().unwrap_or_default();
+    let better = reach.values().any(|count| *count > served);
+    let readable = reach.values().filter(|count| **count > 0).count();
+    better && readable >= record.reads()
+}
+
 /// Status answers of recorded stores; another store's answer does not count.
 #[must_use]
 pub fn counted<'a>(record: &'a Record, statuses: &[Status]) -> Vec<(&'a Member, Status)> {
@@ -173,9 +194,10 @@
 /// The most advanced member is the choice, because it holds every acknowledged write when
 /// [`Record::reads`] members answered. After a failure, the old primary is left out when the
 /// others suffice: entry processes can't reach it even if this host can. A planned change goes to
-/// the member asked for when it has caught up.
+/// the member asked for when it has caught up. Among equals the one that most observers reach is
+/// preferred, because the verdict promised that the change serves more.
 #[must_use]
-pub fn choose(record: &Record, statuses: &[Status]) -> Option<MemberName> {
+pub fn choose(record: &Record, statuses: &[Status], reach: &Reach) -> Option<MemberName> {
     let mut answers = counted(record, statuses);
     let old = record.primary.as_str();
     if record.planned.is_none() {
@@ -217,6 +239,7 @@
     let best = best.max_by_key(|(member, _)| {
         (
             wanted(member),
+            reach.get(&member.member),
             near(member),
             std::cmp::Reverse(member.member.clone()),
         )
@@ -227,9 +250,9 @@
 /// Whether a planned change may still wait for its target to catch up: the old primary answered,
 /// and no wanted member is as advanced.
 #[must_use]
-pub fn catching_up(record: &Record, statuses: &[Status]) -> bool {
+pub fn catching_up(record: &Record, statuses: &[Status], reach: &Reach) -> bool {
     record.planned.is_some()
-        && choose(record, statuses).is_none_or(|choice| {
+        && choose(record, statuses, reach).is_none_or(|choice| {
             let planned = record
                 .planned
                 .as_ref()
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -21,11 +21,12 @@
 use crate::{
     directory::Announcement,
     host::{Host, Timing, millis},
-    judge::{self, Answered, Verdict},
+    judge::{self, Answered, Reach, Verdict},
     leases::LEASE,
     log::{Log, LogError},
     machine::{Command, GroupState, Member, Planned, Record},
     sweep, upstream,
+    upstream::Order,
 };
 
 /// Pause between attempts of a step that waits for others.
@@ -273,6 +274,14 @@
     })
 }
 
+fn reach<L: Log>(host: &Host<L>, record: &Record) -> Reach {
+    let sightings = host.sightings.borrow();
+    let observers = sightings.of(&record.group);
+    observers.map_or_else(Reach::default, |observers| {
+        judge::reach(Instant::now(), record, observers)
+    })
+}
+
 /// Planned change: gives running transactions time to finish, then fences.
 async fn drain<L: Log>(
     host: &Rc<Host<L>>,
@@ -352,8 +361,9 @@
     let mut told = start;
     let (choice, top) = loop {
         let statuses = read(host, record).await;
-        let choice = judge::choose(record, &statuses);
-        let wait = judge::catching_up(record, &statuses) && start.elapsed() < CATCH_UP;
+        let reach = reach(host, record);
+        let choice = judge::choose(record, &statuses, &reach);
+        let wait = judge::catching_up(record, &statuses, &reach) && start.elapsed() < CATCH_UP;
         if let Some(choice) = choice.filter(|_| !wait) {
             break (choice, statuses.iter().map(|s| s.position.term).max());
         }
@@ -491,10 +501,10 @@
 pub(crate) async fn order<L: Log>(
     host: &Host<L>,
     address: &str,
-    statement: &str,
+    order: &Order,
     patience: Duration,
 ) -> Result<(), String> {
-    let mut direct = Box::pin(upstream::order(host.identity.host, address, statement));
+    let mut direct = Box::pin(upstream::order(host.identity.host, address, order));
     let mut cause = match timeout(patience, &mut direct).await {
         Ok(Err(cause)) if !is_final(&cause) => Some(cause),
         Ok(outcome) => return outcome,
@@ -503,7 +513,7 @@
     let relayed = host
         .peers
         .names()
-        .map(|name| host.peers.order(name, address, statement).boxed_local());
+        .map(|name| host.peers.order(name, address, order).boxed_local());
     let mut attempts: FuturesUnordered<_> = relayed.collect();
     if cause.is_none() {
         attempts.push(direct);
@@ -519,7 +529,7 @@
 
 /// Whether an order failed because the member refuses it, whoever sends it.
 fn is_final(cause: &str) -> bool {
-    cause.starts_with("55000")
+    cause.starts_with(upstream::REFUSED)
 }
 
 /// Orders every other recorded member to follow the member that is primary of the next term.
@@ -528,17 +538,20 @@
         return;
     };
     let address = host.address(primary);
-    let statement = format!("FOLLOW '{address}' TERM {}", record.next);
+    let follow = Order {
+        statement: format!("FOLLOW '{address}' TERM {}", record.next),
+        store: None,
+    };
     let others = record
         .members
         .iter()
         .filter(|member| member.member != record.primary);
     let orders = others.map(|member| {
-        let (host, statement) = (&host, &statement);
+        let (host, follow) = (&host, &follow);
         async move {
             // The sweep repeats an order that fails.
             let address = host.address(member);
-            let ordering = order(host, &address, statement, patience(host, member));
+            let ordering = order(host, &address, follow, patience(host, member));
             let _outcome = timeout(ORDER, ordering).await;
         }
     });
@@ -555,13 +568,16 @@
     let Some(target) = record.member(&record.primary) else {
         return fence(host, record, record.next + 1, timing).await;
     };
-    let statement = format!("PROMOTE TERM {}", record.next);
+    let promotion = Order {
+        statement: format!("PROMOTE TERM {}", record.next),
+        store: Some(target.store.clone()),
+    };
     let ordered = timeout(ORDER, async {
         loop {
             match order(
                 host,
                 &host.address(target),
-                &statement,
+                &promotion,
                 patience(host, target),
             )
             .await
