Run the commands of the operators' page against a deployment

Drain and a planned change of primary were never run by hand. scripts/pages starts the deployment of scripts/up and runs the console blocks of docs/operators.md in order; the first command that ends with an error or prints something else fails the run, and commands that only read are repeated for 15 s.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod load;
 pub mod measure;
 pub mod overload;
+pub mod pages;
 pub mod process;
 pub mod relay;
 pub mod scenario;
