--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -23,6 +23,7 @@
 mod network;
 mod operator;
 pub mod overload;
+pub mod pages;
 pub mod process;
 pub mod reachability;
 pub mod relay;
