Pack RPC messages and count the bytes of a connection

The metric goldcrestrail_control_bytes_total summed the words of renewals and watches without the framing of the RPC, so it stated too little. A counter below the encoding sees what the socket carries, headers of TCP left out.

Most of a message is zero bytes and padding, which the packed encoding of capnp-futures leaves out. A streaming compressor was ruled out: it would keep a window of some 256 KB for each connection. Both ends must be of this version.

--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -27,7 +27,7 @@
 };
 
 /// Databases before one entry process, at which cost is read.
-const DATABASES: [u16; 3] = [30, 90, 180];
+const DATABASES: [u16; 4] = [9, 24, 90, 180];
 /// Further entry processes at which cost is read.
 const ENTRIES: [u32; 4] = [50, 100, 200, 400];
 /// Configuration changes in a row at which cost is read.
@@ -42,6 +42,8 @@
 pub struct Arguments {
     #[options(help = "print this help")]
     help: bool,
+    #[options(help = "read only the cost of databases")]
+    databases: bool,
     #[options(help = "seconds of each reading", default = "10")]
     seconds: u64,
     #[options(
@@ -140,6 +142,10 @@
         announcing.store(false, Ordering::SeqCst);
     }
     print("databases before one entry process", &readings);
+    if arguments.databases {
+        println!("stopped badly: {:?}", deployment.stop());
+        return Ok(());
+    }
     let versions = Versions::default();
     let mut readings = vec![read(&deployment, 0.0, length).await?];
     let mut started = 0;
@@ -272,7 +278,10 @@
         }
         let mut times = Vec::new();
         for i in 0..count {
-            let text = format!("# change {count}-{i}\n{}", document(DATABASES[2] / 3));
+            let text = format!(
+                "# change {count}-{i}\n{}",
+                document(DATABASES[DATABASES.len() - 1] / 3)
+            );
             let start = Instant::now();
             let admin = deployment.admin();
             // The blocking call must not hold up the tasks on this thread.
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -11,5 +11,6 @@
 )]
 pub mod goldcrestrail_capnp;
 pub mod rpc;
+pub mod traffic;
 
 pub use goldcrestrail_capnp as schema;
--- a/crates/proto/src/rpc.rs
+++ b/crates/proto/src/rpc.rs
@@ -1,16 +1,33 @@
-//! `capnp-rpc` over compio TCP streams.
+//! `capnp-rpc` over compio TCP streams, in the packed encoding.
+
+use std::rc::Rc;
 
 use capnp::capability::{Client, FromClientHook};
+use capnp_futures::serialize_packed::{PackedRead, PackedWrite};
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
 use compio::{io::compat::AsyncStream, net::TcpStream};
 use futures_util::AsyncReadExt as _;
 
+use crate::traffic::{Counted, Traffic};
+
 /// Serves `bootstrap` to the peer at the other end of `stream` until the connection ends.
 ///
 /// # Errors
 /// The transport failed or the peer broke the protocol.
 pub async fn serve(stream: TcpStream, bootstrap: Client) -> Result<(), capnp::Error> {
-    system(stream, Side::Server, Some(bootstrap)).await
+    serve_counted(stream, bootstrap, Rc::default()).await
+}
+
+/// Serves like [`serve`] and counts the bytes of the connection in `traffic`.
+///
+/// # Errors
+/// The transport failed or the peer broke the protocol.
+pub async fn serve_counted(
+    stream: TcpStream,
+    bootstrap: Client,
+    traffic: Rc<Traffic>,
+) -> Result<(), capnp::Error> {
+    system(stream, Side::Server, Some(bootstrap), traffic).await
 }
 
 /// Opens the bootstrap interface of the peer at the other end of `stream`.
@@ -20,16 +37,29 @@
 pub fn open<C: FromClientHook>(
     stream: TcpStream,
 ) -> (C, impl Future<Output = Result<(), capnp::Error>>) {
-    let mut system = system(stream, Side::Client, None);
+    open_counted(stream, Rc::default())
+}
+
+/// Opens like [`open`] and counts the bytes of the connection in `traffic`.
+pub fn open_counted<C: FromClientHook>(
+    stream: TcpStream,
+    traffic: Rc<Traffic>,
+) -> (C, impl Future<Output = Result<(), capnp::Error>>) {
+    let mut system = system(stream, Side::Client, None, traffic);
     let client = system.bootstrap(Side::Server);
     (client, system)
 }
 
-fn system(stream: TcpStream, side: Side, bootstrap: Option<Client>) -> RpcSystem<Side> {
+fn system(
+    stream: TcpStream,
+    side: Side,
+    bootstrap: Option<Client>,
+    traffic: Rc<Traffic>,
+) -> RpcSystem<Side> {
     let (reader, writer) = AsyncStream::new(stream).split();
     let network = VatNetwork::new(
-        reader,
-        writer,
+        PackedRead::new(Counted::new(reader, Rc::clone(&traffic))),
+        PackedWrite::new(Counted::new(writer, traffic)),
         side,
         capnp::message::ReaderOptions::default(),
     );
