--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -1,7 +1,7 @@
 //! RPC server for entry processes and control peers.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -9,7 +9,10 @@
 use base::{Position, Version};
 use capnp::Error;
 use compio::{net::TcpListener, time::timeout};
-use proto::schema::{self, control, gate, peer};
+use proto::{
+    schema::{self, control, gate, peer},
+    traffic::Traffic,
+};
 
 use crate::{
     directory::{Announcement, Heard},
@@ -18,12 +21,15 @@
     log::Log,
     machine::{GroupState, Record},
     permits,
+    session::Session,
     sighting::{Health, Sighting},
     upstream,
 };
 
 /// A watch without news is answered after this time.
 const POLL: Duration = Duration::from_secs(1);
+/// Longest poll that an entry process may ask for.
+const POLL_MAX: Duration = Duration::from_secs(10);
 /// RPC connections at once; each entry process and peer holds one or two.
 const CONNECTIONS_MAX: usize = 10_000;
 
@@ -50,10 +56,12 @@
         open.set(open.get() + 1);
         let (host, open) = (Rc::clone(&host), Rc::clone(&open));
         compio::runtime::spawn(async move {
+            let traffic = Rc::new(Traffic::default());
             let gate: gate::Client = capnp_rpc::new_client(Gate {
                 host: Rc::clone(&host),
+                traffic: Rc::clone(&traffic),
             });
-            if let Err(cause) = proto::rpc::serve(stream, gate.client).await {
+            if let Err(cause) = proto::rpc::serve_counted(stream, gate.client, traffic).await {
                 slog::debug!(host.logger, "a connection ended"; "cause" => %cause);
             }
             open.set(open.get() - 1);
@@ -67,6 +75,8 @@
 pub struct Gate<L> {
     /// Host that answers.
     pub host: Rc<Host<L>>,
+    /// Bytes of the connection.
+    pub traffic: Rc<Traffic>,
 }
 
 impl<L: Log> gate::Server for Gate<L> {
@@ -76,9 +86,11 @@
         mut results: gate::ControlResults,
     ) -> Result<(), Error> {
         let host = Rc::clone(&self.host);
-        results
-            .get()
-            .set_control(capnp_rpc::new_client(ForEntries { host }));
+        results.get().set_control(capnp_rpc::new_client(ForEntries {
+            host,
+            traffic: Rc::clone(&self.traffic),
+            session: RefCell::default(),
+        }));
         Ok(())
     }
 
@@ -97,6 +109,16 @@
 
 struct ForEntries<L> {
     host: Rc<Host<L>>,
+    traffic: Rc<Traffic>,
+    session: RefCell<Session>,
+}
+
+impl<L: Log> ForEntries<L> {
+    /// Counts what was sent since the last call, if the entry process is in another region.
+    fn count_bytes(&self, entry: &str) {
+        let (sent, _received) = self.traffic.take();
+        self.host.count_bytes(entry, sent);
+    }
 }
 
 fn text(reader: Result<capnp::text::Reader<'_>, Error>) -> Result<String, Error> {
@@ -173,7 +195,17 @@
         params: control::RenewParams,
         mut results: control::RenewResults,
     ) -> Result<(), Error> {
-        let renewal = renewal(params.get()?.get_request()?)?;
+        let request = params.get()?.get_request()?;
+        let numbered = request.get_sequence() > 0;
+        let renewal = if numbered {
+            self.session.borrow_mut().renewal(request)?
+        } else {
+            Some(renewal(request)?)
+        };
+        let Some(renewal) = renewal else {
+            results.get().init_reply().set_resync(true);
+            return Ok(());
+        };
         if renewal.entry.is_empty() {
             return Err(Error::failed(
                 "renew: entry is empty; send the name of the entry".into(),
@@ -183,24 +215,44 @@
         let renewed = self.host.renew(Instant::now(), renewal);
         let mut reply = results.get().init_reply();
         reply.set_granted(renewed.granted);
-        reply.set_duration(wire_millis(LEASE));
-        let state = self.host.state.borrow();
-        reply.set_record_version(state.version);
-        reply.set_config_version(state.config.version);
-        drop(state);
-        reply.set_directory_version(self.host.directory.borrow().version());
-        reply.set_host(&self.host.identity.name);
+        if !numbered {
+            reply.set_duration(wire_millis(LEASE));
+        }
+        if !numbered {
+            let state = self.host.state.borrow();
+            reply.set_record_version(state.version);
+            reply.set_config_version(state.config.version);
+            reply.set_directory_version(self.host.directory.borrow().version());
+        }
+        if request.get_sequence() <= 1 {
+            reply.set_host(&self.host.identity.name);
+        }
         reply.set_leader(renewed.leader);
         reply.set_drain(renewed.drain);
         reply.set_permit_duration(wire_millis(permits::TERM));
-        let mut list = reply.init_permits(length(&renewed.permits));
-        for (i, (member, lent)) in (0..).zip(&renewed.permits) {
-            let mut permit = list.reborrow().get(i);
-            permit.set_member(member);
-            permit.set_lent(*lent);
+        if numbered {
+            let session = self.session.borrow();
+            let lent = renewed.permits.iter();
+            let lent: Vec<_> = lent
+                .filter_map(|(member, lent)| Some((session.number(member)?, *lent)))
+                .collect();
+            if !lent.is_empty() {
+                let mut list = reply.init_lent(length(&lent));
+                for (i, (number, count)) in (0..).zip(lent) {
+                    let mut permit = list.reborrow().get(i);
+                    permit.set_number(number);
+                    permit.set_lent(count);
+                }
+            }
+        } else {
+            let mut list = reply.init_permits(length(&renewed.permits));
+            for (i, (member, lent)) in (0..).zip(&renewed.permits) {
+                let mut permit = list.reborrow().get(i);
+                permit.set_member(member);
+                permit.set_lent(*lent);
+            }
         }
-        let size = results.get().into_reader().total_size()?;
-        self.host.count_bytes(&entry, size.word_count);
+        self.count_bytes(&entry);
         Ok(())
     }
 
@@ -222,6 +274,10 @@
             let known = host.directory.borrow().version();
             state.version > records || state.config.version > config || known > directory
         };
+        let poll = match duration(request.get_patience()) {
+            Duration::ZERO => POLL,
+            patience => patience.min(POLL_MAX),
+        };
         let wait = async {
             loop {
                 let count = self.host.changed.count();
@@ -232,7 +288,7 @@
             }
         };
         // An answer without news after the time is a normal one.
-        let _elapsed = timeout(POLL, wait).await;
+        let _elapsed = timeout(poll, wait).await;
         fill(
             &self.host,
             results.get().init_reply(),
@@ -240,9 +296,9 @@
             config,
             directory,
         );
-        let size = results.get().into_reader().total_size()?;
-        self.host
-            .count_bytes(request.get_entry()?.to_str()?, size.word_count);
+        let entry = self.session.borrow().entry().to_owned();
+        let named = request.get_entry()?.to_str()?;
+        self.count_bytes(if named.is_empty() { &entry } else { named });
         Ok(())
     }
 }
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -406,8 +406,8 @@
         }
     }
 
-    /// Counts an answer of `words` eight-byte words to an entry process of another region.
-    pub fn count_bytes(&self, entry: &str, words: u64) {
+    /// Counts bytes sent to an entry process, if it is in another region.
+    pub fn count_bytes(&self, entry: &str, bytes: u64) {
         let directory = self.directory.borrow();
         let zone = directory
             .entries()
@@ -416,7 +416,7 @@
         let region = zone.and_then(|zone| directory.region(zone));
         if region.is_some_and(|region| region != self.identity.region) {
             let counter = self.metrics.region_bytes.with_label_values(&[entry]);
-            counter.inc_by(words * 8);
+            counter.inc_by(bytes);
         }
     }
 
--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -12,8 +12,8 @@
 
 /// A silent primary is declared failed after this time without an answer.
 pub const SILENCE: Duration = Duration::from_millis(1_500);
-/// An observer counts while its last report is younger than this. Entry processes repeat the
-/// report of a healthy group every 600 ms, so that one lost report does not take away its voice.
+/// An observer counts while its last report is younger than this. Entry processes renew every
+/// 600 ms, and a renewal repeats what it leaves out, so that a late one does not take away a voice.
 pub const LIVE: Duration = Duration::from_millis(1_500);
 
 /// What is to be done about a stable group.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod problem;
 pub mod promotion;
 pub mod run;
+mod session;
 pub mod settings;
 pub mod sighting;
 pub mod sweep;
--- /dev/null
+++ b/crates/control/src/session.rs
@@ -0,0 +1,160 @@
+//! One connection of an entry process, whose renewals report only changes.
+
+use std::time::Duration;
+
+use base::Position;
+use capnp::Error;
+use proto::schema;
+use route::report::{Number, Picture, Receiver, Report, Seen};
+
+use crate::{
+    directory::Announcement,
+    host::{Demand, Renewal},
+    sighting::{Health, Sighting},
+};
+
+/// What is known from the reports of one connection.
+#[derive(Debug, Default)]
+pub(crate) struct Session {
+    identity: Renewal,
+    receiver: Receiver,
+}
+
+impl Session {
+    /// Completes a renewal from the reports before it; `None` when one of them is missing.
+    pub(crate) fn renewal(
+        &mut self,
+        request: schema::renew_request::Reader<'_>,
+    ) -> Result<Option<Renewal>, Error> {
+        let report = report(request)?;
+        if report.sequence == 1 {
+            self.identity = Renewal {
+                entry: request.get_entry()?.to_string()?,
+                zone: request.get_zone()?.to_string()?,
+                http: request.get_http()?.to_string()?,
+                run: request.get_run(),
+                ..Renewal::default()
+            };
+        }
+        let Some(picture) = self.receiver.receive(report) else {
+            return Ok(None);
+        };
+        let mut renewal = self.identity.clone();
+        renewal.records = request.get_record_version();
+        renewal.config = request.get_config_version();
+        renewal.stopping = request.get_stopping();
+        fill(&mut renewal, picture);
+        Ok(Some(renewal))
+    }
+
+    /// Name of the entry process; empty before its first report.
+    pub(crate) fn entry(&self) -> &str {
+        &self.identity.entry
+    }
+
+    /// Number of a member.
+    pub(crate) fn number(&self, member: &str) -> Option<Number> {
+        self.receiver.number(member)
+    }
+}
+
+fn fill(renewal: &mut Renewal, picture: Picture) {
+    let heard = picture.announcements.into_iter().map(|(heard, age)| {
+        let announcement = Announcement {
+            member: heard.member,
+            group: heard.group,
+            store: heard.store,
+            address: heard.address.to_string(),
+            zone: heard.zone,
+            region: heard.region,
+            connections: heard.connections,
+            slots: heard.slots,
+            leaving: heard.leaving,
+        };
+        (announcement, age)
+    });
+    renewal.announcements = heard.collect();
+    for (group, members) in picture.groups {
+        for (member, seen) in members {
+            let sighting = Sighting {
+                health: match seen.health {
+                    route::Health::Ok => Health::Ok,
+                    route::Health::Refused => Health::Refused,
+                    route::Health::Silent => Health::Silent,
+                },
+                since: seen.since,
+                position: seen.position,
+                primary: seen.primary,
+            };
+            renewal.sightings.push((group.clone(), member, sighting));
+        }
+    }
+    let demands = picture.demands.into_iter();
+    renewal.demands = demands
+        .map(|(member, (_, demand))| Demand {
+            member,
+            used: demand.used,
+            wanted: demand.wanted,
+        })
+        .collect();
+}
+
+fn millis(milliseconds: u32) -> Duration {
+    Duration::from_millis(milliseconds.into())
+}
+
+fn report(request: schema::renew_request::Reader<'_>) -> Result<Report, Error> {
+    let names = request.get_names()?.iter().map(|name| {
+        let (group, member) = (name.get_group()?, name.get_member()?);
+        Ok((name.get_number(), group.to_string()?, member.to_string()?))
+    });
+    let announcements = request.get_announcements()?.iter().map(|a| {
+        let address = a.get_address()?.to_str()?;
+        let announcement = route::Announcement {
+            member: a.get_member()?.to_string()?,
+            group: a.get_group()?.to_string()?,
+            store: a.get_store()?.to_string()?,
+            address: address.parse().map_err(|_unparsable| {
+                Error::failed(format!("renew: {address} is no address; send ip:port"))
+            })?,
+            zone: a.get_zone()?.to_string()?,
+            region: a.get_region()?.to_string()?,
+            connections: a.get_connections(),
+            slots: a.get_slots(),
+            leaving: a.get_leaving(),
+        };
+        Ok((a.get_number(), announcement, millis(a.get_age())))
+    });
+    let repeats = request.get_repeats()?.iter();
+    let sightings = request.get_seen()?.iter().map(|s| {
+        let seen = Seen {
+            health: match s.get_health()? {
+                schema::Health::Ok => route::Health::Ok,
+                schema::Health::Refused => route::Health::Refused,
+                schema::Health::Silent => route::Health::Silent,
+            },
+            since: millis(s.get_since()),
+            position: Position::new(s.get_term(), s.get_offset()),
+            primary: s.get_primary(),
+        };
+        Ok((s.get_number(), seen))
+    });
+    let demands = request.get_wanted()?.iter().map(|d| {
+        let demand = route::report::Demand {
+            used: d.get_used(),
+            waiting: d.get_waiting(),
+            wanted: d.get_wanted(),
+        };
+        (d.get_number(), demand)
+    });
+    Ok(Report {
+        sequence: request.get_sequence(),
+        names: names.collect::<Result<_, Error>>()?,
+        announcements: announcements.collect::<Result<_, Error>>()?,
+        repeats: repeats
+            .map(|r| (r.get_number(), millis(r.get_age())))
+            .collect(),
+        sightings: sightings.collect::<Result<_, Error>>()?,
+        demands: demands.collect(),
+    })
+}
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -22,6 +22,7 @@
     permits::QUIET,
 };
 use proto::schema::{self, control as calls};
+use rstest::rstest;
 
 type Watched = capnp::capability::Response<calls::watch_results::Owned>;
 
@@ -188,6 +189,78 @@
     assert!(counted > 0, "the entry process is in another region");
 }
 
+/// Renews with a numbered report: the first one names a member that refuses, later ones say
+/// nothing more. Returns whether the host asks for a complete report and whether it grants.
+async fn numbered(client: &calls::Client, sequence: u32) -> (bool, bool) {
+    let mut request = client.renew_request();
+    let mut builder = request.get().init_request();
+    builder.set_sequence(sequence);
+    if sequence == 1 {
+        builder.set_entry("e1");
+        builder.set_zone("z1");
+        builder.set_run(7);
+        let mut name = builder.reborrow().init_names(1).get(0);
+        name.set_number(3);
+        name.set_group("g");
+        name.set_member("a");
+        let mut seen = builder.reborrow().init_seen(1).get(0);
+        seen.set_number(3);
+        seen.set_health(schema::Health::Refused);
+        let mut wanted = builder.init_wanted(1).get(0);
+        wanted.set_number(3);
+        wanted.set_used(2);
+        wanted.set_wanted(2);
+    }
+    let reply = request.send().promise.await.unwrap();
+    let reply = reply.get().unwrap().get_reply().unwrap();
+    (reply.get_resync(), reply.get_granted())
+}
+
+/// Guards against state of an entry process that lapses while its renewals say that nothing
+/// changed, so that a new leader, which heard the same reports, would know less.
+#[compio::test]
+async fn unchanged_reports_keep_what_is_known() {
+    let (host, address, _shared) = serve().await;
+    let client = connect(address).await;
+
+    let first = numbered(&client, 1).await;
+    let before = host.directory.borrow().entries()["e1"].at;
+    let second = numbered(&client, 2).await;
+
+    assert_eq!((first, second), ((false, true), (false, true)));
+    let directory = host.directory.borrow();
+    let entry = &directory.entries()["e1"];
+    assert!(entry.at > before);
+    assert_eq!((entry.run, entry.used.get("a")), (7, Some(&2)));
+}
+
+/// Guards against changes that are applied to another state than they were made from: after a
+/// lost or repeated report, or on a connection that has not had a complete one, as after a restart
+/// of the control host.
+#[rstest]
+#[case::lost(&[1, 2], 4)]
+#[case::repeated(&[1, 2], 2)]
+#[case::new_connection(&[], 2)]
+fn gap_is_neither_granted_nor_used(#[case] before: &[u32], #[case] wrong: u32) {
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let (host, address, _shared) = serve().await;
+        let client = connect(address).await;
+        for &sequence in before {
+            numbered(&client, sequence).await;
+        }
+        let entries = host.directory.borrow().entries().len();
+
+        let gap = numbered(&client, wrong).await;
+        let next = numbered(&client, wrong + 1).await;
+        let known = host.directory.borrow().entries().len();
+        let complete = numbered(&client, 1).await;
+
+        assert_eq!((gap, next), ((true, false), (true, false)));
+        assert_eq!(known, entries);
+        assert_eq!(complete, (false, true));
+    });
+}
+
 /// Guards against garbage on the RPC port that disturbs other callers.
 #[compio::test]
 async fn garbage_does_not_disturb_others() {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pool;
 pub mod refusal;
 mod registry;
+mod report;
 mod request;
 pub mod routing;
 pub mod run;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -6,38 +6,36 @@
     time::{Duration, Instant},
 };
 
-use base::{GroupName, Map, MemberName, Position, Term};
+use base::Map;
 use futures_util::{FutureExt as _, pin_mut, select};
-use proto::schema;
+use proto::{schema, traffic::Traffic};
 use rand::RngExt as _;
-use route::{Announcement, Health, Place};
+use route::{
+    Announcement, Place,
+    report::{Picture, Sender},
+};
 use slog::{info, warn};
 
 use crate::{
     group::{MemberRecord, Phase, Record},
     network::{ControlHost, Network},
+    report,
 };
 
-/// Time between renewals.
-const INTERVAL: Duration = Duration::from_millis(300);
+/// Time between renewals. A lease lasts 1.98 s from its request, so that three attempts fit.
+const INTERVAL: Duration = Duration::from_millis(600);
+/// Time after which something urgent is told. Detection of a failed primary depends on it.
+const URGENT: Duration = Duration::from_millis(300);
 /// Limit on a connection attempt and on a renewal.
 const DEADLINE: Duration = Duration::from_secs(1);
-/// Limit on a watch, which the host answers after a second at the latest.
-const WATCH_DEADLINE: Duration = Duration::from_millis(2_500);
+/// A watch without news ends after this time. The renewals notice a connection that went silent.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Limit on a watch.
+const WATCH_DEADLINE: Duration = Duration::from_millis(4_500);
 /// Pause before the next attempt to connect, with jitter from half to one and a half.
 const RECONNECT: Duration = Duration::from_millis(300);
-/// A group is reported again after this time when nothing about it changed. A control host counts
-/// an observer for 1.5 s after its report, so that one report in three renewals is enough.
-const REPEAT: Duration = Duration::from_millis(800);
-
 type Control = schema::control::Client;
 
-/// Health, term and role of a member.
-type Seen = (MemberName, Health, Term, bool);
-
-/// What was last reported of a group, and when.
-type Reported = Map<GroupName, (Vec<Seen>, Instant)>;
-
 /// Keeps a link to the control host at `address` for as long as the process runs.
 pub async fn run(network: Rc<Network>, address: SocketAddr) {
     network.hosts.borrow_mut().insert(
@@ -75,7 +73,9 @@
     let stream = base::net::connect(network.settings.host, address, DEADLINE)
         .await
         .map_err(|cause| cause.to_string())?;
-    let (gate, driver) = proto::rpc::open::<schema::gate::Client>(stream);
+    let traffic = Rc::new(Traffic::default());
+    let (gate, driver) =
+        proto::rpc::open_counted::<schema::gate::Client>(stream, Rc::clone(&traffic));
     // Dropping the handle ends the connection with this function.
     let _driver = compio::runtime::spawn(driver);
     let control = limited(DEADLINE, async {
@@ -84,7 +84,7 @@
     })
     .await?;
     info!(network.log, "control host is linked"; "address" => %address);
-    let renewing = renew_loop(network, address, &control).fuse();
+    let renewing = renew_loop(network, address, &control, &traffic).fuse();
     let watching = watch_loop(network, address, &control).fuse();
     pin_mut!(renewing, watching);
     let cause = select! {
@@ -105,72 +105,102 @@
 }
 
 /// Renews until a call fails.
-async fn renew_loop(network: &Rc<Network>, address: SocketAddr, control: &Control) -> String {
-    let mut passed = Instant::now().checked_sub(Duration::from_secs(3));
-    let mut reported = Reported::default();
+async fn renew_loop(
+    network: &Rc<Network>,
+    address: SocketAddr,
+    control: &Control,
+    traffic: &Traffic,
+) -> String {
+    let mut passed = None;
+    let mut sender = Sender::default();
     loop {
         let at_once = network.renew.listen();
         let requested = Instant::now();
-        let result = limited(
-            DEADLINE,
-            renew(network, address, control, passed, &mut reported),
-        );
-        let result = result.await;
+        let told = report::picture(network, passed, requested);
+        let renewal = renew(network, address, control, &told, &mut sender);
+        let result = limited(DEADLINE, renewal).await;
         count(network, "renew", result.is_ok());
-        if let Err(cause) = result {
-            return cause;
+        count_bytes(network, traffic);
+        match result {
+            Ok(Answered::Used) => passed = Some(requested),
+            Ok(Answered::Resync) => {
+                sender.reset();
+                passed = None;
+                continue;
+            }
+            Err(cause) => return cause,
         }
-        passed = Some(requested);
-        let next = requested + INTERVAL;
-        let _early = compio::time::timeout_at(next, at_once).await;
+        let early = compio::time::timeout_at(requested + URGENT, at_once).await;
+        if early.is_ok() || is_urgent(network, &sender) {
+            continue;
+        }
+        let at_once = network.renew.listen();
+        let _early = compio::time::timeout_at(requested + INTERVAL, at_once).await;
     }
 }
 
+/// Whether a change of primary goes on or the control hosts should learn of something soon.
+fn is_urgent(network: &Network, sender: &Sender) -> bool {
+    let now = Instant::now();
+    // Announcements don't decide, so that none is collected.
+    network.is_changing() || sender.is_urgent(&report::picture(network, Some(now), now))
+}
+
 fn count(network: &Network, method: &str, done: bool) {
     let result = if done { "ok" } else { "failed" };
     let calls = &network.metrics.control_calls;
     calls.with_label_values(&[method, result]).inc();
 }
 
-fn count_bytes(network: &Network, direction: &str, size: &capnp::Result<capnp::MessageSize>) {
-    if let Ok(size) = size {
-        let bytes = &network.metrics.control_bytes;
-        bytes
-            .with_label_values(&[direction])
-            .inc_by(size.word_count * 8);
+fn count_bytes(network: &Network, traffic: &Traffic) {
+    let (sent, received) = traffic.take();
+    for (direction, bytes) in [("sent", sent), ("received", received)] {
+        let counter = &network.metrics.control_bytes;
+        counter.with_label_values(&[direction]).inc_by(bytes);
     }
 }
 
+/// How a control host took a renewal.
+enum Answered {
+    Used,
+    /// The report did not follow the last one that it has.
+    Resync,
+}
+
 async fn renew(
     network: &Rc<Network>,
     address: SocketAddr,
     control: &Control,
-    passed: Option<Instant>,
-    reported: &mut Reported,
-) -> Result<(), capnp::Error> {
+    told: &Picture,
+    sender: &mut Sender,
+) -> Result<Answered, capnp::Error> {
     let requested = Instant::now();
     let version = network.record_version();
+    let changes = sender.report(requested, told);
     let mut call = control.renew_request();
     let mut request = call.get().init_request();
-    request.set_entry(&network.settings.name);
-    request.set_zone(&network.settings.zone);
-    request.set_run(network.run);
+    if changes.sequence == 1 {
+        request.set_entry(&network.settings.name);
+        request.set_zone(&network.settings.zone);
+        request.set_run(network.run);
+        request.set_http(network.settings.http.to_string());
+    }
     request.set_record_version(version);
     request.set_config_version(network.config_version());
-    request.set_http(network.settings.http.to_string());
     request.set_stopping(network.is_stopped());
-    write_announcements(network, request.reborrow(), passed, requested);
-    write_sightings(network, request.reborrow(), reported, requested);
-    write_demands(network, request.reborrow());
-    count_bytes(network, "sent", &request.into_reader().total_size());
+    report::write(&changes, request);
 
     let response = call.send().promise.await?;
     let reply = response.get()?.get_reply()?;
-    count_bytes(network, "received", &reply.total_size());
     let now = Instant::now();
+    if reply.get_resync() {
+        return Ok(Answered::Resync);
+    }
     let host = reply.get_host()?.to_str()?;
     note_host(network, address, |known| {
-        host.clone_into(&mut known.name);
+        if !host.is_empty() {
+            host.clone_into(&mut known.name);
+        }
         known.heard = Some(now);
         known.leader = reply.get_leader();
     });
@@ -183,6 +213,11 @@
         for permit in reply.get_permits()? {
             permits.insert(permit.get_member()?.to_string()?, permit.get_lent());
         }
+        for lent in reply.get_lent()? {
+            if let Some(member) = sender.member(lent.get_number()) {
+                permits.insert(member.to_owned(), lent.get_lent());
+            }
+        }
         let term = Duration::from_millis(reply.get_permit_duration().into());
         network.permit(&permits, requested, term);
     }
@@ -190,7 +225,7 @@
     if reply.get_drain() {
         network.ask_to_stop();
     }
-    Ok(())
+    Ok(Answered::Used)
 }
 
 fn note_host(network: &Network, address: SocketAddr, change: impl FnOnce(&mut ControlHost)) {
@@ -199,112 +234,6 @@
     }
 }
 
-fn number(length: usize) -> u32 {
-    u32::try_from(length).unwrap_or(u32::MAX)
-}
-
-fn millis(duration: Duration) -> u32 {
-    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
-}
-
-fn write_announcements(
-    network: &Network,
-    request: schema::renew_request::Builder<'_>,
-    passed: Option<Instant>,
-    now: Instant,
-) {
-    let heard = network.heard.borrow();
-    let fresh: Vec<_> = heard
-        .values()
-        .filter(|(_, at)| passed.is_none_or(|passed| *at >= passed))
-        .collect();
-    let mut list = request.init_announcements(number(fresh.len()));
-    for (i, (announcement, at)) in (0..).zip(fresh) {
-        let mut one = list.reborrow().get(i);
-        one.set_member(&announcement.member);
-        one.set_group(&announcement.group);
-        one.set_store(&announcement.store);
-        one.set_address(announcement.address.to_string());
-        one.set_zone(&announcement.zone);
-        one.set_region(&announcement.region);
-        one.set_connections(announcement.connections);
-        one.set_slots(announcement.slots);
-        one.set_leaving(announcement.leaving);
-        one.set_age(millis(now.saturating_duration_since(*at)));
-    }
-}
-
-/// Reports the observed groups. A report replaces the one before, so that it names all members of
-/// the group. A group in which all members answer and nothing changed is reported less often.
-fn write_sightings(
-    network: &Network,
-    request: schema::renew_request::Builder<'_>,
-    reported: &mut Reported,
-    now: Instant,
-) {
-    let mut groups: Map<GroupName, Vec<_>> = Map::default();
-    for member in network.observed() {
-        let (health, since) = member.health(now);
-        let (position, primary) = member.position().unwrap_or_default();
-        let of_group = groups.entry(member.group.name.clone()).or_default();
-        of_group.push((member, health, since, position, primary));
-    }
-    let mut seen = Vec::new();
-    for (group, mut members) in groups {
-        members.sort_by(|a, b| a.0.name.cmp(&b.0.name));
-        let state: Vec<Seen> = members
-            .iter()
-            .map(|(member, health, _, position, primary)| {
-                (member.name.clone(), *health, position.term, *primary)
-            })
-            .collect();
-        let healthy = members.iter().all(|(_, health, ..)| *health == Health::Ok);
-        let repeated = reported.get(&group).is_some_and(|(old, at)| {
-            healthy && *old == state && now.saturating_duration_since(*at) < REPEAT
-        });
-        if !repeated {
-            reported.insert(group, (state, now));
-            seen.append(&mut members);
-        }
-    }
-    let mut list = request.init_sightings(number(seen.len()));
-    for (i, (member, health, since, position, primary)) in (0..).zip(seen) {
-        let mut one = list.reborrow().get(i);
-        one.set_group(&member.group.name);
-        one.set_member(&member.name);
-        one.set_health(match health {
-            Health::Ok => schema::Health::Ok,
-            Health::Refused => schema::Health::Refused,
-            Health::Silent => schema::Health::Silent,
-        });
-        one.set_since(millis(since));
-        one.set_primary(primary);
-        write_position(one.init_position(), position);
-    }
-}
-
-fn write_position(mut builder: schema::position::Builder<'_>, position: Position) {
-    builder.set_term(position.term);
-    builder.set_offset(position.offset);
-}
-
-fn write_demands(network: &Network, request: schema::renew_request::Builder<'_>) {
-    let demands: Vec<_> = network
-        .all_members()
-        .into_iter()
-        .map(|member| (member.pool.demand(), member))
-        .filter(|((_, _, wanted), _)| *wanted > 0)
-        .collect();
-    let mut list = request.init_demands(number(demands.len()));
-    for (i, ((used, waiting, wanted), member)) in (0..).zip(demands) {
-        let mut one = list.reborrow().get(i);
-        one.set_member(&member.name);
-        one.set_used(used);
-        one.set_waiting(waiting);
-        one.set_wanted(wanted);
-    }
-}
-
 /// Watches until a call fails.
 async fn watch_loop(network: &Rc<Network>, address: SocketAddr, control: &Control) -> String {
     loop {
@@ -324,16 +253,14 @@
     let (run, directory) = network.hosts.borrow()[&address].directory;
     let mut call = control.watch_request();
     let mut request = call.get().init_request();
-    request.set_entry(&network.settings.name);
     request.set_record_version(network.record_version());
     request.set_config_version(network.config_version());
     request.set_directory_version(directory);
     request.set_directory_run(run);
-    count_bytes(network, "sent", &request.into_reader().total_size());
+    request.set_patience(u32::try_from(PATIENCE.as_millis()).unwrap_or(0));
 
     let response = call.send().promise.await?;
     let reply = response.get()?.get_reply()?;
-    count_bytes(network, "received", &reply.total_size());
     let now = Instant::now();
     if run != reply.get_directory_run() {
         let mut directory = network.directory.borrow_mut();
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, info, warn};
 
 use crate::{
-    group::{Group, Record},
+    group::{Group, Phase, Record},
     member::Member,
     metrics::Metrics,
     pool::{Limits, Pool},
@@ -33,7 +33,7 @@
 /// The control hosts declare a primary failed when it was silent for this long.
 const FAILED: Duration = Duration::from_millis(1_500);
 /// A control host that answered within this time counts as reachable: three renewals.
-const REACHABLE: Duration = Duration::from_secs(1);
+const REACHABLE: Duration = Duration::from_millis(1_800);
 /// Time between rounds of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -353,6 +353,13 @@
             .collect()
     }
 
+    /// Whether a change of primary goes on in a group that is in use.
+    pub(crate) fn is_changing(&self) -> bool {
+        let groups = self.groups.borrow();
+        let mut records = groups.values().filter_map(|group| group.current());
+        records.any(|record| record.phase != Phase::Stable)
+    }
+
     pub(crate) fn all_members(&self) -> Vec<Rc<Member>> {
         self.members.borrow().values().cloned().collect()
     }
--- /dev/null
+++ b/crates/entry/src/report.rs
@@ -0,0 +1,132 @@
+//! What a renewal tells a control host.
+
+use std::time::{Duration, Instant};
+
+use base::Map;
+use proto::schema;
+use route::{
+    Health,
+    report::{Demand, Picture, Report, Seen},
+};
+
+use crate::network::Network;
+
+/// Everything to tell at `now`, with the announcements heard since `passed`, or all of them.
+pub(crate) fn picture(network: &Network, passed: Option<Instant>, now: Instant) -> Picture {
+    let heard = network.heard.borrow();
+    let announcements = heard
+        .values()
+        .filter(|(_, at)| passed.is_none_or(|passed| *at >= passed))
+        .map(|(announcement, at)| (announcement.clone(), now.saturating_duration_since(*at)))
+        .collect();
+    let mut groups: Map<_, Vec<_>> = Map::default();
+    for member in network.observed() {
+        let (health, since) = member.health(now);
+        let (position, primary) = member.position().unwrap_or_default();
+        let seen = Seen {
+            health,
+            // Only the silence of a member that does not answer is judged.
+            since: if health == Health::Ok {
+                Duration::ZERO
+            } else {
+                since
+            },
+            position,
+            primary,
+        };
+        let of_group = groups.entry(member.group.name.clone()).or_default();
+        of_group.push((member.name.clone(), seen));
+    }
+    for members in groups.values_mut() {
+        members.sort_by(|a, b| a.0.cmp(&b.0));
+    }
+    let demands = network.all_members().into_iter().filter_map(|member| {
+        let (used, waiting, wanted) = member.pool.demand();
+        let demand = Demand {
+            used,
+            waiting,
+            wanted,
+        };
+        let group = member.group.name.clone();
+        (wanted > 0).then(|| (member.name.clone(), (group, demand)))
+    });
+    Picture {
+        announcements,
+        groups,
+        demands: demands.collect(),
+    }
+}
+
+fn length(list: &[impl Sized]) -> u32 {
+    u32::try_from(list.len()).unwrap_or(u32::MAX)
+}
+
+fn millis(duration: Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
+
+/// Writes a report into a request.
+pub(crate) fn write(report: &Report, mut request: schema::renew_request::Builder<'_>) {
+    request.set_sequence(report.sequence);
+    if !report.names.is_empty() {
+        let mut list = request.reborrow().init_names(length(&report.names));
+        for (i, (number, group, member)) in (0..).zip(&report.names) {
+            let mut one = list.reborrow().get(i);
+            one.set_number(*number);
+            one.set_group(group);
+            one.set_member(member);
+        }
+    }
+    if !report.announcements.is_empty() {
+        let count = length(&report.announcements);
+        let mut list = request.reborrow().init_announcements(count);
+        for (i, (number, announcement, age)) in (0..).zip(&report.announcements) {
+            let mut one = list.reborrow().get(i);
+            one.set_number(*number);
+            one.set_member(&announcement.member);
+            one.set_group(&announcement.group);
+            one.set_store(&announcement.store);
+            one.set_address(announcement.address.to_string());
+            one.set_zone(&announcement.zone);
+            one.set_region(&announcement.region);
+            one.set_connections(announcement.connections);
+            one.set_slots(announcement.slots);
+            one.set_leaving(announcement.leaving);
+            one.set_age(millis(*age));
+        }
+    }
+    if !report.repeats.is_empty() {
+        let mut list = request.reborrow().init_repeats(length(&report.repeats));
+        for (i, (number, age)) in (0..).zip(&report.repeats) {
+            let mut one = list.reborrow().get(i);
+            one.set_number(*number);
+            one.set_age(millis(*age));
+        }
+    }
+    if !report.sightings.is_empty() {
+        let mut list = request.reborrow().init_seen(length(&report.sightings));
+        for (i, (number, seen)) in (0..).zip(&report.sightings) {
+            let mut one = list.reborrow().get(i);
+            one.set_number(*number);
+            one.set_health(match seen.health {
+                Health::Ok => schema::Health::Ok,
+                Health::Refused => schema::Health::Refused,
+                Health::Silent => schema::Health::Silent,
+            });
+            one.set_since(millis(seen.since));
+            one.set_primary(seen.primary);
+            one.set_term(seen.position.term);
+            one.set_offset(seen.position.offset);
+        }
+    }
+    if !report.demands.is_empty() {
+        let mut list = request.init_wanted(length(&report.demands));
+        for (i, (number, demand)) in (0..).zip(&report.demands) {
+            let mut one = list.reborrow().get(i);
+            one.set_number(*number);
+            one.set_used(demand.used);
+            one.set_waiting(demand.waiting);
+            one.set_wanted(demand.wanted);
+        }
+    }
+}
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -112,6 +112,45 @@
   leaving @8 :Bool;
   # Milliseconds since the announcement was heard.
   age @9 :UInt32;
+  # Number of the member on this connection; only in a numbered report.
+  number @10 :UInt16;
+}
+
+# Gives a member the number that stands for it on this connection.
+struct MemberNumber {
+  number @0 :UInt16;
+  group @1 :Text;
+  member @2 :Text;
+}
+
+# An announcement that was heard again unchanged.
+struct Repeat {
+  number @0 :UInt16;
+  age @1 :UInt32;
+}
+
+# A sighting of a numbered member.
+struct Seen {
+  number @0 :UInt16;
+  health @1 :Health;
+  primary @2 :Bool;
+  since @3 :UInt32;
+  term @4 :UInt64;
+  offset @5 :UInt64;
+}
+
+# A demand at a numbered member.
+struct Wanted {
+  number @0 :UInt16;
+  used @1 :UInt32;
+  waiting @2 :UInt32;
+  wanted @3 :UInt32;
+}
+
+# A permit for a numbered member.
+struct Lent {
+  number @0 :UInt16;
+  lent @1 :UInt32;
 }
 
 enum Health {
@@ -161,6 +200,15 @@
   # HTTP address of the entry process, for operators.
   http @8 :Text;
   stopping @9 :Bool;
+  # 0: the request stands alone, with names and without numbers. 1: a complete report that starts
+  # the numbering of this connection anew; entry, zone, run and http are only in this one. Higher:
+  # the changes since the report before; everything left out is unchanged.
+  sequence @10 :UInt32;
+  names @11 :List(MemberNumber);
+  repeats @12 :List(Repeat);
+  # All members of the groups that changed.
+  seen @13 :List(Seen);
+  wanted @14 :List(Wanted);
 }
 
 struct RenewReply {
@@ -178,6 +226,10 @@
   permitDuration @8 :UInt32;
   # An operator asks this run of the entry process to stop gracefully.
   drain @9 :Bool;
+  # The report did not follow the one before and was not used; the next one must be complete.
+  resync @10 :Bool;
+  # The permits of a numbered report.
+  lent @11 :List(Lent);
 }
 
 enum GroupState {
@@ -215,6 +267,8 @@
   # Version of the directory that the caller has from this host and run of this host.
   directoryVersion @3 :UInt64;
   directoryRun @4 :UInt64;
+  # Milliseconds after which an answer without news is expected; 0 means one second.
+  patience @5 :UInt32;
 }
 
 struct WatchReply {
@@ -235,7 +289,7 @@
 # Calls from an entry process to a control host.
 interface Control {
   renew @0 (request :RenewRequest) -> (reply :RenewReply);
-  # Answers when something is newer than asked, or after one second.
+  # Answers when something is newer than asked, or after the patience asked for.
   watch @1 (request :WatchRequest) -> (reply :WatchReply);
 }
 
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -9491,6 +9491,10 @@
         pub fn get_age(self) -> u32 {
             self.reader.get_data_field::<u32>(3)
         }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.reader.get_data_field::<u16>(5)
+        }
     }
 
     pub struct Builder<'a> {
@@ -9773,6 +9777,14 @@
         pub fn set_age(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(3, value);
         }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.builder.get_data_field::<u16>(5)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(5, value);
+        }
     }
 
     pub struct Pipeline {
@@ -9787,7 +9799,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 170] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 185] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(83, 110, 121, 86, 76, 39, 56, 243),
             ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
@@ -9797,7 +9809,7 @@
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -9806,77 +9818,84 @@
             ::capnp::word(117, 110, 99, 101, 109, 101, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(44, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9931,26 +9950,1853 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 9, 6, 1, 8, 0, 10, 5, 7, 2, 4];
+        pub(crate) const TYPE_ID: u64 = 0xf338_274c_5679_6e53;
+    }
+}
+
+pub mod member_number {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.reader.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_group(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 2,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.builder.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(0, value);
+        }
+        #[inline]
+        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_group(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_group(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_group(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_member(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_member(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(55, 137, 130, 238, 165, 172, 163, 164),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
+            ::capnp::word(101, 114, 78, 117, 109, 98, 101, 114),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 2, 0];
+        pub(crate) const TYPE_ID: u64 = 0xa4a3_aca5_ee82_8937;
+    }
+}
+
+pub mod repeat {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.reader.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn get_age(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.builder.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(0, value);
+        }
+        #[inline]
+        pub fn get_age(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_age(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(65, 255, 121, 116, 148, 237, 110, 202),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 82, 101, 112, 101),
+            ::capnp::word(97, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xca6e_ed94_7479_ff41;
+    }
+}
+
+pub mod seen {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.reader.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn get_health(
+            self,
+        ) -> ::core::result::Result<crate::goldcrestrail_capnp::Health, ::capnp::NotInSchema>
+        {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(1))
+        }
+        #[inline]
+        pub fn get_primary(self) -> bool {
+            self.reader.get_bool_field(32)
+        }
+        #[inline]
+        pub fn get_since(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_offset(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 4,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.builder.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(0, value);
+        }
+        #[inline]
+        pub fn get_health(
+            self,
+        ) -> ::core::result::Result<crate::goldcrestrail_capnp::Health, ::capnp::NotInSchema>
+        {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(1))
+        }
+        #[inline]
+        pub fn set_health(&mut self, value: crate::goldcrestrail_capnp::Health) {
+            self.builder.set_data_field::<u16>(1, value as u16);
+        }
+        #[inline]
+        pub fn get_primary(self) -> bool {
+            self.builder.get_bool_field(32)
+        }
+        #[inline]
+        pub fn set_primary(&mut self, value: bool) {
+            self.builder.set_bool_field(32, value);
+        }
+        #[inline]
+        pub fn get_since(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_since(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_term(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_offset(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_offset(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 108] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(234, 216, 106, 191, 121, 250, 30, 171),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 83, 101, 101, 110),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 101, 97, 108, 116, 104, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(200, 218, 234, 3, 246, 224, 28, 181),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 114, 105, 109, 97, 114, 121, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 105, 110, 99, 101, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 102, 102, 115, 101, 116, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::goldcrestrail_capnp::Health as ::capnp::introspect::Introspect>::introspect(),
+                2 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0, 5, 2, 3, 4];
+        pub(crate) const TYPE_ID: u64 = 0xab1e_fa79_bf6a_d8ea;
+    }
+}
+
+pub mod wanted {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.reader.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn get_used(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_waiting(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_wanted(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 2,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.builder.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(0, value);
+        }
+        #[inline]
+        pub fn get_used(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_used(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_waiting(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_waiting(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_wanted(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_wanted(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(10, 160, 73, 183, 207, 31, 231, 253),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 87, 97, 110, 116),
+            ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 115, 101, 100, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 105, 116, 105, 110, 103, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1, 2, 3];
+        pub(crate) const TYPE_ID: u64 = 0xfde7_1fcf_b749_a00a;
+    }
+}
+
+pub mod lent {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl Reader<'_> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.reader.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn get_lent(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 0,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.builder.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(0, value);
+        }
+        #[inline]
+        pub fn get_lent(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_lent(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(28, 61, 105, 44, 12, 87, 6, 150),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 76, 101, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 108, 111, 116, 115, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 101, 97, 118, 105, 110, 103, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 110, 116, 0, 0, 0, 0),
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -9961,16 +11807,8 @@
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
-                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                5 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -9989,10 +11827,10 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 9, 6, 1, 8, 0, 5, 7, 2, 4];
-        pub(crate) const TYPE_ID: u64 = 0xf338_274c_5679_6e53;
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0x9606_570c_2c69_3d1c;
     }
 }
 
@@ -11531,6 +13369,70 @@
         pub fn get_stopping(self) -> bool {
             self.reader.get_bool_field(192)
         }
+        #[inline]
+        pub fn get_sequence(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_names(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::member_number::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_names(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
+        #[inline]
+        pub fn get_repeats(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::repeat::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_repeats(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
+        #[inline]
+        pub fn get_seen(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::seen::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(8),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_seen(&self) -> bool {
+            !self.reader.get_pointer_field(8).is_null()
+        }
+        #[inline]
+        pub fn get_wanted(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::wanted::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(9),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_wanted(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -11540,7 +13442,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 4,
-                pointers: 6,
+                pointers: 10,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -11786,65 +13688,221 @@
             )
         }
         #[inline]
-        pub fn set_demands(
+        pub fn set_demands(
+            &mut self,
+            value: ::capnp::struct_list::Reader<
+                '_,
+                crate::goldcrestrail_capnp::permit_demand::Owned,
+            >,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(4),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_demands(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::permit_demand::Owned>
+        {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(4),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_demands(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_http(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(5),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_http(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(5),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_http(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(5).init_text(size)
+        }
+        #[inline]
+        pub fn has_http(&self) -> bool {
+            !self.builder.is_pointer_field_null(5)
+        }
+        #[inline]
+        pub fn get_stopping(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_stopping(&mut self, value: bool) {
+            self.builder.set_bool_field(192, value);
+        }
+        #[inline]
+        pub fn get_sequence(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_sequence(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_names(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::member_number::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(6),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_names(
+            &mut self,
+            value: ::capnp::struct_list::Reader<
+                '_,
+                crate::goldcrestrail_capnp::member_number::Owned,
+            >,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(6),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_names(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::member_number::Owned>
+        {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(6),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_names(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
+        #[inline]
+        pub fn get_repeats(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::repeat::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(7),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_repeats(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::repeat::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(7),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_repeats(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::repeat::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(7),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_repeats(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
+        #[inline]
+        pub fn get_seen(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::seen::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(8),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_seen(
             &mut self,
-            value: ::capnp::struct_list::Reader<
-                '_,
-                crate::goldcrestrail_capnp::permit_demand::Owned,
-            >,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::seen::Owned>,
         ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(4),
+                self.builder.reborrow().get_pointer_field(8),
                 value,
                 false,
             )
         }
         #[inline]
-        pub fn init_demands(
+        pub fn init_seen(
             self,
             size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::permit_demand::Owned>
-        {
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::seen::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(4),
+                self.builder.get_pointer_field(8),
                 size,
             )
         }
         #[inline]
-        pub fn has_demands(&self) -> bool {
-            !self.builder.is_pointer_field_null(4)
+        pub fn has_seen(&self) -> bool {
+            !self.builder.is_pointer_field_null(8)
         }
         #[inline]
-        pub fn get_http(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_wanted(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::wanted::Owned>,
+        > {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(5),
+                self.builder.get_pointer_field(9),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_http(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+        pub fn set_wanted(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::wanted::Owned>,
+        ) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(5),
+                self.builder.reborrow().get_pointer_field(9),
                 value,
                 false,
             )
-            .unwrap()
-        }
-        #[inline]
-        pub fn init_http(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(5).init_text(size)
-        }
-        #[inline]
-        pub fn has_http(&self) -> bool {
-            !self.builder.is_pointer_field_null(5)
         }
         #[inline]
-        pub fn get_stopping(self) -> bool {
-            self.builder.get_bool_field(192)
+        pub fn init_wanted(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::wanted::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(9),
+                size,
+            )
         }
         #[inline]
-        pub fn set_stopping(&mut self, value: bool) {
-            self.builder.set_bool_field(192, value);
+        pub fn has_wanted(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
         }
     }
 
@@ -11860,17 +13918,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 186] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 278] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(161, 243, 184, 154, 86, 141, 144, 181),
             ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -11879,77 +13937,112 @@
             ::capnp::word(119, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12047,6 +14140,63 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 97, 109, 101, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(55, 137, 130, 238, 165, 172, 163, 164),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 101, 97, 116, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(65, 255, 121, 116, 148, 237, 110, 202),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 101, 110, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(234, 216, 106, 191, 121, 250, 30, 171),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 101, 100, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(10, 160, 73, 183, 207, 31, 231, 253),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -12060,6 +14210,11 @@
                 7 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::permit_demand::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::member_number::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                12 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::repeat::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::seen::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::wanted::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -12078,9 +14233,11 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 4, 7, 0, 8, 3, 2, 6, 9, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] =
+            &[5, 4, 7, 0, 8, 11, 3, 12, 2, 13, 10, 6, 9, 14, 1];
         pub(crate) const TYPE_ID: u64 = 0xb590_8d56_9ab8_f3a1;
     }
 }
@@ -12246,6 +14403,25 @@
         pub fn get_drain(self) -> bool {
             self.reader.get_bool_field(2)
         }
+        #[inline]
+        pub fn get_resync(self) -> bool {
+            self.reader.get_bool_field(3)
+        }
+        #[inline]
+        pub fn get_lent(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::lent::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_lent(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -12255,7 +14431,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 5,
-                pointers: 2,
+                pointers: 3,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -12461,6 +14637,50 @@
         pub fn set_drain(&mut self, value: bool) {
             self.builder.set_bool_field(2, value);
         }
+        #[inline]
+        pub fn get_resync(self) -> bool {
+            self.builder.get_bool_field(3)
+        }
+        #[inline]
+        pub fn set_resync(&mut self, value: bool) {
+            self.builder.set_bool_field(3, value);
+        }
+        #[inline]
+        pub fn get_lent(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::lent::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_lent(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::lent::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_lent(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::lent::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_lent(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
     }
 
     pub struct Pipeline {
@@ -12475,17 +14695,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 178] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 212] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(126, 79, 10, 231, 45, 48, 0, 204),
             ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -12493,77 +14713,91 @@
             ::capnp::word(112, 110, 112, 58, 82, 101, 110, 101),
             ::capnp::word(119, 82, 101, 112, 108, 121, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -12654,6 +14888,26 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 115, 121, 110, 99, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(28, 61, 105, 44, 12, 87, 6, 150),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -12667,6 +14921,8 @@
                 7 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::permit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                10 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                11 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::lent::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -12685,9 +14941,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 9, 1, 0, 5, 6, 8, 7, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 9, 1, 0, 5, 6, 11, 8, 7, 2, 10];
         pub(crate) const TYPE_ID: u64 = 0xcc00_302d_e70a_4f7e;
     }
 }
@@ -13997,6 +16253,10 @@
         pub fn get_directory_run(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_patience(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
     }
 
     pub struct Builder<'a> {
@@ -14005,7 +16265,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
+                data: 5,
                 pointers: 1,
             };
     }
@@ -14147,6 +16407,14 @@
         pub fn set_directory_run(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_patience(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_patience(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(8, value);
+        }
     }
 
     pub struct Pipeline {
@@ -14161,17 +16429,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 99] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 115] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(167, 160, 218, 207, 98, 94, 194, 159),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -14180,42 +16448,49 @@
             ::capnp::word(104, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(173, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14261,6 +16536,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 116, 105, 101, 110, 99, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -14269,6 +16553,7 @@
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -14287,9 +16572,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 3, 0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 3, 0, 5, 1];
         pub(crate) const TYPE_ID: u64 = 0x9fc2_5e62_cfda_a0a7;
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod lease;
 pub mod observers;
 pub mod queue;
+pub mod report;
 pub mod share;
 
 pub use budget::Budget;
--- /dev/null
+++ b/crates/route/tests/report.rs
@@ -0,0 +1,240 @@
+//! Reports as changes leave the same picture as complete ones.
+
+use std::time::{Duration, Instant};
+
+use base::Position;
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use route::{
+    Announcement, Health,
+    report::{Demand, Picture, Receiver, Report, Seen, Sender},
+};
+use rstest::rstest;
+
+fn announcement(number: u32, leaving: bool) -> Announcement {
+    Announcement {
+        member: format!("member-{number}"),
+        group: format!("group-{}", number / 3),
+        store: format!("store-{number}"),
+        address: "127.0.0.1:5432".parse().unwrap(),
+        zone: "wien-nord".into(),
+        region: "ostalpen".into(),
+        connections: 16,
+        slots: 2,
+        leaving,
+    }
+}
+
+fn seen(health: Health, offset: u64) -> Seen {
+    Seen {
+        health,
+        since: Duration::ZERO,
+        position: Position::new(1, offset),
+        primary: false,
+    }
+}
+
+/// Groups of three members that answer.
+fn picture(groups: u32, offset: u64) -> Picture {
+    let mut picture = Picture::default();
+    for number in 0..groups * 3 {
+        let heard = announcement(number, false);
+        let members = picture.groups.entry(heard.group.clone()).or_default();
+        members.push((heard.member.clone(), seen(Health::Ok, offset)));
+        picture.announcements.push((heard, Duration::ZERO));
+    }
+    picture
+}
+
+fn demand(picture: &mut Picture, number: u32, wanted: u32) {
+    let heard = announcement(number, false);
+    let demand = Demand {
+        used: wanted,
+        waiting: 0,
+        wanted,
+    };
+    picture.demands.insert(heard.member, (heard.group, demand));
+}
+
+/// Sends the pictures in turn, and returns the sender and the receiver with the last time.
+fn told(pictures: &[Picture]) -> (Sender, Receiver, Instant) {
+    let (mut sender, mut receiver) = (Sender::default(), Receiver::default());
+    let mut now = Instant::now();
+    for picture in pictures {
+        now += Duration::from_millis(600);
+        receiver.receive(sender.report(now, picture)).unwrap();
+    }
+    (sender, receiver, now)
+}
+
+/// Guards against a healthy, unchanged group that costs bytes with every renewal.
+#[test]
+fn unchanged_picture_sends_only_repeats() {
+    let (mut sender, _, now) = told(&[picture(3, 7), picture(3, 7)]);
+
+    let report = sender.report(now + Duration::from_mins(1), &picture(3, 7));
+
+    assert_eq!(report.repeats.len(), 9);
+    let rest = Report {
+        repeats: Vec::new(),
+        ..report
+    };
+    let empty = Report {
+        sequence: 3,
+        ..Report::default()
+    };
+    assert_eq!(rest, empty);
+}
+
+/// Guards against lag that operators never see move, and against positions sent with each renewal.
+#[rstest]
+#[case(Duration::from_millis(1_900), 0)]
+#[case(Duration::from_millis(2_100), 3)]
+fn positions_alone_wait(#[case] later: Duration, #[case] sent: usize) {
+    let (mut sender, _, now) = told(&[picture(1, 7)]);
+
+    let report = sender.report(now + later, &picture(1, 8));
+
+    assert_eq!(report.sightings.len(), sent);
+}
+
+/// Guards against a failure that waits for a later renewal: a member that refuses or is silent, a
+/// changed role or term, and requests that wait for connections.
+#[rstest]
+#[case::nothing(|_: &mut Picture| {}, false)]
+#[case::offset(|p: &mut Picture| p.groups.get_mut("group-0").unwrap()[1].1.position.offset = 9, false)]
+#[case::refused(|p: &mut Picture| p.groups.get_mut("group-0").unwrap()[1].1.health = Health::Refused, true)]
+#[case::silent(|p: &mut Picture| p.groups.get_mut("group-0").unwrap()[1].1.health = Health::Silent, true)]
+#[case::role(|p: &mut Picture| p.groups.get_mut("group-0").unwrap()[1].1.primary = true, true)]
+#[case::term(|p: &mut Picture| p.groups.get_mut("group-0").unwrap()[1].1.position.term = 2, true)]
+#[case::group(|p: &mut Picture| *p = picture(2, 7), true)]
+#[case::idle(|p: &mut Picture| demand(p, 0, 2), false)]
+#[case::waiting(|p: &mut Picture| {
+    demand(p, 0, 2);
+    p.demands.get_mut("member-0").unwrap().1.waiting = 1;
+}, true)]
+fn failures_are_urgent(#[case] change: fn(&mut Picture), #[case] urgent: bool) {
+    let (sender, _, _) = told(&[picture(1, 7)]);
+    let mut next = picture(1, 7);
+    change(&mut next);
+
+    assert_eq!(sender.is_urgent(&next), urgent);
+}
+
+/// Guards against a member that does not answer and whose silence is told only once.
+#[test]
+fn unhealthy_group_is_told_each_time() {
+    let mut failing = picture(2, 7);
+    failing.groups.get_mut("group-1").unwrap()[0].1 = Seen {
+        since: Duration::from_millis(1_600),
+        ..seen(Health::Silent, 7)
+    };
+    let (mut sender, _, now) = told(&[failing.clone()]);
+
+    let report = sender.report(now, &failing);
+
+    assert_eq!(report.sightings.len(), 3);
+}
+
+/// Guards against a lost, repeated or late report that is taken for a change to another state.
+#[rstest]
+#[case::lost(&[0, 1, 3])]
+#[case::reordered(&[0, 2, 1])]
+#[case::repeated(&[0, 1, 1])]
+#[case::new_receiver(&[2])]
+fn gap_asks_for_a_complete_report(#[case] order: &[usize]) {
+    let (mut sender, mut receiver) = (Sender::default(), Receiver::default());
+    let now = Instant::now();
+    let pictures: Vec<_> = (0..4).map(|i| picture(2, i)).collect();
+    let step = Duration::from_secs(3);
+    let reports = (0..4).zip(&pictures);
+    let reports: Vec<_> = reports
+        .map(|(i, picture)| sender.report(now + step * i, picture))
+        .collect();
+
+    let mut accepted: Vec<_> = order
+        .iter()
+        .map(|&i| receiver.receive(reports[i].clone()).is_some())
+        .collect();
+    let last = accepted.pop();
+    let after = receiver.receive(reports[3].clone());
+    sender.reset();
+    let complete = receiver.receive(sender.report(now, &pictures[3]));
+
+    assert_eq!(last, Some(false));
+    assert_eq!(after, None, "nothing counts until a complete report");
+    assert_eq!(complete.as_ref(), Some(&pictures[3]));
+}
+
+/// Guards against numbers that were never given.
+#[test]
+fn unknown_number_asks_for_a_complete_report() {
+    let (mut sender, mut receiver, now) = told(&[picture(1, 7)]);
+    let mut report = sender.report(now, &picture(1, 7));
+    report.repeats.push((99, Duration::ZERO));
+
+    assert_eq!(receiver.receive(report), None);
+}
+
+/// Guards against a member or group that is gone from the reports and stays in the picture.
+#[test]
+fn removed_group_leaves_the_picture() {
+    let (mut sender, mut receiver, now) = told(&[picture(3, 7)]);
+    let less = picture(2, 7);
+
+    let report = sender.report(now, &less);
+
+    assert_eq!(receiver.receive(report), Some(less));
+}
+
+/// Guards against any sequence of changes, lost messages and restarts of the control host after
+/// which changes leave another picture than complete reports would.
+#[rstest]
+fn same_picture_as_complete_reports(#[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let (mut sender, mut receiver) = (Sender::default(), Receiver::default());
+    let mut now = Instant::now();
+    let mut truth = picture(4, 1);
+    let mut compared = 0;
+    for _ in 0..500 {
+        now += Duration::from_millis(600);
+        truth.announcements.clear();
+        let first = random.random_range(0..4);
+        for number in [first, first + 4, first + 8] {
+            let leaving = random.random_bool(0.1);
+            let member = announcement(number, leaving);
+            if random.random_bool(0.3) {
+                let states = [Health::Ok, Health::Refused, Health::Silent];
+                let health = states[random.random_range(0..3)];
+                let members = truth.groups.get_mut(&member.group).unwrap();
+                members[usize::try_from(number % 3).unwrap()].1.health = health;
+            }
+            if random.random_bool(0.2) {
+                truth.demands.remove(&member.member);
+            } else {
+                demand(&mut truth, number, random.random_range(1..9));
+            }
+            let age = Duration::from_millis(random.random_range(0..600));
+            truth.announcements.push((member, age));
+        }
+        let report = sender.report(now, &truth);
+        match random.random_range(0..20) {
+            0 => continue,
+            1 => receiver = Receiver::default(),
+            _ => {}
+        }
+        if let Some(mut picture) = receiver.receive(report) {
+            // Their order says nothing: each names another member.
+            picture
+                .announcements
+                .sort_by(|a, b| a.0.member.cmp(&b.0.member));
+            truth
+                .announcements
+                .sort_by(|a, b| a.0.member.cmp(&b.0.member));
+            assert_eq!(picture, truth, "seed {seed}");
+            compared += 1;
+        } else {
+            sender.reset();
+        }
+    }
+    assert!(compared > 300, "{compared}");
+}
