--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -21,6 +21,7 @@
 mod record;
 pub mod refusal;
 pub mod registry;
+mod report;
 mod request;
 pub mod routing;
 pub mod run;
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -163,11 +163,11 @@
         truth.renewals.update(|count| count + 1);
         truth
             .sightings
-            .update(|count| count + request.get_sightings().unwrap().len());
-        let refused = |seen: schema::sighting::Reader<'_>| {
+            .update(|count| count + request.get_seen().unwrap().len());
+        let refused = |seen: schema::seen::Reader<'_>| {
             matches!(seen.get_health(), Ok(schema::Health::Refused))
         };
-        if request.get_sightings()?.iter().any(refused) && truth.refused.get().is_none() {
+        if request.get_seen()?.iter().any(refused) && truth.refused.get().is_none() {
             truth.refused.set(Some(Instant::now()));
         }
         for announced in request.get_announcements()? {
--- a/crates/lab/src/slopes.rs
+++ b/crates/lab/src/slopes.rs
@@ -26,7 +26,7 @@
 };
 
 /// Databases before one entry process, at which cost is read.
-const DATABASES: [u16; 3] = [30, 90, 180];
+const DATABASES: [u16; 4] = [9, 24, 90, 180];
 /// Further entry processes at which cost is read.
 const ENTRIES: [u32; 4] = [50, 100, 200, 400];
 /// Configuration changes in a row at which cost is read.
@@ -39,6 +39,8 @@
 arguments! {
     /// Command line of the slopes.
     folder = "run/slopes",
+    #[options(help = "read only the cost of databases")]
+    databases: bool,
     #[options(help = "seconds of each reading", default = "10")]
     seconds: u64,
 }
@@ -119,6 +121,10 @@
         announcing.store(false, Ordering::SeqCst);
     }
     print("databases before one entry process", &readings);
+    if arguments.databases {
+        println!("stopped badly: {:?}", deployment.stop());
+        return Ok(());
+    }
     let versions = Versions::default();
     let mut readings = vec![read(&deployment, 0.0, length).await?];
     let mut started = 0;
@@ -251,7 +257,10 @@
         }
         let mut times = Vec::new();
         for i in 0..count {
-            let text = format!("# change {count}-{i}\n{}", document(DATABASES[2] / 3));
+            let text = format!(
+                "# change {count}-{i}\n{}",
+                document(DATABASES[DATABASES.len() - 1] / 3)
+            );
             let start = Instant::now();
             let admin = deployment.admin();
             // The blocking call must not hold up the tasks on this thread.
