Answer HEAD requests with the length of the answer

The router drops the body of an answer to HEAD, and the length was then stated as 0. It is taken from the router's header now, and no body is written. Tests of base (http, 11) pass.

--- a/crates/base/src/http1.rs
+++ b/crates/base/src/http1.rs
@@ -54,17 +54,22 @@
             Ok(Err(Fault::Refused(status))) => {
                 let mut response = Response::new(Body::empty());
                 *response.status_mut() = status;
-                let _closed_anyway = send(&mut stream, response, false).await;
+                let _closed_anyway = send(&mut stream, response, false, false).await;
                 return;
             }
             Ok(Err(Fault::Closed)) | Err(_) => return,
         };
+        let head = received.request.method() == Method::HEAD;
         let mut router = router.clone();
         let response = match router.call(received.request).await {
             Ok(response) => response,
             Err(never) => match never {},
         };
-        if send(&mut stream, response, received.keep).await.is_err() || !received.keep {
+        if send(&mut stream, response, received.keep, head)
+            .await
+            .is_err()
+            || !received.keep
+        {
             return;
         }
     }
@@ -172,8 +177,17 @@
     }
 }
 
-async fn send(stream: &mut TcpStream, response: Response<Body>, keep: bool) -> io::Result<()> {
+/// Writes a response; to a HEAD request, without the body whose length it states.
+async fn send(
+    stream: &mut TcpStream,
+    response: Response<Body>,
+    keep: bool,
+    bodiless: bool,
+) -> io::Result<()> {
     let (head, body) = response.into_parts();
+    // The router has dropped the body of an answer to HEAD, and kept its length.
+    let stated = head.headers.get(header::CONTENT_LENGTH);
+    let stated = stated.and_then(|length| length.to_str().ok()?.parse().ok());
     let body = to_bytes(body, ANSWER_BYTES)
         .await
         .map_err(io::Error::other)?;
@@ -188,11 +202,11 @@
         out.extend_from_slice(b"\r\n");
     }
     let connection = if keep { "keep-alive" } else { "close" };
-    let tail = format!(
-        "content-length: {}\r\nconnection: {connection}\r\n\r\n",
-        body.len()
-    );
+    let length = stated.filter(|_| bodiless).unwrap_or(body.len());
+    let tail = format!("content-length: {length}\r\nconnection: {connection}\r\n\r\n");
     out.extend_from_slice(tail.as_bytes());
-    out.extend_from_slice(&body);
+    if !bodiless {
+        out.extend_from_slice(&body);
+    }
     stream.write_all(out).await.0
 }
--- a/crates/base/tests/http.rs
+++ b/crates/base/tests/http.rs
@@ -48,6 +48,16 @@
     "abc"
 )]
 #[case::two(b"GET /x HTTP/1.1\r\n\r\nGET /x HTTP/1.0\r\n\r\n", "200", "hello")]
+#[case::head(
+    b"HEAD /x HTTP/1.0\r\n\r\n",
+    "200",
+    "content-length: 5\r\nconnection: close\r\n\r\n"
+)]
+#[case::head_and_get(
+    b"HEAD /x HTTP/1.1\r\n\r\nGET /x HTTP/1.0\r\n\r\n",
+    "200",
+    "\r\n\r\nhello"
+)]
 #[case::unknown(b"GET /y HTTP/1.0\r\n\r\n", "404", "")]
 #[case::garbage(b"\x16\x03\x01garbage\r\n\r\n", "400", "")]
 #[case::chunked(b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "411", "")]
