Answer here whether a session can write

Outside a transaction the entry process answers off itself, unless the session set default_transaction_read_only; then the database is asked as before. The change to the routing of SHOW is taken back, and the test that expected it at the primary now expects the answer without any request.

--- a/crates/entry/src/parameters.rs
+++ b/crates/entry/src/parameters.rs
@@ -12,6 +12,12 @@
 /// Name that a caller gives itself. No result depends on it, so that it stays with the session.
 pub const APPLICATION: &str = "application_name";
 
+/// Parameters in which a replica says that it takes no writes. Drivers read them to learn whether a
+/// session can write, which one outside a transaction can.
+pub const WRITABLE: [&str; 3] = [READ_ONLY, "in_hot_standby", "transaction_read_only"];
+/// Default of the transactions of a session.
+pub const READ_ONLY: &str = "default_transaction_read_only";
+
 /// Name of the caller's program.
 #[derive(Debug, Clone, Default)]
 pub struct Application {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -399,6 +399,10 @@
                 parameters::is_own(name) || matches!(self.state, State::Idle) && usual()
             }
             Kind::Show(name) if name == APPLICATION => !matches!(self.state, State::Lost),
+            Kind::Show(name) if parameters::WRITABLE.contains(&name.as_str()) => {
+                let changed = |(set, _): &(String, String)| set == parameters::READ_ONLY;
+                matches!(self.state, State::Idle) && !self.settings.sets.iter().any(changed)
+            }
             Kind::Show(name) => parameters::is_own(name),
             Kind::Release("CLOSE CURSOR ALL") => !matches!(self.state, State::Open(_)),
             Kind::Deallocate(_) | Kind::Discard | Kind::Release(_) => true,
@@ -448,6 +452,9 @@
                 let value = &self.settings.application.now;
                 return Ok(row(describe.then_some(name), value, "SHOW"));
             }
+            Kind::Show(name) if parameters::WRITABLE.contains(&name.as_str()) => {
+                return Ok(row(describe.then_some(name), "off", "SHOW"));
+            }
             Kind::Show(name) => {
                 let value = self.settings.parameters.show(name)?;
                 return Ok(row(describe.then_some(name), &value, "SHOW"));
--- a/crates/entry/tests/login.rs
+++ b/crates/entry/tests/login.rs
@@ -267,21 +267,37 @@
 
 /// Guards against a session that a replica tells to be read-only.
 #[rstest]
-#[case::show("SHOW transaction_read_only")]
-#[case::show_default("SHOW default_transaction_read_only")]
-#[case::recovery("SELECT pg_is_in_recovery()")]
-fn asks_the_primary_whether_it_can_write(#[case] text: &str) {
+#[case::show("SHOW transaction_read_only", &["off"], 0)]
+#[case::show_default("SHOW default_transaction_read_only", &["off"], 0)]
+#[case::standby("SHOW in_hot_standby", &["off"], 0)]
+#[case::recovery("SELECT pg_is_in_recovery()", &["1"], 1)]
+fn session_can_write(#[case] text: &str, #[case] rows: &[&str], #[case] primary: usize) {
     run(async {
         let bench = Bench::new().await;
         let mut caller = bench.caller().await;
 
-        caller.query(text).await;
+        let reply = caller.query(text).await;
 
-        assert_eq!(bench.fleet.primary.ran(text), 1);
+        assert_eq!(reply.rows(), rows);
+        assert_eq!(bench.fleet.primary.ran(text), primary);
         assert_eq!(bench.fleet.replica.ran(text), 0);
     });
 }
 
+/// Guards against a session that its caller made read-only and that is told otherwise.
+#[test]
+fn read_only_default_is_asked_of_the_database() {
+    run(async {
+        let bench = Bench::new().await;
+        let mut caller = bench.caller().await;
+
+        caller.query("SET default_transaction_read_only = on").await;
+        caller.query("SHOW transaction_read_only").await;
+
+        assert_eq!(bench.fleet.replica.ran("SHOW"), 1);
+    });
+}
+
 /// Guards against a caller of a newer minor version, or with options of the protocol, that takes
 /// them for granted because nothing was said against them.
 #[rstest]
--- a/crates/sql/src/script.rs
+++ b/crates/sql/src/script.rs
@@ -17,14 +17,6 @@
 /// are parsed in a loop, but walked and dropped by recursion, which overflows the stack.
 const LINKS: usize = 1_000;
 
-/// Parameters whose value a replica shows differently from the primary. Drivers read them to learn
-/// whether a session can write.
-const DIFFERING: [&str; 3] = [
-    "default_transaction_read_only",
-    "in_hot_standby",
-    "transaction_read_only",
-];
-
 /// What a statement does, as far as it is certain.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Kind {
@@ -130,12 +122,10 @@
     #[must_use]
     pub fn is_read_from(&self, first: usize) -> bool {
         self.statements[first..].iter().all(|statement| {
-            if let Kind::Show(name) = &statement.kind {
-                return !DIFFERING.contains(&name.as_str());
-            }
             matches!(
                 statement.kind,
                 Kind::Read
+                    | Kind::Show(_)
                     | Kind::Set { .. }
                     | Kind::Begin { read_only: true }
                     | Kind::Commit
