--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod script;
 pub mod site;
 pub mod slopes;
+pub mod stage;
 pub mod stores;
 pub mod up;
 pub mod usage;
--- a/crates/lab/tests/matrix.rs
+++ b/crates/lab/tests/matrix.rs
@@ -12,8 +12,9 @@
 
 use lab::{
     deployment::Choice,
-    scenario::{Expect, Scenario, Step, Target, play},
+    scenario::{Expect, Scenario, Step, Target},
     site::Site,
+    stage::play,
 };
 use rstest::rstest;
 
