--- a/crates/standin/src/daemon.rs
+++ b/crates/standin/src/daemon.rs
@@ -14,8 +14,7 @@
 use slog::{Logger, error, info, warn};
 
 use crate::{
-    announce, follow, http, log::LogError, member::Member, session, settings::Settings,
-    store::Store,
+    announce, follow, http, log::LogError, login, member::Member, settings::Settings, store::Store,
 };
 
 /// Time that the control hosts have to promote another member, and entry hosts to take their work
@@ -147,7 +146,7 @@
                 let ended = member.ended.listen();
                 let member = Rc::clone(&member);
                 compio::runtime::spawn(async move {
-                    let serving = pin!(session::serve(member, stream));
+                    let serving = pin!(login::serve(member, stream));
                     let _: Either<((), _), ((), _)> = select(serving, ended).await;
                 })
                 .detach();
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -15,6 +15,7 @@
 mod http;
 mod locks;
 pub mod log;
+mod login;
 mod manage;
 mod member;
 mod metrics;
--- a/crates/standin/tests/protocol.rs
+++ b/crates/standin/tests/protocol.rs
@@ -296,7 +296,8 @@
 
         let deleting = other.query("DELETE FROM t WHERE id = 1");
         let deleted = compio::time::timeout(Duration::from_secs(2), deleting).await;
-        let last = silent.frame().await.unwrap();
+        let last = compio::time::timeout(Duration::from_secs(2), silent.frame()).await;
+        let last = last.unwrap().unwrap();
 
         assert!(deleted.is_ok_and(|rows| rows.is_ok()));
         assert_eq!((last.tag, last.sqlstate()), (b'E', Some("25P03")));
