Give processes under test loopback addresses of their own

sigterm_finishes_what_runs failed once: no announcement within 10 s of the start, while a benchmark with 5,000 connections ran on the machine. The fixture picks a free port of 127.0.0.1, gives it up and lets the process bind it; until then every outgoing connection of the machine may get that port. serves_and_stops of the entry process has the same fixture and had failed once under load with no answer on its port. The cause is read from the code, the failure was not reproduced: six runs without the benchmark passed before the change, two after it. Checks are unchanged.

--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -2,8 +2,9 @@
 
 use std::{
     io::{Read as _, Write as _},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
 };
 
@@ -11,8 +12,12 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_entry");
 
+/// A free address on a host of its own: a port of 127.0.0.1 may be taken by any connection before
+/// the process binds it.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    let host = IpAddr::from([127, 0, 7, NEXT.fetch_add(1, Ordering::Relaxed)]);
+    let listener = TcpListener::bind((host, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
--- a/crates/standin/tests/process.rs
+++ b/crates/standin/tests/process.rs
@@ -5,10 +5,13 @@
 use std::{
     fs,
     io::{Read as _, Write as _},
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, SocketAddr, TcpListener},
     path::Path,
     process::{Child, Command, Stdio},
-    sync::mpsc,
+    sync::{
+        atomic::{AtomicU8, Ordering},
+        mpsc,
+    },
     time::{Duration, Instant},
 };
 
@@ -26,14 +29,21 @@
 }
 
 /// A free port of `host`, which may be taken again only by a member that asks for it.
-fn free(host: &str) -> SocketAddr {
+fn free(host: IpAddr) -> SocketAddr {
     let listener = TcpListener::bind((host, 0)).unwrap();
     listener.local_addr().unwrap()
 }
 
+/// A free address on a host of its own: a port of 127.0.0.1 may be taken by any connection before
+/// the process binds it.
+fn own_address() -> SocketAddr {
+    static NEXT: AtomicU8 = AtomicU8::new(1);
+    free([127, 0, 8, NEXT.fetch_add(1, Ordering::Relaxed)].into())
+}
+
 fn write_settings(folder: &Path, address: SocketAddr, announce: &[SocketAddr]) -> String {
     let host = address.ip();
-    let http = free(&host.to_string());
+    let http = free(host);
     let announce: Vec<_> = announce.iter().map(|to| format!("\"{to}\"")).collect();
     let text = format!(
         "member = \"a\"\ngroup = \"orders\"\nzone = \"z\"\nregion = \"r\"\nhost = \"{host}\"\n\
@@ -102,7 +112,7 @@
 #[case("connections = 16", "connections = \"16\"")]
 fn wrong_settings_are_refused(#[case] from: &str, #[case] to: &str) {
     let folder = tempfile::tempdir().unwrap();
-    let path = write_settings(folder.path(), free("127.0.0.1"), &[]);
+    let path = write_settings(folder.path(), own_address(), &[]);
     let text = fs::read_to_string(&path).unwrap();
     fs::write(&path, text.replace(from, to)).unwrap();
 
@@ -117,13 +127,14 @@
 async fn sigterm_finishes_what_runs() {
     let folder = tempfile::tempdir().unwrap();
     let (entries, announced): (Vec<_>, Vec<_>) = (0..2).map(|_| entry()).unzip();
-    let address = free("127.0.0.1");
+    let address = own_address();
     let path = write_settings(folder.path(), address, &entries);
     let mut child = standin(&["--settings", &path]);
     let first = announced[0].recv_timeout(Duration::from_secs(10)).unwrap();
     let second = announced[1].recv_timeout(Duration::from_secs(10)).unwrap();
     let text = format!(
-        "host=127.0.0.1 port={} user=caller dbname=orders",
+        "host={} port={} user=caller dbname=orders",
+        address.ip(),
         address.port()
     );
     let (client, connection) = tokio_postgres::connect(&text, NoTls).await.unwrap();
@@ -173,11 +184,12 @@
 ) {
     let folder = tempfile::tempdir().unwrap();
     let (entries, _announced): (Vec<_>, Vec<_>) = heard.then(entry).into_iter().unzip();
-    let address = free("127.0.0.1");
+    let address = own_address();
     let path = write_settings(folder.path(), address, &entries);
     let mut child = standin(&["--settings", &path]);
     let monitor = format!(
-        "host=127.0.0.1 port={} user=monitor dbname=orders",
+        "host={} port={} user=monitor dbname=orders",
+        address.ip(),
         address.port()
     );
     let started = Instant::now();
@@ -212,7 +224,7 @@
 fn sigterm_is_announced_without_sessions() {
     let folder = tempfile::tempdir().unwrap();
     let (entries, announced): (Vec<_>, Vec<_>) = (0..3).map(|_| entry()).unzip();
-    let path = write_settings(folder.path(), free("127.0.0.1"), &entries);
+    let path = write_settings(folder.path(), own_address(), &entries);
     let mut child = standin(&["--settings", &path]);
     announced[0].recv_timeout(Duration::from_secs(10)).unwrap();
 
@@ -229,11 +241,12 @@
 #[tokio::test]
 async fn sigterm_closes_idle_sessions() {
     let folder = tempfile::tempdir().unwrap();
-    let address = free("127.0.0.1");
+    let address = own_address();
     let path = write_settings(folder.path(), address, &[]);
     let mut child = standin(&["--settings", &path]);
     let text = format!(
-        "host=127.0.0.1 port={} user=caller dbname=orders",
+        "host={} port={} user=caller dbname=orders",
+        address.ip(),
         address.port()
     );
     let start = Instant::now();
