Keep shared rules and waits in one place

- Layout of process numbers: entry and control both had the number of bits and the mark; route has it now.
- Fault points that switch a mechanism off: the same function in entry and control; now in base.
- Waiting for the end of old grants: a loop in the gate and one in the promotion; Host has it now.
- is_draining and is_changing of the entry process shared all but one comparison.

Behaviour is unchanged.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod document;
 pub mod exit;
+pub mod fault;
 pub mod http;
 mod http1;
 pub mod log;
--- a/crates/control/src/cancel.rs
+++ b/crates/control/src/cancel.rs
@@ -10,16 +10,13 @@
 use compio::time::timeout;
 use futures_util::future::join_all;
 use proto::schema::canceller;
+use route::process_number::{mark, mark_of};
 
 /// Limit on passing one request on.
 const CALL: Duration = Duration::from_millis(800);
 /// Requests that are passed on at once. More are dropped: they are best-effort, and renewals of the
 /// write lease share the process.
 const RUNNING: usize = 200;
-/// Bits of a process number below the mark of its entry process.
-const NUMBER_BITS: u32 = 16;
-/// Mark of a run: its lowest 15 bits.
-const MARK: u64 = 0x7fff;
 
 /// Entry processes that receive cancel requests, by run.
 #[derive(Default)]
@@ -89,12 +86,12 @@
         if self.running.get() >= RUNNING {
             return 0;
         }
-        let mark = u64::try_from(pid >> NUMBER_BITS).ok();
+        let wanted = mark_of(pid);
         let calls: Vec<_> = self
             .listening
             .borrow()
             .iter()
-            .filter(|(run, _)| Some(**run & MARK) == mark)
+            .filter(|(run, _)| mark(**run) == wanted)
             .map(|(_, (_, canceller))| {
                 let mut request = canceller.cancel_request();
                 request.get().set_pid(pid);
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -8,10 +8,7 @@
 
 use base::{Position, Version};
 use capnp::Error;
-use compio::{
-    net::TcpListener,
-    time::{sleep, timeout},
-};
+use compio::{net::TcpListener, time::timeout};
 use proto::{
     schema::{self, control, gate, peer},
     traffic::Traffic,
@@ -34,8 +31,6 @@
 const POLL: Duration = Duration::from_secs(1);
 /// Longest wait of a question for old grants; a caller gives up after 500 ms.
 const HOLD: Duration = Duration::from_millis(300);
-/// Pause between looks at the grants while such a question waits.
-const LOOK: Duration = Duration::from_millis(5);
 /// Longest poll that an entry process may ask for.
 const POLL_MAX: Duration = Duration::from_secs(10);
 /// RPC connections at once; each entry process and peer holds one or two.
@@ -449,15 +444,8 @@
         mut results: peer::GrantsResults,
     ) -> Result<(), Error> {
         let version = params.get()?.get_version();
-        let end = Instant::now() + HOLD;
-        let clear = loop {
-            let now = Instant::now();
-            let clear = self.host.released(now, version);
-            if clear == Some(true) || now >= end {
-                break clear;
-            }
-            sleep(LOOK).await;
-        };
+        let _elapsed = timeout(HOLD, self.host.until_released(version)).await;
+        let clear = self.host.released(Instant::now(), version);
         results.get().set_known(clear.is_some());
         results.get().set_clear(clear == Some(true));
         Ok(())
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -13,6 +13,7 @@
     EntryName, GroupName, HostName, Map, MemberName, RegionName, Set, Version, ZoneName,
     document::{Document, Service},
 };
+use compio::time::sleep;
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -29,6 +30,9 @@
     sighting::{Health, Observer, Sighting, Sightings},
 };
 
+/// Pause between looks at grants whose end is waited for.
+pub(crate) const LOOK: Duration = Duration::from_millis(5);
+
 /// Promotions whose step durations are kept for `/dump`.
 const KEPT_TIMINGS: usize = 100;
 
@@ -311,6 +315,13 @@
         clear.filter(|_| !self.log.is_learner())
     }
 
+    /// Waits until this host knows that it holds no unexpired grant older than `version`.
+    pub async fn until_released(&self, version: Version) {
+        while self.released(Instant::now(), version) != Some(true) {
+            sleep(LOOK).await;
+        }
+    }
+
     /// Answers a renewal.
     pub fn renew(&self, now: Instant, renewal: Renewal) -> Renewed {
         let holder = (renewal.entry.clone(), renewal.run);
--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use base::{Map, MemberName, Set};
+use base::{Map, MemberName, Set, fault::disabled};
 
 use route::Status;
 
@@ -297,15 +297,3 @@
     (!follows && status.position.term <= record.term)
         .then(|| format!("FOLLOW '{}' TERM {}", primary.address, record.term))
 }
-
-/// Whether a fault point of a test build switches a rule off with the action `return`.
-#[cfg(feature = "failpoints")]
-fn disabled(point: &str) -> bool {
-    fail::fail_point!(point, |_| true);
-    false
-}
-
-#[cfg(not(feature = "failpoints"))]
-const fn disabled(_point: &str) -> bool {
-    false
-}
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -20,7 +20,7 @@
 
 use crate::{
     directory::Announcement,
-    host::{Host, Timing, millis},
+    host::{Host, LOOK, Timing, millis},
     judge::{self, Answered, Reach, Verdict},
     leases::LEASE,
     log::{Log, LogError},
@@ -50,8 +50,6 @@
 pub(crate) const DIRECT: Duration = Duration::from_millis(40);
 /// Time that further answers get once enough members were read.
 const FURTHER: Duration = Duration::from_millis(50);
-/// Pause between looks at the own grants, which are in memory.
-const LOOK: Duration = Duration::from_millis(5);
 
 /// Runs the changes of one group until this host does not lead any more.
 pub async fn drive<L: Log>(host: Rc<Host<L>>, group: String) {
@@ -397,11 +395,6 @@
 /// Every host is asked on its own, so that one that can't be reached does not hold up the answers
 /// of the others. An answer stays true: a host grants nothing older from its answer on.
 pub(crate) async fn released<L: Log>(host: &Host<L>, record: &Record) {
-    let own = async {
-        while host.released(Instant::now(), record.version) != Some(true) {
-            sleep(LOOK).await;
-        }
-    };
     let others = host.peers.names().map(|name| {
         let asking = async move {
             loop {
@@ -415,7 +408,7 @@
         asking.boxed_local()
     });
     let mut waits: FuturesUnordered<_> = others.collect();
-    waits.push(own.boxed_local());
+    waits.push(host.until_released(record.version).boxed_local());
     let mut clear = 0;
     while clear < host.majority() {
         match timeout(2 * LEASE, waits.next()).await {
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -123,12 +123,17 @@
         return Ok(frame);
     }
     // A timer costs more than the read, so that none is set for what is there already.
-    if client.reader.receive_now().await? == Received::Bytes
-        && let Some(frame) = client.reader.buffered()?
-    {
+    let received = client.reader.receive_now().await?;
+    if let Some(frame) = client.reader.buffered()? {
         return Ok(frame);
     }
-    match timeout_at(until, client.frame()).await {
+    let waiting = async {
+        if received == Received::Nothing && !client.reader.receive().await? {
+            return Err(WireError::Cut);
+        }
+        client.frame().await
+    };
+    match timeout_at(until, waiting).await {
         Ok(frame) => Ok(frame?),
         Err(_elapsed) => Err(Broken::Late),
     }
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -342,9 +342,7 @@
 
     /// Whether a planned change of primary waits for this process to finish its work.
     pub(crate) fn is_draining(&self) -> bool {
-        let groups = self.groups.borrow();
-        let mut records = groups.values().filter_map(|group| group.current());
-        records.any(|record| record.phase == Phase::Draining)
+        self.any_phase(|phase| phase == Phase::Draining)
     }
 
     /// Members of a group that are in use.
@@ -370,9 +368,14 @@
 
     /// Whether a change of primary goes on in a group that is in use.
     pub(crate) fn is_changing(&self) -> bool {
+        self.any_phase(|phase| phase != Phase::Stable)
+    }
+
+    /// Whether the record of a group that is in use has such a phase.
+    fn any_phase(&self, wanted: impl Fn(Phase) -> bool) -> bool {
         let groups = self.groups.borrow();
         let mut records = groups.values().filter_map(|group| group.current());
-        records.any(|record| record.phase != Phase::Stable)
+        records.any(|record| wanted(record.phase))
     }
 
     pub(crate) fn all_members(&self) -> Vec<Rc<Member>> {
--- a/crates/entry/src/registry.rs
+++ b/crates/entry/src/registry.rs
@@ -17,13 +17,11 @@
 };
 use futures_util::future::{Either, select};
 use prometheus::IntGauge;
+use route::process_number::{compose, mark, mark_of};
 
 /// Time that a cancel request to an upstream may take.
 const CANCEL: Duration = Duration::from_secs(2);
 const CANCEL_CODE: i32 = 80_877_102;
-/// Bits of a process number that number the sessions of one entry process. Its limit of callers is
-/// well below 65,535.
-const NUMBER_BITS: u32 = 16;
 
 /// Upstream session that runs a statement.
 #[derive(Debug, Clone, Copy)]
@@ -96,9 +94,6 @@
 }
 
 /// Sessions by process number.
-///
-/// A process number holds the mark of the entry process above the number of the session, so that a
-/// cancel request that arrives at another entry process can be passed on.
 #[derive(Debug, Default)]
 pub struct Registry {
     slots: RefCell<Map<i32, Rc<Slot>>>,
@@ -107,12 +102,6 @@
     count: Option<IntGauge>,
 }
 
-/// Mark that the process numbers of the sessions of a run carry.
-#[must_use]
-pub fn mark(run: u64) -> i32 {
-    i32::try_from(run & 0x7fff).unwrap_or_default()
-}
-
 /// A session's entry in the registry, which ends with it.
 #[derive(Debug)]
 pub struct Entry {
@@ -159,7 +148,7 @@
     /// Whether a process number can be one of this process.
     #[must_use]
     pub const fn owns(&self, pid: i32) -> bool {
-        pid >> NUMBER_BITS == self.mark
+        mark_of(pid) == self.mark
     }
 
     /// Adds a session under a free process number and a random secret.
@@ -169,7 +158,7 @@
         let mut number = self.last.get();
         let pid = loop {
             number = number.checked_add(1).unwrap_or(1);
-            let pid = self.mark << NUMBER_BITS | i32::from(number);
+            let pid = compose(self.mark, number);
             if !slots.contains_key(&pid) {
                 break pid;
             }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use base::{MemberName, Position, Set, Term, Version, document::Service};
+use base::{MemberName, Position, Set, Term, Version, document::Service, fault::disabled};
 use rand::RngExt as _;
 use route::{
     Health, Place,
@@ -424,18 +424,6 @@
     }
 }
 
-/// Whether a fault point of a test build switches a mechanism off with the action `return`.
-#[cfg(feature = "failpoints")]
-fn disabled(point: &str) -> bool {
-    fail::fail_point!(point, |_| true);
-    false
-}
-
-#[cfg(not(feature = "failpoints"))]
-const fn disabled(_point: &str) -> bool {
-    false
-}
-
 /// Turns the failure of a pool into the refusal of the request, or lets it look for another member
 /// after a short pause.
 async fn refuse(cause: PoolError, deadline: Instant) -> Result<(), Refusal> {
--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -181,10 +181,17 @@
 
     async fn fill(&mut self) -> Result<bool, WireError> {
         match self.receive_now().await? {
-            Received::Bytes => return Ok(true),
-            Received::End => return Ok(false),
-            Received::Nothing => {}
+            Received::Bytes => Ok(true),
+            Received::End => Ok(false),
+            Received::Nothing => self.receive().await,
         }
+    }
+
+    /// Waits with the poller for bytes; false when the peer closed the connection.
+    ///
+    /// # Errors
+    /// The transport failed.
+    pub async fn receive(&mut self) -> Result<bool, WireError> {
         let want = if self.busy { BUSY_BYTES } else { IDLE_BYTES };
         let mut buffer = std::mem::take(&mut self.buffer);
         if buffer.is_empty() {
