--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -154,6 +154,13 @@
 }
 
 impl<M: Machine> Node<M> {
+    /// Takes over the address of another host.
+    pub fn moved(&self, name: &str, address: SocketAddr) {
+        if name != self.options.name {
+            self.environment.network().moved(name, address);
+        }
+    }
+
     /// Recovers the data directory and starts the tasks of the node. The machine must be empty.
     ///
     /// # Errors
@@ -365,6 +372,15 @@
         contact.map(|contact| now.saturating_duration_since(contact))
     }
 
+    /// Time since another host answered this leader, or since the election when it never did;
+    /// `None` while this host does not lead, and for itself.
+    pub fn absent(&self, name: &str, now: Instant) -> Option<Duration> {
+        let state = self.state.borrow();
+        let peer = state.peers.get(name)?;
+        let since = peer.contact.unwrap_or(state.led).max(state.led);
+        (state.role == Role::Leader).then(|| now.saturating_duration_since(since))
+    }
+
     /// Newest term that this host knows.
     pub fn term(&self) -> u64 {
         self.state.borrow().hard.term
--- a/crates/agree/src/rpc.rs
+++ b/crates/agree/src/rpc.rs
@@ -34,7 +34,7 @@
 /// Connections to the other control hosts, opened when first needed and again after a failure.
 pub struct Remote {
     host: IpAddr,
-    addresses: BTreeMap<HostName, SocketAddr>,
+    addresses: RefCell<BTreeMap<HostName, SocketAddr>>,
     open: RefCell<BTreeMap<Line, Rc<Connection>>>,
 }
 
@@ -59,16 +59,25 @@
     pub fn new(host: IpAddr, peers: &[(HostName, SocketAddr)]) -> Self {
         Self {
             host,
-            addresses: peers.iter().cloned().collect(),
+            addresses: RefCell::new(peers.iter().cloned().collect()),
             open: RefCell::default(),
         }
     }
 
+    /// Takes over the address of a peer that moved.
+    pub(crate) fn moved(&self, name: &str, address: SocketAddr) {
+        let before = self.addresses.borrow_mut().insert(name.to_owned(), address);
+        if before != Some(address) {
+            self.open.borrow_mut().retain(|(peer, _), _| peer != name);
+        }
+    }
+
     async fn connection(&self, line: &Line) -> Result<Rc<Connection>, CallError> {
         if let Some(open) = self.open.borrow().get(line) {
             return Ok(Rc::clone(open));
         }
-        let address = *self.addresses.get(&line.0).ok_or(CallError::Unsent)?;
+        let address = self.addresses.borrow().get(&line.0).copied();
+        let address = address.ok_or(CallError::Unsent)?;
         let stream = base::net::connect(self.host, address, CONNECT)
             .await
             .map_err(|_cause| CallError::Unsent)?;
--- a/crates/base/src/document.rs
+++ b/crates/base/src/document.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{GroupName, ServiceName, Set};
+use crate::{GroupName, RouteName, ServiceName, Set};
 
 /// Whole configuration, written as TOML.
 ///
@@ -25,6 +25,45 @@
     /// Services that callers can reach.
     #[serde(default, rename = "service")]
     pub services: Vec<Service>,
+    /// Names under which callers reach a service with rules of their own.
+    #[serde(default, rename = "route")]
+    pub routes: Vec<Route>,
+}
+
+/// A name that callers give as the database name, with the rules of its requests.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// Name that callers give.
+    pub name: RouteName,
+    /// Service that runs the requests.
+    pub service: ServiceName,
+    /// How fresh reads must be.
+    #[serde(default)]
+    pub reads: Reads,
+    /// Greatest age of the data of a read, in milliseconds, for the kinds that allow some.
+    #[serde(default)]
+    pub age_ms: u64,
+    /// Deadline of one statement, in milliseconds.
+    pub deadline_ms: u64,
+    /// Latency objective of an operation, in milliseconds.
+    pub objective_ms: u64,
+    /// Priority; 0 is the highest.
+    #[serde(default)]
+    pub priority: u32,
+}
+
+/// Consistency of the reads of a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Reads {
+    /// A read sees every write that was acknowledged before it.
+    #[default]
+    Latest,
+    /// A read sees every write that was acknowledged longer ago than the age.
+    Bounded,
+    /// As bounded, and every write of its own session.
+    Session,
 }
 
 /// Limits of the set of entry processes.
@@ -49,12 +88,16 @@
     pub name: ServiceName,
     /// Group that serves it.
     pub group: GroupName,
-    /// Databases of the group.
+    /// Databases of the group; 0 when they come and go by announcing themselves, and when the group
+    /// has a primary before it is configured.
     #[serde(default = "three")]
     pub databases: u32,
     /// Members, the primary included, that must hold a write before it is acknowledged.
     #[serde(default = "two")]
     pub confirmations: u32,
+    /// Whether the primary itself acknowledges a commit only when `confirmations` members hold it.
+    #[serde(default)]
+    pub synchronous: bool,
     /// Connections that one database accepts.
     #[serde(default = "sixteen")]
     pub connections: u32,
@@ -116,6 +159,8 @@
     pub message_bytes: u32,
     /// How long the record of a key is kept, in hours.
     pub key_hours: u32,
+    /// A transaction that waits for its caller for this long is ended, in milliseconds.
+    pub idle_ms: u64,
 }
 
 impl Default for Limits {
@@ -125,6 +170,7 @@
             deadline_ms: 30_000,
             message_bytes: 16 << 20,
             key_hours: 24,
+            idle_ms: 60_000,
         }
     }
 }
@@ -230,6 +276,36 @@
                 ));
             }
         }
+        self.check_routes()
+    }
+
+    fn check_routes(&self) -> Result<(), Invalid> {
+        let services: Set<_> = self.services.iter().map(|s| s.name.as_str()).collect();
+        let mut names = Set::default();
+        for (i, route) in self.routes.iter().enumerate() {
+            let field = |name: &str| format!("route[{i}].{name}");
+            if route.name.is_empty() || !names.insert(&route.name) {
+                return Err(invalid(
+                    &field("name"),
+                    "is empty or used twice",
+                    "give each route its own name",
+                ));
+            }
+            if !services.contains(route.service.as_str()) {
+                return Err(invalid(
+                    &field("service"),
+                    "is no service",
+                    "name a service of this document",
+                ));
+            }
+            if route.deadline_ms == 0 {
+                return Err(invalid(
+                    &field("deadline_ms"),
+                    "is 0",
+                    "allow the time of a statement",
+                ));
+            }
+        }
         Ok(())
     }
 
@@ -249,21 +325,18 @@
         if !is_name(&self.group) {
             return Err(invalid(&field("group"), NAME_CAUSE, NAME_MEND));
         }
-        if self.databases == 0 {
-            return Err(invalid(
-                &field("databases"),
-                "is 0",
-                "name at least one database",
-            ));
-        }
-        if self.confirmations == 0 || self.confirmations > self.databases {
+        let databases = match self.databases {
+            0 => u32::MAX,
+            databases => databases,
+        };
+        if self.confirmations == 0 || self.confirmations > databases {
             return Err(invalid(
                 &field("confirmations"),
                 "is not between 1 and databases",
                 "use a majority of databases, for example 2 of 3",
             ));
         }
-        if self.databases > 1 && self.confirmations < 2 {
+        if self.databases > 1 && self.confirmations < 2 && !self.synchronous {
             return Err(invalid(
                 &field("confirmations"),
                 "is 1 with several databases, so that the loss of one host loses writes",
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -18,6 +18,8 @@
 
 /// Name of a service, which callers give as the database name.
 pub type ServiceName = String;
+/// Name of a route, which callers give as the database name.
+pub type RouteName = String;
 /// Name of a database group.
 pub type GroupName = String;
 /// Name of one database of a group.
--- a/crates/control/src/cover.rs
+++ b/crates/control/src/cover.rs
@@ -30,7 +30,10 @@
     }
     for _ in 0..READS.0 {
         let members = record.members.iter();
-        let reads = members.map(|member| probe(host, host.address(member), DIRECT));
+        let reads = members.map(|member| {
+            let target = host.target(&record.group, member);
+            probe(host, target, DIRECT)
+        });
         let statuses = join_all(reads).await;
         let all = record
             .members
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -38,6 +38,26 @@
     pub slots: u32,
     /// Whether it is about to stop.
     pub leaving: bool,
+    /// Counts the announcements of one start of the database; 0 when it does not count them.
+    pub sequence: u64,
+    /// Start of the database in milliseconds since the epoch on its own clock; 0 when not told.
+    pub born: u64,
+}
+
+impl Announcement {
+    /// Whether `self` was sent before `other` of the same database.
+    const fn precedes(&self, other: &Self) -> bool {
+        self.born < other.born || (self.born == other.born && self.sequence < other.sequence)
+    }
+
+    /// Whether both tell the same, whenever they were sent.
+    fn agrees(&self, other: &Self) -> bool {
+        let other = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == other
+    }
 }
 
 /// An announcement with the time it was heard.
@@ -102,11 +122,16 @@
         let lost = age >= LOST;
         let name = announcement.member.clone();
         if let Some(heard) = self.members.get_mut(&name) {
-            if at <= heard.at {
+            if announcement.precedes(&heard.announcement) {
+                return false;
+            }
+            // Only the number of an announcement tells an old one that arrives late.
+            if announcement.sequence == 0 && at <= heard.at {
                 return false;
             }
-            heard.at = at;
-            if heard.announcement == announcement && heard.lost == lost {
+            heard.at = heard.at.max(at);
+            if heard.announcement.agrees(&announcement) && heard.lost == lost {
+                heard.announcement.sequence = announcement.sequence;
                 return false;
             }
         } else if self.members.len() >= MEMBERS_MAX {
--- a/crates/control/src/form.rs
+++ b/crates/control/src/form.rs
@@ -99,10 +99,9 @@
     /// # Errors
     /// A field is no number or no rule, or the document is invalid with it.
     pub fn apply(&self, document: &Document) -> Result<String, Problem> {
-        let service = self.service()?;
         let mut document = document.clone();
         if self.original.is_empty() {
-            document.services.push(service);
+            document.services.push(self.service(None)?);
         } else {
             let mut services = document.services.iter_mut();
             let old = services
@@ -110,7 +109,7 @@
                 .ok_or_else(|| {
                     Problem::field("original", "there is no such service", "reload the page")
                 })?;
-            *old = service;
+            *old = self.service(Some(old))?;
         }
         document.check()?;
         toml::to_string(&document).map_err(|cause| {
@@ -118,12 +117,14 @@
         })
     }
 
-    fn service(&self) -> Result<Service, Problem> {
+    /// Service of the fields; what the form does not show stays as it was.
+    fn service(&self, old: Option<&Service>) -> Result<Service, Problem> {
         Ok(Service {
             name: self.name.trim().to_owned(),
             group: self.group.trim().to_owned(),
             databases: number("databases", &self.databases)?,
             confirmations: number("confirmations", &self.confirmations)?,
+            synchronous: old.is_some_and(|old| old.synchronous),
             connections: number("connections", &self.connections)?,
             slots: number("slots", &self.slots)?,
             freshness: Freshness {
@@ -135,6 +136,10 @@
                 deadline_ms: number("limits.deadline_ms", &self.deadline_ms)?,
                 message_bytes: number("limits.message_bytes", &self.message_bytes)?,
                 key_hours: number("limits.key_hours", &self.key_hours)?,
+                idle_ms: old.map_or_else(
+                    || Limits::default().idle_ms,
+                    |old| old.limits.idle_ms,
+                ),
             },
             non_idempotent: rules(&self.rules)?,
         })
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -2,11 +2,12 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use base::{Position, Version};
+use base::{HostName, Position, Version};
 use capnp::Error;
 use compio::{net::TcpListener, time::timeout};
 use proto::{
@@ -21,10 +22,10 @@
     leases::LEASE,
     log::Log,
     machine::{GroupState, Record},
-    permits,
+    permits, seat,
     session::Session,
     sighting::{Health, Sighting},
-    upstream::{self, Order},
+    upstream::{Order, Target},
 };
 
 /// A watch without news is answered after this time.
@@ -136,20 +137,10 @@
 }
 
 fn renewal(request: schema::renew_request::Reader<'_>) -> Result<Renewal, Error> {
-    let announcements = request.get_announcements()?.iter().map(|a| {
-        let announcement = Announcement {
-            member: text(a.get_member())?,
-            group: text(a.get_group())?,
-            store: text(a.get_store())?,
-            address: text(a.get_address())?,
-            zone: text(a.get_zone())?,
-            region: text(a.get_region())?,
-            connections: a.get_connections(),
-            slots: a.get_slots(),
-            leaving: a.get_leaving(),
-        };
-        Ok((announcement, duration(a.get_age())))
-    });
+    let announcements = request
+        .get_announcements()?
+        .iter()
+        .map(|a| Ok((read_announcement(a)?, duration(a.get_age()))));
     let sightings = request.get_sightings()?.iter().map(|s| {
         let position = s.get_position()?;
         let sighting = Sighting {
@@ -191,7 +182,7 @@
 }
 
 /// Length of a list as the schema carries it.
-fn length(list: &[impl Sized]) -> u32 {
+pub(crate) fn length(list: &[impl Sized]) -> u32 {
     u32::try_from(list.len()).unwrap_or(u32::MAX)
 }
 
@@ -235,6 +226,7 @@
         }
         reply.set_leader(renewed.leader);
         reply.set_drain(renewed.drain);
+        reply.set_entries(renewed.entries);
         reply.set_permit_duration(wire_millis(permits::TERM));
         if numbered {
             let session = self.session.borrow();
@@ -356,6 +348,9 @@
     for (i, record) in (0..).zip(newer) {
         fill_record(record, list.reborrow().get(i));
     }
+    if state.seated > records {
+        fill_seats(&state.seats, |count| reply.reborrow().init_seats(count));
+    }
     let known = host.directory.borrow();
     reply.set_directory_version(known.version());
     let newer = known.newer(directory);
@@ -387,7 +382,11 @@
     }
 }
 
-fn fill_announcement(now: Instant, heard: &Heard, mut builder: schema::announcement::Builder<'_>) {
+pub(crate) fn fill_announcement(
+    now: Instant,
+    heard: &Heard,
+    mut builder: schema::announcement::Builder<'_>,
+) {
     let announcement = &heard.announcement;
     builder.set_member(&announcement.member);
     builder.set_group(&announcement.group);
@@ -399,6 +398,52 @@
     builder.set_slots(announcement.slots);
     builder.set_leaving(announcement.leaving);
     builder.set_age(wire_millis(now.duration_since(heard.at)));
+    builder.set_sequence(announcement.sequence);
+    builder.set_born(announcement.born);
+}
+
+pub(crate) fn fill_target(target: &Target, mut builder: schema::target::Builder<'_>) {
+    builder.set_address(&target.address);
+    builder.set_group(&target.group);
+    builder.set_member(&target.member);
+    builder.set_store(&target.store);
+}
+
+fn read_target(reader: schema::target::Reader<'_>) -> Result<Target, Error> {
+    Ok(Target {
+        address: text(reader.get_address())?,
+        group: text(reader.get_group())?,
+        member: text(reader.get_member())?,
+        store: text(reader.get_store())?,
+    })
+}
+
+fn read_announcement(reader: schema::announcement::Reader<'_>) -> Result<Announcement, Error> {
+    Ok(Announcement {
+        member: text(reader.get_member())?,
+        group: text(reader.get_group())?,
+        store: text(reader.get_store())?,
+        address: text(reader.get_address())?,
+        zone: text(reader.get_zone())?,
+        region: text(reader.get_region())?,
+        connections: reader.get_connections(),
+        slots: reader.get_slots(),
+        leaving: reader.get_leaving(),
+        sequence: reader.get_sequence(),
+        born: reader.get_born(),
+    })
+}
+
+fn fill_seats<'a>(
+    seats: &BTreeMap<HostName, String>,
+    list: impl FnOnce(u32) -> capnp::struct_list::Builder<'a, schema::seat::Owned>,
+) {
+    let mut list = list(u32::try_from(seats.len()).unwrap_or(u32::MAX));
+    for (i, (name, address)) in (0..).zip(seats) {
+        let mut seat = list.reborrow().get(i);
+        seat.set_name(name);
+        seat.set_address(address);
+    }
 }
 
 struct ForPeers<L> {
@@ -456,8 +501,8 @@
         params: peer::ProbeParams,
         mut results: peer::ProbeResults,
     ) -> Result<(), Error> {
-        let address = text(params.get()?.get_address())?;
-        let Ok(status) = upstream::status(self.host.identity.host, &address).await else {
+        let target = read_target(params.get()?.get_target()?)?;
+        let Ok(status) = self.host.databases.status(&target).await else {
             results.get().set_reached(false);
             return Ok(());
         };
@@ -478,20 +523,47 @@
         params: peer::OrderParams,
         mut results: peer::OrderResults,
     ) -> Result<(), Error> {
-        let address = text(params.get()?.get_address())?;
-        let statement = text(params.get()?.get_statement())?;
+        let target = read_target(params.get()?.get_target()?)?;
+        let order = text(params.get()?.get_order())?;
         let mut builder = results.get();
-        let Some(order) = Order::parse(&statement) else {
-            builder.set_cause("only FOLLOW, and PROMOTE for a given store, are passed on");
+        let Some(order) = Order::parse(&order) else {
+            builder.set_cause("only orders to follow and to become primary are passed on");
             return Ok(());
         };
-        match upstream::order(self.host.identity.host, &address, &order).await {
+        match self.host.databases.order(&target, &order).await {
             Ok(()) => builder.set_done(true),
             Err(cause) => builder.set_cause(&cause),
         }
         Ok(())
     }
 
+    async fn announce(
+        self: Rc<Self>,
+        params: peer::AnnounceParams,
+        _results: peer::AnnounceResults,
+    ) -> Result<(), Error> {
+        let now = Instant::now();
+        for reader in params.get()?.get_announcements()? {
+            let age = duration(reader.get_age());
+            self.host.told(now, age, read_announcement(reader)?);
+        }
+        Ok(())
+    }
+
+    async fn join(
+        self: Rc<Self>,
+        params: peer::JoinParams,
+        mut results: peer::JoinResults,
+    ) -> Result<(), Error> {
+        let address = text(params.get()?.get_address())?;
+        let joined = seat::join(&self.host, &address).await;
+        let mut builder = results.get();
+        builder.set_leader(joined.leader.as_deref().unwrap_or_default());
+        builder.set_name(joined.name.as_deref().unwrap_or_default());
+        fill_seats(&joined.seats, |count| builder.init_seats(count));
+        Ok(())
+    }
+
     async fn propose(
         self: Rc<Self>,
         params: peer::ProposeParams,
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -27,12 +27,18 @@
     notify::Notify,
     peers::Peers,
     permits::{Permits, Share},
+    seat,
     sighting::{Health, Observer, Sighting, Sightings},
+    upstream::{Databases, Target},
 };
 
 /// Pause between looks at grants whose end is waited for.
 pub(crate) const LOOK: Duration = Duration::from_millis(5);
 
+/// An entry process that was not heard from for this long holds no lent connections any more: their
+/// longest term has passed.
+const LIVE_ENTRY: Duration = Duration::from_secs(5);
+
 /// Promotions whose step durations are kept for `/dump`.
 const KEPT_TIMINGS: usize = 100;
 
@@ -110,6 +116,8 @@
     pub permits: Vec<(MemberName, u32)>,
     /// Whether an operator asks this run of the entry process to stop.
     pub drain: bool,
+    /// Entry processes heard from lately.
+    pub entries: u32,
 }
 
 /// Who this host is.
@@ -167,6 +175,10 @@
     pub identity: Identity,
     /// Replicated log.
     pub log: L,
+    /// Databases of the deployment.
+    pub databases: Rc<dyn Databases>,
+    /// Announcements that arrived at this host since it passed them on last.
+    pub heard: RefCell<Map<MemberName, Instant>>,
     /// State that the log is applied to.
     pub state: Rc<RefCell<State>>,
     /// Write lease grants.
@@ -211,6 +223,7 @@
         now: Instant,
         identity: Identity,
         log: L,
+        databases: Rc<dyn Databases>,
         state: Rc<RefCell<State>>,
         logger: slog::Logger,
     ) -> Rc<Self> {
@@ -218,6 +231,8 @@
         Rc::new(Self {
             identity,
             log,
+            databases,
+            heard: RefCell::default(),
             state,
             leases: RefCell::new(Leases::new(now)),
             directory: RefCell::default(),
@@ -282,6 +297,16 @@
         };
         set(&self.metrics.config, state.config.version);
         set(&self.metrics.records, state.version);
+        for (name, address) in &state.seats {
+            match address.parse() {
+                Ok(address) => {
+                    self.peers.moved(name, address);
+                    self.log.moved(name, address);
+                }
+                Err(cause) => slog::error!(self.logger, "the address of a seat can't be read";
+                    "seat" => name, "address" => address, "cause" => %cause),
+            }
+        }
         let told = self.told.replace(state.version);
         let suspects = self.suspects.borrow();
         for record in state.newer(told) {
@@ -322,6 +347,37 @@
         }
     }
 
+    /// Whether another host took over the seat of this one.
+    #[must_use]
+    pub fn is_displaced(&self) -> bool {
+        seat::displaced(&self.state.borrow(), &self.identity)
+    }
+
+    /// Takes an announcement that arrived at this host, and passes it on to the others later.
+    pub fn hear(&self, now: Instant, announcement: Announcement) {
+        let member = announcement.member.clone();
+        self.heard.borrow_mut().insert(member, now);
+        self.told(now, Duration::ZERO, announcement);
+    }
+
+    /// Takes an announcement that was heard `age` before `now`, here or at another host.
+    pub fn told(&self, now: Instant, age: Duration, announcement: Announcement) {
+        self.metrics.announcements.inc();
+        let group = announcement.leaving.then(|| announcement.group.clone());
+        let changed = self
+            .directory
+            .borrow_mut()
+            .announce(now, age, announcement);
+        if changed {
+            self.changed.notify();
+            // The next sweep would plan the change of a leaving primary up to a second later.
+            if let Some(notify) = group.and_then(|group| self.suspects.borrow().get(&group).cloned())
+            {
+                notify.notify();
+            }
+        }
+    }
+
     /// Answers a renewal.
     pub fn renew(&self, now: Instant, renewal: Renewal) -> Renewed {
         let holder = (renewal.entry.clone(), renewal.run);
@@ -329,7 +385,7 @@
             fenced: self.state.borrow().fenced,
             applied: self.log.applied(),
             stored: self.log.stored(),
-            learner: self.log.is_learner(),
+            learner: self.log.is_learner() || self.is_displaced(),
         };
         let granted = {
             let mut leases = self.leases.borrow_mut();
@@ -394,9 +450,18 @@
             leader,
             permits,
             drain: self.drains.borrow().contains(&holder),
+            entries: self.live_entries(now),
         }
     }
 
+    /// Number of entry processes heard from lately.
+    fn live_entries(&self, now: Instant) -> u32 {
+        let directory = self.directory.borrow();
+        let entries = directory.entries().values();
+        let live = entries.filter(|entry| now.duration_since(entry.at) < LIVE_ENTRY);
+        u32::try_from(live.count()).unwrap_or(u32::MAX)
+    }
+
     fn sight(
         &self,
         now: Instant,
@@ -458,6 +523,7 @@
         demands: &[Demand],
     ) -> Vec<(String, u32)> {
         let document = self.document();
+        let entries = document.entries.max.max(self.live_entries(now));
         let mut permits = self.permits.borrow_mut();
         let Some(permits) = permits.as_mut() else {
             return Vec::new();
@@ -470,7 +536,7 @@
                 0 => service.connections,
                 announced => service.connections.min(announced),
             };
-            let share = Share::new(limit, document.entries.max);
+            let share = Share::new(limit, entries);
             let lent = permits.lend(now, holder, &demand.member, demand.wanted, share);
             (lent > 0).then(|| (demand.member.clone(), lent))
         });
@@ -502,6 +568,17 @@
         current.map_or(&member.address, |a| &a.address).clone()
     }
 
+    /// Target of orders to a recorded member.
+    #[must_use]
+    pub fn target(&self, group: &str, member: &Member) -> Target {
+        Target {
+            address: self.address(member),
+            group: group.to_owned(),
+            member: member.member.clone(),
+            store: member.store.clone(),
+        }
+    }
+
     /// Keeps and logs the step durations of a finished promotion.
     pub fn timed(&self, timing: Timing) {
         let steps = [
--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -9,6 +9,7 @@
 use crate::{
     machine::{GroupState, Member, Record},
     sighting::{Health, Observer, Observers},
+    upstream::Order,
 };
 
 /// A silent primary is declared failed after this time without an answer.
@@ -283,17 +284,20 @@
     })
 }
 
-/// Statement that a member of a stable group needs, from its status.
+/// Order that a member of a stable group needs, from its status. `finds` tells whether replicas find
+/// the primary without an order, so that only a former primary needs one.
 #[must_use]
-pub fn correction(record: &Record, status: &Status) -> Option<String> {
+pub fn correction(record: &Record, status: &Status, finds: bool) -> Option<Order> {
     let primary = record.member(&record.primary)?;
     if status.member == record.primary {
         // Only a promotion may order a primary: a restart that lost its role is one of these.
         return None;
     }
     let follows = !status.primary
-        && status.position.term >= record.term
-        && status.following == primary.address;
-    (!follows && status.position.term <= record.term)
-        .then(|| format!("FOLLOW '{}' TERM {}", primary.address, record.term))
+        && (finds
+            || status.position.term >= record.term && status.following == primary.address);
+    (!follows && status.position.term <= record.term).then(|| Order::Follow {
+        primary: primary.address.clone(),
+        term: record.term,
+    })
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod problem;
 pub mod promotion;
 pub mod run;
+pub mod seat;
 mod session;
 pub mod settings;
 pub mod sighting;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt,
+    net::SocketAddr,
     time::{Duration, Instant},
 };
 
@@ -60,6 +61,11 @@
     fn is_learner(&self) -> bool;
     /// Time since this host last heard from a leader with a majority.
     fn contact(&self, now: Instant) -> Duration;
+    /// Time since the host of another seat answered this leader; `None` while this host does not
+    /// lead, or for its own seat.
+    fn absent(&self, seat: &str, now: Instant) -> Option<Duration>;
+    /// Takes over the address of the host of another seat.
+    fn moved(&self, seat: &str, address: SocketAddr);
     /// Why this host stopped taking part, after a disk error.
     fn failure(&self) -> Option<String>;
     /// Waits for the next change of the applied state or of the leader.
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use base::{GroupName, MemberName, RegionName, StoreId, Term, Version, ZoneName, document};
+use base::{GroupName, HostName, MemberName, RegionName, StoreId, Term, Version, ZoneName, document};
 use serde::{Deserialize, Serialize};
 
 /// Change ids whose answers are kept, so that a resent change gets its first answer.
@@ -150,6 +150,23 @@
     pub confirmations: BTreeMap<GroupName, u32>,
 }
 
+/// A configuration whose version its operator chose.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Superseding {
+    /// Version.
+    pub version: Version,
+    /// Document text.
+    pub document: String,
+    /// Text as the operator sent it, which is read back.
+    pub origin: String,
+    /// Operator.
+    pub author: String,
+    /// Seconds since the epoch on the host that took the change.
+    pub time: u64,
+    /// Confirmations of each group in the document.
+    pub confirmations: BTreeMap<GroupName, u32>,
+}
+
 /// A command of the log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "command", rename_all = "lowercase")]
@@ -172,6 +189,15 @@
     },
     /// Order to remove a database from a group, or to allow it again.
     Membership(Membership),
+    /// Configuration from an operator that numbers its versions; the highest one is in force.
+    Supersede(Superseding),
+    /// Gives a seat among the control hosts to the host at an address.
+    Seat {
+        /// Seat.
+        name: HostName,
+        /// RPC address of the host, `ip:port`.
+        address: String,
+    },
 }
 
 impl Command {
@@ -240,6 +266,9 @@
     pub reason: String,
     /// Seconds since the epoch.
     pub time: u64,
+    /// Text as an operator with an own format sent it; else empty.
+    #[serde(default)]
+    pub origin: String,
 }
 
 /// One accepted change of the configuration.
@@ -276,6 +305,12 @@
     pub fenced: Version,
     /// Log index applied last.
     pub applied: u64,
+    /// RPC addresses of the control hosts by seat, as far as they were changed.
+    #[serde(default)]
+    pub seats: BTreeMap<HostName, String>,
+    /// Log index of the last change of a seat.
+    #[serde(default)]
+    pub seated: Version,
 }
 
 impl State {
@@ -287,6 +322,8 @@
             Command::Record { base, record } => self.record(index, base, record),
             Command::Plan { group, planned } => self.plan(index, &group, planned),
             Command::Membership(order) => self.membership(index, order),
+            Command::Supersede(change) => self.supersede(change),
+            Command::Seat { name, address } => self.seat(index, name, address),
         }
     }
 
@@ -312,6 +349,67 @@
         }
     }
 
+    /// Puts a configuration in force when its version is the highest so far. Another one is accepted
+    /// too and changes nothing: its operator may have lost the answer, or another was faster.
+    fn supersede(&mut self, change: Superseding) -> Answer {
+        if change.version > self.config.version {
+            let digest = document::digest(&change.origin);
+            self.lower(change.confirmations);
+            self.remember(Event {
+                version: change.version,
+                change: String::new(),
+                author: change.author.clone(),
+                reason: String::new(),
+                time: change.time,
+                digest: digest.clone(),
+            });
+            self.config = Config {
+                version: change.version,
+                digest,
+                document: change.document,
+                author: change.author,
+                reason: String::new(),
+                time: change.time,
+                origin: change.origin,
+            };
+        }
+        Answer::Done {
+            version: self.config.version,
+            digest: self.config.digest.clone(),
+        }
+    }
+
+    /// A change of a seat ends older leases as the end of a term does: the former host of the seat
+    /// may go on granting, and must not make up a majority any more.
+    fn seat(&mut self, index: u64, name: HostName, address: String) -> Answer {
+        if self.seats.get(&name) != Some(&address) {
+            self.seats.insert(name, address);
+            self.seated = index;
+            self.version = index;
+            self.fenced = index;
+        }
+        Answer::Done {
+            version: self.seated,
+            digest: String::new(),
+        }
+    }
+
+    /// Notes that writes of these groups may be acknowledged with fewer confirmations.
+    fn lower(&mut self, confirmations: BTreeMap<GroupName, u32>) {
+        for (group, confirmations) in confirmations {
+            if let Some(record) = self.records.get_mut(&group) {
+                record.confirmations = record.confirmations.min(confirmations);
+            }
+        }
+    }
+
+    fn remember(&mut self, event: Event) {
+        self.history.push_back(event);
+        if self.history.len() > KEPT_HISTORY {
+            self.history.pop_front();
+        }
+    }
+
     fn configure(&mut self, change: Change) -> Answer {
         if let Some(answer) = self.answered(&change.change) {
             return answer;
@@ -325,12 +423,8 @@
         }
         let version = self.config.version + 1;
         let digest = document::digest(&change.document);
-        for (group, confirmations) in change.confirmations {
-            if let Some(record) = self.records.get_mut(&group) {
-                record.confirmations = record.confirmations.min(confirmations);
-            }
-        }
-        self.history.push_back(Event {
+        self.lower(change.confirmations);
+        self.remember(Event {
             version,
             change: change.change.clone(),
             author: change.author.clone(),
@@ -338,11 +432,9 @@
             time: change.time,
             digest: digest.clone(),
         });
-        if self.history.len() > KEPT_HISTORY {
-            self.history.pop_front();
-        }
         self.config = Config {
             version,
+            origin: String::new(),
             digest: digest.clone(),
             document: change.document,
             author: change.author,
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,6 +1,7 @@
 //! The replicated log of the control hosts as the daemon uses it.
 
 use std::{
+    net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -91,6 +92,14 @@
         Node::contact(self, now).unwrap_or(NEVER)
     }
 
+    fn absent(&self, seat: &str, now: Instant) -> Option<Duration> {
+        Node::absent(self, seat, now)
+    }
+
+    fn moved(&self, seat: &str, address: SocketAddr) {
+        Node::moved(self, seat, address);
+    }
+
     fn failure(&self) -> Option<String> {
         Node::failure(self)
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -5,7 +5,7 @@
     fmt,
     net::{IpAddr, SocketAddr},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use base::{HostName, Map, Position, Version};
@@ -14,7 +14,11 @@
 
 use route::Status;
 
-use crate::upstream::{self, Order};
+use crate::{
+    directory::Heard,
+    gate::{fill_announcement, fill_target, length},
+    upstream::{self, Order, Target},
+};
 
 /// Longest time for connecting to a peer.
 const CONNECT: Duration = Duration::from_millis(500);
@@ -32,7 +36,9 @@
 /// Connections to the other control hosts, made when needed.
 pub struct Peers {
     host: IpAddr,
-    addresses: Vec<(HostName, SocketAddr)>,
+    me: HostName,
+    /// Addresses of the other control hosts.
+    addresses: RefCell<Vec<(HostName, SocketAddr)>>,
     links: RefCell<Map<HostName, Rc<Link>>>,
 }
 
@@ -51,14 +57,36 @@
         let addresses = all.iter().filter(|(name, _)| name != me).cloned().collect();
         Self {
             host,
-            addresses,
+            me: me.to_owned(),
+            addresses: RefCell::new(addresses),
             links: RefCell::default(),
         }
     }
 
     /// The other control hosts.
-    pub fn names(&self) -> impl Iterator<Item = &HostName> {
-        self.addresses.iter().map(|(name, _)| name)
+    #[must_use]
+    pub fn names(&self) -> Vec<HostName> {
+        let addresses = self.addresses.borrow();
+        addresses.iter().map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Address of another control host.
+    #[must_use]
+    pub fn address(&self, name: &str) -> Option<SocketAddr> {
+        let addresses = self.addresses.borrow();
+        let found = addresses.iter().find(|(known, _)| known == name);
+        found.map(|(_, address)| *address)
+    }
+
+    /// Takes over the address of a host that moved.
+    pub fn moved(&self, name: &str, address: SocketAddr) {
+        if name == self.me || self.address(name) == Some(address) {
+            return;
+        }
+        let mut addresses = self.addresses.borrow_mut();
+        addresses.retain(|(known, _)| known != name);
+        addresses.push((name.to_owned(), address));
+        self.links.borrow_mut().remove(name);
     }
 
     async fn link(&self, name: &str) -> Result<Rc<Link>, String> {
@@ -66,11 +94,8 @@
             return Ok(Rc::clone(link));
         }
         let address = self
-            .addresses
-            .iter()
-            .find(|(n, _)| n == name)
-            .map(|(_, address)| *address);
-        let address = address.ok_or_else(|| format!("{name} is no peer"))?;
+            .address(name)
+            .ok_or_else(|| format!("{name} is no peer"))?;
         let stream = base::net::connect(self.host, address, CONNECT)
             .await
             .map_err(|cause| format!("{name} at {address}: {cause}"))?;
@@ -132,10 +157,10 @@
     ///
     /// # Errors
     /// The host or the database can't be reached.
-    pub async fn probe(&self, name: &str, address: &str) -> Result<Status, String> {
+    pub async fn probe(&self, name: &str, target: &Target) -> Result<Status, String> {
         self.call(name, RELAYED, async |client| {
             let mut request = client.probe_request();
-            request.get().set_address(address);
+            fill_target(target, request.get().init_target());
             let response = request.send().promise.await?;
             let answer = response.get()?;
             if !answer.get_reached() {
@@ -152,18 +177,35 @@
             }))
         })
         .await?
-        .ok_or_else(|| format!("{name} can't reach {address} either"))
+        .ok_or_else(|| format!("{name} can't reach {} either", target.address))
+    }
+
+    /// Passes on announcements that this host heard itself.
+    ///
+    /// # Errors
+    /// The host can't be reached.
+    pub async fn announce(&self, name: &str, heard: &[Heard], now: Instant) -> Result<(), String> {
+        self.call(name, CALL, async |client| {
+            let mut request = client.announce_request();
+            let mut list = request.get().init_announcements(length(heard));
+            for (i, heard) in (0..).zip(heard) {
+                fill_announcement(now, heard, list.reborrow().get(i));
+            }
+            request.send().promise.await?;
+            Ok(())
+        })
+        .await
     }
 
-    /// Sends a statement to a database through a host.
+    /// Sends an order to a database through a host.
     ///
     /// # Errors
     /// The host or the database can't be reached, or the database refuses.
-    pub async fn order(&self, name: &str, address: &str, order: &Order) -> Result<(), String> {
+    pub async fn order(&self, name: &str, target: &Target, order: &Order) -> Result<(), String> {
         self.call(name, RELAYED, async |client| {
             let mut request = client.order_request();
-            request.get().set_address(address);
-            request.get().set_statement(order.to_string());
+            fill_target(target, request.get().init_target());
+            request.get().set_order(order.to_string());
             let response = request.send().promise.await?;
             let answer = response.get()?;
             Ok(if answer.get_done() {
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -26,7 +26,7 @@
     log::{Log, LogError},
     machine::{Command, GroupState, Member, Planned, Record},
     sweep, upstream,
-    upstream::Order,
+    upstream::{Fence, Order, Target},
 };
 
 /// Pause between attempts of a step that waits for others.
@@ -99,6 +99,9 @@
     let Some(service) = document.of_group(group) else {
         return Ok(Step::Idle);
     };
+    if service.databases == 0 {
+        return adopt(host, group, service.confirmations).await;
+    }
     let databases = usize::try_from(service.databases).unwrap_or(usize::MAX);
     let announced: Vec<Announcement> = {
         let directory = host.directory.borrow();
@@ -109,9 +112,7 @@
         return Ok(Step::Idle);
     }
     let members: Vec<_> = announced.iter().map(member).collect();
-    let addresses = members.iter().map(|member| member.address.clone());
-    let statuses = join_all(addresses.map(|address| probe(host, address, DIRECT))).await;
-    let statuses: Vec<Status> = statuses.into_iter().flatten().collect();
+    let statuses = statuses(host, group, &members).await;
     let complete = members.iter().all(|m| {
         statuses
             .iter()
@@ -152,6 +153,60 @@
     Ok(Step::Again)
 }
 
+/// Statuses of the members that answer.
+async fn statuses<L: Log>(host: &Host<L>, group: &str, members: &[Member]) -> Vec<Status> {
+    let targets = members.iter().map(|member| host.target(group, member));
+    let statuses = join_all(targets.map(|target| probe(host, target, DIRECT))).await;
+    statuses.into_iter().flatten().collect()
+}
+
+/// First record of a group whose databases have a primary already: it stays in its term.
+///
+/// The number of databases is not configured, so that the record starts with those that are
+/// announced, and later ones are added once they hold what the primary holds.
+async fn adopt<L: Log>(
+    host: &Rc<Host<L>>,
+    group: &str,
+    confirmations: u32,
+) -> Result<Step, LogError> {
+    let announced: Vec<Member> = {
+        let directory = host.directory.borrow();
+        let present = directory.present(Instant::now(), group);
+        present.into_iter().map(member).collect()
+    };
+    let needed = usize::try_from(confirmations).unwrap_or(usize::MAX);
+    if announced.len() < needed.max(1) {
+        return Ok(Step::Idle);
+    }
+    let statuses = statuses(host, group, &announced).await;
+    let lead = statuses.iter().filter(|status| status.primary);
+    let Some(primary) = lead.max_by_key(|status| status.position.term) else {
+        return Ok(Step::Idle);
+    };
+    let answered = |member: &Member| statuses.iter().any(|s| s.member == member.member);
+    let members: Vec<_> = announced.into_iter().filter(answered).collect();
+    if members.len() < needed {
+        return Ok(Step::Idle);
+    }
+    let record = Record {
+        group: group.to_owned(),
+        term: primary.position.term,
+        state: GroupState::Stable,
+        next: 0,
+        primary: primary.member.clone(),
+        members,
+        confirmations,
+        planned: None,
+        removed: BTreeSet::new(),
+        uncovered: 0,
+        version: 0,
+    };
+    slog::info!(host.logger, "first record of a group"; "group" => group,
+        "primary" => &record.primary, "term" => record.term, "members" => record.members.len());
+    host.put(0, record).await?;
+    Ok(Step::Again)
+}
+
 /// Recorded form of an announced database.
 pub(crate) fn member(announcement: &Announcement) -> Member {
     Member {
@@ -395,7 +450,8 @@
 /// Every host is asked on its own, so that one that can't be reached does not hold up the answers
 /// of the others. An answer stays true: a host grants nothing older from its answer on.
 pub(crate) async fn released<L: Log>(host: &Host<L>, record: &Record) {
-    let others = host.peers.names().map(|name| {
+    let names = host.peers.names();
+    let others = names.iter().map(|name| {
         let asking = async move {
             loop {
                 match host.peers.grants(name, record.version).await {
@@ -430,7 +486,10 @@
     let mut answers: FuturesUnordered<_> = record
         .members
         .iter()
-        .map(|member| probe(host, host.address(member), patience(host, member)))
+        .map(|member| {
+            let target = host.target(&record.group, member);
+            probe(host, target, patience(host, member))
+        })
         .collect();
     let mut statuses = Vec::new();
     let all = async {
@@ -462,19 +521,19 @@
 /// longer than `patience`. The first answer counts.
 pub(crate) async fn probe<L: Log>(
     host: &Host<L>,
-    address: String,
+    target: Target,
     patience: Duration,
 ) -> Option<Status> {
-    let mut direct = Box::pin(upstream::status(host.identity.host, &address));
+    let mut direct = host.databases.status(&target);
     let failed = match timeout(patience, &mut direct).await {
         Ok(Ok(status)) => return Some(status),
         Ok(Err(_cause)) => true,
         Err(_elapsed) => false,
     };
-    let relayed = host
-        .peers
-        .names()
-        .map(|name| host.peers.probe(name, &address).boxed_local());
+    let names = host.peers.names();
+    let relayed = names
+        .iter()
+        .map(|name| host.peers.probe(name, &target).boxed_local());
     let mut attempts: FuturesUnordered<_> = relayed.collect();
     if !failed {
         attempts.push(direct);
@@ -493,20 +552,24 @@
 /// Sending it several times is harmless: an order names its term, and repeating it changes nothing.
 pub(crate) async fn order<L: Log>(
     host: &Host<L>,
-    address: &str,
+    target: &Target,
     order: &Order,
     patience: Duration,
 ) -> Result<(), String> {
-    let mut direct = Box::pin(upstream::order(host.identity.host, address, order));
+    let mut direct = host.databases.order(target, order);
+    if host.databases.follows() && matches!(order, Order::Promote { .. }) {
+        // The authority that carries it out is asked once, by the host that leads.
+        return direct.await;
+    }
     let mut cause = match timeout(patience, &mut direct).await {
         Ok(Err(cause)) if !is_final(&cause) => Some(cause),
         Ok(outcome) => return outcome,
         Err(_elapsed) => None,
     };
-    let relayed = host
-        .peers
-        .names()
-        .map(|name| host.peers.order(name, address, order).boxed_local());
+    let names = host.peers.names();
+    let relayed = names
+        .iter()
+        .map(|name| host.peers.order(name, target, order).boxed_local());
     let mut attempts: FuturesUnordered<_> = relayed.collect();
     if cause.is_none() {
         attempts.push(direct);
@@ -530,27 +593,37 @@
     let Some(primary) = record.member(&record.primary) else {
         return;
     };
-    let address = host.address(primary);
-    let follow = Order {
-        statement: format!("FOLLOW '{address}' TERM {}", record.next),
-        store: None,
+    let follow = Order::Follow {
+        primary: host.address(primary),
+        term: record.next,
     };
     let others = record
         .members
         .iter()
         .filter(|member| member.member != record.primary);
     let orders = others.map(|member| {
-        let (host, follow) = (&host, &follow);
+        let (host, follow, record) = (&host, &follow, &record);
         async move {
             // The sweep repeats an order that fails.
-            let address = host.address(member);
-            let ordering = order(host, &address, follow, patience(host, member));
+            let target = host.target(&record.group, member);
+            let ordering = order(host, &target, follow, patience(host, member));
             let _outcome = timeout(ORDER, ordering).await;
         }
     });
     join_all(orders).await;
 }
 
+/// Term that the promoted member leads. Where databases number their terms themselves, it is read
+/// from the member.
+async fn led_term<L: Log>(host: &Host<L>, record: &Record, target: &Member) -> Option<Term> {
+    if !host.databases.follows() {
+        return Some(record.next);
+    }
+    let address = host.target(&record.group, target);
+    let status = probe(host, address, patience(host, target)).await?;
+    status.primary.then_some(status.position.term)
+}
+
 /// Steps 5 and 6: orders the promotion that the record names, and commits the new term.
 async fn promote<L: Log>(
     host: &Rc<Host<L>>,
@@ -561,20 +634,17 @@
     let Some(target) = record.member(&record.primary) else {
         return fence(host, record, record.next + 1, timing).await;
     };
-    let promotion = Order {
-        statement: format!("PROMOTE TERM {}", record.next),
-        store: Some(target.store.clone()),
+    let promotion = Order::Promote {
+        term: record.next,
+        fence: Fence {
+            holder: host.identity.name.clone(),
+            token: host.log.term(),
+        },
     };
     let ordered = timeout(ORDER, async {
         loop {
-            match order(
-                host,
-                &host.address(target),
-                &promotion,
-                patience(host, target),
-            )
-            .await
-            {
+            let address = host.target(&record.group, target);
+            match order(host, &address, &promotion, patience(host, target)).await {
                 Ok(()) => return Ok(()),
                 Err(cause) if is_final(&cause) => return Err(cause),
                 Err(_cause) => sleep(RETRY_UPSTREAM).await,
@@ -596,6 +666,13 @@
         };
         return fence(host, &record, record.next + 1, timing).await;
     }
+    let Some(term) = led_term(host, record, target).await else {
+        return fence(host, record, record.next + 1, timing).await;
+    };
+    let record = &Record {
+        next: term,
+        ..record.clone()
+    };
     timing.order = Some(millis(start.elapsed()));
     fail::fail_point!("promotion-ordered");
     // No write can be confirmed before another member follows. The sweep would order that only
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -21,6 +21,7 @@
     log::Log,
     machine::State,
     settings::{Operator, Settings},
+    upstream::Postgres,
 };
 
 /// A host that heard nothing from a leader with a majority for this long is not ready.
@@ -95,7 +96,10 @@
         host: settings.host,
         peers,
     };
-    let host = Host::new(start, identity, node, state, logger.clone());
+    let databases = Rc::new(Postgres {
+        host: settings.host,
+    });
+    let host = Host::new(start, identity, node, databases, state, logger.clone());
     let tasks = [
         spawn(gate::serve(Rc::clone(&host), rpc)),
         spawn(lead::follow(Rc::clone(&host))),
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -70,6 +70,7 @@
             connections: heard.connections,
             slots: heard.slots,
             leaving: heard.leaving,
+            ..Announcement::default()
         };
         (announcement, age)
     });
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -8,14 +8,14 @@
 
 use crate::{
     cover,
-    directory::Announcement,
+    directory::{self, Announcement},
     host::Host,
     judge,
     log::{Log, LogError},
     machine::{Member, Record},
     promotion::{DIRECT, member, order, probe, released},
     sighting::Health,
-    upstream::{self, Order},
+    upstream::{self, Target},
 };
 
 /// One sweep in so many asks every member, because a sighting does not tell whom a replica follows.
@@ -53,19 +53,19 @@
         .members
         .iter()
         .filter(|member| full || !in_order(host, record, member))
-        .map(|member| host.address(member))
-        .chain(newcomers.iter().map(|newcomer| newcomer.address.clone()))
+        .map(|member| host.target(&record.group, member))
+        .chain(newcomers.iter().map(target))
         .collect();
     let statuses = join_all(
         suspects
             .iter()
-            .map(|address| probe(host, address.clone(), DIRECT)),
+            .map(|target| probe(host, target.clone(), DIRECT)),
     )
     .await;
     let statuses: Vec<_> = suspects
         .into_iter()
         .zip(statuses)
-        .filter_map(|(address, status)| Some((address, status?)))
+        .filter_map(|(target, status)| Some((target, status?)))
         .collect();
     if let Some(cause) = statuses
         .iter()
@@ -77,15 +77,11 @@
         .iter()
         .find(|(_, s)| s.member == record.primary)
         .map(|(_, s)| s);
-    for (address, status) in &statuses {
-        let Some(statement) = judge::correction(record, status) else {
+    for (target, status) in &statuses {
+        let Some(follow) = judge::correction(record, status, host.databases.follows()) else {
             continue;
         };
-        let follow = Order {
-            statement,
-            store: None,
-        };
-        match order(host, address, &follow, upstream::DEADLINE).await {
+        match order(host, target, &follow, upstream::DEADLINE).await {
             Ok(()) => slog::info!(host.logger, "member ordered to follow";
                 "group" => &record.group, "member" => &status.member, "term" => record.term),
             Err(cause) => slog::warn!(host.logger, "member can't be ordered to follow";
@@ -102,7 +98,9 @@
         }
         (changed, _) => changed,
     };
-    let changed = changed.or_else(|| moved.clone());
+    let changed = changed
+        .or_else(|| departed(host, record))
+        .or_else(|| moved.clone());
     if let Some(changed) = changed {
         slog::info!(host.logger, "members of a group changed"; "group" => &record.group,
             "members" => ?changed.members);
@@ -139,10 +137,12 @@
 fn newcomers<L: Log>(host: &Host<L>, record: &Record) -> Vec<Announcement> {
     let document = host.document();
     let service = document.of_group(&record.group);
-    let databases = service.map_or(0, |service| service.databases);
-    let missing = usize::try_from(databases)
-        .unwrap_or(0)
-        .saturating_sub(record.members.len());
+    let missing = match service.map(|service| usize::try_from(service.databases)) {
+        // Databases come and go without an order.
+        Some(Ok(0)) => usize::MAX,
+        Some(Ok(databases)) => databases.saturating_sub(record.members.len()),
+        Some(Err(_)) | None => 0,
+    };
     let directory = host.directory.borrow();
     let present = directory.present(Instant::now(), &record.group);
     let (known, new): (Vec<_>, Vec<_>) = present
@@ -190,6 +190,41 @@
     (changed.members != record.members).then_some(changed)
 }
 
+/// Address of a newcomer.
+fn target(newcomer: &Announcement) -> Target {
+    Target {
+        address: newcomer.address.clone(),
+        group: newcomer.group.clone(),
+        member: newcomer.member.clone(),
+        store: newcomer.store.clone(),
+    }
+}
+
+/// Record without a member that announced its end and is not heard from any more, where databases
+/// come and go without an order. It may have confirmed writes that another member lacks.
+fn departed<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
+    let document = host.document();
+    let service = document.of_group(&record.group)?;
+    let needed = usize::try_from(service.confirmations.max(record.confirmations)).ok()?;
+    if service.databases > 0 || record.members.len() <= needed {
+        return None;
+    }
+    let directory = host.directory.borrow();
+    let now = Instant::now();
+    let gone = record.members.iter().find(|member| {
+        let heard = directory.member(&member.member);
+        member.member != record.primary
+            && heard.is_some_and(|heard| {
+                let left = heard.announcement.leaving && heard.announcement.store == member.store;
+                left && now.saturating_duration_since(heard.at) >= directory::LOST
+            })
+    })?;
+    let mut changed = record.clone();
+    changed.members.retain(|known| known != gone);
+    changed.uncovered += 1;
+    Some(changed)
+}
+
 /// Record with the announced addresses of members that moved with their store.
 fn moved<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
     let mut changed = record.clone();
--- a/crates/entry/src/cancel.rs
+++ b/crates/entry/src/cancel.rs
@@ -15,7 +15,7 @@
 use proto::schema::{canceller, control};
 use slog::debug;
 
-use crate::{network::Network, registry::Registry};
+use crate::{dialect::Dialect, network::Network, registry::Registry};
 
 /// Limit on one call. A driver waits for the connection of its cancel request to close.
 const CALL: Duration = Duration::from_secs(1);
@@ -60,9 +60,9 @@
 
 impl Passing {
     /// Uses a control host for passing on, and offers to receive from it.
-    pub(crate) async fn link<'a>(
+    pub(crate) async fn link<'a, D: Dialect>(
         &'a self,
-        network: &Network,
+        network: &Network<D>,
         address: SocketAddr,
         control: &control::Client,
     ) -> Result<Linked<'a>, String> {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -17,6 +17,7 @@
 use slog::{info, warn};
 
 use crate::{
+    dialect::Dialect,
     group::{MemberRecord, Phase, Record},
     network::{ControlHost, Network},
     report,
@@ -40,7 +41,7 @@
 type Control = schema::control::Client;
 
 /// Keeps a link to the control host at `address` for as long as the process runs.
-pub async fn run(network: Rc<Network>, address: SocketAddr) {
+pub async fn run<D: Dialect>(network: Rc<Network<D>>, address: SocketAddr) {
     network.hosts.borrow_mut().insert(
         address,
         ControlHost {
@@ -57,7 +58,11 @@
             Ok(never) => match never {},
             Err(cause) => cause,
         };
-        let heard = network.hosts.borrow()[&address].heard;
+        let heard = network
+            .hosts
+            .borrow()
+            .get(&address)
+            .and_then(|host| host.heard);
         let linked = heard.is_some_and(|at| at.elapsed() < WATCH_DEADLINE);
         if was_linked || linked {
             warn!(network.log, "control host can't be reached";
@@ -69,8 +74,8 @@
     }
 }
 
-async fn link(
-    network: &Rc<Network>,
+async fn link<D: Dialect>(
+    network: &Rc<Network<D>>,
     address: SocketAddr,
 ) -> Result<std::convert::Infallible, String> {
     let stream = base::net::connect(network.settings.host, address, DEADLINE)
@@ -109,8 +114,8 @@
 }
 
 /// Renews until a call fails.
-async fn renew_loop(
-    network: &Rc<Network>,
+async fn renew_loop<D: Dialect>(
+    network: &Rc<Network<D>>,
     address: SocketAddr,
     control: &Control,
     traffic: &Traffic,
@@ -148,19 +153,19 @@
 }
 
 /// Whether a change of primary goes on or the control hosts should learn of something soon.
-fn is_urgent(network: &Network, sender: &Sender) -> bool {
+fn is_urgent<D: Dialect>(network: &Network<D>, sender: &Sender) -> bool {
     let now = Instant::now();
     // Announcements don't decide, so that none is collected.
     network.is_changing() || sender.is_urgent(&report::picture(network, Some(now), now))
 }
 
-fn count(network: &Network, method: &str, done: bool) {
+fn count<D: Dialect>(network: &Network<D>, method: &str, done: bool) {
     let result = if done { "ok" } else { "failed" };
     let calls = &network.metrics.control_calls;
     calls.with_label_values(&[method, result]).inc();
 }
 
-fn count_bytes(network: &Network, traffic: &Traffic) {
+fn count_bytes<D: Dialect>(network: &Network<D>, traffic: &Traffic) {
     let (sent, received) = traffic.take();
     for (direction, bytes) in [("sent", sent), ("received", received)] {
         let counter = &network.metrics.control_bytes;
@@ -175,8 +180,8 @@
     Resync,
 }
 
-async fn renew(
-    network: &Rc<Network>,
+async fn renew<D: Dialect>(
+    network: &Rc<Network<D>>,
     address: SocketAddr,
     control: &Control,
     told: &Picture,
@@ -212,6 +217,7 @@
         known.heard = Some(now);
         known.leader = reply.get_leader();
     });
+    network.note_entries(reply.get_entries());
     if reply.get_granted() {
         // The lease counts hosts by address, so that a wrong name can't make one host two.
         network.granted(&address.to_string(), requested, version);
@@ -236,14 +242,18 @@
     Ok(Answered::Used)
 }
 
-fn note_host(network: &Network, address: SocketAddr, change: impl FnOnce(&mut ControlHost)) {
+fn note_host<D: Dialect>(
+    network: &Network<D>,
+    address: SocketAddr,
+    change: impl FnOnce(&mut ControlHost),
+) {
     if let Some(known) = network.hosts.borrow_mut().get_mut(&address) {
         change(known);
     }
 }
 
 /// Watches until a call fails.
-async fn watch_loop(network: &Rc<Network>, address: SocketAddr, control: &Control) -> String {
+async fn watch_loop<D: Dialect>(network: &Rc<Network<D>>, address: SocketAddr, control: &Control) -> String {
     loop {
         let result = limited(WATCH_DEADLINE, watch(network, address, control)).await;
         count(network, "watch", result.is_ok());
@@ -253,12 +263,14 @@
     }
 }
 
-async fn watch(
-    network: &Rc<Network>,
+async fn watch<D: Dialect>(
+    network: &Rc<Network<D>>,
     address: SocketAddr,
     control: &Control,
 ) -> Result<(), capnp::Error> {
-    let (run, directory) = network.hosts.borrow()[&address].directory;
+    // A host that was replaced is forgotten a moment before its link ends.
+    let known = network.hosts.borrow().get(&address).cloned();
+    let (run, directory) = known.map_or((0, 0), |host| host.directory);
     let mut call = control.watch_request();
     let mut request = call.get().init_request();
     request.set_record_version(network.record_version());
@@ -285,6 +297,18 @@
             network.told(&address.to_string(), heard, age, now);
         }
     }
+    // A lease for these records counts the control hosts that they go with.
+    let seats = reply.get_seats()?;
+    if !seats.is_empty() {
+        let addresses = seats.iter().map(|seat| {
+            let address = seat.get_address()?.to_str()?;
+            address.parse().map_err(|_unparsable| {
+                capnp::Error::failed(format!("watch: seat address {address} is no ip:port"))
+            })
+        });
+        let addresses = addresses.collect::<Result<Vec<SocketAddr>, capnp::Error>>()?;
+        network.seat(&addresses);
+    }
     let records = reply
         .get_records()?
         .iter()
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -8,9 +8,10 @@
 };
 
 use base::{
-    GroupName, Map, MemberName, ServiceName, Set, Version,
-    document::{Document, Service},
+    GroupName, Map, MemberName, RouteName, ServiceName, Set, StoreId, Version,
+    document::{Document, Route, Service},
 };
+use compio::runtime::JoinHandle;
 use event_listener::Event;
 use route::{Announcement, Directory, Health, Place, WriteLease};
 use serde_json::{Value, json};
@@ -18,10 +19,12 @@
 
 use crate::{
     cancel::Passing,
+    dialect::{Dialect, Upstream},
     group::{Group, Phase, Record},
     member::Member,
     metrics::Metrics,
     pool::{Limits, Pool},
+    postgres::Postgres,
     registry::Registry,
     settings::Settings,
 };
@@ -61,11 +64,21 @@
     entries: u32,
     services: Map<ServiceName, Rc<Service>>,
     groups: Map<GroupName, Rc<Service>>,
+    routes: Map<RouteName, Rc<Route>>,
+}
+
+/// A member that a group should have.
+struct Expected {
+    name: MemberName,
+    store: StoreId,
+    address: SocketAddr,
+    place: Place,
 }
 
 /// State of an entry process.
 #[derive(Debug)]
-pub struct Network {
+pub struct Network<D: Dialect = Postgres> {
+    dialect: Rc<D>,
     /// Settings of the process.
     pub settings: Settings,
     /// Random id of this run of the process.
@@ -87,19 +100,36 @@
     records: Cell<Version>,
     unused: RefCell<Map<GroupName, Record>>,
     groups: RefCell<Map<GroupName, Rc<Group>>>,
-    members: RefCell<Map<MemberName, Rc<Member>>>,
+    members: RefCell<Map<MemberName, Rc<Member<D>>>>,
+    /// Links to control hosts; dropping one ends it.
+    links: RefCell<Map<SocketAddr, JoinHandle<()>>>,
+    /// Whether all control hosts are known, so that a majority of them can be counted.
+    seated: Cell<bool>,
+    /// Entry processes that run, as a control host counts them.
+    entries: Cell<u32>,
     stopped: Cell<bool>,
     stop: Event,
     asked: Event,
 }
 
 impl Network {
-    /// Makes the state of a process that knows nothing yet.
+    /// Makes the state of a process that knows nothing yet, in front of databases that speak the
+    /// PostgreSQL protocol.
     #[must_use]
     pub fn new(settings: Settings, log: Logger) -> Rc<Self> {
+        Self::with(Postgres, settings, log)
+    }
+}
+
+impl<D: Dialect> Network<D> {
+    /// Makes the state of a process that knows nothing yet.
+    #[must_use]
+    pub fn with(dialect: D, settings: Settings, log: Logger) -> Rc<Self> {
         let lease = WriteLease::new(settings.control.len());
+        let seated = !settings.discover;
         let (run, metrics) = (rand::random(), Metrics::new());
         Rc::new(Self {
+            dialect: Rc::new(dialect),
             settings,
             run,
             registry: Rc::new(Registry::new(run, metrics.callers.clone())),
@@ -116,6 +146,9 @@
             unused: RefCell::default(),
             groups: RefCell::default(),
             members: RefCell::default(),
+            links: RefCell::default(),
+            seated: Cell::new(seated),
+            entries: Cell::default(),
             stopped: Cell::default(),
             stop: Event::new(),
             asked: Event::new(),
@@ -125,11 +158,69 @@
     /// Starts the links to the control hosts and the periodic work.
     pub fn start(self: &Rc<Self>) {
         for &address in &self.settings.control {
-            compio::runtime::spawn(crate::link::run(Rc::clone(self), address)).detach();
+            self.link(address);
         }
         compio::runtime::spawn(tick(Rc::clone(self))).detach();
     }
 
+    fn link(self: &Rc<Self>, address: SocketAddr) {
+        let mut links = self.links.borrow_mut();
+        links.entry(address).or_insert_with(|| {
+            compio::runtime::spawn(crate::link::run(Rc::clone(self), address))
+        });
+    }
+
+    /// Tries further addresses where control hosts may be, until all of them are known.
+    pub fn seek(self: &Rc<Self>, addresses: &[SocketAddr]) {
+        if !self.seated.get() {
+            for &address in addresses {
+                self.link(address);
+            }
+        }
+    }
+
+    /// Takes over the addresses of all control hosts. Grants of a former host count no longer.
+    pub(crate) fn seat(self: &Rc<Self>, addresses: &[SocketAddr]) {
+        for &address in addresses {
+            self.link(address);
+        }
+        let gone: Vec<_> = self
+            .links
+            .borrow_mut()
+            .extract_if(|address, _| !addresses.contains(address))
+            .collect();
+        let mut lease = self.lease.borrow_mut();
+        lease.set_hosts(addresses.len());
+        for (address, task) in gone {
+            info!(self.log, "control host was replaced"; "address" => %address);
+            lease.revoke(&address.to_string());
+            self.hosts.borrow_mut().remove(&address);
+            let host = address.to_string();
+            let mut directory = self.directory.borrow_mut();
+            directory.set_reachable(&host, false, Instant::now());
+            drop(directory);
+            // The task may be the one that runs this.
+            compio::runtime::spawn(async move { drop(task) }).detach();
+        }
+        drop(lease);
+        self.seated.set(true);
+    }
+
+    /// Whether a majority of the control hosts can be counted.
+    pub(crate) const fn is_seated(&self) -> bool {
+        self.seated.get()
+    }
+
+    /// Notes how many entry processes run.
+    pub(crate) fn note_entries(&self, count: u32) {
+        self.entries.set(count);
+    }
+
+    /// Most entry processes that share the connections of a database.
+    fn sharers(&self) -> u32 {
+        self.config.borrow().entries.max(self.entries.get())
+    }
+
     /// Asks for a graceful stop, on behalf of an operator.
     pub fn ask_to_stop(&self) {
         self.asked.notify(usize::MAX);
@@ -185,6 +276,12 @@
         self.config.borrow().services.get(name).cloned()
     }
 
+    /// Finds a route of the configuration in force.
+    #[must_use]
+    pub fn find_route(&self, name: &str) -> Option<Rc<Route>> {
+        self.config.borrow().routes.get(name).cloned()
+    }
+
     /// Puts a newer configuration in force; an older or equal one changes nothing.
     pub fn apply_config(&self, version: Version, text: &str) {
         if version <= self.config_version() {
@@ -210,6 +307,11 @@
                 .iter()
                 .map(|service| (service.group.clone(), Rc::clone(service)))
                 .collect(),
+            routes: document
+                .routes
+                .into_iter()
+                .map(|route| (route.name.clone(), Rc::new(route)))
+                .collect(),
         };
         info!(self.log, "configuration in force"; "version" => version);
         self.reconcile();
@@ -336,7 +438,7 @@
 
     /// Finds a member that is in use.
     #[must_use]
-    pub fn member(&self, name: &str) -> Option<Rc<Member>> {
+    pub fn member(&self, name: &str) -> Option<Rc<Member<D>>> {
         self.members.borrow().get(name).cloned()
     }
 
@@ -347,7 +449,7 @@
 
     /// Members of a group that are in use.
     #[must_use]
-    pub fn members(&self, group: &str) -> Vec<Rc<Member>> {
+    pub fn members(&self, group: &str) -> Vec<Rc<Member<D>>> {
         let members = self.members.borrow();
         members
             .values()
@@ -357,7 +459,7 @@
     }
 
     /// Members of the groups that this process observes.
-    pub(crate) fn observed(&self) -> Vec<Rc<Member>> {
+    pub(crate) fn observed(&self) -> Vec<Rc<Member<D>>> {
         let members = self.members.borrow();
         members
             .values()
@@ -378,7 +480,7 @@
         records.any(|record| wanted(record.phase))
     }
 
-    pub(crate) fn all_members(&self) -> Vec<Rc<Member>> {
+    pub(crate) fn all_members(&self) -> Vec<Rc<Member<D>>> {
         self.members.borrow().values().cloned().collect()
     }
 
@@ -403,19 +505,19 @@
                 continue;
             }
             let group = self.group(service);
-            group.configure(service.confirmations);
+            group.configure(confirmations(service));
             let limits = Limits {
                 connections: service.connections,
-                entries: self.config.borrow().entries,
+                entries: self.sharers(),
                 slots: service.slots,
                 queue: service.limits.queue,
             };
-            for (name, address, place) in self.expected(&group) {
-                self.keep(&group, &name, address, place, limits);
-                wanted.insert(name);
+            for expected in self.expected(&group) {
+                self.keep(&group, &expected, limits);
+                wanted.insert(expected.name);
             }
         }
-        let gone = |name: &MemberName, member: &Rc<Member>| {
+        let gone = |name: &MemberName, member: &Rc<Member<D>>| {
             // Writes of a removed service that wait for their confirmation still get it.
             !wanted.contains(name) && member.group.pending() == 0
         };
@@ -434,7 +536,7 @@
         if let Some(group) = self.groups.borrow().get(&service.group) {
             return Rc::clone(group);
         }
-        let group = Group::new(&service.group, service.confirmations);
+        let group = Group::new(&service.group, confirmations(service));
         if let Some(record) = self.unused.borrow_mut().remove(&service.group) {
             group.apply(record);
         }
@@ -445,12 +547,18 @@
     }
 
     /// Members that a group should have, with the latest known address of each.
-    fn expected(&self, group: &Group) -> Vec<(MemberName, SocketAddr, Place)> {
-        let mut found: Map<MemberName, (SocketAddr, Place)> = Map::default();
+    fn expected(&self, group: &Group) -> Vec<Expected> {
+        let mut found: Map<MemberName, Expected> = Map::default();
         if let Some(record) = group.current() {
             for known in &record.members {
                 if let Ok(address) = known.address.parse() {
-                    found.insert(known.member.clone(), (address, known.place.clone()));
+                    let expected = Expected {
+                        name: known.member.clone(),
+                        store: known.store.clone(),
+                        address,
+                        place: known.place.clone(),
+                    };
+                    found.insert(known.member.clone(), expected);
                 }
             }
         }
@@ -461,25 +569,28 @@
                     zone: announced.zone.clone(),
                     region: announced.region.clone(),
                 };
-                found.insert(announced.member.clone(), (announced.address, place));
+                let expected = Expected {
+                    name: announced.member.clone(),
+                    store: announced.store.clone(),
+                    address: announced.address,
+                    place,
+                };
+                found.insert(announced.member.clone(), expected);
             }
         }
-        let found = found.into_iter();
-        found
-            .map(|(name, (address, place))| (name, address, place))
-            .collect()
+        found.into_values().collect()
     }
 
-    fn keep(
-        &self,
-        group: &Rc<Group>,
-        name: &str,
-        address: SocketAddr,
-        place: Place,
-        limits: Limits,
-    ) {
+    fn keep(&self, group: &Rc<Group>, expected: &Expected, limits: Limits) {
+        let Expected {
+            name,
+            store,
+            address,
+            place,
+        } = expected;
         if let Some(known) = self.members.borrow().get(name)
-            && known.address == address
+            && known.address == *address
+            && (known.store == *store || !D::NAMES_STORE)
             && Rc::ptr_eq(&known.group, group)
         {
             known.pool.configure(limits);
@@ -487,17 +598,24 @@
         }
         let far = place.region != self.settings.region;
         let from = self.settings.host;
-        let pool = Pool::new(name, &group.name, address, from, far, limits, &self.metrics);
+        let to = Upstream {
+            group: group.name.clone(),
+            member: name.clone(),
+            store: store.clone(),
+        };
+        let dialect = Rc::clone(&self.dialect);
+        let pool = Pool::with(dialect, to, *address, from, far, limits, &self.metrics);
         let member = Member::start(
             name,
+            store,
             Rc::clone(group),
-            address,
-            place,
+            *address,
+            place.clone(),
             pool,
             &self.metrics,
             Rc::clone(&self.renew),
         );
-        let before = self.members.borrow_mut().insert(name.to_owned(), member);
+        let before = self.members.borrow_mut().insert(name.clone(), member);
         if let Some(before) = before {
             before.stop();
         }
@@ -655,7 +773,13 @@
     }
 }
 
-async fn tick(network: Rc<Network>) {
+/// Members that must answer an entry process before a write is acknowledged.
+const fn confirmations(service: &Service) -> u32 {
+    // A primary that answers for the others is enough.
+    if service.synchronous { 1 } else { service.confirmations }
+}
+
+async fn tick<D: Dialect>(network: Rc<Network<D>>) {
     let mut round = 0_u32;
     loop {
         compio::time::sleep(TICK).await;
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::{GroupName, Map, MemberName, Set, Term};
+use base::{Map, MemberName, Set, Term};
 use compio::net::TcpStream;
 use futures_channel::oneshot;
 use prometheus::{IntCounter, IntGauge};
@@ -16,16 +16,13 @@
 use rustix::net::{RecvFlags, Shutdown};
 use serde_json::{Value, json};
 
-use crate::{fleet::Lease, metrics::Metrics};
+use crate::{
+    dialect::{Client, Dialect, Upstream},
+    fleet::Lease,
+    metrics::Metrics,
+    postgres::Postgres,
+};
 
-/// User of data connections.
-const USER: &str = "goldcrestrail";
-/// Defaults of data connections.
-///
-/// A transaction on a connection that went silent holds its locks until the database ends it, and
-/// everyone else who needs these rows waits. An entry process sends something on a transaction
-/// that waits for its caller each [`KEEPALIVE`](crate::session::KEEPALIVE).
-const DEFAULTS: [(&str, &str); 1] = [("idle_in_transaction_session_timeout", "5000")];
 /// Limit on opening a connection, and on the answer to a health check.
 const OPEN: Duration = Duration::from_secs(1);
 /// An idle connection is checked when it was not used for this long.
@@ -56,8 +53,8 @@
 }
 
 #[derive(Debug)]
-struct Conn {
-    client: wire::Client,
+struct Conn<C> {
+    client: C,
     stream: TcpStream,
     prepared: Set<String>,
     used: Instant,
@@ -65,13 +62,13 @@
     counted: (u64, u64),
 }
 
-impl Conn {
+impl<C: Client> Conn<C> {
     /// Whether the peer neither closed the connection nor sent anything unasked.
     fn is_quiet(&self) -> bool {
         let mut byte = [0_u8; 1];
         let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
         let result = rustix::net::recv(&self.stream, &mut byte, flags);
-        matches!(result, Err(rustix::io::Errno::AGAIN)) && !self.client.reader.has_bytes()
+        matches!(result, Err(rustix::io::Errno::AGAIN)) && !self.client.has_bytes()
     }
 }
 
@@ -91,11 +88,11 @@
 }
 
 #[derive(Debug)]
-struct State {
-    idle: Vec<Conn>,
+struct State<D: Dialect> {
+    idle: Vec<Conn<D::Client>>,
     held: Map<u64, Held>,
     pending: u32,
-    queue: Queue<oneshot::Sender<Result<Pooled, PoolError>>>,
+    queue: Queue<oneshot::Sender<Result<Pooled<D>, PoolError>>>,
     share: Share,
     slots: u32,
     draining: bool,
@@ -107,7 +104,7 @@
     window: Instant,
 }
 
-impl State {
+impl<D: Dialect> State<D> {
     /// Whether a connection could be handed out now; drops those that the member closed.
     fn has_usable_idle(&mut self, now: Instant) -> bool {
         if !self.has_free_slot(now) {
@@ -163,12 +160,12 @@
 
 /// Connections to one member within the share of this process.
 #[derive(Debug)]
-pub struct Pool {
-    member: MemberName,
-    group: GroupName,
+pub struct Pool<D: Dialect = Postgres> {
+    dialect: Rc<D>,
+    to: Upstream,
     address: SocketAddr,
     from: IpAddr,
-    state: RefCell<State>,
+    state: RefCell<State<D>>,
     open: IntGauge,
     /// Counters of bytes sent and received, for a member of another region.
     region: Option<(IntCounter, IntCounter)>,
@@ -176,7 +173,7 @@
 }
 
 impl Pool {
-    /// Makes a pool without connections. `far` tells whether the member is in another region.
+    /// Makes a pool without connections for databases that speak the PostgreSQL protocol.
     #[must_use]
     pub fn new(
         member: &str,
@@ -187,10 +184,34 @@
         limits: Limits,
         metrics: &Metrics,
     ) -> Rc<Self> {
+        let to = Upstream {
+            group: group.to_owned(),
+            member: member.to_owned(),
+            store: String::new(),
+        };
+        Self::with(Rc::new(Postgres), to, address, from, far, limits, metrics)
+    }
+}
+
+impl<D: Dialect> Pool<D> {
+    /// Makes a pool without connections. `far` tells whether the member is in another region.
+    #[must_use]
+    pub fn with(
+        dialect: Rc<D>,
+        to: Upstream,
+        address: SocketAddr,
+        from: IpAddr,
+        far: bool,
+        limits: Limits,
+        metrics: &Metrics,
+    ) -> Rc<Self> {
+        let member = to.member.as_str();
         let bytes = |direction| metrics.region.with_label_values(&[member, direction]);
+        let open = metrics.connections.with_label_values(&[member]);
+        let region = far.then(|| (bytes("sent"), bytes("received")));
         Rc::new(Self {
-            member: member.to_owned(),
-            group: group.to_owned(),
+            dialect,
+            to,
             address,
             from,
             state: RefCell::new(State {
@@ -207,8 +228,8 @@
                 peaks: (0, 0),
                 window: Instant::now(),
             }),
-            open: metrics.connections.with_label_values(&[member]),
-            region: far.then(|| (bytes("sent"), bytes("received"))),
+            open,
+            region,
             wait: metrics.queue.clone(),
         })
     }
@@ -261,7 +282,7 @@
     ///
     /// # Errors
     /// None was handed out; nothing was sent to the member.
-    pub async fn acquire(self: &Rc<Self>, deadline: Instant) -> Result<Pooled, PoolError> {
+    pub async fn acquire(self: &Rc<Self>, deadline: Instant) -> Result<Pooled<D>, PoolError> {
         let now = Instant::now();
         if let Some(pooled) = self.take_unqueued(now) {
             self.wait.observe(0.0);
@@ -283,7 +304,7 @@
     }
 
     /// Takes an idle connection when nobody waits for one.
-    fn take_unqueued(self: &Rc<Self>, now: Instant) -> Option<Pooled> {
+    fn take_unqueued(self: &Rc<Self>, now: Instant) -> Option<Pooled<D>> {
         let mut state = self.state.borrow_mut();
         if state.draining || !state.queue.is_empty() || !state.has_usable_idle(now) {
             return None;
@@ -297,7 +318,7 @@
         &self,
         deadline: Instant,
         now: Instant,
-    ) -> Result<oneshot::Receiver<Result<Pooled, PoolError>>, PoolError> {
+    ) -> Result<oneshot::Receiver<Result<Pooled<D>, PoolError>>, PoolError> {
         let (sender, receiver) = oneshot::channel();
         let mut state = self.state.borrow_mut();
         if state.draining {
@@ -331,8 +352,8 @@
     fn next(
         self: &Rc<Self>,
         now: Instant,
-        late: &mut Vec<oneshot::Sender<Result<Pooled, PoolError>>>,
-    ) -> Option<(oneshot::Sender<Result<Pooled, PoolError>>, Pooled)> {
+        late: &mut Vec<oneshot::Sender<Result<Pooled<D>, PoolError>>>,
+    ) -> Option<(oneshot::Sender<Result<Pooled<D>, PoolError>>, Pooled<D>)> {
         let mut state = self.state.borrow_mut();
         if state.queue.is_empty() || !state.has_usable_idle(now) {
             return None;
@@ -342,7 +363,7 @@
         Some((sender, pooled))
     }
 
-    fn take_idle(self: &Rc<Self>, state: &mut State, now: Instant) -> Option<Pooled> {
+    fn take_idle(self: &Rc<Self>, state: &mut State<D>, now: Instant) -> Option<Pooled<D>> {
         let conn = state.idle.pop()?;
         let id = state.next;
         state.next += 1;
@@ -385,10 +406,9 @@
         let opened = compio::time::timeout(OPEN, async {
             let stream = base::net::connect(self.from, self.address, OPEN)
                 .await
-                .map_err(wire::WireError::from)?;
-            let client =
-                wire::Client::open_with(stream.clone(), USER, &self.group, &DEFAULTS).await?;
-            Ok::<_, wire::Failure>((stream, client))
+                .map_err(|cause| cause.to_string())?;
+            let client = self.dialect.open(stream.clone(), &self.to).await?;
+            Ok::<_, String>((stream, client))
         })
         .await;
         let now = Instant::now();
@@ -519,22 +539,13 @@
     }
 
     /// Checks an idle connection with an empty exchange that uses no slot.
-    async fn check(self: Rc<Self>, mut conn: Conn) {
-        let answer = compio::time::timeout(OPEN, async {
-            conn.client.writer.parts(b'S', &[]);
-            conn.client.writer.flush().await?;
-            loop {
-                if conn.client.frame().await?.ready() == Some(b'I') {
-                    return Ok::<_, wire::WireError>(());
-                }
-            }
-        })
-        .await;
+    async fn check(self: Rc<Self>, mut conn: Conn<D::Client>) {
+        let answer = compio::time::timeout(OPEN, conn.client.check()).await;
         let now = Instant::now();
         {
             let mut state = self.state.borrow_mut();
             state.pending -= 1;
-            if matches!(answer, Ok(Ok(()))) && !state.draining {
+            if matches!(answer, Ok(true)) && !state.draining {
                 conn.checked = now;
                 state.idle.insert(0, conn);
             }
@@ -559,9 +570,9 @@
         })
     }
 
-    fn count_bytes(&self, conn: &mut Conn) {
+    fn count_bytes(&self, conn: &mut Conn<D::Client>) {
         if let Some((sent, received)) = &self.region {
-            let totals = (conn.client.writer.sent(), conn.client.reader.received());
+            let totals = conn.client.traffic();
             sent.inc_by(totals.0 - conn.counted.0);
             received.inc_by(totals.1 - conn.counted.1);
             conn.counted = totals;
@@ -571,16 +582,16 @@
 
 /// A connection that is held for one request or transaction.
 #[derive(Debug)]
-pub struct Pooled {
-    pool: Rc<Pool>,
+pub struct Pooled<D: Dialect = Postgres> {
+    pool: Rc<Pool<D>>,
     id: u64,
-    conn: Option<Conn>,
+    conn: Option<Conn<D::Client>>,
     primary: Option<Term>,
     touched: bool,
     taken: Instant,
 }
 
-impl Pooled {
+impl<D: Dialect> Pooled<D> {
     /// Marks the member as primary of `term`.
     pub(crate) fn set_primary(&mut self, term: Term) {
         self.primary = Some(term);
@@ -599,40 +610,43 @@
         let mut state = self.pool.state.borrow_mut();
         state.held.remove(&self.id);
         let fits = state.total() < state.share.target(now);
-        if fits && !state.draining && !conn.client.reader.has_bytes() {
+        if fits && !state.draining && !conn.client.has_bytes() {
             conn.used = now;
             state.idle.push(conn);
         }
     }
 }
 
-impl Lease for Pooled {
-    fn member(&self) -> &MemberName {
-        &self.pool.member
+impl<D: Dialect> Pooled<D> {
+    /// Member at the other end.
+    #[must_use]
+    pub fn member(&self) -> &MemberName {
+        &self.pool.to.member
     }
 
-    fn primary(&self) -> Option<Term> {
+    /// Term of which the member is primary, or `None` for a replica.
+    #[must_use]
+    pub const fn primary(&self) -> Option<Term> {
         self.primary
     }
 
-    fn client(&mut self) -> &mut wire::Client {
+    /// Session with the member.
+    ///
+    /// # Panics
+    /// Never: a lease holds its connection until it is released.
+    pub fn client(&mut self) -> &mut D::Client {
         self.touched = true;
-        &mut self
-            .conn
-            .as_mut()
-            .expect("a lease holds its connection until it is released")
-            .client
+        &mut self.conn().client
     }
 
-    fn prepared(&mut self) -> &mut Set<String> {
-        &mut self
-            .conn
+    fn conn(&mut self) -> &mut Conn<D::Client> {
+        self.conn
             .as_mut()
             .expect("a lease holds its connection until it is released")
-            .prepared
     }
 
-    fn release(mut self) {
+    /// Gives the connection back in a clean state.
+    pub fn release(mut self) {
         let now = Instant::now();
         let busy = now.saturating_duration_since(self.taken);
         self.put_back(now);
@@ -641,7 +655,29 @@
     }
 }
 
-impl Drop for Pooled {
+impl Lease for Pooled {
+    fn member(&self) -> &MemberName {
+        self.member()
+    }
+
+    fn primary(&self) -> Option<Term> {
+        self.primary()
+    }
+
+    fn client(&mut self) -> &mut wire::Client {
+        self.client()
+    }
+
+    fn prepared(&mut self) -> &mut Set<String> {
+        &mut self.conn().prepared
+    }
+
+    fn release(self) {
+        self.release();
+    }
+}
+
+impl<D: Dialect> Drop for Pooled<D> {
     fn drop(&mut self) {
         if self.conn.is_none() {
             return;
--- /dev/null
+++ b/crates/entry/src/postgres.rs
@@ -0,0 +1,65 @@
+//! Databases that speak the PostgreSQL protocol.
+
+use std::{net::IpAddr, rc::Rc};
+
+use compio::net::TcpStream;
+use wire::WireError;
+
+use crate::{
+    dialect::{Client, Dialect, Upstream},
+    member::Member,
+    metrics::Metrics,
+    probe,
+};
+
+/// User of data connections.
+const USER: &str = "goldcrestrail";
+/// Defaults of data connections.
+///
+/// A transaction on a connection that went silent holds its locks until the database ends it, and
+/// everyone else who needs these rows waits. An entry process sends something on a transaction
+/// that waits for its caller each [`KEEPALIVE`](crate::session::KEEPALIVE).
+const DEFAULTS: [(&str, &str); 1] = [("idle_in_transaction_session_timeout", "5000")];
+
+/// The PostgreSQL protocol.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Postgres;
+
+impl Dialect for Postgres {
+    type Client = wire::Client;
+
+    const NAMES_STORE: bool = false;
+
+    async fn open(&self, stream: TcpStream, to: &Upstream) -> Result<wire::Client, String> {
+        wire::Client::open_with(stream, USER, &to.group, &DEFAULTS)
+            .await
+            .map_err(|cause| cause.to_string())
+    }
+
+    async fn watch(member: Rc<Member<Self>>, from: IpAddr, metrics: Metrics) {
+        probe::probe(member, from, metrics).await;
+    }
+}
+
+impl Client for wire::Client {
+    fn has_bytes(&self) -> bool {
+        self.reader.has_bytes()
+    }
+
+    fn traffic(&self) -> (u64, u64) {
+        (self.writer.sent(), self.reader.received())
+    }
+
+    async fn check(&mut self) -> bool {
+        let exchange = async {
+            self.writer.parts(b'S', &[]);
+            self.writer.flush().await?;
+            loop {
+                if self.frame().await?.ready() == Some(b'I') {
+                    return Ok::<_, WireError>(());
+                }
+            }
+        };
+        exchange.await.is_ok()
+    }
+}
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -9,10 +9,14 @@
     report::{Demand, Picture, Report, Seen},
 };
 
-use crate::network::Network;
+use crate::{dialect::Dialect, network::Network};
 
 /// Everything to tell at `now`, with the announcements heard since `passed`, or all of them.
-pub(crate) fn picture(network: &Network, passed: Option<Instant>, now: Instant) -> Picture {
+pub(crate) fn picture<D: Dialect>(
+    network: &Network<D>,
+    passed: Option<Instant>,
+    now: Instant,
+) -> Picture {
     let heard = network.heard.borrow();
     let announcements = heard
         .values()
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -13,6 +13,7 @@
 };
 
 use crate::{
+    dialect::Dialect,
     fleet::{Fleet, Need},
     group::{Group, Record, Wanted},
     member::Member,
@@ -84,7 +85,7 @@
     }
 }
 
-impl Network {
+impl<D: Dialect> Network<D> {
     fn counted<T>(&self, result: Result<T, Refusal>) -> Result<T, Refusal> {
         if let Err(refusal) = &result {
             let refusals = &self.metrics.refusals;
@@ -105,7 +106,7 @@
         &self,
         service: &Service,
         need: Need,
-    ) -> Result<(Pooled, Option<Position>), Refusal> {
+    ) -> Result<(Pooled<D>, Option<Position>), Refusal> {
         let start = Instant::now();
         self.check_service(service)?;
         let group = self.enter(service, start);
@@ -196,7 +197,7 @@
         waited: Duration,
         patience: Duration,
         now: Instant,
-    ) -> (Choice, Vec<Rc<Member>>) {
+    ) -> (Choice, Vec<Rc<Member<D>>>) {
         let Some(record) = group.current() else {
             return (Choice::Primary, Vec::new());
         };
@@ -280,7 +281,7 @@
         }
     }
 
-    async fn route_write(&self, service: &Service, deadline: Instant) -> Result<Pooled, Refusal> {
+    async fn route_write(&self, service: &Service, deadline: Instant) -> Result<Pooled<D>, Refusal> {
         let start = Instant::now();
         self.check_service(service)?;
         let group = self.enter(service, start);
@@ -320,7 +321,7 @@
         &self,
         group: &Group,
         now: Instant,
-    ) -> Result<(Rc<Member>, Rc<Record>), Refusal> {
+    ) -> Result<(Rc<Member<D>>, Rc<Record>), Refusal> {
         let record = group.stable().ok_or(Refusal::Primary)?;
         let member = self.member(&record.primary).ok_or(Refusal::Primary)?;
         let leads = member
@@ -341,7 +342,8 @@
 
     /// Whether the write lease holds at `now` and knows record changes up to `version`.
     fn leased(&self, version: Version, now: Instant) -> bool {
-        disabled("lease-disabled") || self.lease.borrow().valid(version, now)
+        disabled("lease-disabled")
+            || (self.is_seated() && self.lease.borrow().valid(version, now))
     }
 
     fn is_in_force(&self, group: &Group, term: Term, now: Instant) -> bool {
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -38,8 +38,11 @@
     pub address: SocketAddr,
     /// Address for metrics, dump, readiness and announcements.
     pub http: SocketAddr,
-    /// RPC addresses of all control hosts.
+    /// RPC addresses of all control hosts, or of some with `discover`.
     pub control: Vec<SocketAddr>,
+    /// Whether the control hosts tell where all of them are.
+    #[serde(default)]
+    pub discover: bool,
     /// Authentication of callers.
     #[serde(default)]
     pub auth: Auth,
@@ -93,7 +96,7 @@
                 "set host to the IP number from which connections start",
             );
         }
-        if self.control.is_empty() || self.control.len().is_multiple_of(2) {
+        if self.control.is_empty() || (!self.discover && self.control.len().is_multiple_of(2)) {
             return wrong(
                 "control does not hold an odd number of addresses",
                 "name all control hosts, 3 or 5 of them",
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -109,14 +109,18 @@
   # Answers whether this host holds no unexpired lease grant older than the record version.
   grants @3 (version :UInt64) -> (clear :Bool, known :Bool);
   # Reads the status of an upstream on behalf of a host that can't reach it.
-  probe @4 (address :Text) -> (reached :Bool, status :UpstreamStatus);
-  # Sends FOLLOW, or STORE 'id' PROMOTE, to an upstream on behalf of a host that can't reach it. The
-  # PROMOTE is sent only to a database that has this store.
-  order @5 (address :Text, statement :Text) -> (done :Bool, cause :Text);
+  probe @4 (target :Target) -> (reached :Bool, status :UpstreamStatus);
+  # Gives an upstream the order to follow or to become primary on behalf of a host that can't reach
+  # it. It becomes primary only if it has the store of the target.
+  order @5 (target :Target, order :Text) -> (done :Bool, cause :Text);
   # Forwards a proposal to the leader.
   propose @6 (payload :Data) -> (accepted :Bool, index :UInt64, answer :Data, leader :Text);
   # Asks the receiver to stand for election at once, because the leader is about to stop.
   transfer @7 (request :TransferRequest) -> (reply :TransferReply);
+  # Passes on announcements that the caller heard from members itself.
+  announce @8 (announcements :List(Announcement)) -> ();
+  # Asks the leader for a seat for a host without state. Without a free one the name is empty.
+  join @9 (address :Text) -> (name :Text, seats :List(Seat), leader :Text);
 }
 
 struct Announcement {
@@ -133,6 +137,24 @@
   age @9 :UInt32;
   # Number of the member on this connection; only in a numbered report.
   number @10 :UInt16;
+  # Counts the announcements of one start of the member; 0 when the member does not count them.
+  sequence @11 :UInt64;
+  # Start of the member in milliseconds since the epoch on its own clock; 0 when it is not told.
+  born @12 :UInt64;
+}
+
+# A database as control hosts address it.
+struct Target {
+  address @0 :Text;
+  group @1 :Text;
+  member @2 :Text;
+  store @3 :Text;
+}
+
+# A seat among the control hosts and the RPC address of the host that holds it.
+struct Seat {
+  name @0 :Text;
+  address @1 :Text;
 }
 
 # Gives a member the number that stands for it on this connection.
@@ -249,6 +271,8 @@
   resync @10 :Bool;
   # The permits of a numbered report.
   lent @11 :List(Lent);
+  # Entry processes that this host heard from lately.
+  entries @12 :UInt32;
 }
 
 enum GroupState {
@@ -303,6 +327,8 @@
   announcements @6 :List(Announcement);
   # Milliseconds since this host last heard from a leader with a majority.
   age @7 :UInt32;
+  # All seats with their hosts, when a seat changed after the record version asked.
+  seats @8 :List(Seat);
 }
 
 # Receives cancel requests for sessions of one entry process.
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -5006,6 +5006,14 @@
         ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::transfer_params::Owned>;
     pub type TransferResults =
         ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::transfer_results::Owned>;
+    pub type AnnounceParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::announce_params::Owned>;
+    pub type AnnounceResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::announce_results::Owned>;
+    pub type JoinParams =
+        ::capnp::capability::Params<crate::goldcrestrail_capnp::peer::join_params::Owned>;
+    pub type JoinResults =
+        ::capnp::capability::Results<crate::goldcrestrail_capnp::peer::join_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -5157,6 +5165,24 @@
             self.client
                 .new_call(_private::TYPE_ID, 7, ::core::option::Option::None)
         }
+        pub fn announce_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::announce_params::Owned,
+            crate::goldcrestrail_capnp::peer::announce_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 8, ::core::option::Option::None)
+        }
+        pub fn join_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::goldcrestrail_capnp::peer::join_params::Owned,
+            crate::goldcrestrail_capnp::peer::join_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 9, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn vote(
@@ -5231,6 +5257,24 @@
                 "method peer::Server::transfer not implemented".to_string(),
             )))
         }
+        fn announce(
+            self: ::capnp::capability::Rc<Self>,
+            _: AnnounceParams,
+            _: AnnounceResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::announce not implemented".to_string(),
+            )))
+        }
+        fn join(
+            self: ::capnp::capability::Rc<Self>,
+            _: JoinParams,
+            _: JoinResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::join not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -5350,6 +5394,22 @@
                     )),
                     false,
                 ),
+                8 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::announce(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
+                9 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::join(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -8061,14 +8121,16 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_target(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::target::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_address(&self) -> bool {
+            pub fn has_target(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -8168,30 +8230,34 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_target(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::target::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_address(
+            pub fn set_target(
                 &mut self,
-                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-            ) {
+                value: crate::goldcrestrail_capnp::target::Reader<'_>,
+            ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
                     value,
                     false,
                 )
-                .unwrap()
             }
             #[inline]
-            pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn init_target(self) -> crate::goldcrestrail_capnp::target::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
-            pub fn has_address(&self) -> bool {
+            pub fn has_target(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -8206,7 +8272,11 @@
                 }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_target(&self) -> crate::goldcrestrail_capnp::target::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
             pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
@@ -8230,22 +8300,22 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(198, 140, 112, 175, 81, 224, 173, 208),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::goldcrestrail_capnp::target::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8737,25 +8807,27 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_target(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::target::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_address(&self) -> bool {
+            pub fn has_target(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_statement(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            pub fn get_order(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(
                     &self.reader.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn has_statement(&self) -> bool {
+            pub fn has_order(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
         }
@@ -8855,41 +8927,45 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_target(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::target::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(0),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_address(
+            pub fn set_target(
                 &mut self,
-                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-            ) {
+                value: crate::goldcrestrail_capnp::target::Reader<'_>,
+            ) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(
                     self.builder.reborrow().get_pointer_field(0),
                     value,
                     false,
                 )
-                .unwrap()
             }
             #[inline]
-            pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
-                self.builder.get_pointer_field(0).init_text(size)
+            pub fn init_target(self) -> crate::goldcrestrail_capnp::target::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
             }
             #[inline]
-            pub fn has_address(&self) -> bool {
+            pub fn has_target(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_statement(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            pub fn get_order(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(
                     self.builder.get_pointer_field(1),
                     ::core::option::Option::None,
                 )
             }
             #[inline]
-            pub fn set_statement(
+            pub fn set_order(
                 &mut self,
                 value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
             ) {
@@ -8901,11 +8977,11 @@
                 .unwrap()
             }
             #[inline]
-            pub fn init_statement(self, size: u32) -> ::capnp::text::Builder<'a> {
+            pub fn init_order(self, size: u32) -> ::capnp::text::Builder<'a> {
                 self.builder.get_pointer_field(1).init_text(size)
             }
             #[inline]
-            pub fn has_statement(&self) -> bool {
+            pub fn has_order(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
         }
@@ -8920,9 +8996,13 @@
                 }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_target(&self) -> crate::goldcrestrail_capnp::target::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(128, 237, 45, 25, 49, 200, 79, 237),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
@@ -8944,27 +9024,26 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 97, 114, 103, 101, 116, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(198, 140, 112, 175, 81, 224, 173, 208),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 116, 97, 116, 101, 109, 101, 110),
-                ::capnp::word(116, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 114, 100, 101, 114, 0, 0, 0),
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8975,7 +9054,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::goldcrestrail_capnp::target::Owned as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
@@ -8997,7 +9076,7 @@
                 );
             pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
             pub(crate) const TYPE_ID: u64 = 0xed4f_c831_192d_ed80;
         }
     }
