--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -68,7 +68,9 @@
     }
 }
 
-fn metrics_text(registry: &Registry) -> Response {
+/// Metrics as text.
+#[must_use]
+pub fn metrics_text(registry: &Registry) -> Response {
     let mut text = Vec::new();
     match TextEncoder::new().encode(&registry.gather(), &mut text) {
         Ok(()) => ([(header::CONTENT_TYPE, "text/plain; version=0.0.4")], text).into_response(),
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -10,7 +10,9 @@
 pub mod map;
 pub mod net;
 pub mod position;
+pub mod request;
 pub mod settings;
+pub mod signals;
 
 pub use exit::Exit;
 pub use map::{Map, Set};
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -133,6 +133,8 @@
     pub host: IpAddr,
     /// Every control host, this one included.
     pub peers: Vec<(HostName, SocketAddr)>,
+    /// Whether control hosts may be replaced by others at other addresses.
+    pub moves: bool,
 }
 
 /// The configuration in force, parsed.
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -7,11 +7,15 @@
 
 use base::{GroupName, Map};
 use compio::{runtime::JoinHandle, time::sleep};
+use futures_util::future::join_all;
 
-use crate::{host::Host, log::Log, permits::Permits, promotion};
+use crate::{host::Host, log::Log, permits::Permits, promotion, seat};
 
 /// How often the leadership is looked at.
 const TICK: Duration = Duration::from_millis(20);
+/// How often announcements are passed on. A leaving database must be known everywhere within
+/// seconds.
+const PASS: Duration = Duration::from_millis(200);
 /// How often expired entries of the tables are dropped.
 const EXPIRE: Duration = Duration::from_millis(200);
 
@@ -28,6 +32,9 @@
             sleep(TICK).await;
             continue;
         }
+        if let Err(cause) = seat::record(&host).await {
+            slog::warn!(host.logger, "seats are not recorded"; "cause" => %cause);
+        }
         slog::info!(host.logger, "this host leads"; "term" => host.log.term());
         host.metrics.leader.set(1);
         *host.permits.borrow_mut() = Some(Permits::new(Instant::now()));
@@ -66,6 +73,27 @@
     configured.chain(state.records.keys().cloned()).collect()
 }
 
+/// Passes announcements that arrived at this host on to the others, until the process ends.
+pub async fn pass_on<L: Log>(host: Rc<Host<L>>) {
+    loop {
+        sleep(PASS).await;
+        let names: Vec<_> = host.heard.borrow_mut().drain().collect();
+        if names.is_empty() {
+            continue;
+        }
+        let heard: Vec<_> = {
+            let directory = host.directory.borrow();
+            let found = names.iter().filter_map(|(name, _)| directory.member(name));
+            found.cloned().collect()
+        };
+        let now = Instant::now();
+        let peers = host.peers.names();
+        let calls = peers.iter().map(|name| host.peers.announce(name, &heard, now));
+        // A host that misses one hears the next: databases announce themselves again and again.
+        let _failed = join_all(calls).await;
+    }
+}
+
 /// Drops what expired from the tables, until the process ends.
 pub async fn expire<L: Log>(host: Rc<Host<L>>) {
     loop {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -10,7 +10,11 @@
 
 use agree::{Node, Options, StartError};
 use base::{Exit, HostName, http};
-use compio::{net::TcpListener, runtime::spawn, time::sleep};
+use compio::{
+    net::TcpListener,
+    runtime::{JoinHandle, spawn},
+    time::sleep,
+};
 use futures_util::future::{Either, select};
 
 use crate::{
@@ -21,7 +25,7 @@
     log::Log,
     machine::State,
     settings::{Operator, Settings},
-    upstream::Postgres,
+    upstream::{Databases, Postgres},
 };
 
 /// A host that heard nothing from a leader with a majority for this long is not ready.
@@ -67,80 +71,123 @@
     logger: slog::Logger,
     stop: impl Future<Output = io::Result<()>>,
 ) -> Result<Exit, RunError> {
-    let state = Rc::new(RefCell::new(State::default()));
-    let peers: Vec<(HostName, SocketAddr)> = settings
-        .peers
-        .iter()
-        .map(|peer| (peer.name.clone(), peer.address))
-        .collect();
-    let bind = async |key, address| {
-        TcpListener::bind(address)
-            .await
-            .map_err(|cause| RunError::Bind(key, address, cause))
-    };
-    let rpc = bind("address", settings.address).await?;
-    let http = bind("http", settings.http).await?;
-    let start = Instant::now();
-    let options = Options {
-        name: settings.name.clone(),
-        peers: peers.clone(),
-        host: settings.host,
-        data: settings.data.clone(),
-        log: logger.clone(),
-    };
-    let node = Node::start(options, Rc::clone(&state)).map_err(RunError::Log)?;
-    let identity = Identity {
-        name: settings.name.clone(),
-        zone: settings.zone.clone(),
-        region: settings.region.clone(),
-        host: settings.host,
-        peers,
-    };
     let databases = Rc::new(Postgres {
         host: settings.host,
     });
-    let host = Host::new(start, identity, node, databases, state, logger.clone());
-    let tasks = [
-        spawn(gate::serve(Rc::clone(&host), rpc)),
-        spawn(lead::follow(Rc::clone(&host))),
-        spawn(lead::expire(Rc::clone(&host))),
-    ];
-    let leading = spawn(lead::lead(Rc::clone(&host)));
+    let running = Running::start(&settings, databases, false, logger.clone()).await?;
+    let http = bind("http", settings.http).await?;
+    let host = Rc::clone(&running.host);
     let web = spawn(web(Rc::clone(&host), http, settings.admin.operators));
     slog::info!(logger, "control host started"; "address" => %settings.address,
         "http" => %settings.http);
 
-    let failure = async {
-        loop {
-            if let Some(cause) = host.log.failure() {
-                return cause;
-            }
-            sleep(TICK).await;
-        }
-    };
-    match select(Box::pin(stop), Box::pin(failure)).await {
+    match select(Box::pin(stop), Box::pin(running.failure())).await {
         Either::Left((told, _)) => told.map_err(RunError::Signal)?,
         Either::Right((cause, _)) => {
             slog::error!(logger, "the log failed"; "cause" => cause);
             return Ok(Exit::Failed);
         }
     }
-    slog::info!(logger, "stopping");
-    host.stopping.set(true);
-    let since = Instant::now();
-    while host.busy.get() > 0 && since.elapsed() < FINISH {
-        sleep(TICK).await;
+    running.stop().await;
+    drop(web);
+    Ok(Exit::Done)
+}
+
+async fn bind(key: &'static str, address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|cause| RunError::Bind(key, address, cause))
+}
+
+/// A control host with its tasks.
+#[derive(Debug)]
+pub struct Running {
+    /// The host.
+    pub host: Rc<Host<Rc<Node<State>>>>,
+    tasks: Vec<JoinHandle<()>>,
+    leading: JoinHandle<()>,
+}
+
+impl Running {
+    /// Opens the data directory and starts the tasks of the host. `moves` tells whether control
+    /// hosts may be replaced by others at other addresses.
+    ///
+    /// # Errors
+    /// The log can't be opened, or the RPC address can't be bound.
+    pub async fn start(
+        settings: &Settings,
+        databases: Rc<dyn Databases>,
+        moves: bool,
+        logger: slog::Logger,
+    ) -> Result<Self, RunError> {
+        let state = Rc::new(RefCell::new(State::default()));
+        let peers: Vec<(HostName, SocketAddr)> = settings
+            .peers
+            .iter()
+            .map(|peer| (peer.name.clone(), peer.address))
+            .collect();
+        let rpc = bind("address", settings.address).await?;
+        let start = Instant::now();
+        let options = Options {
+            name: settings.name.clone(),
+            peers: peers.clone(),
+            host: settings.host,
+            data: settings.data.clone(),
+            log: logger.clone(),
+        };
+        let node = Node::start(options, Rc::clone(&state)).map_err(RunError::Log)?;
+        let identity = Identity {
+            name: settings.name.clone(),
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            host: settings.host,
+            peers,
+            moves,
+        };
+        let host = Host::new(start, identity, node, databases, state, logger);
+        let tasks = vec![
+            spawn(gate::serve(Rc::clone(&host), rpc)),
+            spawn(lead::follow(Rc::clone(&host))),
+            spawn(lead::expire(Rc::clone(&host))),
+            spawn(lead::pass_on(Rc::clone(&host))),
+        ];
+        let leading = spawn(lead::lead(Rc::clone(&host)));
+        Ok(Self {
+            host,
+            tasks,
+            leading,
+        })
+    }
+
+    /// Waits until the log fails, and returns why.
+    pub async fn failure(&self) -> String {
+        loop {
+            if let Some(cause) = self.host.log.failure() {
+                return cause;
+            }
+            sleep(TICK).await;
+        }
     }
-    // Answers of finished changes still have to be written.
-    sleep(TICK).await;
-    drop(leading);
-    if host.log.hand_over().await {
-        slog::info!(logger, "leadership handed over"; "leader" => host.log.leader());
+
+    /// Finishes the changes in flight, hands the leadership over and stops.
+    pub async fn stop(self) {
+        let logger = &self.host.logger;
+        slog::info!(logger, "stopping");
+        self.host.stopping.set(true);
+        let since = Instant::now();
+        while self.host.busy.get() > 0 && since.elapsed() < FINISH {
+            sleep(TICK).await;
+        }
+        // Answers of finished changes still have to be written.
+        sleep(TICK).await;
+        drop(self.leading);
+        if self.host.log.hand_over().await {
+            slog::info!(logger, "leadership handed over"; "leader" => self.host.log.leader());
+        }
+        Log::stop(&self.host.log).await;
+        drop(self.tasks);
+        slog::info!(logger, "stopped");
     }
-    host.log.stop().await;
-    drop((tasks, web));
-    slog::info!(logger, "stopped");
-    Ok(Exit::Done)
 }
 
 /// Waits for SIGTERM or SIGINT. The first poll blocks both for this thread and those that it
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -4,16 +4,23 @@
 //! has caught up and is readmitted, so that the former one and it never count at the same time.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
+    fs, io,
+    net::IpAddr,
+    path::Path,
     time::{Duration, Instant},
 };
 
 use base::HostName;
+use compio::time::timeout;
+use proto::schema::gate;
+use serde::{Deserialize, Serialize};
 
 use crate::{
     host::{Host, Identity},
-    log::Log,
+    log::{Log, LogError},
     machine::{Command, State},
+    upstream,
 };
 
 /// A host of a seat that the leader has not heard from for this long may be replaced. It is several
@@ -69,6 +76,25 @@
     gone.max().map(|(_, name)| name.clone())
 }
 
+/// Records the founding seats where hosts may move, so that entry processes learn all addresses.
+///
+/// # Errors
+/// The log has no answer.
+pub async fn record<L: Log>(host: &Host<L>) -> Result<(), LogError> {
+    if !host.identity.moves {
+        return Ok(());
+    }
+    let seats = seats(&host.state.borrow(), &host.identity);
+    for (name, address) in seats {
+        let known = host.state.borrow().seats.contains_key(&name);
+        if !known {
+            let command = Command::Seat { name, address };
+            host.log.propose(command.encode()).await?;
+        }
+    }
+    Ok(())
+}
+
 /// Gives the host at `address` a seat, when this host leads and one is free.
 pub async fn join<L: Log>(host: &Host<L>, address: &str) -> Joined {
     let now = Instant::now();
@@ -105,3 +131,121 @@
         }
     }
 }
+
+/// Asks the control hosts at `addresses`, and those that they name, for a seat for the host at
+/// `own`; `None` when the leader is not found or has none to give.
+pub async fn ask(host: IpAddr, addresses: &[String], own: &str) -> Option<Seating> {
+    let mut asked: BTreeSet<String> = [own.to_owned()].into();
+    let mut next: Vec<String> = addresses.to_vec();
+    while let Some(address) = next.pop() {
+        if !asked.insert(address.clone()) {
+            continue;
+        }
+        let Ok(Ok((name, seats))) = timeout(ASK, ask_one(host, &address, own)).await else {
+            continue;
+        };
+        if !name.is_empty() {
+            return Some(Seating { name, seats });
+        }
+        next.extend(seats.into_values());
+    }
+    None
+}
+
+/// Limit on one question for a seat: a commit of the leader and two round trips between regions.
+const ASK: Duration = Duration::from_secs(1);
+
+async fn ask_one(
+    host: IpAddr,
+    address: &str,
+    own: &str,
+) -> Result<(HostName, BTreeMap<HostName, String>), String> {
+    let to = upstream::address(address)?;
+    let stream = base::net::connect(host, to, ASK).await;
+    let stream = stream.map_err(|cause| cause.to_string())?;
+    let (gate, driver) = proto::rpc::open::<gate::Client>(stream);
+    // Dropping the handle ends the connection with this function.
+    let _driver = compio::runtime::spawn(driver);
+    let peer = gate.peer_request().send().pipeline.get_peer();
+    let mut request = peer.join_request();
+    request.get().set_address(own);
+    let read = async {
+        let response = request.send().promise.await?;
+        let answer = response.get()?;
+        let mut seats = BTreeMap::new();
+        for seat in answer.get_seats()? {
+            seats.insert(seat.get_name()?.to_string()?, seat.get_address()?.to_string()?);
+        }
+        Ok::<_, capnp::Error>((answer.get_name()?.to_string()?, seats))
+    };
+    read.await.map_err(|cause| cause.to_string())
+}
+
+/// The seat of a data directory, with the addresses of all seats as far as they were known then.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seating {
+    /// Seat of this host.
+    pub name: HostName,
+    /// Addresses of all seats.
+    pub seats: BTreeMap<HostName, String>,
+}
+
+/// File that holds the seating, beside those of the log.
+const FILE: &str = "seating";
+
+impl Seating {
+    /// Founding seats of the hosts at `addresses`, for the one at `own`; `None` when it is no
+    /// founder. Every founder finds the same, in whatever order it knows the addresses.
+    ///
+    /// ```
+    /// use control::seat::Seating;
+    ///
+    /// let addresses = ["10.0.0.2:7000", "10.0.0.1:7000"].map(String::from);
+    /// let seating = Seating::found(&addresses, "10.0.0.1:7000").unwrap();
+    /// assert_eq!(seating.name, "control-1");
+    /// assert_eq!(Seating::found(&addresses, "10.0.0.9:7000"), None);
+    /// ```
+    #[must_use]
+    pub fn found(addresses: &[String], own: &str) -> Option<Self> {
+        let sorted: BTreeSet<_> = addresses.iter().collect();
+        let seats = (1..).zip(sorted);
+        let seats: BTreeMap<_, _> = seats
+            .map(|(i, address)| (format!("control-{i}"), address.clone()))
+            .collect();
+        let (name, _) = seats.iter().find(|(_, address)| *address == own)?;
+        Some(Self {
+            name: name.clone(),
+            seats,
+        })
+    }
+
+    /// Reads the seating of a data directory; `None` when it has none.
+    ///
+    /// # Errors
+    /// The file can't be read.
+    pub fn load(data: &Path) -> io::Result<Option<Self>> {
+        match fs::read_to_string(data.join(FILE)) {
+            Ok(text) => toml::from_str(&text)
+                .map(Some)
+                .map_err(|cause| io::Error::new(io::ErrorKind::InvalidData, cause.to_string())),
+            Err(cause) if cause.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(cause) => Err(cause),
+        }
+    }
+
+    /// Writes the seating durably.
+    ///
+    /// # Errors
+    /// The data directory can't be written.
+    pub fn store(&self, data: &Path) -> io::Result<()> {
+        fs::create_dir_all(data)?;
+        let text = toml::to_string(self).map_err(io::Error::other)?;
+        let (path, fresh) = (data.join(FILE), data.join("seating.new"));
+        fs::write(&fresh, text)?;
+        fs::File::open(&fresh)?.sync_all()?;
+        fs::rename(&fresh, &path)?;
+        fs::File::open(data)?.sync_all()
+    }
+}
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -73,6 +73,8 @@
     store: StoreId,
     address: SocketAddr,
     place: Place,
+    /// Statements that it runs at once, if it announced that.
+    slots: Option<u32>,
 }
 
 /// State of an entry process.
@@ -85,7 +87,8 @@
     pub run: u64,
     /// Metrics of the process.
     pub metrics: Metrics,
-    pub(crate) log: Logger,
+    /// Logger.
+    pub log: Logger,
     /// Sessions of this process.
     pub registry: Rc<Registry>,
     pub(crate) passing: Passing,
@@ -426,7 +429,7 @@
     }
 
     /// Finds the group of a service, and has its members probed from now on.
-    pub(crate) fn enter(&self, service: &Service, now: Instant) -> Rc<Group> {
+    pub fn enter(&self, service: &Service, now: Instant) -> Rc<Group> {
         let group = self.group(service);
         let used = group.used.replace(Some(now));
         let fresh = used.is_some_and(|used| now.saturating_duration_since(used) < USED);
@@ -513,6 +516,10 @@
                 queue: service.limits.queue,
             };
             for expected in self.expected(&group) {
+                let limits = Limits {
+                    slots: expected.slots.unwrap_or(limits.slots),
+                    ..limits
+                };
                 self.keep(&group, &expected, limits);
                 wanted.insert(expected.name);
             }
@@ -557,6 +564,7 @@
                         store: known.store.clone(),
                         address,
                         place: known.place.clone(),
+                        slots: None,
                     };
                     found.insert(known.member.clone(), expected);
                 }
@@ -574,6 +582,7 @@
                     store: announced.store.clone(),
                     address: announced.address,
                     place,
+                    slots: Some(announced.slots).filter(|slots| *slots > 0),
                 };
                 found.insert(announced.member.clone(), expected);
             }
@@ -587,6 +596,7 @@
             store,
             address,
             place,
+            ..
         } = expected;
         if let Some(known) = self.members.borrow().get(name)
             && known.address == *address
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -281,6 +281,15 @@
         }
     }
 
+    /// Takes a connection to the primary in force, waiting for one until the deadline.
+    ///
+    /// # Errors
+    /// A refusal that is "not run".
+    pub async fn lead(&self, service: &Service, deadline: Instant) -> Result<Pooled<D>, Refusal> {
+        let result = self.route_write(service, deadline).await;
+        self.counted(result)
+    }
+
     async fn route_write(&self, service: &Service, deadline: Instant) -> Result<Pooled<D>, Refusal> {
         let start = Instant::now();
         self.check_service(service)?;
@@ -317,7 +326,10 @@
 
     /// The primary in force: recorded as stable, answering as primary of that term with the
     /// recorded store, and under a valid lease of this process.
-    pub(crate) fn primary(
+    ///
+    /// # Errors
+    /// There is none.
+    pub fn primary(
         &self,
         group: &Group,
         now: Instant,
@@ -340,6 +352,70 @@
         }
     }
 
+    /// Members that may serve reads beside the primary of the record.
+    #[must_use]
+    pub fn replicas(&self, group: &Group, now: Instant) -> Vec<Rc<Member<D>>> {
+        let Some(record) = group.current() else {
+            return Vec::new();
+        };
+        let directory = self.directory.borrow();
+        let others = record.members.iter();
+        let others = others.filter(|known| known.member != record.primary);
+        others
+            .filter_map(|known| {
+                let member = self.member(&known.member)?;
+                let usable = member.has_store(&known.store)
+                    && member.health(now).0 == Health::Ok
+                    && member.pool.is_usable(now)
+                    && directory.usable(&member.name, now);
+                usable.then_some(member)
+            })
+            .collect()
+    }
+
+    /// Waits until it is certain that `term` was in force when this is called, so that what its
+    /// primary answered before may be passed on.
+    ///
+    /// # Errors
+    /// [`Refusal::Unknown`] when the term ended, or when it is not certain before the deadline.
+    pub async fn held(
+        &self,
+        group: &Rc<Group>,
+        term: Term,
+        deadline: Instant,
+    ) -> Result<(), Refusal> {
+        loop {
+            let changed = group.listen();
+            let ended = || Refusal::Unknown(format!("term {term} of the primary ended"));
+            let record = group.in_force().ok_or_else(ended)?;
+            if record.term != term {
+                return Err(ended());
+            }
+            let now = Instant::now();
+            if self.leased(record.version, now) {
+                if let Some(since) = group.gap.take() {
+                    let gap = now.saturating_duration_since(since);
+                    self.metrics.gap.observe(gap.as_secs_f64());
+                }
+                return Ok(());
+            }
+            if now >= deadline {
+                let cause = "the write lease was not renewed before the deadline";
+                return Err(Refusal::Unknown(cause.to_owned()));
+            }
+            let _changed = compio::time::timeout_at(deadline, changed).await;
+        }
+    }
+
+    /// Place of this process.
+    #[must_use]
+    pub fn place(&self) -> Place {
+        Place {
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+        }
+    }
+
     /// Whether the write lease holds at `now` and knows record changes up to `version`.
     fn leased(&self, version: Version, now: Instant) -> bool {
         disabled("lease-disabled")
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,11 +1,14 @@
 //! Life of an entry process, from its settings to its graceful stop.
 
-use std::{io, os::unix::net::UnixStream as StdStream, path::Path, rc::Rc, time::Duration};
+use std::{io, path::Path, rc::Rc, time::Duration};
 
-use base::{Exit, http::Report, settings};
-use compio::{BufResult, io::AsyncRead, net::UnixStream};
+use base::{
+    Exit,
+    http::Report,
+    settings,
+    signals::{SIGINT, SIGTERM, Signals},
+};
 use futures_util::{FutureExt as _, pin_mut, select};
-use signal_hook::consts::{SIGINT, SIGTERM};
 use slog::{error, info};
 
 use crate::{
@@ -48,7 +51,7 @@
 
 async fn serve(network: &Rc<Network>) -> io::Result<()> {
     let settings = &network.settings;
-    let mut signals = Signals::new()?;
+    let mut signals = Signals::new(&[SIGTERM, SIGINT])?;
     let listener = compio::net::TcpListener::bind(settings.address)
         .await
         .map_err(|cause| named("address", settings.address, &cause))?;
@@ -105,30 +108,3 @@
     let text = format!("{field} {address}: {cause}; set a free address of this host");
     io::Error::new(cause.kind(), text)
 }
-
-/// Termination signals as bytes on a socket pair, which the runtime can wait for.
-struct Signals {
-    stream: UnixStream,
-}
-
-impl Signals {
-    fn new() -> io::Result<Self> {
-        let (read, write) = StdStream::pair()?;
-        read.set_nonblocking(true)?;
-        for signal in [SIGTERM, SIGINT] {
-            signal_hook::low_level::pipe::register(signal, write.try_clone()?)?;
-        }
-        Ok(Self {
-            stream: UnixStream::from_std(read)?,
-        })
-    }
-
-    /// Waits for the next signal.
-    async fn next(&mut self) {
-        let BufResult(result, _) = self.stream.read([0_u8; 1]).await;
-        if result.is_err() {
-            // Without signals the process runs until it is killed.
-            std::future::pending::<()>().await;
-        }
-    }
-}
--- a/crates/route/src/freshness.rs
+++ b/crates/route/src/freshness.rs
@@ -73,6 +73,27 @@
         }
     }
 
+    /// Oldest position known whose holders lack nothing that is older than `age`; `None` when no
+    /// sample is young enough.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use base::Position;
+    /// use route::Samples;
+    ///
+    /// let start = Instant::now();
+    /// let mut samples = Samples::default();
+    /// samples.add(start, Position::new(1, 5));
+    /// let second = Duration::from_secs(1);
+    /// assert_eq!(samples.floor(second, start + second), Some(Position::new(1, 5)));
+    /// assert_eq!(samples.floor(second, start + 2 * second), None);
+    /// ```
+    #[must_use]
+    pub fn floor(&self, age: Duration, now: Instant) -> Option<Position> {
+        let young = |(sent, _): &&(Instant, Position)| now.saturating_duration_since(*sent) <= age;
+        self.kept.iter().find(young).map(|(_, position)| *position)
+    }
+
     /// Greatest possible age of the data of a replica at `position`; `None` when the samples
     /// don't reach back far enough.
     #[must_use]
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod freshness;
 pub mod lease;
 pub mod observers;
+pub mod placing;
 pub mod process_number;
 pub mod queue;
 pub mod report;
--- /dev/null
+++ b/crates/session/src/watch.rs
@@ -0,0 +1,145 @@
+//! Watching a member whose status is read over pooled connections.
+//!
+//! Connections are scarce, so that no connection is kept for the status alone. Answers to callers'
+//! statements show that a member lives; the status is read on top of them for its role.
+
+use std::{
+    io,
+    net::IpAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use compio::time::{timeout, timeout_at};
+use entry::{dialect::Dialect, member::Member, metrics::Metrics, pool::PoolError};
+use rand::RngExt as _;
+
+use crate::statement::{Answer, Statement, Statements};
+
+/// Time between two status reads while nothing waits for one. A read on this route may be this old
+/// and needs no position of the primary of its own; a silent primary is noticed within it.
+const INTERVAL: Duration = Duration::from_millis(700);
+/// Time between two reads while something waits for a change of the group.
+const URGENT: Duration = Duration::from_millis(100);
+/// Limit on one read, the wait for a connection included.
+const DEADLINE: Duration = Duration::from_millis(600);
+/// Limit on the attempt to reach the address of a member without a usable connection.
+const REACH: Duration = Duration::from_millis(500);
+
+/// What a read brought.
+enum Outcome {
+    Status(Answer, route::Status),
+    /// The connection broke; the member may accept another one.
+    Lost,
+    Silent,
+    /// No connection was free; nothing is known.
+    Unknown,
+    Unreachable,
+}
+
+/// Watches a member until it is dropped.
+pub async fn watch<D: Dialect>(member: Rc<Member<D>>, from: IpAddr, metrics: Metrics)
+where
+    D::Client: Statements,
+{
+    loop {
+        let sent = Instant::now();
+        let result = match read(&member).await {
+            Outcome::Status(answer, status) => {
+                let primary = status.primary;
+                member.answered(status, sent);
+                if primary {
+                    sample(&member, &answer, sent);
+                }
+                "ok"
+            }
+            Outcome::Lost => {
+                member.pool.close_idle();
+                "lost"
+            }
+            Outcome::Unknown => "unknown",
+            Outcome::Silent => {
+                member.failed(false);
+                "silent"
+            }
+            Outcome::Unreachable => match reach(&member, from).await {
+                Some(refused) => {
+                    member.failed(refused);
+                    if refused { "refused" } else { "silent" }
+                }
+                None => "lost",
+            },
+        };
+        metrics.probes.with_label_values(&[result]).inc();
+        let pause = if result != "ok" || member.group.is_urgent(member.is_primary()) {
+            URGENT
+        } else {
+            INTERVAL
+        };
+        let until = Instant::now() + pause.mul_f64(rand::rng().random_range(0.8..1.2));
+        let _early = timeout_at(until, member.group.listen_urgent()).await;
+        if Instant::now() < until {
+            compio::time::sleep(URGENT).await;
+        }
+    }
+}
+
+async fn read<D: Dialect>(member: &Rc<Member<D>>) -> Outcome
+where
+    D::Client: Statements,
+{
+    let deadline = Instant::now() + DEADLINE;
+    let mut lease = match member.pool.acquire(deadline).await {
+        Ok(lease) => lease,
+        Err(PoolError::Full | PoolError::Deadline) => return Outcome::Unknown,
+        Err(PoolError::Closed) => return Outcome::Unreachable,
+    };
+    let exchange = lease.client().exchange(&[Statement::Status]);
+    let answer = match timeout_at(deadline, exchange).await {
+        Ok(Ok(mut answers)) => answers.pop(),
+        Ok(Err(_broken)) => None,
+        Err(_elapsed) => return Outcome::Silent,
+    };
+    let Some(answer) = answer else {
+        return Outcome::Lost;
+    };
+    lease.release();
+    match D::Client::status(&answer) {
+        Some(status) => {
+            let status = route::Status {
+                member: member.name.clone(),
+                store: member.store.clone(),
+                primary: status.primary,
+                position: status.position(),
+                following: String::new(),
+            };
+            Outcome::Status(answer, status)
+        }
+        // It had no room for the question, but it lives.
+        None => {
+            member.heard(answer.position, Instant::now());
+            Outcome::Unknown
+        }
+    }
+}
+
+/// Notes the position of the primary in force.
+fn sample<D: Dialect>(member: &Member<D>, answer: &Answer, sent: Instant) {
+    let in_force = member.is_primary() && member.group.in_force().is_some();
+    if let (true, Some(position)) = (in_force, answer.position) {
+        member.group.samples.borrow_mut().add(sent, position);
+    }
+}
+
+/// Whether the address refuses connections or is silent; `None` when it accepts them.
+async fn reach<D: Dialect>(member: &Member<D>, from: IpAddr) -> Option<bool> {
+    let connect = base::net::connect(from, member.address, REACH);
+    match timeout(REACH, connect).await {
+        Ok(Ok(_stream)) => None,
+        Ok(Err(cause)) => Some(matches!(
+            cause.kind(),
+            io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+        )),
+        Err(_elapsed) => Some(false),
+    }
+}
--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -2,7 +2,7 @@
 
 use std::{future::poll_fn, task::Poll};
 
-use bytes::{Buf, BytesMut};
+use bytes::{Buf, Bytes, BytesMut};
 use compio::{buf::BufResult, io::AsyncReadExt, net::TcpStream};
 
 use rustix::{
@@ -118,6 +118,40 @@
         }
     }
 
+    /// Waits for the next line and returns it without its end, which is LF with or without CR;
+    /// `None` when the peer closed the connection between lines.
+    ///
+    /// # Errors
+    /// The transport failed, the peer left in the middle of a line, or a line is over the limit.
+    pub async fn next_line(&mut self) -> Result<Option<Bytes>, WireError> {
+        let mut searched = 0;
+        loop {
+            let end = self.buffer[searched..].iter().position(|b| *b == b'\n');
+            if let Some(end) = end {
+                let mut line = self.buffer.split_to(searched + end + 1);
+                line.truncate(line.len() - 1);
+                if line.last() == Some(&b'\r') {
+                    line.truncate(line.len() - 1);
+                }
+                return Ok(Some(line.freeze()));
+            }
+            searched = self.buffer.len();
+            if searched > self.limit {
+                return Err(WireError::TooLarge {
+                    length: searched,
+                    limit: self.limit,
+                });
+            }
+            if !self.fill().await? {
+                return if self.buffer.is_empty() {
+                    Ok(None)
+                } else {
+                    Err(WireError::Cut)
+                };
+            }
+        }
+    }
+
     /// Waits for the first message of a connection; `None` when the peer closed it.
     ///
     /// # Errors
