Refuse at once what a full queue refuses, and read the status of a member only when it is quiet

Cause: a read whose queue was full was tried again without a pause until its deadline, which took the whole processor of an entry host of ikeja-rack; the status was read each 0.7 s although answers to callers show the same.

--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -66,7 +66,15 @@
     ) -> Attempt {
         let reader = match self.reader(place, tried, deadline).await {
             Ok(reader) => reader,
-            Err(failure) => return Attempt::Again(failure),
+            Err(failure) if tried.is_empty() => {
+                return Attempt::Done(Reply::failed(failure, State::Idle));
+            }
+            Err(failure) => {
+                // A replica that was behind may have caught up.
+                tried.clear();
+                self.shared.pause(deadline).await;
+                return Attempt::Again(failure);
+            }
         };
         let Reader { mut lease, after } = reader;
         let primary = lease.primary();
@@ -116,7 +124,9 @@
         let shared = &self.shared;
         let mut lease = match shared.network.lead(&place.service, deadline).await {
             Ok(lease) => lease,
-            Err(refusal) => return Attempt::Again(refused(&refusal)),
+            Err(refusal) => {
+                return Attempt::Done(Reply::failed(refused(&refusal), State::Idle));
+            }
         };
         let term = lease.primary().unwrap_or_default();
         self.inputs.member.clone_from(lease.member());
@@ -208,8 +218,6 @@
                 };
             }
             if !tried.is_empty() {
-                // A replica that was behind may have caught up.
-                self.shared.pause(deadline).await;
                 return Err(Failure::new(Code::Busy, "no database was fresh enough"));
             }
             let until = (now + SLICE).min(deadline);
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -16,9 +16,14 @@
 
 use crate::statement::{Answer, Statement, Statements};
 
-/// Time between two status reads while nothing waits for one. A read on this route may be this old
-/// and needs no position of the primary of its own; a silent primary is noticed within it.
-const INTERVAL: Duration = Duration::from_millis(700);
+/// A member that answered nothing for this long is asked for its status; a silent primary is noticed
+/// within it.
+const QUIET: Duration = Duration::from_millis(600);
+/// A status that shows the recorded role is read again after this time, whatever else the member
+/// answers.
+const OLD: Duration = Duration::from_secs(15);
+/// Time between two looks at whether the status is to be read.
+const LOOK: Duration = Duration::from_millis(200);
 /// Time between two reads while something waits for a change of the group.
 const URGENT: Duration = Duration::from_millis(100);
 /// Limit on one read, the wait for a connection included.
@@ -57,6 +62,11 @@
                 member.pool.close_idle();
                 "lost"
             }
+            // A member that lives has answered something meanwhile.
+            Outcome::Unknown if member.health(Instant::now()).1 > QUIET + DEADLINE => {
+                member.failed(false);
+                "silent"
+            }
             Outcome::Unknown => "unknown",
             Outcome::Silent => {
                 member.failed(false);
@@ -71,19 +81,36 @@
             },
         };
         metrics.probes.with_label_values(&[result]).inc();
-        let pause = if result != "ok" || member.group.is_urgent(member.is_primary()) {
-            URGENT
-        } else {
-            INTERVAL
-        };
-        let until = Instant::now() + pause.mul_f64(rand::rng().random_range(0.8..1.2));
-        let _early = timeout_at(until, member.group.listen_urgent()).await;
-        if Instant::now() < until {
-            compio::time::sleep(URGENT).await;
+        if result != "ok" {
+            pause(URGENT).await;
+        }
+        while !is_due(&member, Instant::now()) {
+            let urgent = timeout(LOOK, member.group.listen_urgent()).await;
+            if urgent.is_ok() {
+                pause(URGENT).await;
+            }
         }
     }
 }
 
+async fn pause(time: Duration) {
+    compio::time::sleep(time.mul_f64(rand::rng().random_range(0.8..1.2))).await;
+}
+
+/// Whether the status of a member is to be read.
+fn is_due<D: Dialect>(member: &Member<D>, now: Instant) -> bool {
+    let Some((status, read)) = member.status() else {
+        return true;
+    };
+    let quiet = member.health(now).1 >= QUIET;
+    let old = now.saturating_duration_since(read) >= OLD;
+    let other = member.group.in_force().is_some_and(|record| {
+        let leads = record.primary == member.name;
+        leads != status.primary || (leads && status.position.term != record.term)
+    });
+    quiet || old || other && now.saturating_duration_since(read) >= URGENT
+}
+
 async fn read<D: Dialect>(member: &Rc<Member<D>>) -> Outcome
 where
     D::Client: Statements,
