--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -15,6 +15,9 @@
     /// one.
     const NAMES_STORE: bool;
 
+    /// Whether entry processes learn from the positions in statuses which writes enough members hold.
+    const CONFIRMS: bool;
+
     /// Logs in over a fresh stream. The error says why it can't be used.
     fn open(
         &self,
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -121,7 +121,11 @@
             .borrow()
             .as_ref()
             .is_none_or(|(known, _)| *known != status);
-        self.group.note(&status, sent);
+        if D::CONFIRMS {
+            self.group.note(&status, sent);
+        } else {
+            self.group.notify();
+        }
         *self.status.borrow_mut() = Some((status, sent));
         changed
     }
--- a/crates/entry/src/postgres.rs
+++ b/crates/entry/src/postgres.rs
@@ -29,6 +29,7 @@
     type Client = wire::Client;
 
     const NAMES_STORE: bool = false;
+    const CONFIRMS: bool = true;
 
     async fn open(&self, stream: TcpStream, to: &Upstream) -> Result<wire::Client, String> {
         wire::Client::open_with(stream, USER, &to.group, &DEFAULTS)
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -214,7 +214,7 @@
             }
             Command::Begin { reads } => match self.place() {
                 Ok(place) => {
-                    self.transaction = Some(Transaction::new(place, *reads));
+                    self.transaction = Some(Transaction::new(place, &request.id, *reads));
                     Reply::done(State::Open)
                 }
                 Err(failure) => Reply::failed(failure, State::Idle),
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -28,8 +28,10 @@
         /// Rest of the text.
         arguments: &'a str,
     },
-    /// Starts a transaction.
+    /// Starts a caller's transaction.
     Begin {
+        /// Id that the caller gave.
+        id: &'a str,
         /// Whether it only reads.
         reads: bool,
         /// Position that the database must hold.
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -28,6 +28,8 @@
 #[derive(Debug)]
 pub struct Transaction<D: Dialect> {
     place: Rc<Place<D>>,
+    /// Id of the request that started it.
+    id: Rc<str>,
     /// Whether it only reads.
     reads: bool,
     /// Connection, from the first statement on.
@@ -50,9 +52,10 @@
     D::Client: Statements,
 {
     /// Starts without a connection.
-    pub(crate) fn new(place: Place<D>, reads: bool) -> Self {
+    pub(crate) fn new(place: Place<D>, id: &str, reads: bool) -> Self {
         Self {
             place: Rc::new(place),
+            id: id.into(),
             reads,
             lease: None,
             wrote: false,
@@ -192,7 +195,7 @@
         if let Some(lease) = transaction.lease.take() {
             return Ok(lease);
         }
-        let reads = transaction.reads;
+        let (id, reads) = (Rc::clone(&transaction.id), transaction.reads);
         let anywhere = reads && place.route.reads != Reads::Latest;
         let mut tried = Set::default();
         let mut last = Failure::new(Code::Busy, "no database could take it in time");
@@ -208,7 +211,11 @@
                 }
             };
             let Reader { mut lease, after } = reader;
-            let begin = Statement::Begin { reads, after };
+            let begin = Statement::Begin {
+                id: &id,
+                reads,
+                after,
+            };
             let values = &self.values;
             let ran = self
                 .shared
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -14,7 +14,7 @@
 use entry::{dialect::Dialect, member::Member, metrics::Metrics, pool::PoolError};
 use rand::RngExt as _;
 
-use crate::statement::{Answer, Statement, Statements};
+use crate::statement::{Statement, Statements};
 
 /// A member that answered nothing for this long is asked for its status; a silent primary is noticed
 /// within it.
@@ -33,7 +33,7 @@
 
 /// What a read brought.
 enum Outcome {
-    Status(Answer, route::Status),
+    Status(route::Status),
     /// The connection broke; the member may accept another one.
     Lost,
     Silent,
@@ -50,12 +50,8 @@
     loop {
         let sent = Instant::now();
         let result = match read(&member).await {
-            Outcome::Status(answer, status) => {
-                let primary = status.primary;
+            Outcome::Status(status) => {
                 member.answered(status, sent);
-                if primary {
-                    sample(&member, &answer, sent);
-                }
                 "ok"
             }
             Outcome::Lost => {
@@ -140,7 +136,7 @@
                 position: status.position(),
                 following: String::new(),
             };
-            Outcome::Status(answer, status)
+            Outcome::Status(status)
         }
         // It had no room for the question, but it lives.
         None => {
@@ -150,14 +146,6 @@
     }
 }
 
-/// Notes the position of the primary in force.
-fn sample<D: Dialect>(member: &Member<D>, answer: &Answer, sent: Instant) {
-    let in_force = member.is_primary() && member.group.in_force().is_some();
-    if let (true, Some(position)) = (in_force, answer.position) {
-        member.group.samples.borrow_mut().add(sent, position);
-    }
-}
-
 /// Whether the address refuses connections or is silent; `None` when it accepts them.
 async fn reach<D: Dialect>(member: &Member<D>, from: IpAddr) -> Option<bool> {
     let connect = base::net::connect(from, member.address, REACH);
