Find limits by trying, judge silence by the address, and lease right after a restart

Cause: an entry process ran one statement at a time at a far database (share of slots), a new control leader lent nothing for 5 s, statuses that were late on a busy database made its members failed and cut their reads, and control hosts granted no lease for 2 s after every restart.

--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -16,7 +16,7 @@
 impl<M: Machine, E: Environment> Node<M, E> {
     pub(crate) async fn elect(self: Rc<Self>) {
         self.saved().await;
-        self.postpone(&mut self.state.borrow_mut());
+        self.first_deadline(&mut self.state.borrow_mut());
         loop {
             let now = self.environment.now();
             let wait = {
--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -110,6 +110,7 @@
                     }
                     if self.state.borrow().hard.term == request.term {
                         self.advance(request.commit.min(last));
+                        self.note_current(&request);
                     }
                 }
                 Err(hint) => matched = hint,
@@ -127,6 +128,14 @@
         }
     }
 
+    /// Notes that everything committed before the start is applied. The leader sent the request after
+    /// the start, and knows all that was committed once an entry of its own term is.
+    fn note_current(&self, request: &AppendRequest) {
+        let mut state = self.state.borrow_mut();
+        let known = state.log.term(request.commit) == Some(request.term);
+        state.current |= known && state.applied >= request.commit;
+    }
+
     /// Takes the entries into the log in memory. Returns the last index that matches the leader's
     /// log, or a hint where the logs may agree.
     fn take_entries(&self, request: &AppendRequest) -> Result<u64, u64> {
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -381,6 +381,13 @@
         (state.role == Role::Leader).then(|| now.saturating_duration_since(since))
     }
 
+    /// Whether this host has applied everything that was committed before its start.
+    pub fn is_current(&self) -> bool {
+        let state = self.state.borrow();
+        let leads = state.role == Role::Leader && state.applied >= state.first;
+        state.current || leads
+    }
+
     /// Newest term that this host knows.
     pub fn term(&self) -> u64 {
         self.state.borrow().hard.term
@@ -510,6 +517,15 @@
         state.agreed(Some(now), |peer| peer.contact, all).flatten()
     }
 
+    /// Draws the time of the first election after the start. It is early, because all hosts may have
+    /// started together; a leader that the others hear keeps them from granting the pre-vote.
+    pub(crate) fn first_deadline(&self, state: &mut State) {
+        let span = self.tuning.heartbeat.as_micros() * 3;
+        let span = u64::try_from(span).unwrap_or(u64::MAX).max(1);
+        let extra = Duration::from_micros(self.environment.random() % span);
+        state.deadline = self.environment.now() + self.tuning.heartbeat + extra;
+    }
+
     /// Draws the time of the next election.
     pub(crate) fn postpone(&self, state: &mut State) {
         let (low, high) = self.tuning.election;
@@ -773,6 +789,7 @@
     let now = environment.now();
     Ok(State {
         hard,
+        current: false,
         changes: 1,
         saved: 0,
         log: found.log,
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -388,6 +388,7 @@
             applied: self.log.applied(),
             stored: self.log.stored(),
             learner: self.log.is_learner() || self.is_displaced(),
+            current: self.log.is_current(),
         };
         let granted = {
             let mut leases = self.leases.borrow_mut();
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -21,6 +21,8 @@
     pub stored: u64,
     /// Whether this host lost its disk and may have forgotten a fencing change.
     pub learner: bool,
+    /// Whether this host has applied everything that was committed before its start.
+    pub current: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -53,10 +55,10 @@
     /// A log entry that is stored but not applied may be a fencing change, so nothing is granted
     /// until it is applied. Nothing is granted during the first [`LEASE`] after the start either:
     /// a request from before the restart that arrives late must not renew what this host already
-    /// reported as ended.
+    /// reported as ended. It may grant earlier once it knows every change from before its start.
     pub fn renew(&mut self, now: Instant, holder: Holder, version: Version, known: Known) -> bool {
         let old = self.grants.get(&holder).map_or(0, |grant| grant.version);
-        if now < self.start + LEASE
+        if (now < self.start + LEASE && !known.current)
             || version < known.fenced.max(self.floor).max(old)
             || known.stored > known.applied
             || known.learner
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -59,6 +59,8 @@
     fn term(&self) -> u64;
     /// Whether this host lost its disk and has no vote until it is readmitted.
     fn is_learner(&self) -> bool;
+    /// Whether this host has applied everything that was committed before its start.
+    fn is_current(&self) -> bool;
     /// Time since this host last heard from a leader with a majority.
     fn contact(&self, now: Instant) -> Duration;
     /// Time since the host of another seat answered this leader; `None` while this host does not
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -88,6 +88,10 @@
         Node::is_learner(self)
     }
 
+    fn is_current(&self) -> bool {
+        Node::is_current(self)
+    }
+
     fn contact(&self, now: Instant) -> Duration {
         Node::contact(self, now).unwrap_or(NEVER)
     }
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -18,18 +18,33 @@
     /// Whether entry processes learn from the positions in statuses which writes enough members hold.
     const CONFIRMS: bool;
 
-    /// Logs in over a fresh stream. The error says why it can't be used.
+    /// Whether databases answer at once that they have no room, so that entry processes find their
+    /// limits by trying. Otherwise they keep to shares that control hosts lend.
+    const SHEDS: bool;
+
+    /// Logs in over a fresh stream.
+    ///
+    /// The error says why it can't be used.
     fn open(
         &self,
         stream: TcpStream,
         to: &Upstream,
-    ) -> impl Future<Output = Result<Self::Client, String>>;
+    ) -> impl Future<Output = Result<Self::Client, OpenError>>;
 
     /// Watches a member until it is dropped, and notes what it learns there.
     fn watch(member: Rc<Member<Self>>, from: IpAddr, metrics: Metrics)
     -> impl Future<Output = ()>;
 }
 
+/// Why a connection can't be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OpenError {
+    /// The database has no room for it.
+    Full,
+    /// It broke, or the database refuses it.
+    Failed(String),
+}
+
 /// A connection that a pool keeps.
 pub trait Client: Debug {
     /// Whether something arrived that was not read.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -12,12 +12,12 @@
 use futures_channel::oneshot;
 use prometheus::{IntCounter, IntGauge};
 use rand::RngExt as _;
-use route::{Queue, QueueError, Share};
+use route::{Queue, QueueError, Share, limit::Limit};
 use rustix::net::{RecvFlags, Shutdown};
 use serde_json::{Value, json};
 
 use crate::{
-    dialect::{Client, Dialect, Upstream},
+    dialect::{Client, Dialect, OpenError, Upstream},
     fleet::Lease,
     metrics::Metrics,
     postgres::Postgres,
@@ -38,6 +38,8 @@
 /// A lease that is held longer belongs to a transaction that waits for its caller most of the time,
 /// so that it no longer counts as a running statement.
 const STATEMENT: Duration = Duration::from_millis(100);
+/// Wait after a database had no room for a connection, with jitter: others give idle ones back.
+const CROWDED: Duration = Duration::from_millis(200);
 /// First and longest wait after a failed attempt to connect.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
 
@@ -95,6 +97,8 @@
     queue: Queue<oneshot::Sender<Result<Pooled<D>, PoolError>>>,
     share: Share,
     slots: u32,
+    /// Limits that are found by trying, where the dialect allows it.
+    found: Option<Found>,
     draining: bool,
     failures: u32,
     retry: Option<Instant>,
@@ -104,7 +108,53 @@
     window: Instant,
 }
 
+/// Limits that are found by trying.
+#[derive(Debug)]
+struct Found {
+    connections: Limit,
+    statements: Limit,
+}
+
+/// Statements that run at once before anything is known: the slots of one database, twice.
+const STATEMENTS: u32 = 4;
+/// Most statements at once; bounds the growth while a database is idle.
+const STATEMENTS_MAX: u32 = 64;
+
+impl Found {
+    /// Starts from the limits of the configuration; everyone may have a connection and, at first,
+    /// twice an equal share of all.
+    fn new(limits: Limits) -> Self {
+        let (least, most) = Self::connections(limits);
+        Self {
+            connections: Limit::new(least * 2, least, most),
+            statements: Limit::new(STATEMENTS, 1, STATEMENTS_MAX),
+        }
+    }
+
+    /// Least and most connections.
+    fn connections(limits: Limits) -> (u32, u32) {
+        let share = limits.connections / limits.entries.max(1);
+        (share.max(1), limits.connections.max(1))
+    }
+}
+
 impl<D: Dialect> State<D> {
+    /// Connections that may be opened or kept idle.
+    fn target(&self, now: Instant) -> u32 {
+        match &self.found {
+            Some(found) => found.connections.get(),
+            None => self.share.target(now),
+        }
+    }
+
+    /// Statements that may run at once.
+    fn statements(&self, now: Instant) -> u32 {
+        match &self.found {
+            Some(found) => found.statements.get(),
+            None => self.share.slots(self.slots, now),
+        }
+    }
+
     /// Whether a connection could be handed out now; drops those that the member closed.
     fn has_usable_idle(&mut self, now: Instant) -> bool {
         if !self.has_free_slot(now) {
@@ -131,13 +181,12 @@
     }
 
     fn free_slots(&self, now: Instant) -> u32 {
-        let slots = self.share.slots(self.slots, now);
-        slots.saturating_sub(self.running(now))
+        self.statements(now).saturating_sub(self.running(now))
     }
 
     /// Counts the statements that run only when the number of connections in use leaves it open.
     fn has_free_slot(&self, now: Instant) -> bool {
-        count(self.held.len()) < self.share.slots(self.slots, now) || self.free_slots(now) > 0
+        count(self.held.len()) < self.statements(now) || self.free_slots(now) > 0
     }
 }
 
@@ -221,6 +270,7 @@
                 queue: Queue::new(limits.queue as usize),
                 share: Share::new(limits.connections, limits.entries),
                 slots: limits.slots,
+                found: D::SHEDS.then(|| Found::new(limits)),
                 draining: false,
                 failures: 0,
                 retry: None,
@@ -245,6 +295,10 @@
         let mut state = self.state.borrow_mut();
         state.share.configure(limits.connections, limits.entries);
         state.slots = limits.slots;
+        if let Some(found) = &mut state.found {
+            let (least, most) = Found::connections(limits);
+            found.connections.bound(least, most);
+        }
         state.queue.set_limit(limits.queue as usize);
     }
 
@@ -394,7 +448,13 @@
         }
         let ready = count(state.idle.len()) + state.pending;
         let wanted = count(state.queue.len()).min(state.free_slots(now));
-        let space = state.share.target(now).saturating_sub(state.total());
+        let space = state.target(now).saturating_sub(state.total());
+        if space == 0 && wanted > ready {
+            let total = state.total();
+            if let Some(found) = &mut state.found {
+                found.connections.used(total);
+            }
+        }
         for _ in 0..wanted.saturating_sub(ready).min(space) {
             state.pending += 1;
             compio::runtime::spawn(Rc::clone(self).open_one()).detach();
@@ -406,9 +466,9 @@
         let opened = compio::time::timeout(OPEN, async {
             let stream = base::net::connect(self.from, self.address, OPEN)
                 .await
-                .map_err(|cause| cause.to_string())?;
+                .map_err(|cause| OpenError::Failed(cause.to_string()))?;
             let client = self.dialect.open(stream.clone(), &self.to).await?;
-            Ok::<_, String>((stream, client))
+            Ok::<_, OpenError>((stream, client))
         })
         .await;
         let now = Instant::now();
@@ -428,6 +488,9 @@
                         counted: (0, 0),
                     });
                 }
+            } else if let (Ok(Err(OpenError::Full)), Some(found)) = (&opened, &mut state.found) {
+                found.connections.full(now);
+                state.retry = Some(now + CROWDED.mul_f64(rand::rng().random_range(0.5..1.5)));
             } else {
                 let longest = (BACKOFF.0 * (1 << state.failures.min(5))).min(BACKOFF.1);
                 state.failures += 1;
@@ -515,7 +578,7 @@
             for conn in std::mem::take(&mut state.idle) {
                 let idle = now.saturating_duration_since(conn.used);
                 let limit = if total > base { IDLE_LENT } else { IDLE };
-                if idle >= limit || total > state.share.target(now) {
+                if idle >= limit || total > state.target(now) {
                     total -= 1;
                     closing.push(conn);
                 } else if idle >= CHECK_AFTER && now - conn.checked >= CHECK_AFTER {
@@ -526,7 +589,12 @@
             }
             state.idle = kept;
             state.pending += count(checking.len());
-            let over = total.saturating_sub(state.share.limit(now, MARGIN));
+            let limit = match &state.found {
+                // The database itself refuses what it has no room for.
+                Some(_) => u32::MAX,
+                None => state.share.limit(now, MARGIN),
+            };
+            let over = total.saturating_sub(limit);
             for held in state.held.values().take(over as usize) {
                 held.cut();
             }
@@ -562,9 +630,9 @@
             "held": state.held.len(),
             "pending": state.pending,
             "waiting": state.queue.len(),
-            "target": state.share.target(now),
+            "target": state.target(now),
             "limit": state.share.limit(now, MARGIN),
-            "slots": state.share.slots(state.slots, now),
+            "slots": state.statements(now),
             "draining": state.draining,
             "failures": state.failures,
         })
@@ -609,7 +677,7 @@
         self.pool.count_bytes(&mut conn);
         let mut state = self.pool.state.borrow_mut();
         state.held.remove(&self.id);
-        let fits = state.total() < state.share.target(now);
+        let fits = state.found.is_some() || state.total() < state.target(now);
         if fits && !state.draining && !conn.client.has_bytes() {
             conn.used = now;
             state.idle.push(conn);
@@ -645,9 +713,23 @@
             .expect("a lease holds its connection until it is released")
     }
 
+    /// Notes that the database had no room for a statement.
+    pub fn crowded(&self, now: Instant) {
+        if let Some(found) = &mut self.pool.state.borrow_mut().found {
+            found.statements.full(now);
+        }
+    }
+
     /// Gives the connection back in a clean state.
     pub fn release(mut self) {
         let now = Instant::now();
+        {
+            let mut state = self.pool.state.borrow_mut();
+            let used = state.running(now);
+            if let Some(found) = &mut state.found {
+                found.statements.used(used);
+            }
+        }
         let busy = now.saturating_duration_since(self.taken);
         self.put_back(now);
         self.pool.state.borrow_mut().queue.finished(busy);
--- a/crates/entry/src/postgres.rs
+++ b/crates/entry/src/postgres.rs
@@ -6,7 +6,7 @@
 use wire::WireError;
 
 use crate::{
-    dialect::{Client, Dialect, Upstream},
+    dialect::{Client, Dialect, OpenError, Upstream},
     member::Member,
     metrics::Metrics,
     probe,
@@ -30,11 +30,12 @@
 
     const NAMES_STORE: bool = false;
     const CONFIRMS: bool = true;
+    const SHEDS: bool = false;
 
-    async fn open(&self, stream: TcpStream, to: &Upstream) -> Result<wire::Client, String> {
+    async fn open(&self, stream: TcpStream, to: &Upstream) -> Result<wire::Client, OpenError> {
         wire::Client::open_with(stream, USER, &to.group, &DEFAULTS)
             .await
-            .map_err(|cause| cause.to_string())
+            .map_err(|cause| OpenError::Failed(cause.to_string()))
     }
 
     async fn watch(member: Rc<Member<Self>>, from: IpAddr, metrics: Metrics) {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod freshness;
 pub mod lease;
+pub mod limit;
 pub mod observers;
 pub mod placing;
 pub mod process_number;
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -22,7 +22,7 @@
 use crate::{
     events::Events,
     kept::{Shape, Values},
-    statement::{Answer, Broken, Statement, Statements},
+    statement::{Answer, Broken, Code, Failure, Statement, Statements},
 };
 
 /// Pause before a statement that a database had no room for is tried again: about the time of one
@@ -166,6 +166,12 @@
         let now = Instant::now();
         let took = now.saturating_duration_since(start);
         self.load(&name, |load| load.end(result.is_ok().then_some(took), now));
+        let crowded = |failure: &Failure| failure.code == Code::Busy;
+        if let Ok(answer) = &result
+            && answer.outcome.as_ref().is_err_and(crowded)
+        {
+            lease.crowded(now);
+        }
         if let Ok(answer) = &result
             && let Some(member) = self.network.member(&name)
         {
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -28,6 +28,8 @@
 const URGENT: Duration = Duration::from_millis(100);
 /// Limit on one read, the wait for a connection included.
 const DEADLINE: Duration = Duration::from_millis(600);
+/// A member that accepts connections and answered nothing on those in use for this long lost them.
+const LOST: Duration = Duration::from_millis(1_500);
 /// Limit on the attempt to reach the address of a member without a usable connection.
 const REACH: Duration = Duration::from_millis(500);
 
@@ -36,10 +38,10 @@
     Status(route::Status),
     /// The connection broke; the member may accept another one.
     Lost,
-    Silent,
-    /// No connection was free; nothing is known.
-    Unknown,
-    Unreachable,
+    /// It lives and had no room for the question.
+    Busy,
+    /// There was no answer, or no connection in time.
+    Unanswered,
 }
 
 /// Watches a member until it is dropped.
@@ -54,26 +56,24 @@
                 member.answered(status, sent);
                 "ok"
             }
+            Outcome::Busy => "busy",
             Outcome::Lost => {
                 member.pool.close_idle();
                 "lost"
             }
-            // A member that lives has answered something meanwhile.
-            Outcome::Unknown if member.health(Instant::now()).1 > QUIET + DEADLINE => {
-                member.failed(false);
-                "silent"
-            }
-            Outcome::Unknown => "unknown",
-            Outcome::Silent => {
-                member.failed(false);
-                "silent"
-            }
-            Outcome::Unreachable => match reach(&member, from).await {
+            Outcome::Unanswered => match reach(&member, from).await {
                 Some(refused) => {
                     member.failed(refused);
                     if refused { "refused" } else { "silent" }
                 }
-                None => "lost",
+                // It is slow, or the connections in use have gone silent.
+                None => {
+                    if member.health(Instant::now()).1 > LOST {
+                        member.pool.close_idle();
+                        member.pool.cut_before(sent);
+                    }
+                    "slow"
+                }
             },
         };
         metrics.probes.with_label_values(&[result]).inc();
@@ -114,14 +114,15 @@
     let deadline = Instant::now() + DEADLINE;
     let mut lease = match member.pool.acquire(deadline).await {
         Ok(lease) => lease,
-        Err(PoolError::Full | PoolError::Deadline) => return Outcome::Unknown,
-        Err(PoolError::Closed) => return Outcome::Unreachable,
+        Err(PoolError::Full | PoolError::Deadline | PoolError::Closed) => {
+            return Outcome::Unanswered;
+        }
     };
     let exchange = lease.client().exchange(&[Statement::Status]);
     let answer = match timeout_at(deadline, exchange).await {
         Ok(Ok(mut answers)) => answers.pop(),
         Ok(Err(_broken)) => None,
-        Err(_elapsed) => return Outcome::Silent,
+        Err(_elapsed) => return Outcome::Unanswered,
     };
     let Some(answer) = answer else {
         return Outcome::Lost;
@@ -141,7 +142,7 @@
         // It had no room for the question, but it lives.
         None => {
             member.heard(answer.position, Instant::now());
-            Outcome::Unknown
+            Outcome::Busy
         }
     }
 }
