--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -102,7 +102,12 @@
     #[must_use]
     pub fn health(&self, now: Instant) -> (Health, Duration) {
         let detector = self.detector.borrow();
-        (detector.health(now), detector.since(now))
+        let health = if D::SHEDS {
+            detector.attempted()
+        } else {
+            detector.health(now)
+        };
+        (health, detector.since(now))
     }
 
     /// Whether the record names this member as the primary in force.
@@ -139,6 +144,11 @@
         }
     }
 
+    /// Notes that the address accepts connections.
+    pub fn reached(&self) {
+        self.detector.borrow_mut().reached();
+    }
+
     /// Notes a failed attempt to read the status.
     pub fn failed(&self, refused: bool) {
         if refused {
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -39,6 +39,8 @@
 const FAILED: Duration = Duration::from_millis(1_500);
 /// A control host that answered within this time counts as reachable: three renewals.
 const REACHABLE: Duration = Duration::from_millis(1_800);
+/// A process whose write lease ended this long ago counts as cut off; a renewal may just be late.
+const ISOLATED: Duration = Duration::from_millis(200);
 /// Time between rounds of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -255,10 +257,20 @@
         }
     }
 
-    /// Whether a balancer may send callers: a configuration is known and the process goes on.
+    /// Whether a balancer may send callers: a configuration is known, the process goes on, and it is
+    /// not cut off.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
-        !self.is_stopped() && self.config_version() > 0
+    pub fn is_ready(&self, now: Instant) -> bool {
+        !self.is_stopped() && self.config_version() > 0 && !self.is_isolated(now)
+    }
+
+    /// Whether this process had a write lease and lost it, because it does not reach a majority of
+    /// the control hosts: nothing that needs the primary can be served until that changes, while
+    /// other entry processes may go on.
+    #[must_use]
+    pub fn is_isolated(&self, now: Instant) -> bool {
+        let until = self.lease.borrow().until(0);
+        until.is_some_and(|until| now.saturating_duration_since(until) >= ISOLATED)
     }
 
     /// Version of the configuration in force; 0 before the first.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -434,6 +434,7 @@
             primary: None,
             touched: false,
             taken: now,
+            pinned: false,
         })
     }
 
@@ -657,9 +658,16 @@
     primary: Option<Term>,
     touched: bool,
     taken: Instant,
+    /// Whether it serves a transaction, whose caller takes most of the time.
+    pinned: bool,
 }
 
 impl<D: Dialect> Pooled<D> {
+    /// Keeps the time that this lease takes out of the mean of statements.
+    pub const fn pin(&mut self) {
+        self.pinned = true;
+    }
+
     /// Marks the member as primary of `term`.
     pub(crate) fn set_primary(&mut self, term: Term) {
         self.primary = Some(term);
@@ -732,7 +740,9 @@
         }
         let busy = now.saturating_duration_since(self.taken);
         self.put_back(now);
-        self.pool.state.borrow_mut().queue.finished(busy);
+        if !self.pinned {
+            self.pool.state.borrow_mut().queue.finished(busy);
+        }
         self.pool.dispatch(now);
     }
 }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -286,6 +286,10 @@
     /// # Errors
     /// A refusal that is "not run".
     pub async fn lead(&self, service: &Service, deadline: Instant) -> Result<Pooled<D>, Refusal> {
+        if self.is_isolated(Instant::now()) {
+            // Another entry process may serve it; waiting here can't help.
+            return self.counted(Err(Refusal::Primary));
+        }
         let result = self.route_write(service, deadline).await;
         self.counted(result)
     }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,6 +1,11 @@
 //! Life of an entry process, from its settings to its graceful stop.
 
-use std::{io, path::Path, rc::Rc, time::Duration};
+use std::{
+    io,
+    path::Path,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use base::{
     Exit,
@@ -59,7 +64,7 @@
     let report = Report {
         metrics: network.metrics.registry.clone(),
         dump: Rc::new(move || dump.dump()),
-        ready: Rc::new(move || ready.is_ready()),
+        ready: Rc::new(move || ready.is_ready(Instant::now())),
     };
     let router = base::http::routes(report).merge(announce::routes(Rc::clone(network)));
     let http = base::http::serve(settings.http, router).fuse();
--- a/crates/route/src/detect.rs
+++ b/crates/route/src/detect.rs
@@ -33,6 +33,8 @@
     good: Instant,
     refused: bool,
     answered: bool,
+    /// Whether the last attempt got no answer.
+    silent: bool,
 }
 
 impl Detector {
@@ -43,6 +45,7 @@
             good: now,
             refused: false,
             answered: false,
+            silent: false,
         }
     }
 
@@ -50,6 +53,7 @@
     pub const fn answered(&mut self, now: Instant) {
         self.good = now;
         self.refused = false;
+        self.silent = false;
         self.answered = true;
     }
 
@@ -58,9 +62,16 @@
         self.refused = true;
     }
 
+    /// Notes that the address accepts connections, though nothing was answered yet.
+    pub const fn reached(&mut self) {
+        self.refused = false;
+        self.silent = false;
+    }
+
     /// Notes a probe that got no answer before its deadline.
     pub const fn silent(&mut self) {
         self.refused = false;
+        self.silent = true;
     }
 
     /// State at `now`. A member that has never answered is silent.
@@ -75,6 +86,30 @@
         }
     }
 
+    /// State by the last attempt alone, for a member that is asked only when there is a reason.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use route::{Detector, Health};
+    ///
+    /// let now = Instant::now();
+    /// let mut member = Detector::new(now);
+    /// member.answered(now);
+    /// assert_eq!(member.attempted(), Health::Ok);
+    /// member.silent();
+    /// assert_eq!(member.attempted(), Health::Silent);
+    /// ```
+    #[must_use]
+    pub const fn attempted(&self) -> Health {
+        if self.refused {
+            Health::Refused
+        } else if self.silent || !self.answered {
+            Health::Silent
+        } else {
+            Health::Ok
+        }
+    }
+
     /// Time since the last good answer, or since the start when there was none.
     #[must_use]
     pub fn since(&self, now: Instant) -> Duration {
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -220,6 +220,9 @@
             if !tried.is_empty() {
                 return Err(Failure::new(Code::Busy, "no database was fresh enough"));
             }
+            if network.is_isolated(now) {
+                return Err(Failure::new(Code::Busy, "this process is cut off"));
+            }
             let until = (now + SLICE).min(deadline);
             let _changed = compio::time::timeout_at(until, changed).await;
         }
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -224,7 +224,10 @@
             tried.insert(lease.member().clone());
             match ran {
                 Ok(answer) => match answer.outcome {
-                    Ok(_) if answer.state == State::Open => return Ok(lease),
+                    Ok(_) if answer.state == State::Open => {
+                        lease.pin();
+                        return Ok(lease);
+                    }
                     Ok(_) => last = Failure::new(Code::Busy, "the transaction was not opened"),
                     Err(failure) => {
                         last = Failure::new(Code::Busy, failure.text);
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -1,7 +1,9 @@
-//! Watching a member whose status is read over pooled connections.
+//! Watching a member over pooled connections.
 //!
-//! Connections are scarce, so that no connection is kept for the status alone. Answers to callers'
-//! statements show that a member lives; the status is read on top of them for its role.
+//! Connections are scarce, so that none is kept for this alone. Answers to callers' statements show
+//! that a member lives. A quiet one is asked for something that uses no slot, and its status is read
+//! only when its role is in doubt. Whether a member that does not answer is silent is decided by its
+//! address: a busy one still accepts connections.
 
 use std::{
     io,
@@ -11,35 +13,49 @@
 };
 
 use compio::time::{timeout, timeout_at};
-use entry::{dialect::Dialect, member::Member, metrics::Metrics, pool::PoolError};
+use entry::{
+    dialect::{Client as _, Dialect},
+    member::Member,
+    metrics::Metrics,
+    pool::PoolError,
+};
 use rand::RngExt as _;
 
 use crate::statement::{Statement, Statements};
 
-/// A member that answered nothing for this long is asked for its status; a silent primary is noticed
-/// within it.
-const QUIET: Duration = Duration::from_millis(600);
-/// A status that shows the recorded role is read again after this time, whatever else the member
-/// answers.
+/// A primary that answered nothing for this long is asked: the loss of a primary is to be noticed
+/// within about a second.
+const QUIET_PRIMARY: Duration = Duration::from_millis(400);
+/// As [`QUIET_PRIMARY`], for a replica: a read that finds it dead can go elsewhere.
+const QUIET_REPLICA: Duration = Duration::from_millis(1_500);
+/// A status that shows the recorded role is read again after this time.
 const OLD: Duration = Duration::from_secs(15);
-/// Time between two looks at whether the status is to be read.
-const LOOK: Duration = Duration::from_millis(200);
-/// Time between two reads while something waits for a change of the group.
+/// Time between two looks at whether the member is to be asked.
+const LOOK: Duration = Duration::from_millis(100);
+/// Time between two questions while something is wrong.
 const URGENT: Duration = Duration::from_millis(100);
-/// Limit on one read, the wait for a connection included.
-const DEADLINE: Duration = Duration::from_millis(600);
+/// Limit on one question, the wait for a connection included.
+const DEADLINE: Duration = Duration::from_millis(400);
 /// A member that accepts connections and answered nothing on those in use for this long lost them.
 const LOST: Duration = Duration::from_millis(1_500);
-/// Limit on the attempt to reach the address of a member without a usable connection.
-const REACH: Duration = Duration::from_millis(500);
+/// Limit on the attempt to reach the address of a member: several round trips between regions.
+const REACH: Duration = Duration::from_millis(400);
+
+/// What a member is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Question {
+    /// Its status.
+    Status,
+    /// Whether it answers.
+    Life,
+}
 
-/// What a read brought.
+/// What a question brought.
 enum Outcome {
     Status(route::Status),
+    Lives,
     /// The connection broke; the member may accept another one.
     Lost,
-    /// It lives and had no room for the question.
-    Busy,
     /// There was no answer, or no connection in time.
     Unanswered,
 }
@@ -49,14 +65,15 @@
 where
     D::Client: Statements,
 {
+    let mut question = Question::Status;
     loop {
         let sent = Instant::now();
-        let result = match read(&member).await {
+        let result = match ask(&member, question).await {
             Outcome::Status(status) => {
                 member.answered(status, sent);
                 "ok"
             }
-            Outcome::Busy => "busy",
+            Outcome::Lives => "ok",
             Outcome::Lost => {
                 member.pool.close_idle();
                 "lost"
@@ -68,6 +85,7 @@
                 }
                 // It is slow, or the connections in use have gone silent.
                 None => {
+                    member.reached();
                     if member.health(Instant::now()).1 > LOST {
                         member.pool.close_idle();
                         member.pool.cut_before(sent);
@@ -80,12 +98,12 @@
         if result != "ok" {
             pause(URGENT).await;
         }
-        while !is_due(&member, Instant::now()) {
-            let urgent = timeout(LOOK, member.group.listen_urgent()).await;
-            if urgent.is_ok() {
-                pause(URGENT).await;
+        question = loop {
+            if let Some(due) = due(&member, Instant::now()) {
+                break due;
             }
-        }
+            pause(LOOK).await;
+        };
     }
 }
 
@@ -93,21 +111,33 @@
     compio::time::sleep(time.mul_f64(rand::rng().random_range(0.8..1.2))).await;
 }
 
-/// Whether the status of a member is to be read.
-fn is_due<D: Dialect>(member: &Member<D>, now: Instant) -> bool {
+/// What a member is to be asked now.
+fn due<D: Dialect>(member: &Member<D>, now: Instant) -> Option<Question> {
     let Some((status, read)) = member.status() else {
-        return true;
+        return Some(Question::Status);
     };
-    let quiet = member.health(now).1 >= QUIET;
-    let old = now.saturating_duration_since(read) >= OLD;
-    let other = member.group.in_force().is_some_and(|record| {
-        let leads = record.primary == member.name;
+    let age = now.saturating_duration_since(read);
+    let record = member.group.in_force();
+    let leads = record
+        .as_ref()
+        .is_some_and(|record| record.primary == member.name);
+    let other = record.is_some_and(|record| {
         leads != status.primary || (leads && status.position.term != record.term)
     });
-    quiet || old || other && now.saturating_duration_since(read) >= URGENT
+    let (health, since) = member.health(now);
+    let failed = health != route::Health::Ok;
+    if age >= OLD || failed || (other && age >= URGENT) {
+        return Some(Question::Status);
+    }
+    let quiet = if leads {
+        QUIET_PRIMARY
+    } else {
+        QUIET_REPLICA
+    };
+    (since >= quiet).then_some(Question::Life)
 }
 
-async fn read<D: Dialect>(member: &Rc<Member<D>>) -> Outcome
+async fn ask<D: Dialect>(member: &Rc<Member<D>>, question: Question) -> Outcome
 where
     D::Client: Statements,
 {
@@ -118,6 +148,17 @@
             return Outcome::Unanswered;
         }
     };
+    if question == Question::Life {
+        return match timeout_at(deadline, lease.client().check()).await {
+            Ok(true) => {
+                lease.release();
+                member.heard(None, Instant::now());
+                Outcome::Lives
+            }
+            Ok(false) => Outcome::Lost,
+            Err(_elapsed) => Outcome::Unanswered,
+        };
+    }
     let exchange = lease.client().exchange(&[Statement::Status]);
     let answer = match timeout_at(deadline, exchange).await {
         Ok(Ok(mut answers)) => answers.pop(),
@@ -128,23 +169,17 @@
         return Outcome::Lost;
     };
     lease.release();
-    match D::Client::status(&answer) {
-        Some(status) => {
-            let status = route::Status {
-                member: member.name.clone(),
-                store: member.store.clone(),
-                primary: status.primary,
-                position: status.position(),
-                following: String::new(),
-            };
-            Outcome::Status(status)
-        }
-        // It had no room for the question, but it lives.
-        None => {
-            member.heard(answer.position, Instant::now());
-            Outcome::Busy
-        }
-    }
+    member.heard(answer.position, Instant::now());
+    // Without a status it had no room for the question, but it lives.
+    D::Client::status(&answer).map_or(Outcome::Lives, |status| {
+        Outcome::Status(route::Status {
+            member: member.name.clone(),
+            store: member.store.clone(),
+            primary: status.primary,
+            position: status.position(),
+            following: String::new(),
+        })
+    })
 }
 
 /// Whether the address refuses connections or is silent; `None` when it accepts them.
