--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -133,7 +133,9 @@
     fn note_current(&self, request: &AppendRequest) {
         let mut state = self.state.borrow_mut();
         let known = state.log.term(request.commit) == Some(request.term);
-        state.current |= known && state.applied >= request.commit;
+        if known && state.applied >= request.commit {
+            state.current.get_or_insert(request.commit);
+        }
     }
 
     /// Takes the entries into the log in memory. Returns the last index that matches the leader's
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -25,7 +25,7 @@
     error::{BarrierError, ProposeError, StartError},
     hard::{Hard, Verdict},
     host::Host,
-    log::Payload,
+    log::{Log, Payload},
     message::{Identity, ProposeReply},
     recover::recover,
     signal::Signal,
@@ -385,7 +385,7 @@
     pub fn is_current(&self) -> bool {
         let state = self.state.borrow();
         let leads = state.role == Role::Leader && state.applied >= state.first;
-        state.current || leads
+        state.current.is_some() || leads
     }
 
     /// Newest term that this host knows.
@@ -713,6 +713,16 @@
     if random == 0 { 1 } else { random }
 }
 
+/// Readmissions in the log after the entry `applied`.
+fn readmissions(log: &Log, applied: u64) -> BTreeMap<u64, (HostName, u64)> {
+    let entries = (log.first().max(applied + 1)..=log.last()).filter_map(|i| log.get(i));
+    let readmits = entries.filter_map(|entry| match Payload::parse(&entry.payload) {
+        Payload::Readmit(name, incarnation) => Some((entry.index, (name, incarnation))),
+        _ => None,
+    });
+    readmits.collect()
+}
+
 fn prepare<M: Machine, E: Environment>(
     options: &Options,
     tuning: &Tuning,
@@ -776,20 +786,11 @@
             bytes,
         };
     }
-    let mut readmits = BTreeMap::new();
-    for index in found.log.first().max(image.index + 1)..=found.log.last() {
-        let payload = found
-            .log
-            .get(index)
-            .map(|entry| Payload::parse(&entry.payload));
-        if let Some(Payload::Readmit(name, incarnation)) = payload {
-            readmits.insert(index, (name, incarnation));
-        }
-    }
+    let readmits = readmissions(&found.log, image.index);
     let now = environment.now();
     Ok(State {
         hard,
-        current: false,
+        current: None,
         changes: 1,
         saved: 0,
         log: found.log,
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -80,8 +80,8 @@
 #[derive(Debug)]
 pub struct State {
     pub hard: Hard,
-    /// Whether everything that was committed before the start is applied.
-    pub current: bool,
+    /// Commit index at which everything that was committed before the start was applied.
+    pub current: Option<u64>,
     /// Number of changes of `hard`, and of those on disk.
     pub changes: u64,
     pub saved: u64,
--- a/crates/base/src/request.rs
+++ b/crates/base/src/request.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 requests to other services.
 
 use std::{
+    fmt::Write as _,
     io,
     net::{IpAddr, SocketAddr},
     time::Duration,
@@ -63,15 +64,19 @@
 }
 
 fn encode(to: SocketAddr, request: &Request<'_>) -> Vec<u8> {
-    let mut text = format!("{} {} HTTP/1.1\r\nhost: {to}\r\n", request.method, request.path);
+    let mut text = format!(
+        "{} {} HTTP/1.1\r\nhost: {to}\r\n",
+        request.method, request.path
+    );
     for (name, value) in &request.headers {
-        text.push_str(&format!("{name}: {value}\r\n"));
+        let _infallible = write!(text, "{name}: {value}\r\n");
     }
-    text.push_str(&format!(
+    let _infallible = write!(
+        text,
         "content-type: application/json\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{}",
         request.body.len(),
         request.body
-    ));
+    );
     text.into_bytes()
 }
 
@@ -82,6 +87,9 @@
     match answer.parse(buffer) {
         Ok(httparse::Status::Complete(_)) => Ok(answer.code),
         Ok(httparse::Status::Partial) => Ok(None),
-        Err(cause) => Err(io::Error::new(io::ErrorKind::InvalidData, cause.to_string())),
+        Err(cause) => Err(io::Error::new(
+            io::ErrorKind::InvalidData,
+            cause.to_string(),
+        )),
     }
 }
--- a/crates/control/src/form.rs
+++ b/crates/control/src/form.rs
@@ -136,10 +136,7 @@
                 deadline_ms: number("limits.deadline_ms", &self.deadline_ms)?,
                 message_bytes: number("limits.message_bytes", &self.message_bytes)?,
                 key_hours: number("limits.key_hours", &self.key_hours)?,
-                idle_ms: old.map_or_else(
-                    || Limits::default().idle_ms,
-                    |old| old.limits.idle_ms,
-                ),
+                idle_ms: old.map_or_else(|| Limits::default().idle_ms, |old| old.limits.idle_ms),
             },
             non_idempotent: rules(&self.rules)?,
         })
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -366,14 +366,12 @@
     pub fn told(&self, now: Instant, age: Duration, announcement: Announcement) {
         self.metrics.announcements.inc();
         let group = announcement.leaving.then(|| announcement.group.clone());
-        let changed = self
-            .directory
-            .borrow_mut()
-            .announce(now, age, announcement);
+        let changed = self.directory.borrow_mut().announce(now, age, announcement);
         if changed {
             self.changed.notify();
             // The next sweep would plan the change of a leaving primary up to a second later.
-            if let Some(notify) = group.and_then(|group| self.suspects.borrow().get(&group).cloned())
+            if let Some(notify) =
+                group.and_then(|group| self.suspects.borrow().get(&group).cloned())
             {
                 notify.notify();
             }
--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -294,8 +294,7 @@
         return None;
     }
     let follows = !status.primary
-        && (finds
-            || status.position.term >= record.term && status.following == primary.address);
+        && (finds || status.position.term >= record.term && status.following == primary.address);
     (!follows && status.position.term <= record.term).then(|| Order::Follow {
         primary: primary.address.clone(),
         term: record.term,
--- a/crates/control/src/lead.rs
+++ b/crates/control/src/lead.rs
@@ -88,7 +88,9 @@
         };
         let now = Instant::now();
         let peers = host.peers.names();
-        let calls = peers.iter().map(|name| host.peers.announce(name, &heard, now));
+        let calls = peers
+            .iter()
+            .map(|name| host.peers.announce(name, &heard, now));
         // A host that misses one hears the next: databases announce themselves again and again.
         let _failed = join_all(calls).await;
     }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -5,7 +5,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use base::{GroupName, HostName, MemberName, RegionName, StoreId, Term, Version, ZoneName, document};
+use base::{
+    GroupName, HostName, MemberName, RegionName, StoreId, Term, Version, ZoneName, document,
+};
 use serde::{Deserialize, Serialize};
 
 /// Change ids whose answers are kept, so that a resent change gets its first answer.
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -51,7 +51,10 @@
 /// Whether another host than `identity` holds its seat.
 #[must_use]
 pub fn displaced(state: &State, identity: &Identity) -> bool {
-    let own = identity.peers.iter().find(|(name, _)| *name == identity.name);
+    let own = identity
+        .peers
+        .iter()
+        .find(|(name, _)| *name == identity.name);
     match (state.seats.get(&identity.name), own) {
         (Some(held), Some((_, address))) => *held != address.to_string(),
         _ => false,
@@ -174,7 +177,10 @@
         let answer = response.get()?;
         let mut seats = BTreeMap::new();
         for seat in answer.get_seats()? {
-            seats.insert(seat.get_name()?.to_string()?, seat.get_address()?.to_string()?);
+            seats.insert(
+                seat.get_name()?.to_string()?,
+                seat.get_address()?.to_string()?,
+            );
         }
         Ok::<_, capnp::Error>((answer.get_name()?.to_string()?, seats))
     };
@@ -182,8 +188,7 @@
 }
 
 /// The seat of a data directory, with the addresses of all seats as far as they were known then.
-#[derive(Debug, Clone, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Seating {
     /// Seat of this host.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -16,7 +16,7 @@
     time::{Duration, Instant},
 };
 
-use base::{HostName, Position};
+use base::{HostName, Map, Position};
 use capnp::Error;
 use compio::{
     net::{TcpListener, TcpStream},
@@ -32,6 +32,7 @@
     machine::{Answer, Change, Command, GroupState, Record, State},
     notify::Notify,
     sighting::{Health, Sighting},
+    upstream::Postgres,
 };
 use proto::schema::peer;
 use serde_json::{Value, json};
@@ -45,6 +46,10 @@
     pub term: Cell<u64>,
     /// Commits nothing while set.
     pub stuck: Cell<bool>,
+    /// Time since the host of a seat answered the leader.
+    pub gone: RefCell<Map<HostName, Duration>>,
+    /// Addresses of seats that a host's log was told.
+    pub moved: RefCell<Map<(HostName, HostName), SocketAddr>>,
     changed: Notify,
     states: RefCell<Vec<Rc<RefCell<State>>>>,
 }
@@ -78,6 +83,8 @@
     pub ahead: Cell<u64>,
     /// Lost its disk.
     pub learner: Cell<bool>,
+    /// Has applied what was committed before its start.
+    pub current: Cell<bool>,
 }
 
 impl FakeLog {
@@ -95,6 +102,7 @@
             state: Rc::clone(&state),
             ahead: Cell::new(0),
             learner: Cell::new(false),
+            current: Cell::new(false),
         };
         (log, state)
     }
@@ -161,6 +169,20 @@
         Duration::ZERO
     }
 
+    fn is_current(&self) -> bool {
+        self.current.get()
+    }
+
+    fn absent(&self, seat: &str, _now: Instant) -> Option<Duration> {
+        let gone = self.shared.gone.borrow();
+        (self.leads() && seat != self.name).then(|| gone.get(seat).copied().unwrap_or_default())
+    }
+
+    fn moved(&self, seat: &str, address: SocketAddr) {
+        let mut moved = self.shared.moved.borrow_mut();
+        moved.insert((self.name.clone(), seat.to_owned()), address);
+    }
+
     fn failure(&self) -> Option<String> {
         None
     }
@@ -274,6 +296,7 @@
             connections: 16,
             slots: 2,
             leaving: state.leaving,
+            ..Announcement::default()
         }
     }
 
@@ -398,7 +421,7 @@
 pub struct Cluster {
     pub shared: Rc<Shared>,
     pub hosts: Vec<Running>,
-    addresses: Vec<(HostName, SocketAddr)>,
+    pub addresses: Vec<(HostName, SocketAddr)>,
 }
 
 impl Cluster {
@@ -434,8 +457,12 @@
             region: "r".to_owned(),
             host: IpAddr::V4(Ipv4Addr::LOCALHOST),
             peers: self.addresses.clone(),
+            moves: false,
         };
-        let host = Host::new(now, identity, log, state, base::log::silent());
+        let databases = Rc::new(Postgres {
+            host: identity.host,
+        });
+        let host = Host::new(now, identity, log, databases, state, base::log::silent());
         let tasks = vec![
             compio::runtime::spawn(gate::serve(Rc::clone(&host), listener)),
             compio::runtime::spawn(lead::lead(Rc::clone(&host))),
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -21,6 +21,7 @@
     host::{Host, Identity},
     log::Log,
     permits::QUIET,
+    upstream::Postgres,
 };
 use proto::schema::{self, control as calls};
 use rstest::rstest;
@@ -39,8 +40,19 @@
         region: "r0".to_owned(),
         host: IpAddr::V4(Ipv4Addr::LOCALHOST),
         peers: vec![("c0".to_owned(), address)],
+        moves: false,
     };
-    let host = Host::new(long_ago(), identity, log, state, base::log::silent());
+    let databases = Rc::new(Postgres {
+        host: identity.host,
+    });
+    let host = Host::new(
+        long_ago(),
+        identity,
+        log,
+        databases,
+        state,
+        base::log::silent(),
+    );
     spawn(gate::serve(Rc::clone(&host), listener)).detach();
     spawn(control::lead::follow(Rc::clone(&host))).detach();
     spawn(control::lead::lead(Rc::clone(&host))).detach();
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -7,6 +7,7 @@
     judge::{Answered, Reach, Verdict, answered, choose, correction, demoted, judge, reach},
     machine::{GroupState, Member, Planned, Record},
     sighting::{Health, Observer, Observers, Sighting},
+    upstream::Order,
 };
 use route::Status;
 use rstest::rstest;
@@ -243,12 +244,36 @@
         ..status("b", term, 10)
     };
 
-    let order = correction(&record(), &status);
+    let order = correction(&record(), &status, false);
 
-    assert_eq!(
-        order.as_deref(),
-        expected.then_some("FOLLOW '127.0.0.1:97' TERM 3")
-    );
+    let follow = Order::Follow {
+        primary: "127.0.0.1:97".to_owned(),
+        term: 3,
+    };
+    assert_eq!(order, expected.then_some(follow));
+}
+
+/// Guards against orders to replicas that find the primary themselves, and against a former primary
+/// that goes on.
+#[rstest]
+#[case::former_primary(true, 2, true)]
+#[case::replica(false, 2, false)]
+#[case::replica_of_term(false, 3, false)]
+#[case::newer_primary(true, 4, false)]
+fn only_former_primary_needs_order_where_replicas_find_it(
+    #[case] primary: bool,
+    #[case] term: u64,
+    #[case] expected: bool,
+) {
+    let status = Status {
+        primary,
+        following: String::new(),
+        ..status("b", term, 10)
+    };
+
+    let order = correction(&record(), &status, true);
+
+    assert_eq!(order.is_some(), expected);
 }
 
 /// Guards against a choice before the members have answered that make it safe, and against a wait
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -17,6 +17,7 @@
         applied: 50,
         stored: 50,
         learner: false,
+        current: false,
     }
 }
 
@@ -44,6 +45,7 @@
         applied,
         stored,
         learner,
+        current: false,
     };
 
     assert_eq!(leases.renew(now, holder("e"), version, known), granted);
@@ -113,6 +115,22 @@
     assert!(leases.renew(start + LEASE, holder("e"), 10, known(10)));
 }
 
+/// Guards against an outage of a lease after every restart of the control hosts, and against a
+/// report that older grants have ended by a host that forgot them.
+#[test]
+fn restarted_host_grants_once_it_is_current() {
+    let start = Instant::now();
+    let mut leases = Leases::new(start);
+    let current = Known {
+        current: true,
+        ..known(10)
+    };
+
+    assert!(leases.renew(start, holder("e"), 10, current));
+    assert!(!leases.renew(start, holder("f"), 9, current));
+    assert_eq!(leases.clear(start + Duration::from_millis(1_999), 10), None);
+}
+
 /// Guards against a late request that brings back an older version of the same run.
 #[test]
 fn late_older_request_is_refused() {
@@ -135,11 +153,14 @@
 }
 
 /// A control host of the model: durable is only what `stored` says.
+#[expect(clippy::struct_excessive_bools, reason = "the flags change one by one")]
 struct Grantor {
     leases: Leases,
     stored: bool,
     applied: bool,
     learner: bool,
+    /// Whether it has applied what was committed before its start.
+    current: bool,
 }
 
 impl Grantor {
@@ -152,6 +173,7 @@
             applied: if self.applied { Self::FENCED } else { 0 },
             stored: if self.stored { Self::FENCED } else { 0 },
             learner: self.learner,
+            current: self.current,
         }
     }
 }
@@ -185,7 +207,7 @@
     /// late messages, restarts and one lost disk at any moment.
     #[test]
     fn no_old_lease_is_valid_after_release(
-        steps in proptest::collection::vec((0_u8..12, 0_usize..3, 0_u64..900), 1..80),
+        steps in proptest::collection::vec((0_u8..13, 0_usize..3, 0_u64..900), 1..80),
     ) {
         let start = Instant::now();
         let mut now = start + LEASE;
@@ -194,6 +216,7 @@
             stored: false,
             applied: false,
             learner: false,
+            current: false,
         });
         let mut requests: Vec<Request> = Vec::new();
         let (mut committed, mut disks, mut released) = (false, 1, None);
@@ -229,6 +252,13 @@
                 9 => {
                     hosts[i].leases = Leases::new(now);
                     hosts[i].applied = false;
+                    hosts[i].current = false;
+                }
+                // A message of the leader: the host has applied what was committed until then.
+                12 => {
+                    hosts[i].current |= !hosts[i].learner;
+                    hosts[i].stored |= committed && !hosts[i].learner;
+                    hosts[i].applied |= committed && !hosts[i].learner;
                 }
                 10 if disks > 0 => {
                     disks -= 1;
@@ -237,10 +267,11 @@
                         stored: false,
                         applied: false,
                         learner: true,
+                        current: false,
                     };
                 }
                 10 if hosts[i].learner && committed => {
-                    hosts[i] = Grantor { stored: true, applied: true, learner: false, ..take(&mut hosts[i], now) };
+                    hosts[i] = Grantor { stored: true, applied: true, learner: false, current: true, ..take(&mut hosts[i], now) };
                 }
                 // Long enough, now and then, for a lease to end in one step.
                 _ => now += Duration::from_millis(3 * value),
@@ -260,6 +291,7 @@
         stored: false,
         applied: false,
         learner: true,
+        current: false,
     };
     std::mem::replace(host, empty)
 }
--- a/crates/control/tests/promotion.rs
+++ b/crates/control/tests/promotion.rs
@@ -13,7 +13,7 @@
 use control::{
     machine::{Command, GroupState, Planned},
     sighting::Health,
-    upstream::Order,
+    upstream::{Fence, Order, Target},
 };
 use rstest::rstest;
 
@@ -405,22 +405,28 @@
 #[compio::test]
 async fn peers_relay_reads_and_orders() {
     let (cluster, group) = stable().await;
-    let address = group.members[1].address.to_string();
     let host = Rc::clone(cluster.leader());
-
-    let status = host.peers.probe("c1", &address).await.unwrap();
-    let relay = async |statement: &str, store: Option<&str>| {
-        let order = Order {
-            statement: statement.to_owned(),
-            store: store.map(str::to_owned),
-        };
-        host.peers.order("c2", &address, &order).await
+    let target = |store: &str| Target {
+        address: group.members[1].address.to_string(),
+        group: "g".to_owned(),
+        member: "b".to_owned(),
+        store: store.to_owned(),
+    };
+    let promote = Order::Promote {
+        term: 9,
+        fence: Fence::default(),
     };
-    let follow = relay("FOLLOW '127.0.0.1:1' TERM 1", None).await;
-    let foreign = relay("DROP TABLE x", None).await;
-    let anywhere = relay("PROMOTE TERM 9", None).await;
-    let elsewhere = relay("PROMOTE TERM 9", Some("store-c")).await;
-    let promotion = relay("PROMOTE TERM 9", Some("store-b")).await;
+    let follow = Order::Follow {
+        primary: "127.0.0.1:1".to_owned(),
+        term: 1,
+    };
+
+    let status = host.peers.probe("c1", &target("")).await.unwrap();
+    let follow = host.peers.order("c2", &target(""), &follow).await;
+    let foreign = relay_text(&cluster, "c2", &target("store-b"), "DROP TABLE x").await;
+    let anywhere = host.peers.order("c2", &target(""), &promote).await;
+    let elsewhere = host.peers.order("c2", &target("store-c"), &promote).await;
+    let promotion = host.peers.order("c2", &target("store-b"), &promote).await;
 
     assert_eq!(status.member, "b");
     follow.unwrap();
@@ -431,6 +437,33 @@
     assert_eq!(group.members[1].promoted(), ["PROMOTE TERM 9"]);
 }
 
+/// Sends a text as an order through a host.
+async fn relay_text(
+    cluster: &Cluster,
+    host: &str,
+    target: &Target,
+    text: &str,
+) -> Result<(), String> {
+    let addresses = cluster.addresses.iter();
+    let (_, address) = addresses.clone().find(|(name, _)| name == host).unwrap();
+    let stream = compio::net::TcpStream::connect(address).await.unwrap();
+    let (gate, driver) = proto::rpc::open::<proto::schema::gate::Client>(stream);
+    let _driver = compio::runtime::spawn(driver);
+    let peer = gate.peer_request().send().pipeline.get_peer();
+    let mut request = peer.order_request();
+    let mut builder = request.get().init_target();
+    builder.set_address(&target.address);
+    builder.set_store(&target.store);
+    request.get().set_order(text);
+    let response = request.send().promise.await.unwrap();
+    let answer = response.get().unwrap();
+    if answer.get_done() {
+        Ok(())
+    } else {
+        Err(answer.get_cause().unwrap().to_string().unwrap())
+    }
+}
+
 /// Guards against two clusters' worth of state: a restarted host must know what it knew.
 #[compio::test]
 async fn restarted_host_has_same_records() {
--- /dev/null
+++ b/crates/control/tests/seats.rs
@@ -0,0 +1,122 @@
+//! Seats among the control hosts.
+
+mod common;
+
+use std::{collections::BTreeMap, time::Duration};
+
+use common::Cluster;
+use control::{
+    machine::{Answer, Command, State},
+    seat::{self, ABSENT, Seating},
+};
+use rstest::rstest;
+
+fn seats(addresses: [&str; 3]) -> BTreeMap<String, String> {
+    let names = ["control-1", "control-2", "control-3"].map(str::to_owned);
+    names
+        .into_iter()
+        .zip(addresses.map(str::to_owned))
+        .collect()
+}
+
+fn seat_command(name: &str, address: &str) -> Command {
+    Command::Seat {
+        name: name.to_owned(),
+        address: address.to_owned(),
+    }
+}
+
+/// Guards against a seat taken from a host that still takes part, and against a host that gets a
+/// second seat.
+#[rstest]
+#[case::own_seat("b:1", [0, 9_000, 0], Some("control-2"))]
+#[case::gone_the_longest("d:1", [0, 5_000, 9_000], Some("control-3"))]
+#[case::all_there("d:1", [0, 100, 2_400], None)]
+fn seat_of_an_absent_host_is_given(
+    #[case] address: &str,
+    #[case] absent: [u64; 3],
+    #[case] expected: Option<&str>,
+) {
+    let seats = seats(["a:1", "b:1", "c:1"]);
+    let since = |name: &str| {
+        let i = seats.keys().position(|known| known == name)?;
+        Some(Duration::from_millis(absent[i]))
+    };
+
+    let chosen = seat::choose(&seats, address, since);
+
+    assert_eq!(chosen.as_deref(), expected);
+}
+
+/// Guards against a former host of a seat whose grants still make up a majority: a change of a seat
+/// must end older leases.
+#[test]
+fn change_of_a_seat_ends_older_leases() {
+    let mut state = State::default();
+    state.apply(5, seat_command("control-1", "a:1"));
+
+    state.apply(8, seat_command("control-1", "d:1"));
+
+    assert_eq!((state.version, state.fenced, state.seated), (8, 8, 8));
+    assert_eq!(state.seats["control-1"], "d:1");
+}
+
+/// Guards against an outage of all leases each time a host asks for the seat that it has.
+#[test]
+fn repeated_seat_changes_nothing() {
+    let mut state = State::default();
+    state.apply(5, seat_command("control-1", "a:1"));
+
+    let answer = state.apply(9, seat_command("control-1", "a:1"));
+
+    assert_eq!((state.fenced, state.seated), (5, 5));
+    assert!(matches!(answer, Answer::Done { version: 5, .. }));
+}
+
+/// Guards against a host that lost its seat and goes on granting leases.
+#[compio::test]
+async fn displaced_host_grants_nothing() {
+    let cluster = Cluster::start().await;
+    let former = &cluster.hosts[2].host;
+    let name = former.identity.name.clone();
+    let before = former.is_displaced();
+
+    let joined = {
+        let gone = [(name.clone(), ABSENT)];
+        cluster.shared.gone.borrow_mut().extend(gone);
+        seat::join(cluster.leader(), "127.0.0.9:1").await
+    };
+
+    assert!(!before);
+    assert_eq!(joined.name, Some(name));
+    assert!(former.is_displaced());
+    assert!(!cluster.leader().is_displaced());
+}
+
+/// Guards against a founder that counts other seats than the others do.
+#[test]
+fn founders_agree_whatever_the_order() {
+    let one = ["a:1", "c:1", "b:1"].map(String::from);
+    let other = ["b:1", "a:1", "c:1"].map(String::from);
+
+    let one = Seating::found(&one, "b:1").unwrap();
+    let other = Seating::found(&other, "b:1").unwrap();
+
+    assert_eq!(one, other);
+    assert_eq!(one.seats, seats(["a:1", "b:1", "c:1"]));
+}
+
+/// Guards against a restarted host that forgot its seat.
+#[test]
+fn seating_survives_a_restart() {
+    let parent = tempfile::tempdir().unwrap();
+    let data = parent.path().join("data");
+    let addresses = ["a:1", "b:1", "c:1"].map(String::from);
+    let seating = Seating::found(&addresses, "c:1").unwrap();
+
+    let before = Seating::load(&data).unwrap();
+    seating.store(&data).unwrap();
+
+    assert_eq!(before, None);
+    assert_eq!(Seating::load(&data).unwrap(), Some(seating));
+}
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -32,8 +32,7 @@
     ) -> impl Future<Output = Result<Self::Client, OpenError>>;
 
     /// Watches a member until it is dropped, and notes what it learns there.
-    fn watch(member: Rc<Member<Self>>, from: IpAddr, metrics: Metrics)
-    -> impl Future<Output = ()>;
+    fn watch(member: Rc<Member<Self>>, from: IpAddr, metrics: Metrics) -> impl Future<Output = ()>;
 }
 
 /// Why a connection can't be used.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -253,7 +253,11 @@
 }
 
 /// Watches until a call fails.
-async fn watch_loop<D: Dialect>(network: &Rc<Network<D>>, address: SocketAddr, control: &Control) -> String {
+async fn watch_loop<D: Dialect>(
+    network: &Rc<Network<D>>,
+    address: SocketAddr,
+    control: &Control,
+) -> String {
     loop {
         let result = limited(WATCH_DEADLINE, watch(network, address, control)).await;
         count(network, "watch", result.is_ok());
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -12,8 +12,13 @@
 use event_listener::Event;
 use route::{Detector, Health, Place, Status};
 
-use crate::{dialect::Dialect, group::Group, metrics::Metrics, pool::Pool, postgres::Postgres};
-
+use crate::{
+    dialect::{Dialect, Upstream},
+    group::Group,
+    metrics::Metrics,
+    pool::Pool,
+    postgres::Postgres,
+};
 
 /// One member at one address.
 #[derive(Debug)]
@@ -41,8 +46,7 @@
     /// Makes a member and starts its probes, which end when it is dropped.
     #[must_use]
     pub fn start(
-        name: &str,
-        store: &str,
+        to: &Upstream,
         group: Rc<Group>,
         address: SocketAddr,
         place: Place,
@@ -52,8 +56,8 @@
     ) -> Rc<Self> {
         let from = pool.source();
         let member = Rc::new(Self {
-            name: name.to_owned(),
-            store: store.to_owned(),
+            name: to.member.clone(),
+            store: to.store.clone(),
             group,
             address,
             place,
@@ -167,4 +171,3 @@
         self.group.notify();
     }
 }
-
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -170,9 +170,9 @@
 
     fn link(self: &Rc<Self>, address: SocketAddr) {
         let mut links = self.links.borrow_mut();
-        links.entry(address).or_insert_with(|| {
-            compio::runtime::spawn(crate::link::run(Rc::clone(self), address))
-        });
+        links
+            .entry(address)
+            .or_insert_with(|| compio::runtime::spawn(crate::link::run(Rc::clone(self), address)));
     }
 
     /// Tries further addresses where control hosts may be, until all of them are known.
@@ -626,10 +626,17 @@
             store: store.clone(),
         };
         let dialect = Rc::clone(&self.dialect);
-        let pool = Pool::with(dialect, to, *address, from, far, limits, &self.metrics);
+        let pool = Pool::with(
+            dialect,
+            to.clone(),
+            *address,
+            from,
+            far,
+            limits,
+            &self.metrics,
+        );
         let member = Member::start(
-            name,
-            store,
+            &to,
             Rc::clone(group),
             *address,
             place.clone(),
@@ -798,7 +805,11 @@
 /// Members that must answer an entry process before a write is acknowledged.
 const fn confirmations(service: &Service) -> u32 {
     // A primary that answers for the others is enough.
-    if service.synchronous { 1 } else { service.confirmations }
+    if service.synchronous {
+        1
+    } else {
+        service.confirmations
+    }
 }
 
 async fn tick<D: Dialect>(network: Rc<Network<D>>) {
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -89,12 +89,15 @@
     }
 }
 
+/// A request that waits for a connection.
+type Waiting<D> = oneshot::Sender<Result<Pooled<D>, PoolError>>;
+
 #[derive(Debug)]
 struct State<D: Dialect> {
     idle: Vec<Conn<D::Client>>,
     held: Map<u64, Held>,
     pending: u32,
-    queue: Queue<oneshot::Sender<Result<Pooled<D>, PoolError>>>,
+    queue: Queue<Waiting<D>>,
     share: Share,
     slots: u32,
     /// Limits that are found by trying, where the dialect allows it.
@@ -406,8 +409,8 @@
     fn next(
         self: &Rc<Self>,
         now: Instant,
-        late: &mut Vec<oneshot::Sender<Result<Pooled<D>, PoolError>>>,
-    ) -> Option<(oneshot::Sender<Result<Pooled<D>, PoolError>>, Pooled<D>)> {
+        late: &mut Vec<Waiting<D>>,
+    ) -> Option<(Waiting<D>, Pooled<D>)> {
         let mut state = self.state.borrow_mut();
         if state.queue.is_empty() || !state.has_usable_idle(now) {
             return None;
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -294,7 +294,11 @@
         self.counted(result)
     }
 
-    async fn route_write(&self, service: &Service, deadline: Instant) -> Result<Pooled<D>, Refusal> {
+    async fn route_write(
+        &self,
+        service: &Service,
+        deadline: Instant,
+    ) -> Result<Pooled<D>, Refusal> {
         let start = Instant::now();
         self.check_service(service)?;
         let group = self.enter(service, start);
@@ -422,8 +426,7 @@
 
     /// Whether the write lease holds at `now` and knows record changes up to `version`.
     fn leased(&self, version: Version, now: Instant) -> bool {
-        disabled("lease-disabled")
-            || (self.is_seated() && self.lease.borrow().valid(version, now))
+        disabled("lease-disabled") || (self.is_seated() && self.lease.borrow().valid(version, now))
     }
 
     fn is_in_force(&self, group: &Group, term: Term, now: Instant) -> bool {
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -13,7 +13,7 @@
 use base::{Position, Version};
 use compio::net::TcpListener;
 use entry::{
-    fleet::{Fleet as _, Lease as _, Need},
+    fleet::{Fleet as _, Need},
     group::{MemberRecord, Phase, Record},
     network::Network,
     pool::Pooled,
--- a/crates/entry/tests/pool.rs
+++ b/crates/entry/tests/pool.rs
@@ -8,7 +8,6 @@
 };
 
 use entry::{
-    fleet::Lease as _,
     metrics::Metrics,
     pool::{Limits, Pool, PoolError},
 };
--- a/crates/entry/tests/read.rs
+++ b/crates/entry/tests/read.rs
@@ -3,7 +3,7 @@
 mod fakes;
 
 use base::Position;
-use entry::{fleet::Lease as _, group::Phase, refusal::Refusal};
+use entry::{group::Phase, refusal::Refusal};
 use fakes::{Deployment, query, run, sleep, until};
 
 /// A read with a token must go to a replica that covers it.
--- a/crates/entry/tests/write.rs
+++ b/crates/entry/tests/write.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use base::Position;
-use entry::{fleet::Lease as _, group::Phase, refusal::Refusal};
+use entry::{group::Phase, refusal::Refusal};
 use fakes::{Deployment, query, run, sleep, until};
 
 /// A write that two members hold is acknowledged, and the next write reuses the connection.
--- a/crates/lab/src/control_host.rs
+++ b/crates/lab/src/control_host.rs
@@ -153,6 +153,8 @@
             applied: host.state.applied,
             stored: u64::try_from(self.ledger.stored[node]).unwrap_or(u64::MAX),
             learner: self.ledger.learner[node],
+            // The model's hosts wait for the end of older leases after every start.
+            current: false,
         };
         host.leases.release(&holder, renewal.version);
         let granted = host
@@ -419,7 +421,7 @@
         if judge::demoted(&record, status).is_some() {
             return self.fence(node, epoch, &record, record.term + 1, None);
         }
-        if judge::correction(&record, status).is_some() {
+        if judge::correction(&record, status, false).is_some() {
             let follow = Message::Follow(database::node(&record.primary), record.term);
             self.network.send(node, from, follow);
         }
@@ -571,6 +573,7 @@
             connections: CONNECTIONS,
             slots: 2,
             leaving: false,
+            ..Announcement::default()
         }
     }
 }
--- a/crates/lab/src/operator.rs
+++ b/crates/lab/src/operator.rs
@@ -34,7 +34,7 @@
         Command::Configure(change) => &change.change,
         Command::Plan { planned, .. } => &planned.change,
         Command::Membership(order) => &order.change,
-        Command::Record { .. } => "",
+        Command::Record { .. } | Command::Supersede(_) | Command::Seat { .. } => "",
     }
 }
 
--- a/crates/route/src/limit.rs
+++ b/crates/route/src/limit.rs
@@ -17,7 +17,8 @@
 /// A limit on something used at once.
 #[derive(Debug, Clone)]
 pub struct Limit {
-    limit: f64,
+    /// The limit, in fractions between two raises by one.
+    now: f64,
     least: f64,
     most: f64,
     lowered: Option<Instant>,
@@ -40,7 +41,7 @@
     pub fn new(first: u32, least: u32, most: u32) -> Self {
         let (least, most) = (f64::from(least), f64::from(most.max(least)));
         Self {
-            limit: f64::from(first).clamp(least, most),
+            now: f64::from(first).clamp(least, most),
             least,
             most,
             lowered: None,
@@ -55,22 +56,22 @@
             clippy::cast_sign_loss,
             reason = "the limit lies between two u32"
         )]
-        let limit = self.limit as u32;
-        limit
+        let now = self.now as u32;
+        now
     }
 
     /// Takes over changed bounds.
     pub fn bound(&mut self, least: u32, most: u32) {
         self.least = f64::from(least);
         self.most = f64::from(most.max(least));
-        self.limit = self.limit.clamp(self.least, self.most);
+        self.now = self.now.clamp(self.least, self.most);
     }
 
     /// Notes that there was room while `used` were in use; raises the limit by one after as many
     /// uses as it allows at once, if it is used up.
     pub fn used(&mut self, used: u32) {
         if used >= self.get() {
-            self.limit = (self.limit + 1.0 / self.limit.max(1.0)).min(self.most);
+            self.now = (self.now + 1.0 / self.now.max(1.0)).min(self.most);
         }
     }
 
@@ -81,7 +82,7 @@
             .is_some_and(|at| now.saturating_duration_since(at) < SETTLE);
         if !settling {
             self.lowered = Some(now);
-            self.limit = (self.limit * KEPT).max(self.least);
+            self.now = (self.now * KEPT).max(self.least);
         }
     }
 }
--- a/crates/session/src/kept.rs
+++ b/crates/session/src/kept.rs
@@ -1,6 +1,6 @@
 //! Session values and named shapes on a pooled connection.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt::Write as _};
 
 use base::Set;
 
@@ -44,7 +44,7 @@
             if byte.is_ascii_lowercase() || byte.is_ascii_digit() {
                 name.push(char::from(byte));
             } else {
-                name.push_str(&format!("_{byte:02X}"));
+                let _infallible = write!(name, "_{byte:02X}");
             }
         }
         Self { verb, text, name }
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -89,9 +89,8 @@
     /// Answers a caller until it leaves or the process stops.
     pub async fn serve(mut caller: C, shared: Rc<Shared<D>>) {
         let _counted = shared.enter();
-        let login = match timeout(LOGIN, caller.login()).await {
-            Ok(Some(login)) => login,
-            Ok(None) | Err(_) => return,
+        let Ok(Some(login)) = timeout(LOGIN, caller.login()).await else {
+            return;
         };
         let start = Instant::now();
         while shared.network.config_version() == 0 && start.elapsed() < LOGIN {
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -7,13 +7,7 @@
 };
 
 use base::{Map, MemberName, Position, Term, document::Route, document::Service};
-use entry::{
-    dialect::Dialect,
-    group::Group,
-    member::Member,
-    network::Network,
-    pool::Pooled,
-};
+use entry::{dialect::Dialect, group::Group, member::Member, network::Network, pool::Pooled};
 use event_listener::Event;
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
@@ -215,7 +209,9 @@
     batch.push(last);
     let exchange = compio::time::timeout_at(deadline, client.exchange(&batch)).await;
     let mut answers = exchange.map_err(|_elapsed| Broken(LATE.to_owned()))??;
-    let last = answers.pop().ok_or_else(|| Broken("no answer".to_owned()))?;
+    let last = answers
+        .pop()
+        .ok_or_else(|| Broken("no answer".to_owned()))?;
     for (statement, answer) in batch[..prelude].iter().zip(&answers) {
         match &answer.outcome {
             Ok(_) => client.kept().note(statement),
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -82,7 +82,13 @@
         let sent = Instant::now();
         let shared = &self.shared;
         let ran = shared
-            .run(&mut lease, &self.values, work.shape(), work.statement(after), deadline)
+            .run(
+                &mut lease,
+                &self.values,
+                work.shape(),
+                work.statement(after),
+                deadline,
+            )
             .await;
         let answer = match ran {
             Ok(answer) => answer,
@@ -132,7 +138,13 @@
         self.inputs.member.clone_from(lease.member());
         let sent = Instant::now();
         let ran = shared
-            .run(&mut lease, &self.values, work.shape(), work.statement(None), deadline)
+            .run(
+                &mut lease,
+                &self.values,
+                work.shape(),
+                work.statement(None),
+                deadline,
+            )
             .await;
         let answer = match ran {
             Ok(answer) => answer,
@@ -188,7 +200,10 @@
         loop {
             let now = Instant::now();
             if now >= deadline {
-                return Err(Failure::new(Code::Busy, "no database was fresh enough in time"));
+                return Err(Failure::new(
+                    Code::Busy,
+                    "no database was fresh enough in time",
+                ));
             }
             let changed = place.group.listen();
             let after = needed(place, self.token, now);
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -145,7 +145,13 @@
             self.inputs.attempts += 1;
             let ran = self
                 .shared
-                .run(&mut lease, &self.values, work.shape(), work.statement(None), deadline)
+                .run(
+                    &mut lease,
+                    &self.values,
+                    work.shape(),
+                    work.statement(None),
+                    deadline,
+                )
                 .await;
             match ran {
                 Ok(answer) => {
@@ -312,9 +318,7 @@
             return Reply::failed(failure, State::Idle);
         }
         if let Some(term) = primary {
-            let done = self
-                .acknowledge(place, term, sent, &answer, deadline)
-                .await;
+            let done = self.acknowledge(place, term, sent, &answer, deadline).await;
             if let Err(failure) = done {
                 return Reply::failed(failure, State::Idle);
             }
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -78,13 +78,12 @@
                 member.pool.close_idle();
                 "lost"
             }
-            Outcome::Unanswered => match reach(&member, from).await {
-                Some(refused) => {
+            Outcome::Unanswered => {
+                if let Some(refused) = reach(&member, from).await {
                     member.failed(refused);
                     if refused { "refused" } else { "silent" }
-                }
-                // It is slow, or the connections in use have gone silent.
-                None => {
+                } else {
+                    // It is slow, or the connections in use have gone silent.
                     member.reached();
                     if member.health(Instant::now()).1 > LOST {
                         member.pool.close_idle();
@@ -92,7 +91,7 @@
                     }
                     "slow"
                 }
-            },
+            }
         };
         metrics.probes.with_label_values(&[result]).inc();
         if result != "ok" {
@@ -129,11 +128,7 @@
     if age >= OLD || failed || (other && age >= URGENT) {
         return Some(Question::Status);
     }
-    let quiet = if leads {
-        QUIET_PRIMARY
-    } else {
-        QUIET_REPLICA
-    };
+    let quiet = if leads { QUIET_PRIMARY } else { QUIET_REPLICA };
     (since >= quiet).then_some(Question::Life)
 }
 
