--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -26,6 +26,10 @@
     let mut groups: Map<_, Vec<_>> = Map::default();
     for member in network.observed() {
         let (health, since) = member.health(now);
+        if D::SHEDS && health == Health::Ok && member.position().is_none() {
+            // Nothing is known of it, which must not count as a voice.
+            continue;
+        }
         let (position, primary) = member.position().unwrap_or_default();
         let seen = Seen {
             health,
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -373,6 +373,7 @@
             .filter_map(|known| {
                 let member = self.member(&known.member)?;
                 let usable = member.has_store(&known.store)
+                    && member.position().is_some()
                     && member.health(now).0 == Health::Ok
                     && member.pool.is_usable(now)
                     && directory.usable(&member.name, now);
--- a/crates/route/src/detect.rs
+++ b/crates/route/src/detect.rs
@@ -86,7 +86,8 @@
         }
     }
 
-    /// State by the last attempt alone, for a member that is asked only when there is a reason.
+    /// State by the last attempt alone, for a member that is asked only when there is a reason. One
+    /// that was never reached is not failed: after a restart its connections may all be taken.
     ///
     /// ```
     /// use std::time::{Duration, Instant};
@@ -103,7 +104,7 @@
     pub const fn attempted(&self) -> Health {
         if self.refused {
             Health::Refused
-        } else if self.silent || !self.answered {
+        } else if self.silent {
             Health::Silent
         } else {
             Health::Ok
