--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -24,6 +24,8 @@
 
 /// Pause after a failed accept, which fails at once again while file descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Pause between two looks at whether the process is cut off.
+const LOOK: Duration = Duration::from_millis(200);
 /// Pause between two looks at whether all sessions have ended.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -50,7 +52,7 @@
 {
     let accepting = pin!(accept(&listener, &shared, &make));
     let ending = pin!(async {
-        stop.await;
+        select(pin!(stop), pin!(shed(&shared, times.notice))).await;
         end(&shared, times).await;
     });
     match select(accepting, ending).await {
@@ -58,6 +60,34 @@
     }
 }
 
+/// Closes idle sessions while the process is cut off, once balancers have noticed.
+async fn shed<D: Dialect>(shared: &Shared<D>, notice: Duration)
+where
+    D::Client: Statements,
+{
+    let mut since: Option<Instant> = None;
+    loop {
+        sleep(LOOK).await;
+        let now = Instant::now();
+        let phase = if shared.network.is_isolated(now) {
+            let since = *since.get_or_insert(now);
+            if now.saturating_duration_since(since) < notice {
+                Phase::Serving
+            } else {
+                Phase::Shedding
+            }
+        } else {
+            since = None;
+            Phase::Serving
+        };
+        if phase != shared.phase() {
+            info!(shared.network.log, "idle sessions"; "closed" => phase == Phase::Shedding,
+                "sessions" => shared.sessions());
+            shared.set_phase(phase);
+        }
+    }
+}
+
 /// Closes sessions step by step.
 async fn end<D: Dialect>(shared: &Shared<D>, times: Stop)
 where
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -23,6 +23,9 @@
 
 /// Time that a first message and a configuration may take: callers give up after 2 s.
 const LOGIN: Duration = Duration::from_millis(1_500);
+/// A session whose caller sent nothing for this long may be closed: most callers send their next
+/// request well before.
+const RESTING: Duration = Duration::from_millis(300);
 /// Pause between looks for the first configuration.
 const LOOK: Duration = Duration::from_millis(20);
 /// Most named shapes and values of one session, which are held in memory.
@@ -152,9 +155,12 @@
     async fn wake(&self) -> Wake {
         let input = pin!(self.caller.readable());
         let stop = async {
-            let open = self.transaction.as_ref().is_some_and(Transaction::is_open);
-            let phase = if open { Phase::Ending } else { Phase::Closing };
-            self.shared.until(phase).await;
+            if self.transaction.as_ref().is_some_and(Transaction::is_open) {
+                return self.shared.until(Phase::Ending).await;
+            }
+            self.shared.until(Phase::Shedding).await;
+            // A caller that has just connected or got an answer is about to send a request.
+            compio::time::sleep(RESTING).await;
         };
         let stop = pin!(stop);
         let idle = async {
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -40,11 +40,14 @@
     changed: Event,
 }
 
-/// How far a planned stop is.
+/// Which sessions are closed between two requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// The process serves.
     Serving,
+    /// The process is cut off: callers are better served by another one, where balancers send them
+    /// when they connect again.
+    Shedding,
     /// Sessions without a transaction are closed.
     Closing,
     /// Transactions are ended too.
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -1,9 +1,17 @@
 //! Statements outside transactions.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use base::{MemberName, Position, Set, Term, document::Reads, document::Route};
-use entry::{dialect::Dialect, pool::PoolError, pool::Pooled, refusal::Refusal};
+use entry::{
+    dialect::Dialect,
+    member::Member,
+    pool::{PoolError, Pooled},
+    refusal::Refusal,
+};
 
 use crate::{
     caller::Caller,
@@ -17,6 +25,10 @@
 /// members also change by time alone.
 const SLICE: Duration = Duration::from_millis(50);
 
+/// The position of a replica is known for this long after an answer: many commits are applied in the
+/// meantime, so that it is asked again.
+const KNOWN: Duration = Duration::from_millis(100);
+
 /// A connection for a read, with the position that the member must hold.
 pub(crate) struct Reader<D: Dialect> {
     pub(crate) lease: Pooled<D>,
@@ -211,7 +223,15 @@
                 let skip = |name: &MemberName| tried.contains(name) || full.contains(name);
                 let replicas = network.replicas(&place.group, now).into_iter();
                 let open = replicas.filter(|member| !skip(&member.name));
-                open.min_by_key(|member| self.shared.expected(member, place.service.slots, now))
+                let expected = |member: &Rc<Member<D>>| {
+                    let slots = place.service.slots;
+                    (behind(member, after, now), self.shared.expected(member, slots, now))
+                };
+                let best = open.min_by_key(expected);
+                // One that is behind serves only what nobody else can.
+                best.filter(|member| {
+                    !behind(member, after, now) || network.primary(&place.group, now).is_err()
+                })
             });
             if let Some(member) = replica {
                 match member.pool.acquire(deadline).await {
@@ -244,6 +264,13 @@
     }
 }
 
+/// Whether a member answered a moment ago that it holds less than `after`.
+fn behind<D: Dialect>(member: &Member<D>, after: Option<Position>, now: Instant) -> bool {
+    let lately = member.health(now).1 < KNOWN;
+    let held = member.position().map(|(position, _)| position);
+    lately && held.zip(after).is_some_and(|(held, after)| !held.covers(after))
+}
+
 /// Position that a replica must hold for a read of this route; `None` when only the primary serves
 /// it, because the position of the primary is not known lately enough.
 fn needed<D: Dialect>(place: &Place<D>, token: Option<Position>, now: Instant) -> Option<Position> {
