Keep no connection to members that are not used, and know positions only for a moment

Cause: after a loss of power the databases count the former connections for 3 s, so that those kept to members which a front does not use left no room for new ones; and a ping made an old position look new.

--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -1,7 +1,7 @@
 //! One member of a group: its status probes and its pool.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -36,6 +36,8 @@
     /// Connections to it.
     pub pool: Rc<Pool<D>>,
     status: RefCell<Option<(Status, Instant)>>,
+    /// Last position that it told, and when.
+    told: Cell<Option<(Position, Instant)>>,
     detector: RefCell<Detector>,
     probe: RefCell<Option<JoinHandle<()>>>,
     /// Notified when the control hosts should hear of a failure at once.
@@ -63,6 +65,7 @@
             place,
             pool,
             status: RefCell::default(),
+            told: Cell::default(),
             detector: RefCell::new(Detector::new(Instant::now())),
             probe: RefCell::default(),
             alarm,
@@ -93,6 +96,13 @@
             .map(|(status, _)| (status.position, status.primary))
     }
 
+    /// Last position that it told in an answer, and the time since then.
+    #[must_use]
+    pub fn told(&self, now: Instant) -> Option<(Position, Duration)> {
+        let (position, at) = self.told.get()?;
+        Some((position, now.saturating_duration_since(at)))
+    }
+
     /// Whether the last status came from this store.
     #[must_use]
     pub fn has_store(&self, store: &str) -> bool {
@@ -142,6 +152,9 @@
     /// Notes that the member answered a request at `now`, with its position if it told one.
     pub fn heard(&self, position: Option<Position>, now: Instant) {
         self.detector.borrow_mut().answered(now);
+        if let Some(position) = position {
+            self.told.set(Some((position, now)));
+        }
         if let (Some(position), Some((status, _))) = (position, &mut *self.status.borrow_mut()) {
             let term = status.position.term.max(position.term);
             status.position = Position::new(term, position.offset);
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -29,6 +29,9 @@
 const CHECK_AFTER: Duration = Duration::from_secs(5);
 /// An idle connection of the base share is closed after this time.
 const IDLE: Duration = Duration::from_mins(1);
+/// As [`IDLE`], where connections are taken as long as the database has room: after a loss of power
+/// it counts the former ones for some seconds, and there must be room beside them.
+const IDLE_FOUND: Duration = Duration::from_secs(5);
 /// A lent idle connection is given back after this time, so that others can have it.
 const IDLE_LENT: Duration = Duration::from_secs(2);
 /// Window of the peak demand.
@@ -581,7 +584,11 @@
             let mut kept = Vec::new();
             for conn in std::mem::take(&mut state.idle) {
                 let idle = now.saturating_duration_since(conn.used);
-                let limit = if total > base { IDLE_LENT } else { IDLE };
+                let limit = match &state.found {
+                    Some(_) => IDLE_FOUND,
+                    None if total > base => IDLE_LENT,
+                    None => IDLE,
+                };
                 if idle >= limit || total > state.target(now) {
                     total -= 1;
                     closing.push(conn);
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -266,9 +266,9 @@
 
 /// Whether a member answered a moment ago that it holds less than `after`.
 fn behind<D: Dialect>(member: &Member<D>, after: Option<Position>, now: Instant) -> bool {
-    let lately = member.health(now).1 < KNOWN;
-    let held = member.position().map(|(position, _)| position);
-    lately && held.zip(after).is_some_and(|(held, after)| !held.covers(after))
+    let told = member.told(now).filter(|(_, age)| *age < KNOWN);
+    told.zip(after)
+        .is_some_and(|((held, _), after)| held < after)
 }
 
 /// Position that a replica must hold for a read of this route; `None` when only the primary serves
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -48,6 +48,8 @@
     Status,
     /// Whether it answers.
     Life,
+    /// Whether its address accepts connections: no connection is kept for a member that is not used.
+    Address,
 }
 
 /// What a question brought.
@@ -79,17 +81,20 @@
                 "lost"
             }
             Outcome::Unanswered => {
+                let now = Instant::now();
                 if let Some(refused) = reach(&member, from).await {
                     member.failed(refused);
                     if refused { "refused" } else { "silent" }
                 } else {
-                    // It is slow, or the connections in use have gone silent.
                     member.reached();
-                    if member.health(Instant::now()).1 > LOST {
+                    if question == Question::Address {
+                        member.heard(None, now);
+                    } else if member.health(now).1 > LOST {
+                        // The connections in use have gone silent.
                         member.pool.close_idle();
                         member.pool.cut_before(sent);
                     }
-                    "slow"
+                    if question == Question::Address { "ok" } else { "slow" }
                 }
             }
         };
@@ -129,13 +134,21 @@
         return Some(Question::Status);
     }
     let quiet = if leads { QUIET_PRIMARY } else { QUIET_REPLICA };
-    (since >= quiet).then_some(Question::Life)
+    let question = if leads {
+        Question::Life
+    } else {
+        Question::Address
+    };
+    (since >= quiet).then_some(question)
 }
 
 async fn ask<D: Dialect>(member: &Rc<Member<D>>, question: Question) -> Outcome
 where
     D::Client: Statements,
 {
+    if question == Question::Address {
+        return Outcome::Unanswered;
+    }
     let deadline = Instant::now() + DEADLINE;
     let mut lease = match member.pool.acquire(deadline).await {
         Ok(lease) => lease,
