--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -39,6 +39,8 @@
 const FAILED: Duration = Duration::from_millis(1_500);
 /// A control host that answered within this time counts as reachable: three renewals.
 const REACHABLE: Duration = Duration::from_millis(1_800);
+/// Rest of the write lease at which two renewals in a row must have failed.
+const FADING: Duration = Duration::from_millis(500);
 /// A process whose write lease ended this long ago counts as cut off; a renewal may just be late.
 const ISOLATED: Duration = Duration::from_millis(200);
 /// Time between rounds of periodic work.
@@ -261,7 +263,15 @@
     /// not cut off.
     #[must_use]
     pub fn is_ready(&self, now: Instant) -> bool {
-        !self.is_stopped() && self.config_version() > 0 && !self.is_isolated(now)
+        !self.is_stopped() && self.config_version() > 0 && !self.is_fading(now)
+    }
+
+    /// Whether no majority of the control hosts has renewed the write lease for so long that it is
+    /// about to end. Balancers take two seconds to send callers elsewhere.
+    #[must_use]
+    pub fn is_fading(&self, now: Instant) -> bool {
+        let until = self.lease.borrow().until(0);
+        until.is_some_and(|until| until.saturating_duration_since(now) < FADING)
     }
 
     /// Whether this process had a write lease and lost it, because it does not reach a majority of
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -86,7 +86,13 @@
                 continue;
             }
             if let Some(before) = self.served.replace(now) {
-                self.interval = mean(self.interval, now.saturating_duration_since(before));
+                // While the database serves, one statement at least ends in the time of one. A longer
+                // pause is an outage, and tells nothing about the wait after it.
+                let mut gap = now.saturating_duration_since(before);
+                if !self.service.is_zero() {
+                    gap = gap.min(self.service);
+                }
+                self.interval = mean(self.interval, gap);
             }
             if last {
                 // The time until the next request arrives is no measure of the capacity.
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -136,3 +136,21 @@
         "{overloaded} of {peak} at {load} times the capacity"
     );
 }
+
+/// Guards against refusals after an outage: the time in which nothing was served at all is no
+/// measure of the wait.
+#[test]
+fn outage_does_not_lengthen_the_expected_wait() {
+    let start = Instant::now();
+    let mut queue = Queue::new(100);
+    queue.finished(Duration::from_millis(10));
+    let deadline = start + Duration::from_secs(10);
+    for i in 0..20 {
+        queue.push(i, deadline, start).unwrap();
+    }
+    queue.pop(start, drop);
+
+    queue.pop(start + Duration::from_secs(2), drop);
+
+    assert!(queue.expected_wait() <= Duration::from_millis(10) * 18);
+}
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -225,7 +225,10 @@
                 let open = replicas.filter(|member| !skip(&member.name));
                 let expected = |member: &Rc<Member<D>>| {
                     let slots = place.service.slots;
-                    (behind(member, after, now), self.shared.expected(member, slots, now))
+                    (
+                        behind(member, after, now),
+                        self.shared.expected(member, slots, now),
+                    )
                 };
                 let best = open.min_by_key(expected);
                 // One that is behind serves only what nobody else can.
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -38,6 +38,9 @@
 const DEADLINE: Duration = Duration::from_millis(400);
 /// A member that accepts connections and answered nothing on those in use for this long lost them.
 const LOST: Duration = Duration::from_millis(1_500);
+/// A member that accepts connections and answers on none of them for this long does not serve. After a
+/// loss of power, databases have no room for new connections for some seconds.
+const MUTE: Duration = Duration::from_secs(6);
 /// Limit on the attempt to reach the address of a member: several round trips between regions.
 const REACH: Duration = Duration::from_millis(400);
 
@@ -86,7 +89,12 @@
                     member.failed(refused);
                     if refused { "refused" } else { "silent" }
                 } else {
-                    member.reached();
+                    let mute = member.position().is_some() && member.health(now).1 > MUTE;
+                    if mute {
+                        member.failed(false);
+                    } else {
+                        member.reached();
+                    }
                     if question == Question::Address {
                         member.heard(None, now);
                     } else if member.health(now).1 > LOST {
@@ -94,7 +102,11 @@
                         member.pool.close_idle();
                         member.pool.cut_before(sent);
                     }
-                    if question == Question::Address { "ok" } else { "slow" }
+                    if question == Question::Address {
+                        "ok"
+                    } else {
+                        "slow"
+                    }
                 }
             }
         };
