--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -32,6 +32,8 @@
 /// As [`IDLE`], where connections are taken as long as the database has room: after a loss of power
 /// it counts the former ones for some seconds, and there must be room beside them.
 const IDLE_FOUND: Duration = Duration::from_secs(5);
+/// As [`IDLE_FOUND`], for connections over an equal share, for which others may wait.
+const IDLE_SPARE: Duration = Duration::from_millis(500);
 /// A lent idle connection is given back after this time, so that others can have it.
 const IDLE_LENT: Duration = Duration::from_secs(2);
 /// Window of the peak demand.
@@ -123,6 +125,8 @@
 
 /// Statements that run at once before anything is known: the slots of one database, twice.
 const STATEMENTS: u32 = 4;
+/// Most connections of a process whose equal share is one or none: transactions hold one each.
+const MOST_OF_FEW: u32 = 3;
 /// Most statements at once; bounds the growth while a database is idle.
 const STATEMENTS_MAX: u32 = 64;
 
@@ -137,10 +141,12 @@
         }
     }
 
-    /// Least and most connections.
+    /// Least and most connections: an equal share, and twice that. A process that took all would
+    /// leave others without any, and would never learn of it.
     fn connections(limits: Limits) -> (u32, u32) {
         let share = limits.connections / limits.entries.max(1);
-        (share.max(1), limits.connections.max(1))
+        let most = (share * 2).max(MOST_OF_FEW).min(limits.connections);
+        (share.max(1), most.max(1))
     }
 }
 
@@ -585,6 +591,7 @@
             for conn in std::mem::take(&mut state.idle) {
                 let idle = now.saturating_duration_since(conn.used);
                 let limit = match &state.found {
+                    Some(_) if total > base.max(1) => IDLE_SPARE,
                     Some(_) => IDLE_FOUND,
                     None if total > base => IDLE_LENT,
                     None => IDLE,
