--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -366,7 +366,14 @@
     pub fn told(&self, now: Instant, age: Duration, announcement: Announcement) {
         self.metrics.announcements.inc();
         let group = announcement.leaving.then(|| announcement.group.clone());
+        let (member, store) = (announcement.member.clone(), announcement.store.clone());
+        let known = self.directory.borrow().member(&member).cloned();
+        let before = known.map(|heard| heard.announcement.store);
         let changed = self.directory.borrow_mut().announce(now, age, announcement);
+        if changed && before.as_ref() != Some(&store) {
+            slog::info!(self.logger, "database heard for the first time"; "member" => &member,
+                "store" => store, "before" => before);
+        }
         if changed {
             self.changed.notify();
             // The next sweep would plan the change of a leaving primary up to a second later.
