Repeat statements of a transaction in one place

Cause: the loop that sends a statement again while the database has no room for it stood twice, for statements and for commits. Behaviour is unchanged.

--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -13,10 +13,11 @@
 use crate::{
     caller::Caller,
     command::{Request, Verb},
+    kept::Shape,
     session::{Session, Work},
     shared::{LATE, Place},
     single::{Reader, passed, refused},
-    statement::{Broken, Code, Failure, Reply, State, Statement, Statements},
+    statement::{Answer, Broken, Code, Failure, Reply, State, Statement, Statements},
 };
 
 /// Time that the end of an abandoned transaction may take; after that the connection is closed.
@@ -141,32 +142,12 @@
         };
         self.inputs.member.clone_from(lease.member());
         let sent = Instant::now();
-        let answer = loop {
-            self.inputs.attempts += 1;
-            let ran = self
-                .shared
-                .run(
-                    &mut lease,
-                    &self.values,
-                    work.shape(),
-                    work.statement(None),
-                    deadline,
-                )
-                .await;
-            match ran {
-                Ok(answer) => {
-                    let busy = |failure: &Failure| failure.code == Code::Busy;
-                    let again = answer.outcome.as_ref().is_err_and(busy)
-                        && answer.state == State::Open
-                        && self.inputs.attempts < ATTEMPTS;
-                    if !again {
-                        break answer;
-                    }
-                    self.shared.pause(deadline).await;
-                }
-                // The connection is closed, so that nothing of the transaction is kept.
-                Err(Broken(cause)) => return self.fail(Failure::new(Code::Aborted, cause)),
-            }
+        let statement = work.statement(None);
+        let ran = self.persist(&mut lease, work.shape(), statement, deadline);
+        let answer = match ran.await {
+            Ok(answer) => answer,
+            // The connection is closed, so that nothing of the transaction is kept.
+            Err(Broken(cause)) => return self.fail(Failure::new(Code::Aborted, cause)),
         };
         let term = lease.primary();
         if let Some(transaction) = &mut self.transaction {
@@ -189,6 +170,32 @@
         passed(answer, State::Open)
     }
 
+    /// Runs a statement of the transaction, and again while the database has no room for it.
+    async fn persist(
+        &mut self,
+        lease: &mut Pooled<D>,
+        shape: Option<&Shape>,
+        statement: Statement<'_>,
+        deadline: Instant,
+    ) -> Result<Answer, Broken> {
+        loop {
+            self.inputs.attempts += 1;
+            let statement = statement.clone();
+            let ran = self
+                .shared
+                .run(lease, &self.values, shape, statement, deadline);
+            let answer = ran.await?;
+            let busy = |failure: &Failure| failure.code == Code::Busy;
+            let again = answer.outcome.as_ref().is_err_and(busy)
+                && answer.state == State::Open
+                && self.inputs.attempts < ATTEMPTS;
+            if !again {
+                return Ok(answer);
+            }
+            self.shared.pause(deadline).await;
+        }
+    }
+
     /// Connection of the transaction; opens the transaction there when it has none yet.
     async fn pinned(
         &mut self,
@@ -283,31 +290,15 @@
         self.inputs.member.clone_from(lease.member());
         let primary = lease.primary();
         let sent = Instant::now();
-        let answer = loop {
-            self.inputs.attempts += 1;
-            let statement = Statement::Forward {
-                id: &request.id,
-                after: None,
-                text: &request.text,
-            };
-            let values = &self.values;
-            let ran = self
-                .shared
-                .run(&mut lease, values, None, statement, deadline)
-                .await;
-            match ran {
-                Ok(answer) => {
-                    let busy = |failure: &Failure| failure.code == Code::Busy;
-                    let again = answer.outcome.as_ref().is_err_and(busy)
-                        && answer.state == State::Open
-                        && self.inputs.attempts < ATTEMPTS;
-                    if !again {
-                        break answer;
-                    }
-                    self.shared.pause(deadline).await;
-                }
-                Err(Broken(cause)) => return Reply::failed(lost(wrote, &cause), State::Idle),
-            }
+        let statement = Statement::Forward {
+            id: &request.id,
+            after: None,
+            text: &request.text,
+        };
+        let ran = self.persist(&mut lease, None, statement, deadline);
+        let answer = match ran.await {
+            Ok(answer) => answer,
+            Err(Broken(cause)) => return Reply::failed(lost(wrote, &cause), State::Idle),
         };
         if answer.state == State::Idle {
             lease.release();
