Count a primary that returns under another name with its log

Cause: after a release the record named a member that was gone for good, and the crashed primary came back under a new id at its address. Its answer did not count, so a choice of three answers was never possible.

--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -248,6 +248,38 @@
     best.map(|(member, _)| member.member.clone())
 }
 
+/// Record in which `heir` stands for the recorded primary: a database that announces itself at the
+/// primary's address under another name, with the primary's log.
+///
+/// Where replicas copy from nobody but the primary, an empty database at this address could not
+/// have got writes of the term: the primary had to end before it started. So it holds the
+/// primary's log when it holds writes of the term, and at least what every other answer holds.
+#[must_use]
+pub fn resumed(record: &Record, heir: &Member, statuses: &[Status]) -> Option<Record> {
+    let primary = record.member(&record.primary)?;
+    let own = |status: &&Status| status.member == heir.member && status.store == heir.store;
+    let position = statuses.iter().find(own)?.position;
+    let answers = counted(record, statuses);
+    let returned = answers.iter().any(|(member, _)| *member == primary);
+    let covers = answers.iter().all(|(_, s)| position.covers(s.position));
+    if heir.address != primary.address
+        || record.member(&heir.member).is_some()
+        || position.term != record.term
+        || returned
+        || !covers
+    {
+        return None;
+    }
+    let others = record.members.iter().filter(|member| *member != primary);
+    let mut members: Vec<_> = others.cloned().chain([heir.clone()]).collect();
+    members.sort_by(|a, b| a.member.cmp(&b.member));
+    Some(Record {
+        primary: heir.member.clone(),
+        members,
+        ..record.clone()
+    })
+}
+
 /// Whether a planned change may still wait for its target to catch up: the old primary answered,
 /// and no wanted member is as advanced.
 #[must_use]
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -320,11 +320,16 @@
 }
 
 fn verdict<L: Log>(host: &Host<L>, record: &Record) -> Verdict {
+    let now = Instant::now();
     let sightings = host.sightings.borrow();
-    let observers = sightings.of(&record.group);
-    observers.map_or(Verdict::Stay, |observers| {
-        judge::judge(Instant::now(), record, observers)
-    })
+    let Some(observers) = sightings.of(&record.group) else {
+        return Verdict::Stay;
+    };
+    if heir(host, record).is_some() {
+        // The primary ended, and what took its place may be chosen even when few others answer.
+        return judge::lost(now, record, observers);
+    }
+    judge::judge(now, record, observers)
 }
 
 fn reach<L: Log>(host: &Host<L>, record: &Record) -> Reach {
@@ -412,13 +417,21 @@
 
     let start = Instant::now();
     let mut told = start;
-    let (choice, top) = loop {
-        let statuses = read(host, record).await;
+    let (choice, top, members) = loop {
+        let (statuses, heir) = read(host, record).await;
+        let resumed = heir.and_then(|heir| judge::resumed(record, &heir, &statuses));
+        if let Some(resumed) = &resumed {
+            slog::info!(host.logger, "primary returned under another name";
+                "group" => &record.group, "former" => &record.primary,
+                "member" => &resumed.primary, "term" => record.term);
+        }
+        let record = resumed.as_ref().unwrap_or(record);
         let reach = reach(host, record);
         let choice = judge::choose(record, &statuses, &reach);
         let wait = judge::catching_up(record, &statuses, &reach) && start.elapsed() < CATCH_UP;
         if let Some(choice) = choice.filter(|_| !wait) {
-            break (choice, statuses.iter().map(|s| s.position.term).max());
+            let top = statuses.iter().map(|s| s.position.term).max();
+            break (choice, top, record.members.clone());
         }
         // Without a leader the record may have been changed by another host.
         if !host.log.is_leader(Instant::now()) {
@@ -437,6 +450,7 @@
     let chosen = Record {
         state: GroupState::Promoting,
         primary: choice,
+        members,
         // A member rejects a term that it has seen already.
         next: record.next.max(top.unwrap_or_default() + 1),
         ..record.clone()
@@ -480,12 +494,28 @@
     }
 }
 
-/// Reads the status of every recorded member, and returns early once those have answered that the
-/// choice needs.
-async fn read<L: Log>(host: &Rc<Host<L>>, record: &Record) -> Vec<Status> {
+/// Database that announces itself at the address of the recorded primary under another name, where
+/// it may hold the primary's log.
+fn heir<L: Log>(host: &Host<L>, record: &Record) -> Option<Member> {
+    let address = &record.member(&record.primary)?.address;
+    if !host.databases.resumes() {
+        return None;
+    }
+    let directory = host.directory.borrow();
+    let present = directory.present(Instant::now(), &record.group);
+    let mut present = present.into_iter();
+    let heir = present.find(|a| a.address == *address && record.member(&a.member).is_none())?;
+    Some(member(heir))
+}
+
+/// Reads the status of every recorded member and of the [`heir`], and returns early once those
+/// have answered that the choice needs.
+async fn read<L: Log>(host: &Rc<Host<L>>, record: &Record) -> (Vec<Status>, Option<Member>) {
+    let heir = heir(host, record);
     let mut answers: FuturesUnordered<_> = record
         .members
         .iter()
+        .chain(&heir)
         .map(|member| {
             let target = host.target(&record.group, member);
             probe(host, target, patience(host, member))
@@ -504,7 +534,7 @@
         }
     };
     let _elapsed = timeout(READ, all).await;
-    statuses
+    (statuses, heir)
 }
 
 /// Time that a direct attempt gets before the other control hosts are asked too. A fresh connection
--- a/crates/control/src/upstream.rs
+++ b/crates/control/src/upstream.rs
@@ -127,6 +127,12 @@
     fn follows(&self) -> bool {
         false
     }
+
+    /// Whether a database may return at its address with its log under another name, while replicas
+    /// copy from nobody but the primary. See [`crate::judge::resumed`].
+    fn resumes(&self) -> bool {
+        false
+    }
 }
 
 /// Databases that speak the PostgreSQL protocol, over management connections.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -32,9 +32,11 @@
     machine::{Answer, Change, Command, GroupState, Record, State},
     notify::Notify,
     sighting::{Health, Sighting},
-    upstream::Postgres,
+    upstream::{Databases, Order, Postgres, Target},
 };
+use futures_util::future::LocalBoxFuture;
 use proto::schema::peer;
+use route::Status;
 use serde_json::{Value, json};
 use wire::{Front, Opening, Reader, Writer, reply};
 
@@ -397,6 +399,28 @@
     Ok(None)
 }
 
+/// Databases that may return under another name with their log; else as [`Postgres`].
+#[derive(Debug)]
+pub struct Returning(pub Postgres);
+
+impl Databases for Returning {
+    fn status<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<Status, String>> {
+        self.0.status(target)
+    }
+
+    fn order<'a>(
+        &'a self,
+        target: &'a Target,
+        order: &'a Order,
+    ) -> LocalBoxFuture<'a, Result<(), String>> {
+        self.0.order(target, order)
+    }
+
+    fn resumes(&self) -> bool {
+        true
+    }
+}
+
 /// A control host that serves RPC over loopback.
 #[derive(Debug)]
 pub struct Running {
@@ -459,9 +483,9 @@
             peers: self.addresses.clone(),
             moves: false,
         };
-        let databases = Rc::new(Postgres {
+        let databases = Rc::new(Returning(Postgres {
             host: identity.host,
-        });
+        }));
         let host = Host::new(now, identity, log, databases, state, base::log::silent());
         let tasks = vec![
             compio::runtime::spawn(gate::serve(Rc::clone(&host), listener)),
--- a/crates/control/tests/judge.rs
+++ b/crates/control/tests/judge.rs
@@ -4,7 +4,9 @@
 
 use base::Position;
 use control::{
-    judge::{Answered, Reach, Verdict, answered, choose, correction, demoted, judge, reach},
+    judge::{
+        Answered, Reach, Verdict, answered, choose, correction, demoted, judge, reach, resumed,
+    },
     machine::{GroupState, Member, Planned, Record},
     sighting::{Health, Observer, Observers, Sighting},
     upstream::Order,
@@ -311,3 +313,48 @@
 
     assert_eq!(found, expected);
 }
+
+/// Guards against a group that stays without a primary, and against a choice by a database that
+/// does not hold the log of the former primary.
+#[rstest]
+#[case::holds_all("a", 3, 12, true)]
+#[case::equal_to_others("a", 3, 10, true)]
+#[case::holds_less_than_another("a", 3, 9, false)]
+#[case::empty("a", 0, 0, false)]
+#[case::log_of_an_older_term("a", 2, 99, false)]
+#[case::log_of_a_newer_term("a", 4, 1, false)]
+#[case::at_the_address_of_a_replica("b", 3, 12, false)]
+fn heir_stands_for_primary_only_with_its_log(
+    #[case] place: &str,
+    #[case] term: u64,
+    #[case] offset: u64,
+    #[case] stands: bool,
+) {
+    let record = record();
+    let heir = Member {
+        member: "d".to_owned(),
+        store: "store-d".to_owned(),
+        ..record.member(place).unwrap().clone()
+    };
+    let statuses = [status("c", 3, 10), status("d", term, offset)];
+
+    let resumed = resumed(&record, &heir, &statuses);
+
+    let choice = resumed.and_then(|record| choose(&record, &statuses, &Reach::default()));
+    assert_eq!(choice.is_some(), stands);
+    assert_eq!(choose(&record, &statuses, &Reach::default()), None);
+}
+
+/// Guards against two databases that stand for one member.
+#[test]
+fn heir_does_not_count_beside_primary() {
+    let record = record();
+    let heir = Member {
+        member: "d".to_owned(),
+        store: "store-d".to_owned(),
+        ..record.member("a").unwrap().clone()
+    };
+    let statuses = [status("a", 3, 10), status("d", 3, 10)];
+
+    assert_eq!(resumed(&record, &heir, &statuses), None);
+}
--- a/crates/control/tests/promotion.rs
+++ b/crates/control/tests/promotion.rs
@@ -12,7 +12,7 @@
 use compio::time::sleep;
 use control::{
     machine::{Command, GroupState, Planned},
-    sighting::Health,
+    sighting::{Health, Sighting},
     upstream::{Fence, Order, Target},
 };
 use rstest::rstest;
@@ -50,6 +50,46 @@
     assert!(timing.reads.is_some() && timing.order.is_some());
 }
 
+/// Guards against a group that stays without a primary: a replica is gone for good, and the failed
+/// primary returns under another name with its log.
+#[compio::test]
+async fn primary_that_returns_under_another_name_counts() {
+    let (cluster, group) = stable().await;
+    group.members[0].state.borrow_mut().position.offset = 11;
+    group.members[2].state.borrow_mut().fault = Some(Health::Silent);
+    group.members[0].state.borrow_mut().fault = Some(Health::Refused);
+    {
+        let mut returned = group.members[0].state.borrow_mut();
+        "d".clone_into(&mut returned.member);
+        "store-d".clone_into(&mut returned.store);
+        returned.primary = false;
+        returned.fault = None;
+    }
+    let former = Sighting {
+        health: Health::Refused,
+        since: Duration::from_millis(1_600),
+        position: Position::default(),
+        primary: false,
+    };
+
+    let start = Instant::now();
+    while !(cluster.record().unwrap().term == 2 && settled(&cluster, &group)) {
+        assert!(start.elapsed() < LIMIT, "{:?}", cluster.record());
+        let records = cluster.leader().state.borrow().version;
+        for i in 0..3 {
+            let mut renewal = group.renewal(i, records, Group::truth);
+            let sighting = ("g".to_owned(), "a".to_owned(), former.clone());
+            renewal.sightings.push(sighting);
+            cluster.renew(&renewal);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    let record = cluster.record().unwrap();
+    assert_eq!(record.primary, "d");
+    assert!(record.member("a").is_none());
+}
+
 /// Guards against a failover on the word of one entry process that is cut off itself.
 #[compio::test]
 async fn one_observer_cut_off_changes_nothing() {
