Found as many seats as the losses to bear ask for

Cause: three seats can't bear the loss of two disks, as a deployment with Tolerate.Machines = 2 asks. Seats beyond the founders start vacant and are given to hosts that ask, by the readmission that replaced hosts use; a seat that was just given is not given again before its host has answered.

--- a/crates/base/src/net.rs
+++ b/crates/base/src/net.rs
@@ -2,19 +2,26 @@
 
 use std::{
     io,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     time::Duration,
 };
 
 use compio::net::TcpStream;
 
+/// Address of a host that is not there yet.
+pub const NOWHERE: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
 /// Connects to `to` from the address `from`, with `TCP_NODELAY`.
 ///
 /// A fixed source address lets network rules and the test relay tell hosts apart.
 ///
 /// # Errors
-/// The connection was refused or is not made within `timeout` (kind `TimedOut`).
+/// The connection was refused or is not made within `timeout` (kind `TimedOut`), or `to` is
+/// [`NOWHERE`].
 pub async fn connect(from: IpAddr, to: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    if to == NOWHERE {
+        return Err(io::Error::from(io::ErrorKind::AddrNotAvailable));
+    }
     let connecting = TcpStream::bind_and_connect(SocketAddr::new(from, 0), to);
     let stream = compio::time::timeout(timeout, connecting)
         .await
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -209,6 +209,8 @@
     pub stopping: Cell<bool>,
     /// Changes of operators that have no answer yet.
     pub busy: Cell<usize>,
+    /// When this host gave each seat to a new host.
+    pub given: RefCell<Map<HostName, Instant>>,
     /// When a change was planned last for a leaving primary.
     pub planned: RefCell<Map<GroupName, Instant>>,
     /// Wakes the task of one group.
@@ -250,6 +252,7 @@
             cancellers: Rc::default(),
             drains: RefCell::default(),
             busy: Cell::new(0),
+            given: RefCell::default(),
             planned: RefCell::default(),
             suspects: RefCell::default(),
             told: Cell::new(0),
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -1,6 +1,6 @@
 //! Seats among the control hosts: a host without state takes the seat of one that is gone.
 //!
-//! The number of seats is fixed at installation. The log counts a new host of a seat only once it
+//! The number of seats is fixed when the deployment is founded; some may be vacant at first. The log counts a new host of a seat only once it
 //! has caught up and is readmitted, so that the former one and it never count at the same time.
 
 use std::{
@@ -27,6 +27,9 @@
 /// election timeouts, so that a host that restarts keeps its seat.
 pub const ABSENT: Duration = Duration::from_millis(2_500);
 
+/// Address of a seat without a host, the text of [`base::net::NOWHERE`].
+pub const VACANT: &str = "0.0.0.0:0";
+
 /// Answer to a host that asks for a seat.
 #[derive(Debug, Default)]
 pub struct Joined {
@@ -111,12 +114,20 @@
     if !host.log.is_leader(now) {
         return refused(seats);
     }
-    let chosen = choose(&seats, address, |name| host.log.absent(name, now));
+    // A host that was just given a seat has not answered the leader yet.
+    let given = host.given.borrow().clone();
+    let chosen = choose(&seats, address, |name| {
+        let given = given.get(name);
+        let given = given.map(|at| now.saturating_duration_since(*at));
+        let absent = host.log.absent(name, now)?;
+        Some(given.map_or(absent, |since| since.min(absent)))
+    });
     let Some(name) = chosen else {
         return refused(seats);
     };
     slog::info!(host.logger, "seat given to a host"; "seat" => &name, "address" => address,
         "before" => seats.get(&name));
+    host.given.borrow_mut().insert(name.clone(), now);
     let command = Command::Seat {
         name: name.clone(),
         address: address.to_owned(),
@@ -204,20 +215,28 @@
     /// Founding seats of the hosts at `addresses`, for the one at `own`; `None` when it is no
     /// founder. Every founder finds the same, in whatever order it knows the addresses.
     ///
+    /// One more seat than twice `losses` bears the loss of that many hosts. Seats beyond the
+    /// founders are vacant and given to hosts that ask; the founders have to be a majority.
+    ///
     /// ```
-    /// use control::seat::Seating;
+    /// use control::seat::{Seating, VACANT};
     ///
     /// let addresses = ["10.0.0.2:7000", "10.0.0.1:7000"].map(String::from);
-    /// let seating = Seating::found(&addresses, "10.0.0.1:7000").unwrap();
+    /// let seating = Seating::found(&addresses, "10.0.0.1:7000", 1).unwrap();
     /// assert_eq!(seating.name, "control-1");
-    /// assert_eq!(Seating::found(&addresses, "10.0.0.9:7000"), None);
+    /// assert_eq!(seating.seats["control-3"], VACANT);
+    /// assert_eq!(Seating::found(&addresses, "10.0.0.9:7000", 1), None);
     /// ```
     #[must_use]
-    pub fn found(addresses: &[String], own: &str) -> Option<Self> {
-        let sorted: BTreeSet<_> = addresses.iter().collect();
-        let seats = (1..).zip(sorted);
+    pub fn found(addresses: &[String], own: &str, losses: usize) -> Option<Self> {
+        let sorted: BTreeSet<_> = addresses.iter().map(String::as_str).collect();
+        let most = (sorted.len() * 2).saturating_sub(1);
+        let wanted = losses.saturating_mul(2).saturating_add(1);
+        let number = wanted.min(most).max(sorted.len());
+        let held = sorted.into_iter().chain(std::iter::repeat(VACANT));
+        let seats = (1..).zip(held.take(number));
         let seats: BTreeMap<_, _> = seats
-            .map(|(i, address)| (format!("control-{i}"), address.clone()))
+            .map(|(i, address)| (format!("control-{i}"), address.to_owned()))
             .collect();
         let (name, _) = seats.iter().find(|(_, address)| *address == own)?;
         Some(Self {
--- a/crates/control/tests/seats.rs
+++ b/crates/control/tests/seats.rs
@@ -7,7 +7,7 @@
 use common::Cluster;
 use control::{
     machine::{Answer, Command, State},
-    seat::{self, ABSENT, Seating},
+    seat::{self, ABSENT, Seating, VACANT},
 };
 use rstest::rstest;
 
@@ -99,8 +99,8 @@
     let one = ["a:1", "c:1", "b:1"].map(String::from);
     let other = ["b:1", "a:1", "c:1"].map(String::from);
 
-    let one = Seating::found(&one, "b:1").unwrap();
-    let other = Seating::found(&other, "b:1").unwrap();
+    let one = Seating::found(&one, "b:1", 1).unwrap();
+    let other = Seating::found(&other, "b:1", 1).unwrap();
 
     assert_eq!(one, other);
     assert_eq!(one.seats, seats(["a:1", "b:1", "c:1"]));
@@ -112,7 +112,7 @@
     let parent = tempfile::tempdir().unwrap();
     let data = parent.path().join("data");
     let addresses = ["a:1", "b:1", "c:1"].map(String::from);
-    let seating = Seating::found(&addresses, "c:1").unwrap();
+    let seating = Seating::found(&addresses, "c:1", 1).unwrap();
 
     let before = Seating::load(&data).unwrap();
     seating.store(&data).unwrap();
@@ -120,3 +120,36 @@
     assert_eq!(before, None);
     assert_eq!(Seating::load(&data).unwrap(), Some(seating));
 }
+
+/// Guards against a deployment that loses what it acknowledged when as many hosts are lost as it
+/// has to bear, and against one that can't start because the founders are no majority.
+#[rstest]
+#[case::as_many_as_founders(1, 3, 0)]
+#[case::two_more(2, 5, 2)]
+#[case::founders_stay_a_majority(9, 5, 2)]
+#[case::no_seat_is_taken_away(0, 3, 0)]
+fn seats_bear_the_losses(#[case] losses: usize, #[case] total: usize, #[case] vacant: usize) {
+    let addresses = ["a:1", "c:1", "b:1"].map(String::from);
+
+    let seating = Seating::found(&addresses, "b:1", losses).unwrap();
+
+    let free = seating.seats.values().filter(|held| *held == VACANT);
+    assert_eq!((seating.seats.len(), free.count()), (total, vacant));
+}
+
+/// Guards against one seat for two hosts: the first has not answered the leader yet.
+#[compio::test]
+async fn seats_are_given_once() {
+    let cluster = Cluster::start().await;
+    let gone = cluster.hosts[1..].iter();
+    let gone = gone.map(|running| (running.host.identity.name.clone(), ABSENT));
+    cluster.shared.gone.borrow_mut().extend(gone);
+
+    let first = seat::join(cluster.leader(), "127.0.0.9:1").await;
+    let second = seat::join(cluster.leader(), "127.0.0.8:1").await;
+    let third = seat::join(cluster.leader(), "127.0.0.7:1").await;
+
+    assert!(first.name.is_some() && second.name.is_some());
+    assert_ne!(first.name, second.name);
+    assert_eq!(third.name, None);
+}
