--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -85,6 +85,8 @@
     pub config: Version,
     /// HTTP address.
     pub http: String,
+    /// Address that takes forwarded sessions; empty if there is none.
+    pub forwarding: String,
     /// Whether it is stopping.
     pub stopping: bool,
     /// When it was heard from last.
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::{HostName, Position, Version};
+use base::{EntryName, HostName, Position, Version, map};
 use capnp::Error;
 use compio::{net::TcpListener, time::timeout};
 use proto::{
@@ -172,6 +172,7 @@
         sightings: sightings.collect::<Result<_, Error>>()?,
         demands: demands.collect::<Result<_, Error>>()?,
         http: text(request.get_http())?,
+        forwarding: text(request.get_forwarding())?,
         stopping: request.get_stopping(),
     })
 }
@@ -181,6 +182,14 @@
     u32::try_from(millis(duration)).unwrap_or(u32::MAX)
 }
 
+/// Mark by which two lists of near entry processes are told apart; 0 for an empty one.
+fn near_mark(near: &BTreeMap<EntryName, String>) -> u64 {
+    if near.is_empty() {
+        return 0;
+    }
+    map::hash(near).max(1)
+}
+
 /// Length of a list as the schema carries it.
 pub(crate) fn length(list: &[impl Sized]) -> u32 {
     u32::try_from(list.len()).unwrap_or(u32::MAX)
@@ -227,6 +236,18 @@
         reply.set_leader(renewed.leader);
         reply.set_drain(renewed.drain);
         reply.set_entries(renewed.entries);
+        reply.set_zones(renewed.zones);
+        let mark = near_mark(&renewed.near);
+        reply.set_near_mark(mark);
+        if mark != request.get_near_mark() {
+            let count = u32::try_from(renewed.near.len()).unwrap_or(u32::MAX);
+            let mut list = reply.reborrow().init_near(count);
+            for (i, (name, address)) in (0..).zip(&renewed.near) {
+                let mut near = list.reborrow().get(i);
+                near.set_name(name);
+                near.set_address(address);
+            }
+        }
         reply.set_permit_duration(wire_millis(permits::TERM));
         if numbered {
             let session = self.session.borrow();
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::VecDeque,
+    collections::{BTreeMap, VecDeque},
     net::{IpAddr, SocketAddr},
     ops::Deref,
     rc::Rc,
@@ -20,6 +20,7 @@
 use crate::{
     cancel::Cancellers,
     directory::{Announcement, Directory, Entry},
+    judge,
     leases::{Holder, Known, Leases},
     log::{Log, LogError},
     machine::{Answer, Command, Member, Record, State},
@@ -90,6 +91,8 @@
     pub demands: Vec<Demand>,
     /// HTTP address.
     pub http: String,
+    /// Address that takes forwarded sessions; empty if there is none.
+    pub forwarding: String,
     /// Whether it is stopping.
     pub stopping: bool,
 }
@@ -118,6 +121,10 @@
     pub drain: bool,
     /// Entry processes heard from lately.
     pub entries: u32,
+    /// Zones with such entry processes.
+    pub zones: u32,
+    /// Those in the zone of the renewal that take forwarded sessions, with the address.
+    pub near: BTreeMap<EntryName, String>,
 }
 
 /// Who this host is.
@@ -428,6 +435,7 @@
             records: renewal.records,
             config: renewal.config,
             http: renewal.http,
+            forwarding: renewal.forwarding,
             stopping: renewal.stopping,
             at: now,
             used,
@@ -456,15 +464,39 @@
         } else {
             Vec::new()
         };
+        let zones: Set<ZoneName> = {
+            let directory = self.directory.borrow();
+            let entries = directory.entries().values();
+            let live = entries.filter(|entry| now.duration_since(entry.at) < LIVE_ENTRY);
+            live.map(|entry| entry.zone.clone()).collect()
+        };
+        let near = if leader {
+            self.near(&renewal.zone, now)
+        } else {
+            BTreeMap::new()
+        };
         Renewed {
             granted,
             leader,
             permits,
             drain: self.drains.borrow().contains(&holder),
             entries: self.live_entries(now),
+            zones: u32::try_from(zones.len()).unwrap_or(u32::MAX),
+            near,
         }
     }
 
+    /// Entry processes of a zone that take forwarded sessions, with the address.
+    fn near(&self, zone: &str, now: Instant) -> BTreeMap<EntryName, String> {
+        let directory = self.directory.borrow();
+        let near = directory.entries().iter().filter(|(_, entry)| {
+            let fresh = now.duration_since(entry.at) < judge::LIVE;
+            entry.zone == zone && fresh && !entry.stopping && !entry.forwarding.is_empty()
+        });
+        near.map(|(name, entry)| (name.clone(), entry.forwarding.clone()))
+            .collect()
+    }
+
     /// Number of entry processes heard from lately.
     fn live_entries(&self, now: Instant) -> u32 {
         let directory = self.directory.borrow();
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -32,6 +32,7 @@
                 entry: request.get_entry()?.to_string()?,
                 zone: request.get_zone()?.to_string()?,
                 http: request.get_http()?.to_string()?,
+                forwarding: request.get_forwarding()?.to_string()?,
                 run: request.get_run(),
                 ..Renewal::default()
             };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod login;
 pub mod member;
 pub mod metrics;
+pub mod near;
 pub mod network;
 pub mod options;
 pub mod parameters;
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -1,6 +1,7 @@
 //! Link to one control host: lease renewals, and watching for changes.
 
 use std::{
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
@@ -197,7 +198,11 @@
         request.set_zone(&network.settings.zone);
         request.set_run(network.run);
         request.set_http(network.settings.http.to_string());
+        if let Some(forwarding) = network.settings.forwarding {
+            request.set_forwarding(forwarding.to_string());
+        }
     }
+    request.set_near_mark(network.near_mark());
     request.set_record_version(version);
     request.set_config_version(network.config_version());
     request.set_stopping(network.is_stopped());
@@ -217,11 +222,22 @@
         known.heard = Some(now);
         known.leader = reply.get_leader();
     });
-    network.note_entries(reply.get_entries());
+    network.note_entries(reply.get_entries(), reply.get_zones());
     if reply.get_granted() {
         // The lease counts hosts by address, so that a wrong name can't make one host two.
         network.granted(&address.to_string(), requested, version);
     }
+    if reply.get_leader() && reply.get_near_mark() != network.near_mark() {
+        let mut near = BTreeMap::new();
+        for entry in reply.get_near()? {
+            let address = entry.get_address()?.to_str()?;
+            let address = address.parse().map_err(|_unparsable| {
+                capnp::Error::failed(format!("renew: entry address {address} is no ip:port"))
+            })?;
+            near.insert(entry.get_name()?.to_string()?, address);
+        }
+        network.note_near(reply.get_near_mark(), &near);
+    }
     if reply.get_leader() {
         let mut permits = Map::default();
         for permit in reply.get_permits()? {
--- /dev/null
+++ b/crates/entry/src/near.rs
@@ -0,0 +1,188 @@
+//! Entry processes of the own availability zone, and which of them serve each group.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{EntryName, GroupName, Map, document::Service};
+use event_listener::Event;
+use route::affinity;
+
+/// A process that did not answer gets no further sessions for this long, if the control hosts still
+/// hear from it. It is short, because a lost one leaves their list within 1.5 s.
+const AVOID: Duration = Duration::from_secs(1);
+
+/// An entry process that takes forwarded sessions.
+#[derive(Debug)]
+pub struct Near {
+    /// Name.
+    pub name: EntryName,
+    /// Address that takes forwarded sessions.
+    pub address: SocketAddr,
+    /// Last answer on any connection.
+    heard: Cell<Option<Instant>>,
+    /// Whether it left the list of the control hosts.
+    gone: Cell<bool>,
+    /// When it did not answer.
+    lost: Cell<Option<Instant>>,
+    changed: Event,
+}
+
+impl Near {
+    fn new(name: &str, address: SocketAddr) -> Rc<Self> {
+        Rc::new(Self {
+            name: name.to_owned(),
+            address,
+            heard: Cell::new(None),
+            gone: Cell::new(false),
+            lost: Cell::new(None),
+            changed: Event::new(),
+        })
+    }
+
+    /// Notes an answer.
+    pub fn heard(&self, now: Instant) {
+        self.heard.set(Some(now));
+        self.lost.set(None);
+    }
+
+    /// Whether it answered within `limit`.
+    #[must_use]
+    pub fn is_heard(&self, limit: Duration, now: Instant) -> bool {
+        let heard = self.heard.get();
+        heard.is_some_and(|at| now.saturating_duration_since(at) < limit)
+    }
+
+    /// Notes that it does not answer.
+    pub fn lose(&self, now: Instant) {
+        self.lost.set(Some(now));
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Whether sessions had better not be there: it did not answer lately, or it stops.
+    #[must_use]
+    pub fn is_lost(&self, now: Instant) -> bool {
+        let lost = self.lost.get();
+        self.gone.get() || lost.is_some_and(|at| now.saturating_duration_since(at) < AVOID)
+    }
+
+    /// Waits until it is lost.
+    pub async fn lost(&self) {
+        loop {
+            let changed = self.changed.listen();
+            if self.is_lost(Instant::now()) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+/// The entry processes of the own zone, this one included, as the leader of the control hosts tells.
+#[derive(Debug, Default)]
+pub struct Nearby {
+    mark: Cell<u64>,
+    entries: Cell<u32>,
+    zones: Cell<u32>,
+    known: RefCell<BTreeMap<EntryName, Rc<Near>>>,
+    /// How many processes of this zone serve each group that not all of them serve.
+    serving: RefCell<BTreeMap<GroupName, usize>>,
+    ranked: RefCell<Map<GroupName, Vec<EntryName>>>,
+}
+
+impl Nearby {
+    /// Mark of the list that is known.
+    pub(crate) const fn mark(&self) -> u64 {
+        self.mark.get()
+    }
+
+    /// Live entry processes of the deployment, and the zones with some.
+    pub(crate) const fn counts(&self) -> (u32, u32) {
+        (self.entries.get(), self.zones.get())
+    }
+
+    /// Notes how many entry processes live, in how many zones.
+    pub(crate) fn count(&self, entries: u32, zones: u32) {
+        self.entries.set(entries);
+        self.zones.set(zones);
+    }
+
+    /// Takes over the list with a new mark.
+    pub(crate) fn list(&self, mark: u64, list: &BTreeMap<EntryName, SocketAddr>) {
+        self.mark.set(mark);
+        let mut known = self.known.borrow_mut();
+        known.retain(|name, near| {
+            let stays = list.get(name) == Some(&near.address);
+            if !stays {
+                near.gone.set(true);
+                near.changed.notify(usize::MAX);
+            }
+            stays
+        });
+        for (name, address) in list {
+            known
+                .entry(name.clone())
+                .or_insert_with(|| Near::new(name, *address));
+        }
+    }
+
+    /// Decides anew which processes serve the groups of these services.
+    pub(crate) fn assign<'a>(&self, services: impl Iterator<Item = &'a Service>) {
+        let (entries, zones) = (self.entries.get(), self.zones.get());
+        let serving = services.filter_map(|service| {
+            let count = affinity::per_zone(service.connections, entries, zones)?;
+            Some((service.group.clone(), count))
+        });
+        let serving: BTreeMap<_, _> = serving.collect();
+        let hosts: Vec<_> = self.known.borrow().keys().cloned().collect();
+        *self.ranked.borrow_mut() = affinity::assign(&serving, &hosts);
+        *self.serving.borrow_mut() = serving;
+    }
+
+    /// Entry processes that hold connections to the databases of a group; `None` when all do.
+    pub(crate) fn sharers(&self, group: &str) -> Option<u32> {
+        let count = u32::try_from(*self.serving.borrow().get(group)?).ok()?;
+        Some(count.saturating_mul(self.zones.get()))
+    }
+
+    /// Whether the process `name` serves a group; `None` when all do or none is known.
+    pub(crate) fn serves(&self, group: &str, name: &str) -> Option<bool> {
+        let count = *self.serving.borrow().get(group)?;
+        let ranked = self.ranked.borrow();
+        let serving = ranked.get(group).filter(|ranked| !ranked.is_empty())?;
+        Some(serving.iter().take(count).any(|host| host == name))
+    }
+
+    /// Process that the sessions of a group at the process `own` are to be forwarded to; `None` when
+    /// it serves them itself, as it does when all that rank before it are lost.
+    pub(crate) fn choose(&self, group: &str, own: &str, now: Instant) -> Option<Rc<Near>> {
+        let count = *self.serving.borrow().get(group)?;
+        let ranked = self.ranked.borrow();
+        let ranked = ranked.get(group)?;
+        let serving = &ranked[..count.min(ranked.len())];
+        if serving.iter().any(|host| host == own) {
+            return None;
+        }
+        // Each process starts elsewhere in the list, so that those that serve get equal parts.
+        let start = ranked
+            .iter()
+            .position(|host| host == own)
+            .unwrap_or_default();
+        let turn = start.checked_rem(serving.len()).unwrap_or_default();
+        let order = serving[turn..].iter().chain(&serving[..turn]);
+        let known = self.known.borrow();
+        for name in order.chain(&ranked[serving.len()..]) {
+            if name == own {
+                return None;
+            }
+            if let Some(near) = known.get(name).filter(|near| !near.is_lost(now)) {
+                return Some(Rc::clone(near));
+            }
+        }
+        None
+    }
+}
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -2,13 +2,14 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use base::{
-    GroupName, Map, MemberName, RouteName, ServiceName, Set, StoreId, Version,
+    EntryName, GroupName, Map, MemberName, RouteName, ServiceName, Set, StoreId, Version,
     document::{Document, Route, Service},
 };
 use compio::runtime::JoinHandle;
@@ -19,10 +20,11 @@
 
 use crate::{
     cancel::Passing,
-    dialect::{Dialect, Upstream},
+    dialect::{Dialect, OpenError, Upstream},
     group::{Group, Phase, Record},
     member::Member,
     metrics::Metrics,
+    near::{Near, Nearby},
     pool::{Limits, Pool},
     postgres::Postgres,
     registry::Registry,
@@ -43,6 +45,9 @@
 const FADING: Duration = Duration::from_millis(500);
 /// A process whose write lease ended this long ago counts as cut off; a renewal may just be late.
 const ISOLATED: Duration = Duration::from_millis(200);
+/// Limit on the connection to a near entry process and on its answer: several round trips within a
+/// zone. A process that does not answer is passed over, while the caller waits.
+const FORWARD: Duration = Duration::from_millis(300);
 /// Time between rounds of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -112,8 +117,8 @@
     links: RefCell<Map<SocketAddr, JoinHandle<()>>>,
     /// Whether all control hosts are known, so that a majority of them can be counted.
     seated: Cell<bool>,
-    /// Entry processes that run, as a control host counts them.
-    entries: Cell<u32>,
+    /// Entry processes that run, and those of the own zone.
+    nearby: Nearby,
     stopped: Cell<bool>,
     stop: Event,
     asked: Event,
@@ -155,7 +160,7 @@
             members: RefCell::default(),
             links: RefCell::default(),
             seated: Cell::new(seated),
-            entries: Cell::default(),
+            nearby: Nearby::default(),
             stopped: Cell::default(),
             stop: Event::new(),
             asked: Event::new(),
@@ -218,14 +223,61 @@
         self.seated.get()
     }
 
-    /// Notes how many entry processes run.
-    pub(crate) fn note_entries(&self, count: u32) {
-        self.entries.set(count);
+    /// Notes how many entry processes run, in how many zones.
+    pub(crate) fn note_entries(&self, entries: u32, zones: u32) {
+        if (entries, zones) != self.nearby.counts() {
+            self.nearby.count(entries, zones);
+            self.assign();
+        }
+    }
+
+    /// Mark of the list of near entry processes that is known; 0 for none.
+    pub(crate) const fn near_mark(&self) -> u64 {
+        self.nearby.mark()
+    }
+
+    /// Takes over the list of near entry processes.
+    pub(crate) fn note_near(&self, mark: u64, list: &BTreeMap<EntryName, SocketAddr>) {
+        info!(self.log, "near entry processes"; "count" => list.len());
+        self.nearby.list(mark, list);
+        self.assign();
     }
 
-    /// Most entry processes that share the connections of a database.
-    fn sharers(&self) -> u32 {
-        self.config.borrow().entries.max(self.entries.get())
+    /// Decides anew which near entry processes serve which groups.
+    fn assign(&self) {
+        let services: Vec<_> = self.config.borrow().groups.values().cloned().collect();
+        self.nearby
+            .assign(services.iter().map(|service| &**service));
+        self.reconcile();
+    }
+
+    /// Entry process that the sessions of a service are to be forwarded to; `None` when this one
+    /// serves them.
+    #[must_use]
+    pub fn near(&self, service: &Service, now: Instant) -> Option<Rc<Near>> {
+        self.nearby.choose(&service.group, &self.settings.name, now)
+    }
+
+    /// Opens a session on a route at a near entry process, which speaks the protocol of a database.
+    ///
+    /// # Errors
+    /// It can't be reached (`None`), or it refuses the session.
+    pub async fn forward(&self, near: &Near, route: &str) -> Result<D::Client, Option<OpenError>> {
+        let stream = base::net::connect(self.settings.host, near.address, FORWARD);
+        let stream = stream.await.map_err(|_unreachable| None)?;
+        let to = Upstream {
+            group: route.to_owned(),
+            member: MemberName::new(),
+            store: StoreId::new(),
+        };
+        let opening = compio::time::timeout(FORWARD, self.dialect.open(stream, &to));
+        opening.await.map_err(|_elapsed| None)?.map_err(Some)
+    }
+
+    /// Most entry processes that share the connections of a database of a group.
+    fn sharers(&self, group: &str) -> u32 {
+        let entries = self.config.borrow().entries.max(self.nearby.counts().0);
+        self.nearby.sharers(group).unwrap_or(entries)
     }
 
     /// Asks for a graceful stop, on behalf of an operator.
@@ -339,7 +391,7 @@
                 .collect(),
         };
         info!(self.log, "configuration in force"; "version" => version);
-        self.reconcile();
+        self.assign();
         self.notify_groups();
     }
 
@@ -441,9 +493,12 @@
 
     /// Whether this process observes a group for the control hosts.
     ///
-    /// Every process observes every group of a small deployment. In a larger one each process
-    /// decides by its rank alone, because it does not know the others.
+    /// Every process observes every group of a small deployment. In a larger one those do that serve
+    /// it; where that is not known, each process decides by its rank alone.
     fn observes(&self, group: &str) -> bool {
+        if let Some(serves) = self.nearby.serves(group, &self.settings.name) {
+            return serves;
+        }
         let entries = u64::from(self.config.borrow().entries.max(1));
         let share = u64::MAX / entries;
         route::observers::rank(group, &self.settings.name)
@@ -533,7 +588,7 @@
             group.configure(confirmations(service));
             let limits = Limits {
                 connections: service.connections,
-                entries: self.sharers(),
+                entries: self.sharers(&service.group),
                 slots: service.slots,
                 queue: service.limits.queue,
             };
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -38,6 +38,9 @@
     pub address: SocketAddr,
     /// Address for metrics, dump, readiness and announcements.
     pub http: SocketAddr,
+    /// Address for sessions that other entry processes forward; without it none are exchanged.
+    #[serde(default)]
+    pub forwarding: Option<SocketAddr>,
     /// RPC addresses of all control hosts, or of some with `discover`.
     pub control: Vec<SocketAddr>,
     /// Whether the control hosts tell where all of them are.
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -250,6 +250,17 @@
   # All members of the groups that changed.
   seen @13 :List(Seen);
   wanted @14 :List(Wanted);
+  # Address that takes sessions which other entry processes forward; empty if there is none. As zone,
+  # only in a complete report.
+  forwarding @15 :Text;
+  # Mark of the list of near entry processes that the sender has; 0 for none.
+  nearMark @16 :UInt64;
+}
+
+struct NearEntry {
+  name @0 :Text;
+  # Address that takes forwarded sessions.
+  address @1 :Text;
 }
 
 struct RenewReply {
@@ -273,6 +284,12 @@
   lent @11 :List(Lent);
   # Entry processes that this host heard from lately.
   entries @12 :UInt32;
+  # Only from the leader: live entry processes of the sender's zone that take forwarded sessions. Left
+  # out when the sender has the list with this mark.
+  near @13 :List(NearEntry);
+  nearMark @14 :UInt64;
+  # Zones with live entry processes.
+  zones @15 :UInt32;
 }
 
 enum GroupState {
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -17204,6 +17204,21 @@
         pub fn has_wanted(&self) -> bool {
             !self.reader.get_pointer_field(9).is_null()
         }
+        #[inline]
+        pub fn get_forwarding(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(10),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_forwarding(&self) -> bool {
+            !self.reader.get_pointer_field(10).is_null()
+        }
+        #[inline]
+        pub fn get_near_mark(self) -> u64 {
+            self.reader.get_data_field::<u64>(4)
+        }
     }
 
     pub struct Builder<'a> {
@@ -17212,8 +17227,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
-                pointers: 10,
+                data: 5,
+                pointers: 11,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -17675,6 +17690,41 @@
         pub fn has_wanted(&self) -> bool {
             !self.builder.is_pointer_field_null(9)
         }
+        #[inline]
+        pub fn get_forwarding(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(10),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_forwarding(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(10),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_forwarding(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(10).init_text(size)
+        }
+        #[inline]
+        pub fn has_forwarding(&self) -> bool {
+            !self.builder.is_pointer_field_null(10)
+        }
+        #[inline]
+        pub fn get_near_mark(self) -> u64 {
+            self.builder.get_data_field::<u64>(4)
+        }
+        #[inline]
+        pub fn set_near_mark(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(4, value);
+        }
     }
 
     pub struct Pipeline {
@@ -17689,17 +17739,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 278] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 310] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(161, 243, 184, 154, 86, 141, 144, 181),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -17708,112 +17758,126 @@
             ::capnp::word(119, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -17968,6 +18032,24 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 111, 114, 119, 97, 114, 100, 105),
+            ::capnp::word(110, 103, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 97, 114, 77, 97, 114, 107),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -17986,6 +18068,8 @@
                 12 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::repeat::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 13 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::seen::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 14 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::wanted::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                15 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                16 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -18005,15 +18089,15 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] =
-            &[5, 4, 7, 0, 8, 11, 3, 12, 2, 13, 10, 6, 9, 14, 1];
+            &[5, 4, 7, 0, 15, 8, 11, 16, 3, 12, 2, 13, 10, 6, 9, 14, 1];
         pub(crate) const TYPE_ID: u64 = 0xb590_8d56_9ab8_f3a1;
     }
 }
 
-pub mod renew_reply {
+pub mod near_entry {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -18117,86 +18201,27 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_granted(self) -> bool {
-            self.reader.get_bool_field(0)
-        }
-        #[inline]
-        pub fn get_duration(self) -> u32 {
-            self.reader.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn get_record_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn get_config_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn get_directory_version(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
+        pub fn has_name(&self) -> bool {
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_leader(self) -> bool {
-            self.reader.get_bool_field(1)
-        }
-        #[inline]
-        pub fn get_permits(
-            self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::permit::Owned>,
-        > {
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(
                 &self.reader.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn has_permits(&self) -> bool {
+        pub fn has_address(&self) -> bool {
             !self.reader.get_pointer_field(1).is_null()
         }
-        #[inline]
-        pub fn get_permit_duration(self) -> u32 {
-            self.reader.get_data_field::<u32>(8)
-        }
-        #[inline]
-        pub fn get_drain(self) -> bool {
-            self.reader.get_bool_field(2)
-        }
-        #[inline]
-        pub fn get_resync(self) -> bool {
-            self.reader.get_bool_field(3)
-        }
-        #[inline]
-        pub fn get_lent(
-            self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::lent::Owned>,
-        > {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(2),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_lent(&self) -> bool {
-            !self.reader.get_pointer_field(2).is_null()
-        }
-        #[inline]
-        pub fn get_entries(self) -> u32 {
-            self.reader.get_data_field::<u32>(9)
-        }
     }
 
     pub struct Builder<'a> {
@@ -18205,8 +18230,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 5,
-                pointers: 3,
+                data: 0,
+                pointers: 2,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -18289,54 +18314,14 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_granted(self) -> bool {
-            self.builder.get_bool_field(0)
-        }
-        #[inline]
-        pub fn set_granted(&mut self, value: bool) {
-            self.builder.set_bool_field(0, value);
-        }
-        #[inline]
-        pub fn get_duration(self) -> u32 {
-            self.builder.get_data_field::<u32>(1)
-        }
-        #[inline]
-        pub fn set_duration(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(1, value);
-        }
-        #[inline]
-        pub fn get_record_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(1)
-        }
-        #[inline]
-        pub fn set_record_version(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(1, value);
-        }
-        #[inline]
-        pub fn get_config_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
-        }
-        #[inline]
-        pub fn set_config_version(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(2, value);
-        }
-        #[inline]
-        pub fn get_directory_version(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
-        }
-        #[inline]
-        pub fn set_directory_version(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(3, value);
-        }
-        #[inline]
-        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+        pub fn get_name(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(0),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+        pub fn set_name(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(0),
                 value,
@@ -18345,78 +18330,560 @@
             .unwrap()
         }
         #[inline]
-        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+        pub fn init_name(self, size: u32) -> ::capnp::text::Builder<'a> {
             self.builder.get_pointer_field(0).init_text(size)
         }
         #[inline]
-        pub fn has_host(&self) -> bool {
+        pub fn has_name(&self) -> bool {
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_leader(self) -> bool {
-            self.builder.get_bool_field(1)
-        }
-        #[inline]
-        pub fn set_leader(&mut self, value: bool) {
-            self.builder.set_bool_field(1, value);
-        }
-        #[inline]
-        pub fn get_permits(
-            self,
-        ) -> ::capnp::Result<
-            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::permit::Owned>,
-        > {
+        pub fn get_address(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(
                 self.builder.get_pointer_field(1),
                 ::core::option::Option::None,
             )
         }
         #[inline]
-        pub fn set_permits(
+        pub fn set_address(
             &mut self,
-            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::permit::Owned>,
-        ) -> ::capnp::Result<()> {
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
             ::capnp::traits::SetterInput::set_pointer_builder(
                 self.builder.reborrow().get_pointer_field(1),
                 value,
                 false,
             )
+            .unwrap()
         }
         #[inline]
-        pub fn init_permits(
-            self,
-            size: u32,
-        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::permit::Owned> {
-            ::capnp::traits::FromPointerBuilder::init_pointer(
-                self.builder.get_pointer_field(1),
-                size,
-            )
+        pub fn init_address(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
         }
         #[inline]
-        pub fn has_permits(&self) -> bool {
+        pub fn has_address(&self) -> bool {
             !self.builder.is_pointer_field_null(1)
         }
-        #[inline]
-        pub fn get_permit_duration(self) -> u32 {
-            self.builder.get_data_field::<u32>(8)
-        }
-        #[inline]
-        pub fn set_permit_duration(&mut self, value: u32) {
-            self.builder.set_data_field::<u32>(8, value);
-        }
-        #[inline]
-        pub fn get_drain(self) -> bool {
-            self.builder.get_bool_field(2)
-        }
-        #[inline]
-        pub fn set_drain(&mut self, value: bool) {
-            self.builder.set_bool_field(2, value);
-        }
-        #[inline]
-        pub fn get_resync(self) -> bool {
-            self.builder.get_bool_field(3)
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
         }
-        #[inline]
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(161, 194, 123, 242, 174, 132, 217, 253),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 78, 101, 97, 114),
+            ::capnp::word(69, 110, 116, 114, 121, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 97, 109, 101, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 100, 100, 114, 101, 115, 115, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+        pub(crate) const TYPE_ID: u64 = 0xfdd9_84ae_f27b_c2a1;
+    }
+}
+
+pub mod renew_reply {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_granted(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_duration(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_record_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_config_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_directory_version(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_leader(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
+        #[inline]
+        pub fn get_permits(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::permit::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_permits(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_permit_duration(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn get_drain(self) -> bool {
+            self.reader.get_bool_field(2)
+        }
+        #[inline]
+        pub fn get_resync(self) -> bool {
+            self.reader.get_bool_field(3)
+        }
+        #[inline]
+        pub fn get_lent(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::lent::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_lent(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+        #[inline]
+        pub fn get_entries(self) -> u32 {
+            self.reader.get_data_field::<u32>(9)
+        }
+        #[inline]
+        pub fn get_near(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::near_entry::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_near(&self) -> bool {
+            !self.reader.get_pointer_field(3).is_null()
+        }
+        #[inline]
+        pub fn get_near_mark(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn get_zones(self) -> u32 {
+            self.reader.get_data_field::<u32>(12)
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 7,
+                pointers: 4,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_granted(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_granted(&mut self, value: bool) {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_duration(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_duration(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_record_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_record_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_config_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_config_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_directory_version(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_directory_version(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
+        }
+        #[inline]
+        pub fn get_host(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_host(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_host(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_host(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_leader(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_leader(&mut self, value: bool) {
+            self.builder.set_bool_field(1, value);
+        }
+        #[inline]
+        pub fn get_permits(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::permit::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_permits(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::permit::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_permits(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::permit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(1),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_permits(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_permit_duration(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_permit_duration(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(8, value);
+        }
+        #[inline]
+        pub fn get_drain(self) -> bool {
+            self.builder.get_bool_field(2)
+        }
+        #[inline]
+        pub fn set_drain(&mut self, value: bool) {
+            self.builder.set_bool_field(2, value);
+        }
+        #[inline]
+        pub fn get_resync(self) -> bool {
+            self.builder.get_bool_field(3)
+        }
+        #[inline]
         pub fn set_resync(&mut self, value: bool) {
             self.builder.set_bool_field(3, value);
         }
@@ -18464,6 +18931,59 @@
         pub fn set_entries(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(9, value);
         }
+        #[inline]
+        pub fn get_near(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::near_entry::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(3),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_near(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::near_entry::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(3),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_near(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::near_entry::Owned>
+        {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(3),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_near(&self) -> bool {
+            !self.builder.is_pointer_field_null(3)
+        }
+        #[inline]
+        pub fn get_near_mark(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_near_mark(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(5, value);
+        }
+        #[inline]
+        pub fn get_zones(self) -> u32 {
+            self.builder.get_data_field::<u32>(12)
+        }
+        #[inline]
+        pub fn set_zones(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(12, value);
+        }
     }
 
     pub struct Pipeline {
@@ -18478,17 +18998,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 227] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 277] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(126, 79, 10, 231, 45, 48, 0, 204),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 7, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 135, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -18496,98 +19016,119 @@
             ::capnp::word(112, 110, 112, 58, 82, 101, 110, 101),
             ::capnp::word(119, 82, 101, 112, 108, 121, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(189, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(225, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 12, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -18706,6 +19247,35 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 97, 114, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(161, 194, 123, 242, 174, 132, 217, 253),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 97, 114, 77, 97, 114, 107),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(122, 111, 110, 101, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -18722,6 +19292,9 @@
                 10 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::lent::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::near_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                14 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -18740,9 +19313,11 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 4, 9, 1, 12, 0, 5, 6, 11, 8, 7, 2, 10];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] =
+            &[3, 4, 9, 1, 12, 0, 5, 6, 11, 13, 14, 8, 7, 2, 10, 15];
         pub(crate) const TYPE_ID: u64 = 0xcc00_302d_e70a_4f7e;
     }
 }
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Every function that decides by time takes the time as an argument.
 
+pub mod affinity;
 pub mod budget;
 pub mod confirm;
 pub mod detect;
--- /dev/null
+++ b/crates/route/tests/affinity.rs
@@ -0,0 +1,95 @@
+//! Which entry processes serve a group.
+
+use std::collections::BTreeMap;
+
+use route::affinity::{assign, per_zone};
+use rstest::rstest;
+
+fn hosts(count: usize) -> Vec<String> {
+    (0..count).map(|i| format!("e{i}")).collect()
+}
+
+fn groups(count: usize, serving: usize) -> BTreeMap<String, usize> {
+    (0..count).map(|i| (format!("g{i}"), serving)).collect()
+}
+
+/// Guards against more connections than a database accepts, and against a zone without a process
+/// that serves a group.
+#[rstest]
+#[case::small(16, 9, 3, None)]
+#[case::as_many_as_all_serve(30, 12, 3, None)]
+#[case::few_connections(26, 58, 6, Some(1))]
+#[case::many_connections(234, 90, 6, Some(2))]
+#[case::one_connection(1, 58, 6, Some(1))]
+#[case::no_zone_known(26, 58, 0, None)]
+fn processes_per_zone(
+    #[case] connections: u32,
+    #[case] entries: u32,
+    #[case] zones: u32,
+    #[case] expected: Option<usize>,
+) {
+    assert_eq!(per_zone(connections, entries, zones), expected);
+}
+
+/// Guards against one process with the work of several.
+#[rstest]
+#[case::fewer_groups_than_hosts(10, 8, 1, 1)]
+#[case::as_many(15, 8, 2, 2)]
+#[case::more_groups_than_hosts(3, 8, 1, 3)]
+fn groups_are_spread_evenly(
+    #[case] count: usize,
+    #[case] number: usize,
+    #[case] serving: usize,
+    #[case] most: usize,
+) {
+    let ranked = assign(&groups(number, serving), &hosts(count));
+
+    let mut served: BTreeMap<&str, usize> = BTreeMap::new();
+    for order in ranked.values() {
+        for host in &order[..serving] {
+            *served.entry(host).or_default() += 1;
+        }
+    }
+    assert!(served.values().all(|n| *n <= most), "{served:?}");
+}
+
+/// Guards against sessions that move because of a process that does not serve them.
+#[test]
+fn loss_of_a_process_moves_few_groups() {
+    let groups = groups(8, 1);
+    let all = hosts(10);
+    let before = assign(&groups, &all);
+
+    let mut moved = 0;
+    for lost in &all {
+        let rest: Vec<_> = all.iter().filter(|host| *host != lost).cloned().collect();
+        let after = assign(&groups, &rest);
+        let changed = groups
+            .keys()
+            .filter(|group| before[*group][0] != after[*group][0]);
+        moved += changed.count();
+    }
+
+    // Each group has to move once, when its process is the one that is lost.
+    assert!(moved <= 2 * groups.len(), "{moved} moves");
+}
+
+/// Guards against a group without a substitute.
+#[test]
+fn every_process_is_ranked() {
+    let ranked = assign(&groups(2, 1), &hosts(4));
+
+    for order in ranked.values() {
+        let mut sorted = order.clone();
+        sorted.sort_unstable();
+        assert_eq!(sorted, hosts(4));
+    }
+}
+
+/// Guards against a panic while no process is known.
+#[test]
+fn no_process_serves_nothing() {
+    let ranked = assign(&groups(2, 1), &[]);
+
+    assert!(ranked.values().all(Vec::is_empty));
+}
--- /dev/null
+++ b/crates/session/src/forward.rs
@@ -0,0 +1,330 @@
+//! A session that another entry process answers.
+//!
+//! In a deployment with more entry processes than connections to a database, only some of them hold
+//! any. The others pass each request on, one at a time, and answer in place of the process that
+//! serves the group when it is lost.
+
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Map, document::Route};
+use compio::time::{sleep, timeout};
+use entry::{dialect::Dialect, near::Near};
+use futures_util::future::{Either, select};
+use slog::warn;
+
+use crate::{
+    caller::{Caller, Input},
+    command::{Command, Request, Verb},
+    events::Inputs,
+    session::{NAMES_MAX, RESTING, label},
+    shared::{Phase, Shared},
+    statement::{Answer, Code, Failure, Reply, State, Statement, Statements},
+};
+
+/// The other process is asked whether it lives when it answered nobody for this long, so that callers
+/// of a lost one have an answer well within their objective.
+const QUIET: Duration = Duration::from_millis(250);
+/// Time beyond a route's deadline that the answer of the other process gets: it counts the deadline
+/// from the arrival of the request, a moment later.
+const MARGIN: Duration = Duration::from_millis(250);
+/// Route that does not exist: asking for it shows whether a process answers.
+const NO_ROUTE: &str = "-";
+
+/// The session of one caller, answered by another process.
+#[derive(Debug)]
+pub(crate) struct Forwarded<C, D: Dialect> {
+    shared: Rc<Shared<D>>,
+    caller: C,
+    name: String,
+    near: Rc<Near>,
+    /// Connection to the other process; `None` once it is lost.
+    client: Option<D::Client>,
+    state: State,
+    /// What the named shapes do.
+    verbs: Map<String, Verb>,
+}
+
+/// What is known about a request whose answer did not come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unanswered {
+    /// Nothing of it is kept.
+    NotKept,
+    /// It may have run, and changes nothing.
+    Read,
+    /// It may be in force.
+    Unknown,
+}
+
+/// Judges a request that another process was sent and did not answer. `verb` is what a statement
+/// does, if that is known.
+///
+/// ```
+/// use session::{Command, Verb, forward::{Unanswered, unanswered}, statement::State};
+///
+/// let read = Command::Run(Verb::Read);
+/// assert_eq!(unanswered(&read, Some(Verb::Read), State::Idle), Unanswered::Read);
+/// assert_eq!(unanswered(&Command::Commit, None, State::Open), Unanswered::Unknown);
+/// ```
+#[must_use]
+pub const fn unanswered(command: &Command, verb: Option<Verb>, state: State) -> Unanswered {
+    match (command, state) {
+        (Command::Commit, State::Open) => Unanswered::Unknown,
+        // The other process ends the transaction of a session that is gone.
+        (_, State::Open | State::Failed) => Unanswered::NotKept,
+        (Command::Run(_) | Command::Execute { .. }, State::Idle) => match verb {
+            Some(Verb::Read) => Unanswered::Read,
+            Some(Verb::Write) | None => Unanswered::Unknown,
+        },
+        (_, State::Idle) => Unanswered::NotKept,
+    }
+}
+
+impl<C: Caller, D: Dialect> Forwarded<C, D>
+where
+    D::Client: Statements,
+{
+    /// Connects to the process that serves a route, and passes over those that don't answer. Gives
+    /// the caller back when this process has to serve it.
+    pub(crate) async fn open(
+        caller: C,
+        shared: &Rc<Shared<D>>,
+        route: &Rc<Route>,
+    ) -> Result<Self, C> {
+        let network = &shared.network;
+        while let Some(service) = network.find(&route.service)
+            && let Some(near) = network.near(&service, Instant::now())
+        {
+            match network.forward(&near, &route.name).await {
+                Ok(client) => {
+                    near.heard(Instant::now());
+                    return Ok(Self {
+                        shared: Rc::clone(shared),
+                        caller,
+                        name: route.name.clone(),
+                        near,
+                        client: Some(client),
+                        state: State::Idle,
+                        verbs: Map::default(),
+                    });
+                }
+                Err(None) => lose(shared, &near),
+                Err(Some(cause)) => {
+                    // It may not have the configuration of this process yet.
+                    warn!(network.log, "near entry process refuses a session";
+                        "near" => &near.name, "route" => &route.name, "cause" => ?cause);
+                    break;
+                }
+            }
+        }
+        Err(caller)
+    }
+
+    /// Answers the caller until it leaves, the process stops, or the other process is lost.
+    pub(crate) async fn run(mut self) {
+        while self.client.is_some() || self.state != State::Idle {
+            if !self.wake().await {
+                return;
+            }
+            let Input::Request(request) = self.caller.next().await else {
+                return;
+            };
+            let start = Instant::now();
+            let reply = self.answer(&request, start).await;
+            self.state = reply.state;
+            if self.caller.reply(&reply).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Waits for a request; false when the session is to end.
+    async fn wake(&self) -> bool {
+        let input = pin!(self.caller.readable());
+        let ending = pin!(async {
+            if self.state != State::Idle {
+                return self.shared.until(Phase::Ending).await;
+            }
+            let moved = pin!(async {
+                select(
+                    pin!(self.shared.until(Phase::Shedding)),
+                    pin!(self.near.lost()),
+                )
+                .await;
+                // A caller that has just connected or got an answer is about to send a request.
+                sleep(RESTING).await;
+            });
+            let closed = pin!(async {
+                match &self.client {
+                    Some(client) => client.readable().await,
+                    None => std::future::pending().await,
+                }
+            });
+            select(moved, closed).await;
+        });
+        matches!(select(input, ending).await, Either::Left(_))
+    }
+
+    async fn answer(&mut self, request: &Request, start: Instant) -> Reply {
+        let Some(route) = self.shared.network.find_route(&self.name) else {
+            if self.state == State::Idle {
+                let failure = Failure::new(Code::NoRoute, self.name.as_str());
+                return Reply::failed(failure, State::Idle);
+            }
+            return self.pass_on(request, start, Duration::ZERO).await;
+        };
+        let limit = Duration::from_millis(route.deadline_ms);
+        self.pass_on(request, start, limit).await
+    }
+
+    async fn pass_on(&mut self, request: &Request, start: Instant, limit: Duration) -> Reply {
+        let Some(client) = &mut self.client else {
+            return after_loss(request);
+        };
+        let deadline = start + limit + MARGIN;
+        match exchange(client, &self.shared, &self.near, request, deadline).await {
+            Ok(answer) => {
+                self.learn(request, &answer);
+                self.shared.requests.with_label_values(&["forwarded"]).inc();
+                Reply {
+                    rows: answer.rows,
+                    outcome: answer.outcome.map(Some),
+                    state: answer.state,
+                    position: answer.position,
+                }
+            }
+            Err(cause) => {
+                self.client = None;
+                self.give_up(request, &cause, start)
+            }
+        }
+    }
+
+    /// Notes what a named shape does.
+    fn learn(&mut self, request: &Request, answer: &Answer) {
+        if let Command::Prepare { name, verb, .. } = &request.command
+            && answer.outcome.is_ok()
+            && self.verbs.len() < NAMES_MAX
+        {
+            self.verbs.insert(name.clone(), *verb);
+        }
+    }
+
+    /// Final answer to a request that the other process did not answer.
+    fn give_up(&self, request: &Request, cause: &str, start: Instant) -> Reply {
+        let verb = match &request.command {
+            Command::Run(verb) => Some(*verb),
+            Command::Execute { name, .. } => self.verbs.get(name).copied(),
+            _ => None,
+        };
+        let text = format!("{} has no answer: {cause}", self.near.name);
+        let (code, state) = match unanswered(&request.command, verb, self.state) {
+            Unanswered::NotKept if self.state == State::Idle => (Code::Busy, State::Idle),
+            Unanswered::NotKept => (Code::Aborted, State::Failed),
+            Unanswered::Read => (Code::Failed, State::Idle),
+            Unanswered::Unknown => (Code::InDoubt, State::Idle),
+        };
+        let outcome = label(&code);
+        self.shared.requests.with_label_values(&[outcome]).inc();
+        let inputs = Inputs {
+            route: self.name.clone(),
+            member: self.near.name.clone(),
+            config: self.shared.network.config_version(),
+            attempts: 1,
+            ..Inputs::default()
+        };
+        let now = Instant::now();
+        let events = &self.shared.events;
+        events.ended(request, outcome, &text, &inputs, start, now);
+        Reply::failed(Failure::new(code, text), state)
+    }
+}
+
+/// Answer in a transaction that failed because the other process was lost: only its end makes sense.
+fn after_loss(request: &Request) -> Reply {
+    match &request.command {
+        Command::Rollback => Reply::done(State::Idle),
+        Command::Commit => {
+            let failure = Failure::new(Code::Aborted, "the transaction failed before");
+            Reply::failed(failure, State::Idle)
+        }
+        _ => {
+            let failure = Failure::new(Code::Malformed, "the transaction failed; end it");
+            Reply::failed(failure, State::Failed)
+        }
+    }
+}
+
+/// Sends a request and waits for its answer, for as long as the other process shows that it lives.
+async fn exchange<D: Dialect>(
+    client: &mut D::Client,
+    shared: &Shared<D>,
+    near: &Near,
+    request: &Request,
+    deadline: Instant,
+) -> Result<Answer, String>
+where
+    D::Client: Statements,
+{
+    let statement = [Statement::Forward {
+        id: &request.id,
+        after: None,
+        text: &request.text,
+    }];
+    let mut answers = pin!(client.exchange(&statement));
+    loop {
+        let now = Instant::now();
+        if now >= deadline {
+            return Err("none before the deadline".to_owned());
+        }
+        let wait = QUIET.min(deadline.saturating_duration_since(now));
+        match timeout(wait, answers.as_mut()).await {
+            Ok(Ok(mut answers)) => {
+                near.heard(Instant::now());
+                return answers.pop().ok_or_else(|| "no answer".to_owned());
+            }
+            Ok(Err(broken)) => return Err(broken.0),
+            Err(_elapsed) => {}
+        }
+        if near.is_heard(QUIET, Instant::now()) {
+            continue;
+        }
+        let living = pin!(lives(shared, near));
+        match select(answers.as_mut(), living).await {
+            Either::Left((Ok(mut answers), _)) => {
+                near.heard(Instant::now());
+                return answers.pop().ok_or_else(|| "no answer".to_owned());
+            }
+            Either::Left((Err(broken), _)) => return Err(broken.0),
+            Either::Right((true, _)) => {}
+            Either::Right((false, _)) => return Err("the process is lost".to_owned()),
+        }
+    }
+}
+
+/// Whether a process answers at all.
+async fn lives<D: Dialect>(shared: &Shared<D>, near: &Near) -> bool
+where
+    D::Client: Statements,
+{
+    if near.is_lost(Instant::now()) {
+        return false;
+    }
+    if let Err(None) = shared.network.forward(near, NO_ROUTE).await {
+        lose(shared, near);
+        return false;
+    }
+    near.heard(Instant::now());
+    true
+}
+
+fn lose<D: Dialect>(shared: &Shared<D>, near: &Near)
+where
+    D::Client: Statements,
+{
+    warn!(shared.network.log, "near entry process does not answer"; "near" => &near.name);
+    near.lose(Instant::now());
+}
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod command;
 pub mod events;
+pub mod forward;
 pub mod kept;
 pub mod serve;
 mod session;
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -40,9 +40,18 @@
     pub end: Duration,
 }
 
+/// Where sessions arrive.
+#[derive(Debug)]
+pub struct Listeners {
+    /// From callers.
+    pub callers: TcpListener,
+    /// From other entry processes, which forward those of their callers.
+    pub forwarded: TcpListener,
+}
+
 /// Serves callers until `stop` completes and all of them have left.
 pub async fn serve<C: Caller, D: Dialect>(
-    listener: TcpListener,
+    listeners: Listeners,
     shared: Rc<Shared<D>>,
     make: impl Fn(TcpStream) -> C,
     stop: impl Future<Output = ()>,
@@ -50,13 +59,15 @@
 ) where
     D::Client: Statements,
 {
-    let accepting = pin!(accept(&listener, &shared, &make));
+    let callers = pin!(accept(&listeners.callers, &shared, &make, true));
+    let forwarded = pin!(accept(&listeners.forwarded, &shared, &make, false));
+    let accepting = select(callers, forwarded);
     let ending = pin!(async {
         select(pin!(stop), pin!(shed(&shared, times.notice))).await;
         end(&shared, times).await;
     });
     match select(accepting, ending).await {
-        Either::Left(((), _)) | Either::Right(((), _)) => {}
+        Either::Left(_) | Either::Right(_) => {}
     }
 }
 
@@ -117,6 +128,7 @@
     listener: &TcpListener,
     shared: &Rc<Shared<D>>,
     make: &impl Fn(TcpStream) -> C,
+    forwards: bool,
 ) where
     D::Client: Statements,
 {
@@ -125,7 +137,8 @@
     loop {
         match listener.accept_with_options(&socket).await {
             Ok((stream, _caller)) => {
-                spawn(Session::serve(make(stream), Rc::clone(shared))).detach();
+                let session = Session::serve(make(stream), Rc::clone(shared), forwards);
+                spawn(session).detach();
             }
             Err(cause) => {
                 warn!(shared.network.log, "accept failed"; "cause" => %cause);
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -15,6 +15,7 @@
     caller::{Caller, Input},
     command::{Command, Request, Verb},
     events::Inputs,
+    forward::Forwarded,
     kept::{Shape, Values},
     shared::{Phase, Place, Shared},
     statement::{Code, Failure, Reply, State, Statement, Statements},
@@ -25,11 +26,11 @@
 const LOGIN: Duration = Duration::from_millis(1_500);
 /// A session whose caller sent nothing for this long may be closed: most callers send their next
 /// request well before.
-const RESTING: Duration = Duration::from_millis(300);
+pub(crate) const RESTING: Duration = Duration::from_millis(300);
 /// Pause between looks for the first configuration.
 const LOOK: Duration = Duration::from_millis(20);
 /// Most named shapes and values of one session, which are held in memory.
-const NAMES_MAX: usize = 1_000;
+pub(crate) const NAMES_MAX: usize = 1_000;
 
 /// The session of one caller.
 #[derive(Debug)]
@@ -89,8 +90,9 @@
 where
     D::Client: Statements,
 {
-    /// Answers a caller until it leaves or the process stops.
-    pub async fn serve(mut caller: C, shared: Rc<Shared<D>>) {
+    /// Answers a caller until it leaves or the process stops. With `forwards`, another entry process
+    /// answers in its place when that one serves the route.
+    pub async fn serve(mut caller: C, shared: Rc<Shared<D>>, forwards: bool) {
         let _counted = shared.enter();
         let Ok(Some(login)) = timeout(LOGIN, caller.login()).await else {
             return;
@@ -99,7 +101,7 @@
         while shared.network.config_version() == 0 && start.elapsed() < LOGIN {
             compio::time::sleep(LOOK).await;
         }
-        if shared.network.find_route(&login.route).is_none() {
+        let Some(route) = shared.network.find_route(&login.route) else {
             let failure = if shared.network.config_version() == 0 {
                 Failure::new(Code::Busy, "there is no configuration yet")
             } else {
@@ -107,10 +109,16 @@
             };
             let _left = caller.refuse(&failure).await;
             return;
-        }
+        };
         if caller.accept().await.is_err() {
             return;
         }
+        if forwards {
+            caller = match Forwarded::open(caller, &shared, &route).await {
+                Ok(session) => return session.run().await,
+                Err(caller) => caller,
+            };
+        }
         let session = Self {
             shared,
             caller,
@@ -348,7 +356,7 @@
 }
 
 /// Name of an outcome in metrics and logs.
-const fn label(code: &Code) -> &'static str {
+pub(crate) const fn label(code: &Code) -> &'static str {
     match code {
         Code::Busy => "busy",
         Code::Aborted => "aborted",
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -221,6 +221,8 @@
         &mut self,
         batch: &[Statement<'_>],
     ) -> impl Future<Output = Result<Vec<Answer>, Broken>>;
+    /// Waits until something arrives or the other side closes the connection.
+    fn readable(&self) -> impl Future<Output = ()>;
     /// Reads the status in the answer to [`Statement::Status`].
     fn status(answer: &Answer) -> Option<Status>;
     /// What the connection keeps between statements.
