Send configurations as compressed changes, from the nearest control host

A change names the blocks of the text that the entry process has and holds the others, deflated; it is made once for all that ask.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod log;
 pub mod map;
 pub mod net;
+pub mod patch;
 pub mod position;
 pub mod request;
 pub mod settings;
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -312,9 +312,9 @@
             &self.host,
             results.get().init_reply(),
             records,
-            config,
+            (config, request.get_telling()?),
             directory,
-        );
+        )?;
         let entry = self.session.borrow().entry().to_owned();
         let named = request.get_entry()?.to_str()?;
         self.count_bytes(if named.is_empty() { &entry } else { named });
@@ -352,15 +352,25 @@
     host: &Host<L>,
     mut reply: schema::watch_reply::Builder<'_>,
     records: Version,
-    config: Version,
+    (config, telling): (Version, schema::Telling),
     directory: Version,
-) {
+) -> Result<(), Error> {
     let now = Instant::now();
     let state = host.state.borrow();
     reply.set_record_version(state.version);
     reply.set_config_version(state.config.version);
     if state.config.version > config {
-        reply.set_document(&state.config.document);
+        match telling {
+            schema::Telling::Text => reply.set_document(&state.config.document),
+            schema::Telling::Change => {
+                let mut documents = host.documents.borrow_mut();
+                documents.note(state.config.version, &state.config.document);
+                let (base, change) = documents.change(config)?;
+                reply.set_change_base(base);
+                reply.set_change(&change);
+            }
+            schema::Telling::Version => {}
+        }
     }
     reply.set_directory_run(host.run);
     reply.set_age(wire_millis(host.log.contact(now)));
@@ -379,6 +389,7 @@
     for (i, heard) in (0..).zip(newer) {
         fill_announcement(now, heard, list.reborrow().get(i));
     }
+    Ok(())
 }
 
 fn fill_record(record: &Record, mut builder: schema::group_record::Builder<'_>) {
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -20,6 +20,7 @@
 use crate::{
     cancel::Cancellers,
     directory::{Announcement, Directory, Entry},
+    documents::Documents,
     judge,
     leases::{Holder, Known, Leases},
     log::{Log, LogError},
@@ -220,6 +221,8 @@
     pub stopping: Cell<bool>,
     /// Changes of operators that have no answer yet.
     pub busy: Cell<usize>,
+    /// Texts of configurations that entry processes may have.
+    pub documents: RefCell<Documents>,
     /// When this host started.
     start: Instant,
     /// When this host gave each seat to a new host.
@@ -251,6 +254,7 @@
             databases,
             heard: RefCell::default(),
             state,
+            documents: RefCell::default(),
             start: now,
             leases: RefCell::new(Leases::new(now)),
             directory: RefCell::default(),
@@ -326,6 +330,10 @@
                     "seat" => name, "address" => address, "cause" => %cause),
             }
         }
+        let config = &state.config;
+        self.documents
+            .borrow_mut()
+            .note(config.version, &config.document);
         let told = self.told.replace(state.version);
         let suspects = self.suspects.borrow();
         for record in state.newer(told) {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod console;
 mod cover;
 pub mod directory;
+pub mod documents;
 pub mod form;
 pub mod gate;
 pub mod host;
--- /dev/null
+++ b/crates/control/tests/documents.rs
@@ -0,0 +1,68 @@
+//! Changes of the configuration for entry processes.
+
+use std::rc::Rc;
+
+use base::patch;
+use control::documents::Documents;
+use rstest::rstest;
+
+const TEXTS: [&str; 3] = ["[a]\n", "[a]\n[b]\n", "[b]\n[c]\n"];
+
+fn documents() -> Documents {
+    let mut documents = Documents::default();
+    for (version, text) in (1..).zip(TEXTS) {
+        documents.note(version, text);
+    }
+    documents
+}
+
+/// Guards against an entry process with another text than the newest.
+#[rstest]
+#[case::none(0, 0)]
+#[case::one_behind(2, 2)]
+#[case::two_behind(1, 1)]
+#[case::not_kept(9, 0)]
+fn change_leads_to_the_newest(#[case] from: u64, #[case] expected: u64) {
+    let mut documents = documents();
+
+    let (base, change) = documents.change(from).unwrap();
+
+    let old = match base {
+        0 => "",
+        version => TEXTS[usize::try_from(version).unwrap() - 1],
+    };
+    assert_eq!(base, expected);
+    assert_eq!(patch::apply(old, &change).unwrap(), TEXTS[2]);
+}
+
+/// Guards against the work of a change for each entry process, and against an old change after the
+/// next configuration.
+#[test]
+fn change_is_made_once_for_each_configuration() {
+    let mut documents = documents();
+
+    let first = documents.change(2).unwrap().1;
+    let second = documents.change(2).unwrap().1;
+    documents.note(4, "[d]\n");
+    let third = documents.change(2).unwrap().1;
+
+    assert!(Rc::ptr_eq(&first, &second));
+    assert_eq!(patch::apply(TEXTS[1], &third).unwrap(), "[d]\n");
+}
+
+/// Guards against memory that grows with the number of configurations, and against an older one that
+/// takes the place of a newer one.
+#[test]
+fn few_texts_are_kept() {
+    let mut documents = Documents::default();
+    for version in 1..100 {
+        documents.note(version, &format!("[{version}]\n"));
+    }
+    documents.note(50, "[old]\n");
+
+    let (forgotten, _) = documents.change(50).unwrap();
+    let (base, change) = documents.change(98).unwrap();
+
+    assert_eq!((forgotten, base), (0, 98));
+    assert_eq!(patch::apply("[98]\n", &change).unwrap(), "[99]\n");
+}
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::Map;
+use base::{Map, Version};
 use futures_util::{FutureExt as _, pin_mut, select};
 use proto::{schema, traffic::Traffic};
 use rand::RngExt as _;
@@ -37,6 +37,9 @@
 const PATIENCE: Duration = Duration::from_secs(3);
 /// Limit on a watch.
 const WATCH_DEADLINE: Duration = Duration::from_millis(4_500);
+/// Time that the nearest control host gets to tell a new configuration, before others are asked for
+/// it as well. A change has to be in force within seconds, and the text may be long.
+const FALLBACK: Duration = Duration::from_millis(300);
 /// Pause before the next attempt to connect, with jitter from half to one and a half.
 const RECONNECT: Duration = Duration::from_millis(300);
 type Control = schema::control::Client;
@@ -50,6 +53,7 @@
             heard: None,
             leader: false,
             age: Duration::ZERO,
+            nearness: None,
             directory: (0, 0),
         },
     );
@@ -221,6 +225,8 @@
         }
         known.heard = Some(now);
         known.leader = reply.get_leader();
+        let took = now.saturating_duration_since(requested);
+        known.nearness = Some(known.nearness.map_or(took, |least| least.min(took)));
     });
     network.note_entries(reply.get_entries(), reply.get_zones());
     if reply.get_granted() {
@@ -274,11 +280,24 @@
     address: SocketAddr,
     control: &Control,
 ) -> String {
+    // Version of the configuration that the host told without its text.
+    let mut told = 0;
     loop {
-        let result = limited(WATCH_DEADLINE, watch(network, address, control)).await;
+        let nearest = network.nearest_host() == Some(address);
+        let telling = if nearest || told > network.config_version() {
+            schema::Telling::Change
+        } else {
+            schema::Telling::Version
+        };
+        let watching = watch(network, address, control, (telling, told));
+        let result = limited(WATCH_DEADLINE, watching).await;
         count(network, "watch", result.is_ok());
-        if let Err(cause) = result {
-            return cause;
+        match result {
+            Ok(version) => told = version,
+            Err(cause) => return cause,
+        }
+        if told > network.config_version() {
+            compio::time::sleep(FALLBACK).await;
         }
     }
 }
@@ -287,14 +306,23 @@
     network: &Rc<Network<D>>,
     address: SocketAddr,
     control: &Control,
-) -> Result<(), capnp::Error> {
+    (telling, told): (schema::Telling, Version),
+) -> Result<Version, capnp::Error> {
     // A host that was replaced is forgotten a moment before its link ends.
     let known = network.hosts.borrow().get(&address).cloned();
     let (run, directory) = known.map_or((0, 0), |host| host.directory);
     let mut call = control.watch_request();
     let mut request = call.get().init_request();
     request.set_record_version(network.record_version());
-    request.set_config_version(network.config_version());
+    let config = network.config_version();
+    // A text that the nearest host is to tell is no news here.
+    let known = if telling == schema::Telling::Version {
+        config.max(told)
+    } else {
+        config
+    };
+    request.set_config_version(known);
+    request.set_telling(telling);
     request.set_directory_version(directory);
     request.set_directory_run(run);
     request.set_patience(u32::try_from(PATIENCE.as_millis()).unwrap_or(0));
@@ -335,9 +363,14 @@
         .map(read_record)
         .collect::<Result<Vec<_>, _>>()?;
     network.apply_records(reply.get_record_version(), records);
-    network.apply_config(reply.get_config_version(), reply.get_document()?.to_str()?);
+    let config = reply.get_config_version();
+    if reply.has_change() {
+        network.apply_change(config, reply.get_change_base(), reply.get_change()?);
+    } else if reply.has_document() {
+        network.apply_config(config, reply.get_document()?.to_str()?);
+    }
     network.check_reachable(now);
-    Ok(())
+    Ok(config)
 }
 
 /// Reads an announcement; `None` when its address is not one.
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -11,6 +11,7 @@
 use base::{
     EntryName, GroupName, Map, MemberName, RouteName, ServiceName, Set, StoreId, Version,
     document::{Document, Route, Service},
+    patch,
 };
 use compio::runtime::JoinHandle;
 use event_listener::Event;
@@ -64,6 +65,8 @@
     pub leader: bool,
     /// Age of its state when it last answered.
     pub age: Duration,
+    /// Shortest time that an answer to a renewal took.
+    pub nearness: Option<Duration>,
     /// Versions of its directory: (run, version).
     pub directory: (u64, u64),
 }
@@ -72,6 +75,8 @@
 #[derive(Debug, Default)]
 struct Config {
     version: Version,
+    /// What it was read from.
+    text: String,
     entries: u32,
     services: Map<ServiceName, Rc<Service>>,
     groups: Map<GroupName, Rc<Service>>,
@@ -223,6 +228,17 @@
         self.seated.set(true);
     }
 
+    /// Control host that answers the fastest of those that answered lately.
+    pub(crate) fn nearest_host(&self) -> Option<SocketAddr> {
+        let hosts = self.hosts.borrow();
+        let live = hosts.iter().filter(|(_, host)| {
+            let recent = |heard: Instant| heard.elapsed() < REACHABLE;
+            host.heard.is_some_and(recent)
+        });
+        let nearest = live.min_by_key(|(address, host)| (host.nearness, **address));
+        nearest.map(|(address, _)| *address)
+    }
+
     /// Whether a majority of the control hosts can be counted.
     pub(crate) const fn is_seated(&self) -> bool {
         self.seated.get()
@@ -377,6 +393,28 @@
         self.config.borrow().routes.get(name).cloned()
     }
 
+    /// Puts a newer configuration in force, which a change leads to from that of version `base`.
+    pub(crate) fn apply_change(&self, version: Version, base: Version, change: &[u8]) {
+        if version <= self.config_version() {
+            return;
+        }
+        let old = self.config.borrow();
+        let text = match base {
+            0 => patch::apply("", change),
+            base if base == old.version => patch::apply(&old.text, change),
+            // Another control host told a newer one meanwhile; the next answer starts from that.
+            _ => return,
+        };
+        drop(old);
+        match text {
+            Ok(text) => self.apply_config(version, &text),
+            Err(cause) => {
+                warn!(self.log, "change of the configuration can't be used"; "version" => version,
+                    "base" => base, "cause" => %cause);
+            }
+        }
+    }
+
     /// Puts a newer configuration in force; an older or equal one changes nothing.
     pub fn apply_config(&self, version: Version, text: &str) {
         if version <= self.config_version() {
@@ -393,6 +431,7 @@
         let services: Vec<_> = services.collect();
         *self.config.borrow_mut() = Config {
             version,
+            text: text.to_owned(),
             entries: document.entries.max,
             services: services
                 .iter()
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -329,6 +329,14 @@
   directoryRun @4 :UInt64;
   # Milliseconds after which an answer without news is expected; 0 means one second.
   patience @5 :UInt32;
+  # How the document is told: as text, as a change, or only by its version.
+  telling @6 :Telling;
+}
+
+enum Telling {
+  text @0;
+  change @1;
+  version @2;
 }
 
 struct WatchReply {
@@ -346,6 +354,9 @@
   age @7 :UInt32;
   # All seats with their hosts, when a seat changed after the record version asked.
   seats @8 :List(Seat);
+  # Change of the document that leads from the text of version changeBase (0: from an empty one).
+  change @9 :Data;
+  changeBase @10 :UInt64;
 }
 
 # Receives cancel requests for sessions of one entry process.
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -20631,6 +20631,13 @@
         pub fn get_patience(self) -> u32 {
             self.reader.get_data_field::<u32>(8)
         }
+        #[inline]
+        pub fn get_telling(
+            self,
+        ) -> ::core::result::Result<crate::goldcrestrail_capnp::Telling, ::capnp::NotInSchema>
+        {
+            ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(18))
+        }
     }
 
     pub struct Builder<'a> {
@@ -20789,6 +20796,17 @@
         pub fn set_patience(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(8, value);
         }
+        #[inline]
+        pub fn get_telling(
+            self,
+        ) -> ::core::result::Result<crate::goldcrestrail_capnp::Telling, ::capnp::NotInSchema>
+        {
+            ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(18))
+        }
+        #[inline]
+        pub fn set_telling(&mut self, value: crate::goldcrestrail_capnp::Telling) {
+            self.builder.set_data_field::<u16>(18, value as u16);
+        }
     }
 
     pub struct Pipeline {
@@ -20803,7 +20821,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 115] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 130] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(167, 160, 218, 207, 98, 94, 194, 159),
             ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
@@ -20813,7 +20831,7 @@
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -20822,49 +20840,56 @@
             ::capnp::word(104, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(181, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(185, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(193, 0, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 0, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(201, 0, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -20919,6 +20944,14 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 108, 108, 105, 110, 103, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(58, 68, 243, 121, 224, 105, 141, 171),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -20928,6 +20961,7 @@
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <crate::goldcrestrail_capnp::Telling as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -20946,13 +20980,105 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 3, 0, 5, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 4, 3, 0, 5, 1, 6];
         pub(crate) const TYPE_ID: u64 = 0x9fc2_5e62_cfda_a0a7;
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Telling {
+    Text = 0,
+    Change = 1,
+    Version = 2,
+}
+
+impl ::capnp::introspect::Introspect for Telling {
+    fn introspect() -> ::capnp::introspect::Type {
+        ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(
+            &telling::ARENA,
+            telling::get_annotation_types,
+        ))
+        .into()
+    }
+}
+impl ::core::convert::From<Telling> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Telling) -> Self {
+        ::capnp::dynamic_value::Enum::new(
+            e.into(),
+            ::capnp::introspect::RawEnumSchema::new(&telling::ARENA, telling::get_annotation_types)
+                .into(),
+        )
+        .into()
+    }
+}
+impl ::core::convert::TryFrom<u16> for Telling {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(
+        value: u16,
+    ) -> ::core::result::Result<Self, <Telling as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Text),
+            1 => ::core::result::Result::Ok(Self::Change),
+            2 => ::core::result::Result::Ok(Self::Version),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Telling> for u16 {
+    #[inline]
+    fn from(x: Telling) -> u16 {
+        x as u16
+    }
+}
+impl ::capnp::traits::HasTypeId for Telling {
+    const TYPE_ID: u64 = 0xab8d_69e0_79f3_443au64;
+}
+mod telling {
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 30] = [
+        ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+        ::capnp::word(58, 68, 243, 121, 224, 105, 141, 171),
+        ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+        ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+        ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+        ::capnp::word(112, 110, 112, 58, 84, 101, 108, 108),
+        ::capnp::word(105, 110, 103, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+        ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 42, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 58, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(116, 101, 120, 116, 0, 0, 0, 0),
+        ::capnp::word(99, 104, 97, 110, 103, 101, 0, 0),
+        ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+    ];
+    pub(crate) fn get_annotation_types(
+        child_index: Option<u16>,
+        index: u32,
+    ) -> ::capnp::introspect::Type {
+        ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+    }
+    pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+        ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod watch_reply {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -21132,6 +21258,21 @@
         pub fn has_seats(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
+        #[inline]
+        pub fn get_change(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_change(&self) -> bool {
+            !self.reader.get_pointer_field(4).is_null()
+        }
+        #[inline]
+        pub fn get_change_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(5)
+        }
     }
 
     pub struct Builder<'a> {
@@ -21140,8 +21281,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 5,
-                pointers: 4,
+                data: 6,
+                pointers: 5,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -21406,6 +21547,33 @@
         pub fn has_seats(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
+        #[inline]
+        pub fn get_change(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(4),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_change(&mut self, value: ::capnp::data::Reader<'_>) {
+            self.builder.reborrow().get_pointer_field(4).set_data(value);
+        }
+        #[inline]
+        pub fn init_change(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(4).init_data(size)
+        }
+        #[inline]
+        pub fn has_change(&self) -> bool {
+            !self.builder.is_pointer_field_null(4)
+        }
+        #[inline]
+        pub fn get_change_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(5)
+        }
+        #[inline]
+        pub fn set_change_base(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(5, value);
+        }
     }
 
     pub struct Pipeline {
@@ -21420,17 +21588,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 172] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 203] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(35, 51, 63, 209, 32, 25, 122, 176),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(5, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 255, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -21438,70 +21606,84 @@
             ::capnp::word(112, 110, 112, 58, 87, 97, 116, 99),
             ::capnp::word(104, 82, 101, 112, 108, 121, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(114, 101, 99, 111, 114, 100, 86, 101),
             ::capnp::word(114, 115, 105, 111, 110, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -21593,6 +21775,23 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 104, 97, 110, 103, 101, 66, 97),
+            ::capnp::word(115, 101, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -21605,6 +21804,8 @@
                 6 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::announcement::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::seat::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                9 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -21623,9 +21824,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 6, 2, 5, 4, 3, 0, 1, 8];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 6, 9, 10, 2, 5, 4, 3, 0, 1, 8];
         pub(crate) const TYPE_ID: u64 = 0xb07a_1920_d13f_3323;
     }
 }
