Tell entry processes of each other once all had time to link

Cause: after a loss of power the leader told lists with one or two entry processes, because the others linked later: attempts to connect to a host that was still down took a second. Each process of the short list served every group: 22,510 refused connections.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -239,9 +239,9 @@
         self.members.values()
     }
 
-    /// Notes a renewal of an entry process.
-    pub fn hear(&mut self, name: EntryName, entry: Entry) {
-        self.entries.insert(name, entry);
+    /// Notes a renewal of an entry process; returns whether it was not known.
+    pub fn hear(&mut self, name: EntryName, entry: Entry) -> bool {
+        self.entries.insert(name, entry).is_none()
     }
 
     /// Entry processes by name.
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -41,9 +41,12 @@
 /// longest term has passed.
 const LIVE_ENTRY: Duration = Duration::from_secs(5);
 
-/// Time after its start until a host has heard from the entry processes that are linked to it: they
-/// renew every 600 ms, and link again within half a second.
+/// A host has heard from the entry processes when it runs for this long, and
 const ACQUAINTED: Duration = Duration::from_secs(1);
+/// no further one linked for this long: they try again every half a second,
+const SETTLED: Duration = Duration::from_millis(500);
+/// or when it runs for this long: they may come one after the other.
+const ACQUAINTED_MOST: Duration = Duration::from_secs(3);
 
 /// Promotions whose step durations are kept for `/dump`.
 const KEPT_TIMINGS: usize = 100;
@@ -225,6 +228,10 @@
     pub documents: RefCell<Documents>,
     /// When this host started.
     start: Instant,
+    /// When it first heard from an entry process last.
+    met: Cell<Instant>,
+    /// Whether it knows the entry processes.
+    acquainted: Cell<bool>,
     /// When this host gave each seat to a new host.
     pub given: RefCell<Map<HostName, Instant>>,
     /// When a change was planned last for a leaving primary.
@@ -256,6 +263,8 @@
             state,
             documents: RefCell::default(),
             start: now,
+            met: Cell::new(now),
+            acquainted: Cell::new(false),
             leases: RefCell::new(Leases::new(now)),
             directory: RefCell::default(),
             run: rand::random(),
@@ -455,7 +464,9 @@
             at: now,
             used,
         };
-        directory.hear(renewal.entry.clone(), entry);
+        if directory.hear(renewal.entry.clone(), entry) {
+            self.met.set(now);
+        }
         drop(directory);
         if news {
             self.changed.notify();
@@ -485,7 +496,7 @@
             let live = entries.filter(|entry| now.duration_since(entry.at) < LIVE_ENTRY);
             live.map(|entry| entry.zone.clone()).collect()
         };
-        let acquainted = now.saturating_duration_since(self.start) >= ACQUAINTED;
+        let acquainted = self.is_acquainted(now);
         let near = if leader && acquainted {
             self.near(&renewal.zone, now)
         } else {
@@ -506,6 +517,15 @@
         }
     }
 
+    /// Whether this host has heard from the entry processes since its start.
+    fn is_acquainted(&self, now: Instant) -> bool {
+        let running = now.saturating_duration_since(self.start);
+        let quiet = now.saturating_duration_since(self.met.get());
+        let acquainted = (running >= ACQUAINTED && quiet >= SETTLED) || running >= ACQUAINTED_MOST;
+        self.acquainted.set(self.acquainted.get() || acquainted);
+        self.acquainted.get()
+    }
+
     /// Entry processes of a zone that take forwarded sessions, with the address.
     fn near(&self, zone: &str, now: Instant) -> BTreeMap<EntryName, String> {
         let directory = self.directory.borrow();
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -31,7 +31,10 @@
 /// Time between renewals while a planned change of primary waits for the connections in use, which
 /// renewals report: writes wait too, for at most 5 s.
 const DRAINING: Duration = Duration::from_millis(25);
-/// Limit on a connection attempt and on a renewal.
+/// Limit on a connection attempt: a few round trips between regions. A host that starts answers the
+/// next attempt.
+const CONNECT: Duration = Duration::from_millis(400);
+/// Limit on a renewal.
 const DEADLINE: Duration = Duration::from_secs(1);
 /// A watch without news ends after this time. The renewals notice a connection that went silent.
 const PATIENCE: Duration = Duration::from_secs(3);
@@ -83,7 +86,7 @@
     network: &Rc<Network<D>>,
     address: SocketAddr,
 ) -> Result<std::convert::Infallible, String> {
-    let stream = base::net::connect(network.settings.host, address, DEADLINE)
+    let stream = base::net::connect(network.settings.host, address, CONNECT)
         .await
         .map_err(|cause| cause.to_string())?;
     let traffic = Rc::new(Traffic::default());
@@ -233,7 +236,9 @@
         // The lease counts hosts by address, so that a wrong name can't make one host two.
         network.granted(&address.to_string(), requested, version);
     }
-    if reply.get_leader() && reply.get_near_mark() != network.near_mark() {
+    // A leader that has just started tells none.
+    let mark = reply.get_near_mark();
+    if reply.get_leader() && mark != 0 && mark != network.near_mark() {
         let mut near = BTreeMap::new();
         for entry in reply.get_near()? {
             let address = entry.get_address()?.to_str()?;
@@ -242,7 +247,7 @@
             })?;
             near.insert(entry.get_name()?.to_string()?, address);
         }
-        network.note_near(reply.get_near_mark(), &near);
+        network.note_near(mark, &near);
     }
     if reply.get_leader() {
         let mut permits = Map::default();
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -104,6 +104,11 @@
         while !ready(&shared.network) && start.elapsed() < LOGIN {
             compio::time::sleep(LOOK).await;
         }
+        if !shared.network.is_informed() {
+            let failure = Failure::new(Code::Busy, "it is not known which host serves");
+            let _left = caller.refuse(&failure).await;
+            return;
+        }
         let Some(route) = shared.network.find_route(&login.route) else {
             let failure = if shared.network.config_version() == 0 {
                 Failure::new(Code::Busy, "there is no configuration yet")
