--- a/crates/entry/src/near.rs
+++ b/crates/entry/src/near.rs
@@ -12,10 +12,6 @@
 use event_listener::Event;
 use route::affinity;
 
-/// A process that did not answer gets no further sessions for this long, if the control hosts still
-/// hear from it. It is short, because a lost one leaves their list within 1.5 s.
-const AVOID: Duration = Duration::from_secs(1);
-
 /// An entry process that takes forwarded sessions.
 #[derive(Debug)]
 pub struct Near {
@@ -27,8 +23,8 @@
     heard: Cell<Option<Instant>>,
     /// Whether it left the list of the control hosts.
     gone: Cell<bool>,
-    /// When it did not answer.
-    lost: Cell<Option<Instant>>,
+    /// Whether it did not answer, and has not since.
+    lost: Cell<bool>,
     changed: Event,
 }
 
@@ -39,7 +35,7 @@
             address,
             heard: Cell::new(None),
             gone: Cell::new(false),
-            lost: Cell::new(None),
+            lost: Cell::new(false),
             changed: Event::new(),
         })
     }
@@ -47,7 +43,7 @@
     /// Notes an answer.
     pub fn heard(&self, now: Instant) {
         self.heard.set(Some(now));
-        self.lost.set(None);
+        self.lost.set(false);
     }
 
     /// Whether it answered within `limit`.
@@ -57,24 +53,30 @@
         heard.is_some_and(|at| now.saturating_duration_since(at) < limit)
     }
 
-    /// Notes that it does not answer.
-    pub fn lose(&self, now: Instant) {
-        self.lost.set(Some(now));
+    /// Notes that it does not answer; returns whether that is news.
+    pub fn lose(&self) -> bool {
+        let news = !self.lost.replace(true);
         self.changed.notify(usize::MAX);
+        news
+    }
+
+    /// Whether the control hosts don't name it any more: it stops, or they don't hear from it.
+    #[must_use]
+    pub const fn is_gone(&self) -> bool {
+        self.gone.get()
     }
 
-    /// Whether sessions had better not be there: it did not answer lately, or it stops.
+    /// Whether sessions had better not be there.
     #[must_use]
-    pub fn is_lost(&self, now: Instant) -> bool {
-        let lost = self.lost.get();
-        self.gone.get() || lost.is_some_and(|at| now.saturating_duration_since(at) < AVOID)
+    pub const fn is_lost(&self) -> bool {
+        self.gone.get() || self.lost.get()
     }
 
     /// Waits until it is lost.
     pub async fn lost(&self) {
         loop {
             let changed = self.changed.listen();
-            if self.is_lost(Instant::now()) {
+            if self.is_lost() {
                 return;
             }
             changed.await;
@@ -96,23 +98,23 @@
 
 impl Nearby {
     /// Mark of the list that is known.
-    pub(crate) const fn mark(&self) -> u64 {
+    pub const fn mark(&self) -> u64 {
         self.mark.get()
     }
 
     /// Live entry processes of the deployment, and the zones with some.
-    pub(crate) const fn counts(&self) -> (u32, u32) {
+    pub const fn counts(&self) -> (u32, u32) {
         (self.entries.get(), self.zones.get())
     }
 
     /// Notes how many entry processes live, in how many zones.
-    pub(crate) fn count(&self, entries: u32, zones: u32) {
+    pub fn count(&self, entries: u32, zones: u32) {
         self.entries.set(entries);
         self.zones.set(zones);
     }
 
     /// Takes over the list with a new mark.
-    pub(crate) fn list(&self, mark: u64, list: &BTreeMap<EntryName, SocketAddr>) {
+    pub fn list(&self, mark: u64, list: &BTreeMap<EntryName, SocketAddr>) {
         self.mark.set(mark);
         let mut known = self.known.borrow_mut();
         known.retain(|name, near| {
@@ -131,7 +133,7 @@
     }
 
     /// Decides anew which processes serve the groups of these services.
-    pub(crate) fn assign<'a>(&self, services: impl Iterator<Item = &'a Service>) {
+    pub fn assign<'a>(&self, services: impl Iterator<Item = &'a Service>) {
         let (entries, zones) = (self.entries.get(), self.zones.get());
         let serving = services.filter_map(|service| {
             let count = affinity::per_zone(service.connections, entries, zones)?;
@@ -144,18 +146,18 @@
     }
 
     /// Entry processes that hold connections to the databases of a group; `None` when all do.
-    pub(crate) fn sharers(&self, group: &str) -> Option<u32> {
+    pub fn sharers(&self, group: &str) -> Option<u32> {
         let count = u32::try_from(*self.serving.borrow().get(group)?).ok()?;
         Some(count.saturating_mul(self.zones.get()))
     }
 
     /// Whether it is known which processes serve each group.
-    pub(crate) fn is_complete(&self) -> bool {
+    pub fn is_complete(&self) -> bool {
         self.entries.get() > 0 && (self.mark.get() != 0 || self.serving.borrow().is_empty())
     }
 
     /// Whether the process `name` serves a group; `None` when all do.
-    pub(crate) fn serves(&self, group: &str, name: &str) -> Option<bool> {
+    pub fn serves(&self, group: &str, name: &str) -> Option<bool> {
         let count = *self.serving.borrow().get(group)?;
         let ranked = self.ranked.borrow();
         let mut serving = ranked.get(group)?.iter().take(count);
@@ -164,7 +166,7 @@
 
     /// Process that the sessions of a group at the process `own` are to be forwarded to; `None` when
     /// it serves them itself, as it does when all that rank before it are lost.
-    pub(crate) fn choose(&self, group: &str, own: &str, now: Instant) -> Option<Rc<Near>> {
+    pub fn choose(&self, group: &str, own: &str) -> Option<Rc<Near>> {
         let count = *self.serving.borrow().get(group)?;
         let ranked = self.ranked.borrow();
         let ranked = ranked.get(group)?;
@@ -184,7 +186,7 @@
             if name == own {
                 return None;
             }
-            if let Some(near) = known.get(name).filter(|near| !near.is_lost(now)) {
+            if let Some(near) = known.get(name).filter(|near| !near.is_lost()) {
                 return Some(Rc::clone(near));
             }
         }
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -287,8 +287,8 @@
     /// Entry process that the sessions of a service are to be forwarded to; `None` when this one
     /// serves them.
     #[must_use]
-    pub fn near(&self, service: &Service, now: Instant) -> Option<Rc<Near>> {
-        self.nearby.choose(&service.group, &self.settings.name, now)
+    pub fn near(&self, service: &Service) -> Option<Rc<Near>> {
+        self.nearby.choose(&service.group, &self.settings.name)
     }
 
     /// Opens a session on a route at a near entry process, which speaks the protocol of a database.
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -14,7 +14,7 @@
 use compio::time::{sleep, timeout};
 use entry::{dialect::Dialect, near::Near};
 use futures_util::future::{Either, select};
-use slog::warn;
+use slog::{info, warn};
 
 use crate::{
     caller::{Caller, Input},
@@ -31,6 +31,8 @@
 /// Time beyond a route's deadline that the answer of the other process gets: it counts the deadline
 /// from the arrival of the request, a moment later.
 const MARGIN: Duration = Duration::from_millis(250);
+/// Pause between two questions to a process that does not answer.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
 /// Route that does not exist: asking for it shows whether a process answers.
 const NO_ROUTE: &str = "-";
 
@@ -95,7 +97,7 @@
     ) -> Result<Self, C> {
         let network = &shared.network;
         while let Some(service) = network.find(&route.service)
-            && let Some(near) = network.near(&service, Instant::now())
+            && let Some(near) = network.near(&service)
         {
             match network.forward(&near, &route.name).await {
                 Ok(client) => {
@@ -260,8 +262,8 @@
 /// Sends a request and waits for its answer, for as long as the other process shows that it lives.
 async fn exchange<D: Dialect>(
     client: &mut D::Client,
-    shared: &Shared<D>,
-    near: &Near,
+    shared: &Rc<Shared<D>>,
+    near: &Rc<Near>,
     request: &Request,
     deadline: Instant,
 ) -> Result<Answer, String>
@@ -305,11 +307,11 @@
 }
 
 /// Whether a process answers at all.
-async fn lives<D: Dialect>(shared: &Shared<D>, near: &Near) -> bool
+async fn lives<D: Dialect>(shared: &Rc<Shared<D>>, near: &Rc<Near>) -> bool
 where
     D::Client: Statements,
 {
-    if near.is_lost(Instant::now()) {
+    if near.is_lost() {
         return false;
     }
     if let Err(None) = shared.network.forward(near, NO_ROUTE).await {
@@ -320,10 +322,26 @@
     true
 }
 
-fn lose<D: Dialect>(shared: &Shared<D>, near: &Near)
+/// Notes that a process does not answer, and asks it from time to time until it does, so that no
+/// caller has to wait for it.
+fn lose<D: Dialect>(shared: &Rc<Shared<D>>, near: &Rc<Near>)
 where
     D::Client: Statements,
 {
+    if !near.lose() {
+        return;
+    }
     warn!(shared.network.log, "near entry process does not answer"; "near" => &near.name);
-    near.lose(Instant::now());
+    let (shared, near) = (Rc::clone(shared), Rc::clone(near));
+    compio::runtime::spawn(async move {
+        while !near.is_gone() {
+            sleep(ASK_AGAIN).await;
+            if !matches!(shared.network.forward(&near, NO_ROUTE).await, Err(None)) {
+                near.heard(Instant::now());
+                info!(shared.network.log, "near entry process answers again"; "near" => &near.name);
+                return;
+            }
+        }
+    })
+    .detach();
 }
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -203,7 +203,7 @@
             let service = route.and_then(|route| network.find(&route.service));
             if let Some(service) = service
                 && self.forwards
-                && network.near(&service, Instant::now()).is_some()
+                && network.near(&service).is_some()
             {
                 return;
             }
