End sessions that never rest when transactions are ended

Cause: in a planned stop a session is closed when its caller rests for 0.3 s. After half of the grace time no session takes another request.

--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -144,6 +144,10 @@
 
     /// Waits for a request; false when the session is to end.
     async fn wake(&self) -> bool {
+        if self.shared.phase() >= Phase::Ending {
+            // A caller that never rests would have its last request cut off.
+            return false;
+        }
         let input = pin!(self.caller.readable());
         let ending = pin!(async {
             if self.state != State::Idle {
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -170,6 +170,10 @@
 
     /// Waits for the caller, the end of the process, or the end of an idle transaction.
     async fn wake(&self) -> Wake {
+        if self.shared.phase() >= Phase::Ending {
+            // A caller that never rests would have its last request cut off.
+            return Wake::Stop;
+        }
         let input = pin!(self.caller.readable());
         let stop = async {
             if self.transaction.as_ref().is_some_and(Transaction::is_open) {
