Learn sooner who serves after a start of the whole deployment

Cause: after a loss of power callers waited 1.7 s for the list of entry processes: a control host waited for a second and entry processes renewed every 0.6 s.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -42,9 +42,9 @@
 const LIVE_ENTRY: Duration = Duration::from_secs(5);
 
 /// A host has heard from the entry processes when it runs for this long, and
-const ACQUAINTED: Duration = Duration::from_secs(1);
-/// no further one linked for this long: they try again every half a second,
-const SETTLED: Duration = Duration::from_millis(500);
+const ACQUAINTED: Duration = Duration::from_millis(700);
+/// no further one linked for this long: they try again within 0.45 s of a refusal,
+const SETTLED: Duration = Duration::from_millis(400);
 /// or when it runs for this long: they may come one after the other.
 const ACQUAINTED_MOST: Duration = Duration::from_secs(3);
 
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -31,6 +31,8 @@
 /// Time between renewals while a planned change of primary waits for the connections in use, which
 /// renewals report: writes wait too, for at most 5 s.
 const DRAINING: Duration = Duration::from_millis(25);
+/// Time between renewals while it is not known who serves: callers wait for that.
+const UNINFORMED: Duration = Duration::from_millis(100);
 /// Limit on a connection attempt: a few round trips between regions. A host that starts answers the
 /// next attempt.
 const CONNECT: Duration = Duration::from_millis(400);
@@ -147,6 +149,10 @@
             }
             Err(cause) => return cause,
         }
+        if !network.is_informed() {
+            let _early = compio::time::timeout_at(requested + UNINFORMED, at_once).await;
+            continue;
+        }
         if network.is_draining() {
             let _early = compio::time::timeout_at(requested + DRAINING, at_once).await;
             continue;
