--- a/crates/base/tests/patch.rs
+++ b/crates/base/tests/patch.rs
@@ -49,7 +49,8 @@
 fn change_of_a_longer_text_is_refused() {
     let change = make(&document(0..9, 800), &document(0..10, 800)).unwrap();
 
-    assert!(apply("", &change).is_err());
+    let cause = apply("", &change).unwrap_err();
+    assert_eq!(cause.kind(), std::io::ErrorKind::InvalidData);
 }
 
 proptest! {
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -2,30 +2,28 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeMap,
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant},
 };
 
 use base::{
-    EntryName, GroupName, Map, MemberName, RouteName, ServiceName, Set, StoreId, Version,
+    GroupName, Map, MemberName, RouteName, ServiceName, Set, StoreId, Version,
     document::{Document, Route, Service},
     patch,
 };
 use compio::runtime::JoinHandle;
 use event_listener::Event;
 use route::{Announcement, Directory, Health, Place, WriteLease};
-use serde_json::{Value, json};
 use slog::{Logger, info, warn};
 
 use crate::{
     cancel::Passing,
-    dialect::{Dialect, OpenError, Upstream},
+    dialect::{Dialect, Upstream},
     group::{Group, Phase, Record},
     member::Member,
     metrics::Metrics,
-    near::{Near, Nearby},
+    near::Nearby,
     pool::{Limits, Pool},
     postgres::Postgres,
     registry::Registry,
@@ -48,9 +46,6 @@
 const FADING: Duration = Duration::from_millis(500);
 /// A process whose write lease ended this long ago counts as cut off; a renewal may just be late.
 const ISOLATED: Duration = Duration::from_millis(200);
-/// Limit on the connection to a near entry process and on its answer: several round trips within a
-/// zone. A process that does not answer is passed over, while the caller waits.
-const FORWARD: Duration = Duration::from_millis(300);
 /// Time between rounds of periodic work.
 const TICK: Duration = Duration::from_millis(100);
 
@@ -73,13 +68,13 @@
 
 /// Configuration in force.
 #[derive(Debug, Default)]
-struct Config {
+pub(crate) struct Config {
     version: Version,
     /// What it was read from.
     text: String,
-    entries: u32,
-    services: Map<ServiceName, Rc<Service>>,
-    groups: Map<GroupName, Rc<Service>>,
+    pub(crate) entries: u32,
+    pub(crate) services: Map<ServiceName, Rc<Service>>,
+    pub(crate) groups: Map<GroupName, Rc<Service>>,
     routes: Map<RouteName, Rc<Route>>,
 }
 
@@ -96,7 +91,7 @@
 /// State of an entry process.
 #[derive(Debug)]
 pub struct Network<D: Dialect = Postgres> {
-    dialect: Rc<D>,
+    pub(crate) dialect: Rc<D>,
     /// Settings of the process.
     pub settings: Settings,
     /// Random id of this run of the process.
@@ -115,19 +110,19 @@
     pub(crate) hosts: RefCell<Map<SocketAddr, ControlHost>>,
     /// Notified when a renewal should not wait for its interval.
     pub(crate) renew: Rc<Event>,
-    config: RefCell<Config>,
+    pub(crate) config: RefCell<Config>,
     records: Cell<Version>,
     unused: RefCell<Map<GroupName, Record>>,
-    groups: RefCell<Map<GroupName, Rc<Group>>>,
-    members: RefCell<Map<MemberName, Rc<Member<D>>>>,
+    pub(crate) groups: RefCell<Map<GroupName, Rc<Group>>>,
+    pub(crate) members: RefCell<Map<MemberName, Rc<Member<D>>>>,
     /// Links to control hosts; dropping one ends it.
     links: RefCell<Map<SocketAddr, JoinHandle<()>>>,
     /// Whether all control hosts are known, so that a majority of them can be counted.
     seated: Cell<bool>,
     /// Entry processes that run, and those of the own zone.
-    nearby: Nearby,
+    pub(crate) nearby: Nearby,
     /// Notified when other entry processes may serve a group than before.
-    moves: Event,
+    pub(crate) moves: Event,
     stopped: Cell<bool>,
     stop: Event,
     asked: Event,
@@ -244,75 +239,6 @@
         self.seated.get()
     }
 
-    /// Notes how many entry processes run, in how many zones.
-    pub(crate) fn note_entries(&self, entries: u32, zones: u32) {
-        if entries > 0 && (entries, zones) != self.nearby.counts() {
-            self.nearby.count(entries, zones);
-            self.assign();
-        }
-    }
-
-    /// Mark of the list of near entry processes that is known; 0 for none.
-    pub(crate) const fn near_mark(&self) -> u64 {
-        self.nearby.mark()
-    }
-
-    /// Takes over the list of near entry processes.
-    pub(crate) fn note_near(&self, mark: u64, list: &BTreeMap<EntryName, SocketAddr>) {
-        info!(self.log, "near entry processes"; "count" => list.len());
-        self.nearby.list(mark, list);
-        self.assign();
-    }
-
-    /// Decides anew which near entry processes serve which groups.
-    fn assign(&self) {
-        let services: Vec<_> = self.config.borrow().groups.values().cloned().collect();
-        self.nearby
-            .assign(services.iter().map(|service| &**service));
-        self.reconcile();
-        self.moves.notify(usize::MAX);
-    }
-
-    /// Whether it is known which entry processes serve a group, where that differs.
-    #[must_use]
-    pub fn is_informed(&self) -> bool {
-        self.settings.forwarding.is_none() || self.nearby.is_complete()
-    }
-
-    /// Waits until the entry processes that serve the groups may be others than before.
-    pub fn reassigned(&self) -> impl Future<Output = ()> + use<D> {
-        self.moves.listen()
-    }
-
-    /// Entry process that the sessions of a service are to be forwarded to; `None` when this one
-    /// serves them.
-    #[must_use]
-    pub fn near(&self, service: &Service) -> Option<Rc<Near>> {
-        self.nearby.choose(&service.group, &self.settings.name)
-    }
-
-    /// Opens a session on a route at a near entry process, which speaks the protocol of a database.
-    ///
-    /// # Errors
-    /// It can't be reached (`None`), or it refuses the session.
-    pub async fn forward(&self, near: &Near, route: &str) -> Result<D::Client, Option<OpenError>> {
-        let stream = base::net::connect(self.settings.host, near.address, FORWARD);
-        let stream = stream.await.map_err(|_unreachable| None)?;
-        let to = Upstream {
-            group: route.to_owned(),
-            member: MemberName::new(),
-            store: StoreId::new(),
-        };
-        let opening = compio::time::timeout(FORWARD, self.dialect.open(stream, &to));
-        opening.await.map_err(|_elapsed| None)?.map_err(Some)
-    }
-
-    /// Most entry processes that share the connections of a database of a group.
-    fn sharers(&self, group: &str) -> u32 {
-        let entries = self.config.borrow().entries.max(self.nearby.counts().0);
-        self.nearby.sharers(group).unwrap_or(entries)
-    }
-
     /// Asks for a graceful stop, on behalf of an operator.
     pub fn ask_to_stop(&self) {
         self.asked.notify(usize::MAX);
@@ -826,107 +752,6 @@
             self.metrics.gap.observe(gap.as_secs_f64());
         }
     }
-
-    /// Whole state, for the dump.
-    #[must_use]
-    pub fn dump(&self) -> Value {
-        let now = Instant::now();
-        let ago = |at: Instant| now.saturating_duration_since(at).as_millis();
-        let lease = self.lease.borrow();
-        let until = |version| {
-            lease
-                .until(version)
-                .map_or(0, |until| until.saturating_duration_since(now).as_millis())
-        };
-        let hosts: Map<_, _> = self
-            .hosts
-            .borrow()
-            .iter()
-            .map(|(address, host)| {
-                let state = json!({
-                    "name": host.name,
-                    "leader": host.leader,
-                    "heard_ms": host.heard.map(ago),
-                    "age_ms": host.age.as_millis(),
-                });
-                (address.to_string(), state)
-            })
-            .collect();
-        let groups: Map<_, _> = self
-            .groups
-            .borrow()
-            .values()
-            .map(|group| {
-                let record = group.current();
-                let state = json!({
-                    "term": record.as_ref().map(|record| record.term),
-                    "phase": record.as_ref().map(|record| format!("{:?}", record.phase)),
-                    "primary": record.as_ref().map(|record| record.primary.clone()),
-                    "version": record.as_ref().map(|record| record.version),
-                    "lease_ms": record.as_ref().map(|record| until(record.version)),
-                    "confirmed": group.confirmed(),
-                    "pending": group.pending(),
-                });
-                (group.name.clone(), state)
-            })
-            .collect();
-        let members: Map<_, _> = self
-            .members
-            .borrow()
-            .values()
-            .map(|member| {
-                let status = member.status();
-                let (health, since) = member.health(now);
-                let state = json!({
-                    "group": member.group.name,
-                    "address": member.address,
-                    "zone": member.place.zone,
-                    "region": member.place.region,
-                    "health": format!("{health:?}"),
-                    "since_ms": since.as_millis(),
-                    "store": status.as_ref().map(|(status, _)| status.store.clone()),
-                    "primary": status.as_ref().map(|(status, _)| status.primary),
-                    "position": status.as_ref().map(|(status, _)| status.position),
-                    "usable": self.directory.borrow().usable(&member.name, now),
-                    "pool": member.pool.dump(now),
-                });
-                (member.name.clone(), state)
-            })
-            .collect();
-        let directory: Map<_, _> = self
-            .directory
-            .borrow()
-            .iter()
-            .map(|heard| {
-                let state = json!({
-                    "announcement": heard.announcement,
-                    "heard_ms": ago(heard.at),
-                });
-                (heard.announcement.member.clone(), state)
-            })
-            .collect();
-        let services: Map<_, _> = self
-            .config
-            .borrow()
-            .services
-            .iter()
-            .map(|(name, service)| (name.clone(), json!(**service)))
-            .collect();
-        json!({
-            "name": self.settings.name,
-            "zone": self.settings.zone,
-            "region": self.settings.region,
-            "run": self.run,
-            "stopping": self.is_stopped(),
-            "config_version": self.config_version(),
-            "record_version": self.record_version(),
-            "control": hosts,
-            "services": services,
-            "groups": groups,
-            "members": members,
-            "directory": directory,
-        })
-    }
 }
 
 /// Members that must answer an entry process before a write is acknowledged.
