--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -512,9 +512,21 @@
     pub async fn ready() -> Self {
         let deployment = Self::start(DOCUMENT).await;
         drop(deployment.write(3_000).await.unwrap());
+        deployment.known().await;
         deployment
     }
 
+    /// Waits until the status of every database was read: none serves a read before.
+    pub async fn known(&self) {
+        until("the status of every database is known", || {
+            ["a", "b", "c"].iter().all(|name| {
+                let member = self.network.member(name);
+                member.is_some_and(|member| member.status().is_some())
+            })
+        })
+        .await;
+    }
+
     pub fn put(&self, term: u64, phase: Phase, primary: &str) {
         let record = record(&self.upstreams, term, phase, primary);
         self.truth.put_record(record);
--- a/crates/entry/tests/read.rs
+++ b/crates/entry/tests/read.rs
@@ -177,6 +177,7 @@
         let deployment = Deployment::spread(document, ["east", "east", "west"]).await;
         let token = Some(Position::new(1, 10));
         drop(deployment.write(3_000).await.unwrap());
+        deployment.known().await;
 
         let (near, _) = deployment.read(token, None, 2_000).await.unwrap();
         let waiting = deployment.read(token, None, 2_000);
