Merge what stood twice in sessions, control hosts and files

Found by reading the change once more; behaviour is meant to stay. - The answer in a failed transaction, the wait for the end of a session between two requests, and the answer of a database passed on stood in both kinds of session; the wait for a forwarded answer read it twice. - Announcements in a renewal and from elsewhere are noted by one function; a whole directory entry was copied to see one field. - A renewal walked the entry processes with the same filter three times and copied the zone of each. - Durable replacement of a file stood in agree and control. - Zone and region were copied, and freshness asked twice, for every candidate of every read.

--- a/crates/agree/src/files.rs
+++ b/crates/agree/src/files.rs
@@ -175,15 +175,6 @@
         }
     }
     let path = directory.file(File::State);
-    let fresh = path.with_extension("new");
-    let write = || {
-        fs::write(&fresh, Hard::new(name.to_owned(), 0).encode())?;
-        fs::File::open(&fresh)?.sync_all()?;
-        fs::rename(&fresh, &path)?;
-        fs::File::open(data)?.sync_all()
-    };
-    write().map_err(|cause| StartError::Disk {
-        path: path.clone(),
-        cause,
-    })
+    let written = base::files::replace(&path, Hard::new(name.to_owned(), 0).encode());
+    written.map_err(|cause| StartError::Disk { path, cause })
 }
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod document;
 pub mod exit;
 pub mod fault;
+pub mod files;
 pub mod http;
 mod http1;
 pub mod log;
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -244,6 +244,16 @@
         self.entries.insert(name, entry).is_none()
     }
 
+    /// Entry processes heard from within `limit`.
+    pub fn live(
+        &self,
+        now: Instant,
+        limit: Duration,
+    ) -> impl Iterator<Item = (&EntryName, &Entry)> {
+        let entries = self.entries.iter();
+        entries.filter(move |(_, entry)| now.duration_since(entry.at) < limit)
+    }
+
     /// Entry processes by name.
     #[must_use]
     pub const fn entries(&self) -> &Map<EntryName, Entry> {
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -398,25 +398,32 @@
 
     /// Takes an announcement that was heard `age` before `now`, here or at another host.
     pub fn told(&self, now: Instant, age: Duration, announcement: Announcement) {
+        let (member, store) = (announcement.member.clone(), announcement.store.clone());
+        let before = {
+            let directory = self.directory.borrow();
+            let known = directory.member(&member);
+            known.map(|heard| heard.announcement.store.clone())
+        };
+        if self.announced(now, age, announcement) {
+            if before.as_ref() != Some(&store) {
+                slog::info!(self.logger, "database heard for the first time"; "member" => &member,
+                    "store" => store, "before" => before);
+            }
+            self.changed.notify();
+        }
+    }
+
+    /// Notes an announcement; returns whether it is a change.
+    fn announced(&self, now: Instant, age: Duration, announcement: Announcement) -> bool {
         self.metrics.announcements.inc();
         let group = announcement.leaving.then(|| announcement.group.clone());
-        let (member, store) = (announcement.member.clone(), announcement.store.clone());
-        let known = self.directory.borrow().member(&member).cloned();
-        let before = known.map(|heard| heard.announcement.store);
         let changed = self.directory.borrow_mut().announce(now, age, announcement);
-        if changed && before.as_ref() != Some(&store) {
-            slog::info!(self.logger, "database heard for the first time"; "member" => &member,
-                "store" => store, "before" => before);
-        }
-        if changed {
-            self.changed.notify();
-            // The next sweep would plan the change of a leaving primary up to a second later.
-            if let Some(notify) =
-                group.and_then(|group| self.suspects.borrow().get(&group).cloned())
-            {
-                notify.notify();
-            }
+        // The next sweep would plan the change of a leaving primary up to a second later.
+        let group = group.filter(|_| changed);
+        if let Some(notify) = group.and_then(|group| self.suspects.borrow().get(&group).cloned()) {
+            notify.notify();
         }
+        changed
     }
 
     /// Answers a renewal.
@@ -437,16 +444,9 @@
         let result = if granted { "granted" } else { "refused" };
         self.metrics.renewals.with_label_values(&[result]).inc();
 
-        let mut directory = self.directory.borrow_mut();
         let mut news = false;
-        let count = u64::try_from(renewal.announcements.len()).unwrap_or_default();
-        self.metrics.announcements.inc_by(count);
-        let mut leaving = Vec::new();
         for (announcement, age) in renewal.announcements {
-            let group = announcement.leaving.then(|| announcement.group.clone());
-            let changed = directory.announce(now, age, announcement);
-            leaving.extend(group.filter(|_| changed));
-            news |= changed;
+            news |= self.announced(now, age, announcement);
         }
         let used = renewal
             .demands
@@ -464,19 +464,16 @@
             at: now,
             used,
         };
-        if directory.hear(renewal.entry.clone(), entry) {
+        let met = self
+            .directory
+            .borrow_mut()
+            .hear(renewal.entry.clone(), entry);
+        if met {
             self.met.set(now);
         }
-        drop(directory);
         if news {
             self.changed.notify();
         }
-        // The next sweep would plan the change of a leaving primary up to a second later.
-        for group in leaving {
-            if let Some(notify) = self.suspects.borrow().get(&group) {
-                notify.notify();
-            }
-        }
         self.sight(
             now,
             &renewal.entry,
@@ -490,13 +487,12 @@
         } else {
             Vec::new()
         };
-        let zones: Set<ZoneName> = {
-            let directory = self.directory.borrow();
-            let entries = directory.entries().values();
-            let live = entries.filter(|entry| now.duration_since(entry.at) < LIVE_ENTRY);
-            live.map(|entry| entry.zone.clone()).collect()
-        };
         let acquainted = self.is_acquainted(now);
+        let (entries, zones) = if acquainted {
+            self.live_entries(now)
+        } else {
+            (0, 0)
+        };
         let near = if leader && acquainted {
             self.near(&renewal.zone, now)
         } else {
@@ -507,12 +503,8 @@
             leader,
             permits,
             drain: self.drains.borrow().contains(&holder),
-            entries: if acquainted {
-                self.live_entries(now)
-            } else {
-                0
-            },
-            zones: u32::try_from(zones.len()).unwrap_or(u32::MAX),
+            entries,
+            zones,
             near,
         }
     }
@@ -529,20 +521,24 @@
     /// Entry processes of a zone that take forwarded sessions, with the address.
     fn near(&self, zone: &str, now: Instant) -> BTreeMap<EntryName, String> {
         let directory = self.directory.borrow();
-        let near = directory.entries().iter().filter(|(_, entry)| {
-            let fresh = now.duration_since(entry.at) < judge::LIVE;
-            entry.zone == zone && fresh && !entry.stopping && !entry.forwarding.is_empty()
+        let near = directory.live(now, judge::LIVE).filter(|(_, entry)| {
+            entry.zone == zone && !entry.stopping && !entry.forwarding.is_empty()
         });
         near.map(|(name, entry)| (name.clone(), entry.forwarding.clone()))
             .collect()
     }
 
-    /// Number of entry processes heard from lately.
-    fn live_entries(&self, now: Instant) -> u32 {
+    /// Number of entry processes heard from lately, and of zones with some.
+    fn live_entries(&self, now: Instant) -> (u32, u32) {
         let directory = self.directory.borrow();
-        let entries = directory.entries().values();
-        let live = entries.filter(|entry| now.duration_since(entry.at) < LIVE_ENTRY);
-        u32::try_from(live.count()).unwrap_or(u32::MAX)
+        let zones: Vec<_> = directory
+            .live(now, LIVE_ENTRY)
+            .map(|(_, entry)| &entry.zone)
+            .collect();
+        let count = zones.len();
+        let zones: Set<_> = zones.into_iter().collect();
+        let number = |count| u32::try_from(count).unwrap_or(u32::MAX);
+        (number(count), number(zones.len()))
     }
 
     fn sight(
@@ -606,7 +602,7 @@
         demands: &[Demand],
     ) -> Vec<(String, u32)> {
         let document = self.document();
-        let entries = document.entries.max.max(self.live_entries(now));
+        let entries = document.entries.max.max(self.live_entries(now).0);
         let mut permits = self.permits.borrow_mut();
         let Some(permits) = permits.as_mut() else {
             return Vec::new();
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -266,10 +266,6 @@
     pub fn store(&self, data: &Path) -> io::Result<()> {
         fs::create_dir_all(data)?;
         let text = toml::to_string(self).map_err(io::Error::other)?;
-        let (path, fresh) = (data.join(FILE), data.join("seating.new"));
-        fs::write(&fresh, text)?;
-        fs::File::open(&fresh)?.sync_all()?;
-        fs::rename(&fresh, &path)?;
-        fs::File::open(data)?.sync_all()
+        base::files::replace(&data.join(FILE), text)
     }
 }
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -11,7 +11,7 @@
 };
 
 use base::{Map, document::Route};
-use compio::time::{sleep, timeout};
+use compio::time::sleep;
 use entry::{dialect::Dialect, near::Near};
 use futures_util::future::{Either, select};
 use slog::{info, warn};
@@ -20,8 +20,9 @@
     caller::{Caller, Input},
     command::{Command, Request, Verb},
     events::Inputs,
-    session::{NAMES_MAX, RESTING, label},
+    session::{NAMES_MAX, in_failed, label},
     shared::{Phase, Shared},
+    single::passed,
     statement::{Answer, Code, Failure, Reply, State, Statement, Statements},
 };
 
@@ -149,27 +150,17 @@
             return false;
         }
         let input = pin!(self.caller.readable());
-        let ending = pin!(async {
-            if self.state != State::Idle {
-                return self.shared.until(Phase::Ending).await;
+        let leaving = pin!(
+            self.shared
+                .leave(self.state != State::Idle, self.near.lost())
+        );
+        let closed = pin!(async {
+            match &self.client {
+                Some(client) if self.state == State::Idle => client.readable().await,
+                _ => std::future::pending().await,
             }
-            let moved = pin!(async {
-                select(
-                    pin!(self.shared.until(Phase::Shedding)),
-                    pin!(self.near.lost()),
-                )
-                .await;
-                // A caller that has just connected or got an answer is about to send a request.
-                sleep(RESTING).await;
-            });
-            let closed = pin!(async {
-                match &self.client {
-                    Some(client) => client.readable().await,
-                    None => std::future::pending().await,
-                }
-            });
-            select(moved, closed).await;
         });
+        let ending = select(leaving, closed);
         matches!(select(input, ending).await, Either::Left(_))
     }
 
@@ -187,19 +178,15 @@
 
     async fn pass_on(&mut self, request: &Request, start: Instant, limit: Duration) -> Reply {
         let Some(client) = &mut self.client else {
-            return after_loss(request);
+            return in_failed(&request.command, None);
         };
         let deadline = start + limit + MARGIN;
         match exchange(client, &self.shared, &self.near, request, deadline).await {
             Ok(answer) => {
                 self.learn(request, &answer);
                 self.shared.requests.with_label_values(&["forwarded"]).inc();
-                Reply {
-                    rows: answer.rows,
-                    outcome: answer.outcome.map(Some),
-                    state: answer.state,
-                    position: answer.position,
-                }
+                let state = answer.state;
+                passed(answer, state)
             }
             Err(cause) => {
                 self.client = None;
@@ -248,21 +235,6 @@
     }
 }
 
-/// Answer in a transaction that failed because the other process was lost: only its end makes sense.
-fn after_loss(request: &Request) -> Reply {
-    match &request.command {
-        Command::Rollback => Reply::done(State::Idle),
-        Command::Commit => {
-            let failure = Failure::new(Code::Aborted, "the transaction failed before");
-            Reply::failed(failure, State::Idle)
-        }
-        _ => {
-            let failure = Failure::new(Code::Malformed, "the transaction failed; end it");
-            Reply::failed(failure, State::Failed)
-        }
-    }
-}
-
 /// Sends a request and waits for its answer, for as long as the other process shows that it lives.
 async fn exchange<D: Dialect>(
     client: &mut D::Client,
@@ -286,18 +258,10 @@
             return Err("none before the deadline".to_owned());
         }
         let wait = QUIET.min(deadline.saturating_duration_since(now));
-        match timeout(wait, answers.as_mut()).await {
-            Ok(Ok(mut answers)) => {
-                near.heard(Instant::now());
-                return answers.pop().ok_or_else(|| "no answer".to_owned());
-            }
-            Ok(Err(broken)) => return Err(broken.0),
-            Err(_elapsed) => {}
-        }
-        if near.is_heard(QUIET, Instant::now()) {
-            continue;
-        }
-        let living = pin!(lives(shared, near));
+        let living = pin!(async {
+            sleep(wait).await;
+            near.is_heard(QUIET, Instant::now()) || lives(shared, near).await
+        });
         match select(answers.as_mut(), living).await {
             Either::Left((Ok(mut answers), _)) => {
                 near.heard(Instant::now());
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -24,9 +24,6 @@
 
 /// Time that a first message and a configuration may take: callers give up after 2 s.
 const LOGIN: Duration = Duration::from_millis(1_500);
-/// A session whose caller sent nothing for this long may be closed: most callers send their next
-/// request well before.
-pub(crate) const RESTING: Duration = Duration::from_millis(300);
 /// Pause between looks for the first configuration.
 const LOOK: Duration = Duration::from_millis(20);
 /// Most named shapes and values of one session, which are held in memory.
@@ -175,14 +172,8 @@
             return Wake::Stop;
         }
         let input = pin!(self.caller.readable());
-        let stop = async {
-            if self.transaction.as_ref().is_some_and(Transaction::is_open) {
-                return self.shared.until(Phase::Ending).await;
-            }
-            select(pin!(self.shared.until(Phase::Shedding)), pin!(self.moved())).await;
-            // A caller that has just connected or got an answer is about to send a request.
-            compio::time::sleep(RESTING).await;
-        };
+        let open = self.transaction.as_ref().is_some_and(Transaction::is_open);
+        let stop = self.shared.leave(open, self.moved());
         let stop = pin!(stop);
         let idle = async {
             match self.transaction.as_ref().and_then(Transaction::idle) {
@@ -325,22 +316,11 @@
     /// Answers a request in a transaction that failed.
     fn answer_failed(&mut self, request: &Request) -> Reply {
         let told = self.transaction.as_mut().and_then(Transaction::tell);
-        match (&request.command, told) {
-            (Command::Rollback, _) => {
-                self.transaction = None;
-                Reply::done(State::Idle)
-            }
-            (Command::Commit, told) => {
-                self.transaction = None;
-                let cause = told.unwrap_or_else(|| "the transaction failed before".to_owned());
-                Reply::failed(Failure::new(Code::Aborted, cause), State::Idle)
-            }
-            (_, Some(cause)) => Reply::failed(Failure::new(Code::Aborted, cause), State::Failed),
-            (_, None) => {
-                let failure = Failure::new(Code::Malformed, "the transaction failed; end it");
-                Reply::failed(failure, State::Failed)
-            }
+        let reply = in_failed(&request.command, told);
+        if reply.state == State::Idle {
+            self.transaction = None;
         }
+        reply
     }
 
     fn malformed(&mut self, cause: &str) -> Reply {
@@ -385,6 +365,23 @@
     }
 }
 
+/// Answer in a transaction that failed: only its end makes sense. `told` is why it failed, unless the
+/// caller was told before.
+pub(crate) fn in_failed(command: &Command, told: Option<String>) -> Reply {
+    match (command, told) {
+        (Command::Rollback, _) => Reply::done(State::Idle),
+        (Command::Commit, told) => {
+            let cause = told.unwrap_or_else(|| "the transaction failed before".to_owned());
+            Reply::failed(Failure::new(Code::Aborted, cause), State::Idle)
+        }
+        (_, Some(cause)) => Reply::failed(Failure::new(Code::Aborted, cause), State::Failed),
+        (_, None) => {
+            let failure = Failure::new(Code::Malformed, "the transaction failed; end it");
+            Reply::failed(failure, State::Failed)
+        }
+    }
+}
+
 /// Name of an outcome in metrics and logs.
 pub(crate) const fn label(code: &Code) -> &'static str {
     match code {
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -2,6 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -9,6 +10,7 @@
 use base::{Map, MemberName, Position, Term, document::Route, document::Service};
 use entry::{dialect::Dialect, group::Group, member::Member, network::Network, pool::Pooled};
 use event_listener::Event;
+use futures_util::future::select;
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
 use route::placing::Load;
@@ -23,6 +25,10 @@
 /// statement, with jitter from half to one and a half.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// A session whose caller sent nothing for this long may be closed: most callers send their next
+/// request well before.
+const RESTING: Duration = Duration::from_millis(300);
+
 /// What all sessions of a process share.
 #[derive(Debug)]
 pub struct Shared<D: Dialect> {
@@ -34,6 +40,8 @@
     pub requests: IntCounterVec,
     /// Time until a request was answered.
     pub seconds: Histogram,
+    /// Where this process runs.
+    place: route::Place,
     loads: RefCell<Map<MemberName, Load>>,
     sessions: Cell<usize>,
     phase: Cell<Phase>,
@@ -94,6 +102,7 @@
         registered.expect("the names are distinct");
         Rc::new(Self {
             events: Events::new(network.log.clone()),
+            place: network.place(),
             network,
             requests,
             seconds,
@@ -139,9 +148,21 @@
         }
     }
 
+    /// Waits until a session between two requests is to end: one in an open transaction late in a
+    /// planned stop, another one when the process stops or is cut off, or when `moved` tells that
+    /// another process serves it.
+    pub(crate) async fn leave(&self, open: bool, moved: impl Future<Output = ()>) {
+        if open {
+            return self.until(Phase::Ending).await;
+        }
+        select(pin!(self.until(Phase::Shedding)), pin!(moved)).await;
+        // A caller that has just connected or got an answer is about to send a request.
+        compio::time::sleep(RESTING).await;
+    }
+
     /// Expected time of a statement that is sent to a member now.
     pub(crate) fn expected(&self, member: &Member<D>, slots: u32, now: Instant) -> Duration {
-        let nearness = self.network.place().nearness(&member.place);
+        let nearness = self.place.nearness(&member.place);
         let loads = self.loads.borrow();
         let load = loads.get(&member.name).copied().unwrap_or_default();
         load.expected(nearness, slots, now)
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -1,9 +1,6 @@
 //! Statements outside transactions.
 
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use base::{MemberName, Position, Set, Term, document::Reads, document::Route};
 use entry::{
@@ -223,18 +220,15 @@
                 let skip = |name: &MemberName| tried.contains(name) || full.contains(name);
                 let replicas = network.replicas(&place.group, now).into_iter();
                 let open = replicas.filter(|member| !skip(&member.name));
-                let expected = |member: &Rc<Member<D>>| {
-                    let slots = place.service.slots;
-                    (
-                        behind(member, after, now),
-                        self.shared.expected(member, slots, now),
-                    )
-                };
-                let best = open.min_by_key(expected);
+                let rated = open.map(|member| {
+                    let expected = self.shared.expected(&member, place.service.slots, now);
+                    (behind(&member, after, now), expected, member)
+                });
+                let best = rated.min_by_key(|(behind, expected, _)| (*behind, *expected));
                 // One that is behind serves only what nobody else can.
-                best.filter(|member| {
-                    !behind(member, after, now) || network.primary(&place.group, now).is_err()
-                })
+                let best = best
+                    .filter(|(behind, ..)| !behind || network.primary(&place.group, now).is_err());
+                best.map(|(.., member)| member)
             });
             if let Some(member) = replica {
                 match member.pool.acquire(deadline).await {
