--- a/crates/base/src/log.rs
+++ b/crates/base/src/log.rs
@@ -1,6 +1,10 @@
 //! Logging as JSON lines on standard output.
 
-use std::sync::Mutex;
+use std::{
+    cell::Cell,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
 
 use slog::{Drain, Logger, o};
 
@@ -23,3 +27,74 @@
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
 }
+
+/// Length of the window in which [`LineLimit`] counts lines.
+const LINE_WINDOW: Duration = Duration::from_secs(1);
+/// Longest text from another process that is logged or answered, in bytes.
+const MAX_EXCERPT_BYTES: usize = 256;
+
+/// Limits the number of log lines per second and counts those left out.
+#[derive(Debug)]
+pub struct LineLimit {
+    max_lines: u32,
+    window_start: Cell<Option<Instant>>,
+    lines: Cell<u32>,
+    skipped: Cell<u64>,
+}
+
+impl LineLimit {
+    /// Allows `max_lines` lines per second.
+    #[must_use]
+    pub const fn new(max_lines: u32) -> Self {
+        Self {
+            max_lines,
+            window_start: Cell::new(None),
+            lines: Cell::new(0),
+            skipped: Cell::new(0),
+        }
+    }
+
+    /// Whether another line may be written at `now`; counts the line as written or left out.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use base::log::LineLimit;
+    ///
+    /// let now = Instant::now();
+    /// let limit = LineLimit::new(1);
+    /// assert!(limit.admit(now));
+    /// assert!(!limit.admit(now));
+    /// assert!(limit.admit(now + Duration::from_secs(1)));
+    /// assert_eq!(limit.take_skipped(), 1);
+    /// ```
+    pub fn admit(&self, now: Instant) -> bool {
+        let start = self.window_start.get();
+        if start.is_none_or(|start| now.saturating_duration_since(start) >= LINE_WINDOW) {
+            self.window_start.set(Some(now));
+            self.lines.set(0);
+        }
+        let admitted = self.lines.get() < self.max_lines;
+        let counter = self.lines.get() + u32::from(admitted);
+        self.lines.set(counter);
+        self.skipped.update(|count| count + u64::from(!admitted));
+        admitted
+    }
+
+    /// Number of lines left out since the last call.
+    pub fn take_skipped(&self) -> u64 {
+        self.skipped.take()
+    }
+}
+
+/// Beginning of a text that another process sent, short enough for a log line.
+///
+/// ```
+/// use base::log::excerpt;
+///
+/// assert_eq!(excerpt("short"), "short");
+/// assert_eq!(excerpt(&"ä".repeat(1_000)).len(), 256);
+/// ```
+#[must_use]
+pub fn excerpt(text: &str) -> &str {
+    &text[..text.floor_char_boundary(MAX_EXCERPT_BYTES)]
+}
--- a/crates/route/src/share.rs
+++ b/crates/route/src/share.rs
@@ -91,6 +91,6 @@
     #[must_use]
     pub fn slots(&self, slots: u32, now: Instant) -> u32 {
         let all = (self.base() + self.lendable()).max(1);
-        (slots * self.target(now) / all).clamp(1, slots.max(1))
+        (slots.saturating_mul(self.target(now)) / all).clamp(1, slots.max(1))
     }
 }
--- a/crates/session/src/request_log.rs
+++ b/crates/session/src/request_log.rs
@@ -1,19 +1,15 @@
 //! Rate-limited log lines about requests.
 
-use std::{
-    cell::Cell,
-    time::{Duration, Instant},
-};
+use std::time::Instant;
 
+use base::log::LineLimit;
 use slog::{Logger, info};
 
 use crate::command::Request;
 
-/// Log lines per window. A line is about 300 bytes, so a process writes less than 10 KB per second
+/// Log lines per second. A line is about 300 bytes, so a process writes less than 10 KB per second
 /// however many requests fail.
 const MAX_LINES: u32 = 30;
-/// Length of the rate-limit window.
-const WINDOW: Duration = Duration::from_secs(1);
 
 /// How a request was routed, for its log line.
 #[derive(Debug, Clone, Default)]
@@ -36,9 +32,7 @@
 #[derive(Debug)]
 pub struct RequestLog {
     log: Logger,
-    window: Cell<Option<Instant>>,
-    lines: Cell<u32>,
-    skipped: Cell<u64>,
+    limit: LineLimit,
 }
 
 impl RequestLog {
@@ -47,32 +41,19 @@
     pub const fn new(log: Logger) -> Self {
         Self {
             log,
-            window: Cell::new(None),
-            lines: Cell::new(0),
-            skipped: Cell::new(0),
+            limit: LineLimit::new(MAX_LINES),
         }
     }
 
-    /// Whether another line may be written at `now`; counts the line as written or skipped.
+    /// Whether another line may be written at `now`; counts the line as written or left out.
     pub fn admit(&self, now: Instant) -> bool {
-        let in_window = self
-            .window
-            .get()
-            .is_some_and(|start| now.saturating_duration_since(start) < WINDOW);
-        if !in_window {
-            self.window.set(Some(now));
-            self.lines.set(0);
-            let skipped = self.skipped.take();
+        let admitted = self.limit.admit(now);
+        if admitted {
+            let skipped = self.limit.take_skipped();
             if skipped > 0 {
                 info!(self.log, "lines about requests were left out"; "count" => skipped);
             }
         }
-        let admitted = self.lines.get() < MAX_LINES;
-        if admitted {
-            self.lines.set(self.lines.get() + 1);
-        } else {
-            self.skipped.set(self.skipped.get() + 1);
-        }
         admitted
     }
 
