Reconnect faster at the start and share connections among the running processes

Cause: after a power loss all hosts start within a fraction of a second. And the equal share of connections was counted for nine processes where six run, or two after a partition: 6 of 32 connections each, with 50 to 80 requests waiting.

Change: until its first assignment a process tries every 200 ms; a control host may know all processes after 0.5 s instead of 0.7 s of uptime. Databases that report overload are shared by the processes that run.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -43,7 +43,7 @@
 
 /// A host knows all entry processes once it has run for at least this long and no new one has
 /// connected for [`DISCOVERY_QUIET`].
-const DISCOVERY_MIN: Duration = Duration::from_millis(700);
+const DISCOVERY_MIN: Duration = Duration::from_millis(500);
 /// See [`DISCOVERY_MIN`]. Entry processes reconnect within 0.45 s of a refused connection.
 const DISCOVERY_QUIET: Duration = Duration::from_millis(400);
 /// After this uptime a host counts as knowing all entry processes, even when new ones keep
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -85,13 +85,17 @@
         opening.await.map_err(|_elapsed| None)?.map_err(Some)
     }
 
-    /// Highest number of entry processes that share the connections of a database of a group.
+    /// Number of entry processes that share the connections of a database of a group.
     pub(crate) fn sharing_entries(&self, group: &str) -> u32 {
-        let entries = self
-            .config
-            .borrow()
-            .entries
-            .max(self.near_entries.counts().0);
+        let (running, _zones) = self.near_entries.counts();
+        let configured = self.config.borrow().entries;
+        let entries = if D::REPORTS_OVERLOAD && running > 0 {
+            // Equal shares of the running processes use all connections, also while some processes
+            // are down. A database that reports overload refuses what exceeds its limit.
+            running
+        } else {
+            configured.max(running)
+        };
         self.near_entries.sharing_entries(group).unwrap_or(entries)
     }
 }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -48,9 +48,41 @@
 /// Time that the nearest control host has to send a new configuration before the others are asked
 /// for it as well. The text may be long, and a change has to be in force within seconds.
 const CONFIG_FALLBACK: Duration = Duration::from_millis(300);
-/// Pause before the next attempt to connect, with a jitter of 50% in both directions.
+/// Mean pause before the next attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
 
+/// Timeout of a connection attempt and pause after it while this process starts and has no
+/// assignment yet. After a power loss all hosts start within a fraction of a second, and the packets
+/// that open a connection to a host without power are lost without an answer.
+const STARTING: Attempt = Attempt {
+    timeout: Duration::from_millis(150),
+    pause: Duration::from_millis(50),
+};
+/// Like [`STARTING`], for a running process.
+const RUNNING: Attempt = Attempt {
+    timeout: CONNECT_TIMEOUT,
+    pause: RECONNECT_PAUSE,
+};
+/// Number of attempts at the pace of [`STARTING`], so that a host that stays away is not flooded.
+const STARTING_ATTEMPTS: u32 = 20;
+
+/// Pace of the attempts to connect to a control host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Attempt {
+    timeout: Duration,
+    /// Mean pause before the next attempt, with a jitter of 50% in both directions.
+    pause: Duration,
+}
+
+/// Pace of the attempt after `failures` failed ones.
+const fn next_attempt(assigned: bool, failures: u32) -> Attempt {
+    if !assigned && failures < STARTING_ATTEMPTS {
+        STARTING
+    } else {
+        RUNNING
+    }
+}
+
 type Control = schema::control::Client;
 
 /// Keeps a connection to the control host at `address` until the task is dropped.
@@ -67,8 +99,10 @@
         },
     );
     let mut was_linked = true;
+    let mut failures = 0_u32;
     loop {
-        let cause = match run_once(&network, address).await {
+        let attempt = next_attempt(network.is_assignment_known(), failures);
+        let cause = match run_once(&network, address, attempt.timeout).await {
             Ok(never) => match never {},
             Err(cause) => cause,
         };
@@ -83,16 +117,22 @@
                 "address" => %address, "cause" => cause);
         }
         was_linked = linked;
+        failures = if linked {
+            0
+        } else {
+            failures.saturating_add(1)
+        };
         let jitter = rand::rng().random_range(0.5..1.5);
-        compio::time::sleep(RECONNECT_PAUSE.mul_f64(jitter)).await;
+        compio::time::sleep(attempt.pause.mul_f64(jitter)).await;
     }
 }
 
 async fn run_once<D: Dialect>(
     network: &Rc<Network<D>>,
     address: SocketAddr,
+    connect_timeout: Duration,
 ) -> Result<std::convert::Infallible, String> {
-    let stream = base::net::connect(network.settings.host, address, CONNECT_TIMEOUT)
+    let stream = base::net::connect(network.settings.host, address, connect_timeout)
         .await
         .map_err(|cause| cause.to_string())?;
     let traffic = Rc::new(Traffic::default());
