Fix tests that race with starting processes, and the usage lines of inner commands

Cause: a process that is being started holds copies of all sockets until its program runs. The relay of lab gave up when its closed listener lived on in such a copy, and a test of entry took its free address by a TCP listener whose copy accepted and reset the first request. The help of a nested command took the name of the outer command twice.

Change: the relay binds again for up to 5 s while the address is in use; the test takes its address by a UDP socket; help takes the name of each inner command.

--- a/crates/cli/src/arguments.rs
+++ b/crates/cli/src/arguments.rs
@@ -228,8 +228,10 @@
     let mut path = String::from("goldcrestrail");
     let mut command: &dyn Options = parsed;
     while let Some(inner) = command.command() {
-        path.push(' ');
-        path.push_str(command.command_name().unwrap_or_default());
+        if let Some(name) = inner.command_name() {
+            path.push(' ');
+            path.push_str(name);
+        }
         command = inner;
     }
     let subcommands = command.self_command_list();
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -337,6 +337,17 @@
 #[case::program(&["--help"], "primary")]
 #[case::command(&["config", "submit", "--help"], "--change")]
 #[case::group(&["config", "--help"], "history")]
+#[case::usage_of_program(&["--help"], "Usage: goldcrestrail [OPTIONS] COMMAND")]
+#[case::usage_of_command(&["status", "--help"], "Usage: goldcrestrail status [OPTIONS]")]
+#[case::usage_of_group(&["config", "--help"], "Usage: goldcrestrail config [OPTIONS] COMMAND")]
+#[case::usage_of_inner_command(
+    &["config", "submit", "--help"],
+    "Usage: goldcrestrail config submit [OPTIONS]"
+)]
+#[case::usage_of_removal(
+    &["group", "remove", "--help"],
+    "Usage: goldcrestrail group remove [OPTIONS]"
+)]
 #[case::version(&["--version"], env!("CARGO_PKG_VERSION"))]
 fn prints_help(#[case] arguments: &[&str], #[case] expected: &str) {
     let output = run(&[], arguments, "");
--- a/crates/entry/tests/process.rs
+++ b/crates/entry/tests/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read as _, Write as _},
-    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream, UdpSocket},
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU8, Ordering},
     time::{Duration, Instant},
@@ -17,8 +17,10 @@
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU8 = AtomicU8::new(1);
     let host = IpAddr::from([127, 0, 7, NEXT.fetch_add(1, Ordering::Relaxed)]);
-    let listener = TcpListener::bind((host, 0)).unwrap();
-    listener.local_addr().unwrap()
+    // A TCP listener would live on in a process that another test is starting, accept the first
+    // connection and reset it.
+    let socket = UdpSocket::bind((host, 0)).unwrap();
+    socket.local_addr().unwrap()
 }
 
 fn settings_file(address: SocketAddr, http: SocketAddr) -> tempfile::NamedTempFile {
--- a/crates/lab/src/relay.rs
+++ b/crates/lab/src/relay.rs
@@ -37,6 +37,25 @@
 /// Interval at which the relay checks whether a process that refused a connection is up again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest time for which another process may hold a copy of a closed listener: a process that is
+/// being started holds one until its program runs.
+const REBIND_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Binds an address that this process has just closed, again and again while it is in use.
+async fn rebind(address: SocketAddr) -> io::Result<TcpListener> {
+    let start = Instant::now();
+    loop {
+        match TcpListener::bind(address).await {
+            Err(cause)
+                if cause.kind() == io::ErrorKind::AddrInUse && start.elapsed() < REBIND_TIMEOUT =>
+            {
+                tokio::time::sleep(RETRY_INTERVAL).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Fault on the path between two zones.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Fault {
@@ -114,7 +133,7 @@
                 while TcpStream::connect(to).await.is_err() {
                     tokio::time::sleep(RETRY_INTERVAL).await;
                 }
-                listener = match TcpListener::bind(from).await {
+                listener = match rebind(from).await {
                     Ok(listener) => listener,
                     Err(cause) => {
                         eprintln!("relay: {from}: {cause}");
--- a/crates/lab/tests/relay.rs
+++ b/crates/lab/tests/relay.rs
@@ -115,3 +115,50 @@
             .unwrap_err();
     });
 }
+
+/// Guards against a host that stays unreachable because its address was still in use when its
+/// process came back: a process that is being started holds a copy of the closed listener.
+#[rstest]
+fn address_in_use_is_bound_later() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let host = Host {
+            zone: 64,
+            role: Role::Control,
+        };
+        let _relay = Relay::start(&Site {
+            first_zone: 63,
+            ..site()
+        })
+        .await
+        .unwrap();
+        let closes = |mut stream: TcpStream| async move {
+            let read = timeout(LONG_TIMEOUT, stream.read(&mut [0])).await.unwrap();
+            assert!(matches!(read, Ok(0) | Err(_)));
+        };
+        closes(TcpStream::connect(host.relay_address()).await.unwrap()).await;
+        let copy = loop {
+            match TcpListener::bind(host.relay_address()).await {
+                Ok(copy) => break copy,
+                Err(_in_use) => tokio::time::sleep(Duration::from_millis(5)).await,
+            }
+        };
+        tokio::spawn(echo(TcpListener::bind(host.address()).await.unwrap()));
+        tokio::time::sleep(SHORT_TIMEOUT).await;
+        drop(copy);
+
+        let start = Instant::now();
+        let mut stream = loop {
+            match TcpStream::connect(host.relay_address()).await {
+                Ok(stream) => break stream,
+                Err(cause) => assert!(start.elapsed() < LONG_TIMEOUT, "{cause}"),
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        };
+
+        assert!(round_trip(&mut stream, LONG_TIMEOUT).await.is_some());
+    });
+}
