Send many changes in parts, and connect fast only to hosts that are not up yet

An answer to a watch held all records and announcements, once for each entry process that starts, over links of 2 Mbit/s.

Change: an answer holds at most 100 records and 100 announcements, in the order of their versions, and the next watch continues. An entry process keeps the fast pace only until the host has accepted a connection.

--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -34,6 +34,10 @@
 const GRANTS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Longest poll that an entry process may request.
 const MAX_POLL: Duration = Duration::from_secs(10);
+/// Most records and most announcements in one answer to a watch. Without a limit, hundreds of entry
+/// processes on slow links that start together would make this host hold the whole directory once
+/// for each of them.
+const MAX_CHANGES: usize = 100;
 /// Maximum number of open RPC connections; each entry process and peer holds one or two.
 const MAX_CONNECTIONS: usize = 10_000;
 
@@ -384,7 +388,13 @@
     }
     reply.set_directory_run(host.run);
     reply.set_age(wire_millis(host.log.time_since_leader(now)));
-    let changed: Vec<_> = state.records_since(records).collect();
+    let mut changed: Vec<_> = state.records_since(records).collect();
+    if changed.len() > MAX_CHANGES {
+        changed.sort_unstable_by_key(|record| record.version);
+        changed.truncate(MAX_CHANGES);
+        // The next watch asks for the records after this version.
+        reply.set_record_version(changed.last().map_or(records, |record| record.version));
+    }
     let mut list = reply.reborrow().init_records(list_len(&changed));
     for (i, record) in (0..).zip(changed) {
         fill_record(record, list.reborrow().get(i));
@@ -394,7 +404,11 @@
     }
     let current = host.directory.borrow();
     reply.set_directory_version(current.version());
-    let changed = current.changed_since(directory);
+    let mut changed = current.changed_since(directory);
+    if changed.len() > MAX_CHANGES {
+        changed.truncate(MAX_CHANGES);
+        reply.set_directory_version(changed.last().map_or(directory, |last| last.version));
+    }
     let mut list = reply.init_announcements(list_len(&changed));
     for (i, received) in (0..).zip(changed) {
         fill_announcement(now, received, list.reborrow().get(i));
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -4,11 +4,13 @@
 
 use std::{
     cell::RefCell,
+    collections::BTreeSet,
     net::{IpAddr, Ipv4Addr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
 };
 
+use base::Set;
 use common::{Cluster, FakeLog, Group, SharedLog, configure, past_start, stable_group};
 use compio::{
     io::AsyncWriteExt as _,
@@ -17,9 +19,11 @@
     time::{sleep, timeout},
 };
 use control::{
+    directory::Announcement,
     gate,
     host::{Host, Identity},
     log::Log,
+    machine::{GroupState, Record},
     permits::NEW_LEADER_DELAY,
     upstream::Postgres,
 };
@@ -158,6 +162,63 @@
     assert_eq!(reply.get_directory_run(), host.run);
 }
 
+/// Guards against a control host that runs out of memory while hundreds of entry processes on slow
+/// links start: an answer holds a part of the changes, and the versions in it lead to the rest.
+#[compio::test]
+async fn watch_sends_many_changes_in_parts() {
+    let (host, address, _shared) = serve().await;
+    for i in 0..250_u64 {
+        let announcement = Announcement {
+            member: format!("m{i}"),
+            group: "g".to_owned(),
+            ..Announcement::default()
+        };
+        host.receive_announcement(Instant::now(), announcement);
+        let mut state = host.state.borrow_mut();
+        state.version = 1_000 + i;
+        let (group, version) = (format!("g{}", 250 - i), state.version);
+        let record = Record {
+            group: group.clone(),
+            term: 1,
+            state: GroupState::Stable,
+            next: 0,
+            primary: "a".to_owned(),
+            members: Vec::new(),
+            confirmations: 1,
+            planned: None,
+            removed: BTreeSet::new(),
+            uncovered: 0,
+            version,
+        };
+        state.records.insert(group, record);
+    }
+    let client = connect(address).await;
+
+    let (mut records, mut directory) = (0, 0);
+    let (mut groups, mut members, mut parts) = (Set::default(), Set::default(), 0);
+    while groups.len() < 250 || members.len() < 250 {
+        let reply = watch(&client, (records, 0, directory, host.run)).await;
+        let reply = reply.get().unwrap().get_reply().unwrap();
+        parts += 1;
+        assert!(reply.get_records().unwrap().len() <= 100);
+        assert!(reply.get_announcements().unwrap().len() <= 100);
+        for record in reply.get_records().unwrap() {
+            let is_new = groups.insert(record.get_group().unwrap().to_string().unwrap());
+            assert!(is_new && record.get_version() <= reply.get_record_version());
+        }
+        for announcement in reply.get_announcements().unwrap() {
+            let member = announcement.get_member().unwrap().to_string().unwrap();
+            assert!(members.insert(member));
+        }
+        records = reply.get_record_version();
+        directory = reply.get_directory_version();
+    }
+
+    assert_eq!(parts, 3);
+    assert_eq!(records, host.state.borrow().version);
+    assert_eq!(directory, host.directory.borrow().version());
+}
+
 /// Guards against fields that are lost between the message and the host, and against permits that
 /// exceed the pool.
 #[compio::test]
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -8,6 +8,7 @@
 };
 
 use base::{Map, Version};
+use compio::net::TcpStream;
 use futures_util::{FutureExt as _, pin_mut, select};
 use proto::{schema, traffic::Traffic};
 use rand::RngExt as _;
@@ -51,8 +52,8 @@
 /// Mean pause before the next attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
 
-/// Timeout of a connection attempt and pause after it while this process starts and has no
-/// assignment yet. After a power loss all hosts start within a fraction of a second, and the packets
+/// Timeout of a connection attempt and pause after it while this process starts, has no assignment
+/// yet and the host has accepted no connection: a host that accepts one is up but may be busy. After a power loss all hosts start within a fraction of a second, and the packets
 /// that open a connection to a host without power are lost without an answer.
 const STARTING: Attempt = Attempt {
     timeout: Duration::from_millis(150),
@@ -74,9 +75,9 @@
     pause: Duration,
 }
 
-/// Pace of the attempt after `failures` failed ones.
-const fn next_attempt(assigned: bool, failures: u32) -> Attempt {
-    if !assigned && failures < STARTING_ATTEMPTS {
+/// Pace of the attempt after `failures` failed ones at a host that has `accepted` a connection before.
+const fn next_attempt(assigned: bool, accepted: bool, failures: u32) -> Attempt {
+    if !assigned && !accepted && failures < STARTING_ATTEMPTS {
         STARTING
     } else {
         RUNNING
@@ -99,12 +100,17 @@
         },
     );
     let mut was_linked = true;
-    let mut failures = 0_u32;
+    let (mut failures, mut accepted) = (0_u32, false);
     loop {
-        let attempt = next_attempt(network.is_assignment_known(), failures);
-        let cause = match run_once(&network, address, attempt.timeout).await {
-            Ok(never) => match never {},
-            Err(cause) => cause,
+        let attempt = next_attempt(network.is_assignment_known(), accepted, failures);
+        let stream = base::net::connect(network.settings.host, address, attempt.timeout).await;
+        accepted |= stream.is_ok();
+        let cause = match stream {
+            Ok(stream) => match run_once(&network, address, stream).await {
+                Ok(never) => match never {},
+                Err(cause) => cause,
+            },
+            Err(cause) => cause.to_string(),
         };
         let last_answer = network
             .hosts
@@ -130,11 +136,8 @@
 async fn run_once<D: Dialect>(
     network: &Rc<Network<D>>,
     address: SocketAddr,
-    connect_timeout: Duration,
+    stream: TcpStream,
 ) -> Result<std::convert::Infallible, String> {
-    let stream = base::net::connect(network.settings.host, address, connect_timeout)
-        .await
-        .map_err(|cause| cause.to_string())?;
     let traffic = Rc::new(Traffic::default());
     let (gate, driver) =
         proto::rpc::open_counted::<schema::gate::Client>(stream, Rc::clone(&traffic));
