--- a/crates/base/src/log.rs
+++ b/crates/base/src/log.rs
@@ -74,9 +74,11 @@
             self.lines.set(0);
         }
         let admitted = self.lines.get() < self.max_lines;
-        let counter = self.lines.get() + u32::from(admitted);
-        self.lines.set(counter);
-        self.skipped.update(|count| count + u64::from(!admitted));
+        if admitted {
+            self.lines.update(|count| count + 1);
+        } else {
+            self.skipped.update(|count| count + 1);
+        }
         admitted
     }
 
