--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -52,9 +52,10 @@
 /// Mean pause before the next attempt to connect.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
 
-/// Timeout of a connection attempt and pause after it while this process starts, has no assignment
-/// yet and the host has accepted no connection: a host that accepts one is up but may be busy. After a power loss all hosts start within a fraction of a second, and the packets
-/// that open a connection to a host without power are lost without an answer.
+/// Pace of a process that starts, as long as it has no assignment and the host has accepted no
+/// connection. After a power loss all hosts start within a fraction of a second, and a connection
+/// attempt to a host without power gets no answer at all. A host that accepts a connection is up; if
+/// it is slow then, it is busy, and more attempts would add to that.
 const STARTING: Attempt = Attempt {
     timeout: Duration::from_millis(150),
     pause: Duration::from_millis(50),
