Log the answers that a choice of primary rests on

The log told which database was promoted, but not which ones had been asked and what they had answered, so it could not show whether a better database was missed, not asked, or had answered with a lower position.

The line 'primary chosen' has the recorded stores, the number of answers needed, and the position of each database that answered.

--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -441,6 +441,7 @@
         let wait = failover::awaits_catch_up(record, &statuses, &reach)
             && start.elapsed() < CATCH_UP_TIMEOUT;
         if let Some(choice) = choice.filter(|_| !wait) {
+            log_choice(host, record, &choice, &statuses);
             let top = statuses.iter().map(|s| s.position.term).max();
             break (choice, top, record.members.clone());
         }
@@ -475,6 +476,18 @@
     Ok(Step::Continue)
 }
 
+/// Logs the answers that a choice rests on, so that a wrong choice can be traced.
+fn log_choice<L: Log>(host: &Host<L>, record: &Record, choice: &str, statuses: &[Status]) {
+    let answers: Vec<_> = statuses
+        .iter()
+        .map(|s| format!("{} {}.{}", s.store, s.position.term, s.position.offset))
+        .collect();
+    let members: Vec<_> = record.members.iter().map(|m| &m.store).collect();
+    slog::info!(host.logger, "primary chosen"; "group" => &record.group, "term" => record.next,
+        "member" => choice, "former" => &record.primary, "needed" => record.read_quorum(),
+        "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers);
+}
+
 /// Waits until a majority of control hosts hold no grant older than the record.
 ///
 /// The hosts are asked concurrently, so an unreachable one does not delay the others. A positive
