Record and ask every database that may have acknowledged a commit

Cause: the primary acknowledges a commit as soon as any replica has it, but the choice of the next primary asked recorded members only. A new replica, or one that restarted empty under its name, was recorded only once one read of its position showed that of the primary, which fails for as long as there are steady writes.

Change: where any replica counts, a database is recorded as soon as it announces itself and answers. That is safe at any position, because the read quorum grows with the record. A new store under a known name replaces the old one, which counts as uncovered; covered is what as many members as confirm a write have, so that a member that is down for long does not block a promotion.

--- a/crates/control/src/coverage.rs
+++ b/crates/control/src/coverage.rs
@@ -10,7 +10,7 @@
 use crate::{
     host::Host,
     log::Log,
-    machine::Record,
+    machine::{Member, Record},
     promotion::{RELAY_DELAY, probe},
 };
 
@@ -18,8 +18,12 @@
 /// replica reaches the primary's position only some time after that position was read.
 const READ_ATTEMPTS: (u32, Duration) = (10, Duration::from_millis(100));
 
-/// Record in which removed members no longer count, once every remaining member has reached the
-/// position of the primary in the status `primary`. `None` if they don't reach it in this sweep.
+/// Record in which removed members no longer count, once as many remaining members as confirm a
+/// write have reached the position of the primary in the status `primary`. `None` if they don't reach
+/// it in this sweep.
+///
+/// Every read quorum then includes one of these members, so a member that is down for long doesn't
+/// keep the group from a change of primary.
 pub(crate) async fn clear_uncovered<L: Log>(
     host: &Rc<Host<L>>,
     record: &Record,
@@ -28,6 +32,7 @@
     if primary.position.term != record.term {
         return None;
     }
+    let needed = usize::try_from(record.confirmations).unwrap_or(usize::MAX);
     for _ in 0..READ_ATTEMPTS.0 {
         let members = record.members.iter();
         let reads = members.map(|member| {
@@ -35,18 +40,15 @@
             probe(host, target, RELAY_DELAY)
         });
         let statuses = join_all(reads).await;
-        let all = record
-            .members
-            .iter()
-            .zip(&statuses)
-            .all(|(member, status)| {
-                status.as_ref().is_some_and(|status| {
-                    status.member == member.member
-                        && status.store == member.store
-                        && status.position.covers(primary.position)
-                })
-            });
-        if all {
+        let covers = |(member, status): &(&Member, &Option<Status>)| {
+            status.as_ref().is_some_and(|status| {
+                status.member == member.member
+                    && status.store == member.store
+                    && status.position.covers(primary.position)
+            })
+        };
+        let covering = record.members.iter().zip(&statuses).filter(covers).count();
+        if covering >= needed {
             return Some(Record {
                 uncovered: 0,
                 ..record.clone()
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -212,15 +212,20 @@
     /// Live members of a group that are not about to stop, ordered by name.
     #[must_use]
     pub fn present_members(&self, now: Instant, group: &str) -> Vec<&Announcement> {
+        let mut present = self.live_members(now, group);
+        present.retain(|member| !member.leaving);
+        present
+    }
+
+    /// Live members of a group, ordered by name, including those that are about to stop.
+    #[must_use]
+    pub fn live_members(&self, now: Instant, group: &str) -> Vec<&Announcement> {
         let names = self.groups.get(group).into_iter().flatten();
         let members = names.filter_map(|name| self.members.get(name));
         let live = members.filter(|m| now.duration_since(m.received_at) < LOST_AFTER);
-        let mut present: Vec<_> = live
-            .map(|m| &m.announcement)
-            .filter(|member| !member.leaving)
-            .collect();
-        present.sort_by(|a, b| a.member.cmp(&b.member));
-        present
+        let mut live: Vec<_> = live.map(|m| &m.announcement).collect();
+        live.sort_by(|a, b| a.member.cmp(&b.member));
+        live
     }
 
     /// Last announcement of a member.
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -202,6 +202,8 @@
     pub databases: Rc<dyn Databases>,
     /// Members whose announcements arrived here and have not been forwarded to the other hosts yet.
     pub pending_announcements: RefCell<Map<MemberName, Instant>>,
+    /// Reports a pending announcement of a new store, which is forwarded without delay.
+    pub(crate) pending_store: Notify,
     /// Replicated state that the log is applied to.
     pub state: Rc<RefCell<State>>,
     /// Write lease grants.
@@ -243,6 +245,8 @@
     pub last_planned: RefCell<Map<GroupName, Instant>>,
     /// Wakes the task of each group.
     group_notifiers: RefCell<Map<GroupName, Rc<Notify>>>,
+    /// Reports new database stores to the task of each group.
+    arrivals: RefCell<Map<GroupName, Rc<Notify>>>,
     /// Record version up to which the group tasks have been notified of changes.
     notified_version: Cell<Version>,
     /// Cached [`ActiveDocument`] with the configuration version that it was parsed from.
@@ -266,6 +270,7 @@
             log,
             databases,
             pending_announcements: RefCell::default(),
+            pending_store: Notify::default(),
             state,
             documents: RefCell::default(),
             started_at: now,
@@ -288,6 +293,7 @@
             reassigned_seats: RefCell::default(),
             last_planned: RefCell::default(),
             group_notifiers: RefCell::default(),
+            arrivals: RefCell::default(),
             notified_version: Cell::new(0),
             document: RefCell::default(),
         })
@@ -399,7 +405,11 @@
     pub fn receive_announcement(&self, now: Instant, announcement: Announcement) {
         let member = announcement.member.clone();
         self.pending_announcements.borrow_mut().insert(member, now);
+        let is_new = self.new_store_group(&announcement).is_some();
         self.record_announcement(now, Duration::ZERO, announcement);
+        if is_new {
+            self.pending_store.notify();
+        }
     }
 
     /// Records an announcement that arrived `age` before `now`, here or at another host, and logs a
@@ -424,7 +434,12 @@
     fn store_announcement(&self, now: Instant, age: Duration, announcement: Announcement) -> bool {
         self.metrics.announcements.inc();
         let group = announcement.leaving.then(|| announcement.group.clone());
+        let arrived = self.new_store_group(&announcement);
         let changed = self.directory.borrow_mut().announce(now, age, announcement);
+        if let Some(notify) = arrived.and_then(|group| self.arrivals.borrow().get(&group).cloned())
+        {
+            notify.notify();
+        }
         // Wake the group task now: the next sweep would plan the change of a leaving primary up to
         // a second later.
         let group = group.filter(|_| changed);
@@ -436,6 +451,14 @@
         changed
     }
 
+    /// Group of an announced database whose store was not announced before.
+    fn new_store_group(&self, announcement: &Announcement) -> Option<GroupName> {
+        let directory = self.directory.borrow();
+        let known = directory.member(&announcement.member);
+        let known = known.is_some_and(|known| known.announcement.store == announcement.store);
+        (!known).then(|| announcement.group.clone())
+    }
+
     /// Processes a renewal and returns its reply.
     pub fn renew(&self, now: Instant, renewal: Renewal) -> RenewalReply {
         let holder = (renewal.entry.clone(), renewal.run);
@@ -613,6 +636,12 @@
         Rc::clone(notifiers.entry(group.to_owned()).or_default())
     }
 
+    /// Returns the notifier that reports new database stores of `group`.
+    pub(crate) fn arrivals(&self, group: &str) -> Rc<Notify> {
+        let mut arrivals = self.arrivals.borrow_mut();
+        Rc::clone(arrivals.entry(group.to_owned()).or_default())
+    }
+
     /// Lends connections to an entry process, and returns the number for each member.
     fn lend_connections(
         &self,
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -7,7 +7,10 @@
 };
 
 use base::{GroupName, Map};
-use compio::{runtime::JoinHandle, time::sleep};
+use compio::{
+    runtime::JoinHandle,
+    time::{sleep, timeout},
+};
 use futures_util::future::join_all;
 
 use crate::{host::Host, log::Log, permits::Permits, promotion, seat};
@@ -76,10 +79,12 @@
 }
 
 /// Relays announcements that this host received directly to the other control hosts, until the
-/// process ends.
+/// process ends. New stores are relayed at once, because the leader must ask them before it replaces
+/// a primary.
 pub async fn relay_announcements<L: Log>(host: Rc<Host<L>>) {
     loop {
-        sleep(RELAY_INTERVAL).await;
+        let count = host.pending_store.count();
+        let _elapsed = timeout(RELAY_INTERVAL, host.pending_store.changed_after(count)).await;
         let names: Vec<_> = host.pending_announcements.borrow_mut().drain().collect();
         if names.is_empty() {
             continue;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -29,4 +29,5 @@
 pub mod settings;
 pub mod sighting;
 pub mod sweep;
+pub mod unrecorded;
 pub mod upstream;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -17,6 +17,8 @@
     pub announcements: IntCounter,
     /// Duration of each step of a promotion, in seconds.
     pub step_seconds: HistogramVec,
+    /// Databases that announced themselves and did not answer before a promotion.
+    pub unread_members: IntCounter,
     /// Finished promotions by kind: failure, planned or first.
     pub promotions: IntCounterVec,
     /// Connections lent in answers to renewals, summed up since the process started.
@@ -78,6 +80,10 @@
                 "Bytes sent to another region by peer.",
                 "peer",
             ),
+            unread_members: counter(
+                "goldcrestrail_unread_members_total",
+                "Announced databases outside the group record that a promotion went on without.",
+            ),
             connections_lent: counter(
                 "goldcrestrail_permits_lent_total",
                 "Connections lent to renewals.",
@@ -94,11 +100,12 @@
             ),
             registry,
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(metrics.renewals.clone()),
             Box::new(metrics.announcements.clone()),
             Box::new(metrics.step_seconds.clone()),
             Box::new(metrics.promotions.clone()),
+            Box::new(metrics.unread_members.clone()),
             Box::new(metrics.connections_lent.clone()),
             Box::new(metrics.region_bytes.clone()),
             Box::new(metrics.leader.clone()),
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -19,14 +19,15 @@
 use route::Status;
 
 use crate::{
-    directory::Announcement,
+    directory::{self, Announcement},
     failover::{self, Completeness, ReachCounts, Verdict},
     host::{GRANT_POLL_INTERVAL, Host, PromotionTiming, millis},
     leases::LEASE_DURATION,
     log::{Log, LogError},
     machine::{Command, GroupState, Member, PlannedChange, Record},
-    sweep, upstream,
-    upstream::{Fence, Order, Target},
+    sweep,
+    unrecorded::{self, unrecorded},
+    upstream::{self, Fence, Order, Target},
 };
 
 /// Delay between attempts of a step that waits for other processes.
@@ -52,6 +53,9 @@
 pub(crate) const RELAY_DELAY: Duration = Duration::from_millis(40);
 /// Time to wait for further answers once enough members have answered.
 const EXTRA_READ_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time limit on the wait for a database that is not in the record and announces itself but does not
+/// answer. It may not exist; then no promotion would ever finish.
+const UNRECORDED_TIMEOUT: Duration = directory::LOST_AFTER;
 
 /// Runs the changes of primary of one group until the caller drops the task, when this host stops
 /// leading.
@@ -230,10 +234,13 @@
     timing: &mut PromotionTiming,
 ) -> Result<Step, LogError> {
     let suspect = host.group_notify(&record.group);
+    let arrivals = host.arrivals(&record.group);
     let mut sweep = std::pin::pin!(async {
+        let arrived = arrivals.count();
         let outcome = sweep::sweep(host, record).await;
         if matches!(outcome, Ok(sweep::Outcome::Done)) {
-            sleep(SWEEP_INTERVAL).await;
+            // A new database may acknowledge commits at once, so it is recorded without delay.
+            let _elapsed = timeout(SWEEP_INTERVAL, arrivals.changed_after(arrived)).await;
         }
         outcome
     });
@@ -426,24 +433,47 @@
 
     let start = Instant::now();
     let mut warned_at = start;
-    let (choice, top, members) = loop {
-        let (statuses, renamed) = read_statuses(host, record).await;
-        let updated =
-            renamed.and_then(|renamed| failover::with_renamed_primary(record, &renamed, &statuses));
-        if let Some(updated) = &updated {
+    let (choice, top, known) = loop {
+        let waits = start.elapsed() < UNRECORDED_TIMEOUT;
+        let Answers {
+            statuses,
+            renamed,
+            unrecorded,
+        } = read_statuses(host, record, waits).await;
+        let answered = unrecorded::answered(&unrecorded, &statuses);
+        let known = unrecorded::with_members(record, &answered);
+        let known = renamed
+            .and_then(|renamed| failover::with_renamed_primary(&known, &renamed, &statuses))
+            .unwrap_or(known);
+        if known.primary != record.primary {
             slog::info!(host.logger, "primary returned under another name";
                 "group" => &record.group, "former" => &record.primary,
-                "member" => &updated.primary, "term" => record.term);
+                "member" => &known.primary, "term" => record.term);
         }
-        let record = updated.as_ref().unwrap_or(record);
+        // An unrecorded database counts before it has answered, for a limited time.
+        let counted = if waits {
+            unrecorded::with_members(&known, &unrecorded)
+        } else {
+            known.clone()
+        };
+        let record = &counted;
         let reach = reach_counts(host, record);
         let choice = failover::choose_primary(record, &statuses, &reach);
         let wait = failover::awaits_catch_up(record, &statuses, &reach)
             && start.elapsed() < CATCH_UP_TIMEOUT;
         if let Some(choice) = choice.filter(|_| !wait) {
             log_choice(host, record, &choice, &statuses);
+            let unread = unrecorded.len() - answered.len();
+            if unread > 0 {
+                slog::warn!(host.logger, "primary chosen without announced databases that do not answer";
+                    "group" => &record.group, "term" => record.next,
+                    "unread" => ?unread_names(&unrecorded, &answered));
+                host.metrics
+                    .unread_members
+                    .inc_by(u64::try_from(unread).unwrap_or(u64::MAX));
+            }
             let top = statuses.iter().map(|s| s.position.term).max();
-            break (choice, top, record.members.clone());
+            break (choice, top, known);
         }
         // Another leader may have changed the record in the meantime.
         if !host.log.is_leader(Instant::now()) {
@@ -467,10 +497,9 @@
     let chosen = Record {
         state: GroupState::Promoting,
         primary: choice,
-        members,
         // Members reject a term that they have already seen.
         next: record.next.max(top.unwrap_or_default() + 1),
-        ..record.clone()
+        ..known
     };
     host.propose_record(record.version, chosen).await?;
     Ok(Step::Continue)
@@ -488,6 +517,13 @@
         "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers);
 }
 
+fn unread_names<'a>(unrecorded: &'a [Member], answered: &[Member]) -> Vec<&'a str> {
+    let unread = unrecorded
+        .iter()
+        .filter(|member| !answered.contains(member));
+    unread.map(|member| member.member.as_str()).collect()
+}
+
 /// Waits until a majority of control hosts hold no grant older than the record.
 ///
 /// The hosts are asked concurrently, so an unreachable one does not delay the others. A positive
@@ -537,14 +573,28 @@
     Some(member_from(renamed))
 }
 
-/// Reads the status of every recorded member and of the [`renamed_primary`]. Returns early once the
-/// members that the choice needs have answered.
+/// Answers to one round of status reads.
+struct Answers {
+    statuses: Vec<Status>,
+    /// Database that took the place of the primary.
+    renamed: Option<Member>,
+    /// Databases outside the record that were asked as well.
+    unrecorded: Vec<Member>,
+}
+
+/// Reads the status of every recorded member, of the [`renamed_primary`] and of the databases that
+/// announce themselves outside the record. Returns early once the members that the choice needs have
+/// answered; with `wait_unrecorded`, databases outside the record are needed like members.
 async fn read_statuses<L: Log>(
     host: &Rc<Host<L>>,
     record: &Record,
-) -> (Vec<Status>, Option<Member>) {
+    wait_unrecorded: bool,
+) -> Answers {
     let renamed = renamed_primary(host, record);
-    let mut answers: FuturesUnordered<_> = record
+    let unrecorded: Vec<_> = unrecorded(host, record).iter().map(member_from).collect();
+    let asked = unrecorded::with_members(record, &unrecorded);
+    let needed = if wait_unrecorded { &asked } else { record };
+    let mut answers: FuturesUnordered<_> = asked
         .members
         .iter()
         .chain(&renamed)
@@ -558,7 +608,7 @@
         let mut limit = READ_TIMEOUT;
         while let Ok(Some(answer)) = timeout(limit, answers.next()).await {
             statuses.extend(answer);
-            match failover::completeness(record, &statuses) {
+            match failover::completeness(needed, &statuses) {
                 Completeness::All => break,
                 Completeness::Enough => limit = EXTRA_READ_TIMEOUT,
                 Completeness::TooFew => {}
@@ -566,7 +616,11 @@
         }
     };
     let _elapsed = timeout(READ_TIMEOUT, all).await;
-    (statuses, renamed)
+    Answers {
+        statuses,
+        renamed,
+        unrecorded,
+    }
 }
 
 /// Delay before a request to a member is also sent through the other control hosts. It is zero for
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -16,6 +16,7 @@
     machine::{Member, Record},
     promotion::{RELAY_DELAY, member_from, probe, send_order, wait_for_release},
     sighting::Health,
+    unrecorded::{self, unrecorded},
     upstream::{self, Target},
 };
 
@@ -41,7 +42,12 @@
 pub async fn sweep<L: Log>(host: &Rc<Host<L>>, record: &Record) -> Result<Outcome, LogError> {
     let moved = with_moved_addresses(host, record);
     let record = moved.as_ref().unwrap_or(record);
-    let newcomers = newcomers(host, record);
+    let unrecorded = unrecorded(host, record);
+    let newcomers = if host.databases.counts_any_replica() {
+        unrecorded.clone()
+    } else {
+        newcomers(host, record)
+    };
     if record.uncovered > 0 {
         // After this, removed members confirm no more writes. The position of the primary, read
         // below, therefore includes every write that they confirmed.
@@ -95,6 +101,9 @@
         let answers = statuses.iter().map(|(_, status)| status);
         with_newcomers(record, primary, answers, &newcomers)
     });
+    let known = changed.as_ref().unwrap_or(record);
+    let recorded = with_unrecorded(known, &unrecorded, &statuses);
+    let changed = recorded.or(changed);
     let changed = match (changed, primary) {
         (None, Some(primary)) if record.uncovered > 0 => {
             coverage::clear_uncovered(host, record, primary).await
@@ -193,6 +202,18 @@
     (changed.members != record.members).then_some(changed)
 }
 
+/// Record with the unrecorded databases that answered. `None` if there are none.
+fn with_unrecorded(
+    record: &Record,
+    unrecorded: &[Announcement],
+    answers: &[(Target, Status)],
+) -> Option<Record> {
+    let members: Vec<_> = unrecorded.iter().map(member_from).collect();
+    let statuses: Vec<_> = answers.iter().map(|(_, status)| status.clone()).collect();
+    let changed = unrecorded::with_members(record, &unrecorded::answered(&members, &statuses));
+    (changed.members != record.members).then_some(changed)
+}
+
 /// Target of orders to a newcomer.
 fn newcomer_target(newcomer: &Announcement) -> Target {
     Target {
--- /dev/null
+++ b/crates/control/src/unrecorded.rs
@@ -0,0 +1,75 @@
+//! Databases that announce themselves but are not in the record of their group.
+//!
+//! Where a primary acknowledges a commit as soon as any replica has it, such a database may hold the
+//! only other copy of an acknowledged commit. It is therefore recorded as soon as it answers, and a
+//! promotion asks it even before that.
+
+use std::time::Instant;
+
+use route::Status;
+
+use crate::{
+    directory::Announcement,
+    host::Host,
+    log::Log,
+    machine::{Member, Record},
+};
+
+/// Live databases of the group, including those that are about to stop, whose store the record
+/// doesn't contain and that may hold acknowledged commits.
+///
+/// A database at the address of the primary is not among them: the primary ended before it started,
+/// so it has received no commit from it. [`crate::failover::with_renamed_primary`] handles it.
+pub(crate) fn unrecorded<L: Log>(host: &Host<L>, record: &Record) -> Vec<Announcement> {
+    if !host.databases.counts_any_replica() {
+        return Vec::new();
+    }
+    let primary = record.member(&record.primary);
+    let primary_address = primary.map(|member| host.member_address(member));
+    let directory = host.directory.borrow();
+    let live = directory.live_members(Instant::now(), &record.group);
+    let unrecorded = live.into_iter().filter(|announced| {
+        !contains(record, &announced.member, &announced.store)
+            && !record.removed.contains(&announced.member)
+            && primary_address.as_ref() != Some(&announced.address)
+    });
+    unrecorded.cloned().collect()
+}
+
+fn contains(record: &Record, member: &str, store: &str) -> bool {
+    record
+        .member(member)
+        .is_some_and(|known| known.store == store)
+}
+
+/// Those of `members` that answered as replicas.
+pub(crate) fn answered(members: &[Member], statuses: &[Status]) -> Vec<Member> {
+    let answered = members.iter().filter(|member| {
+        let mut answers = statuses.iter();
+        answers.any(|s| s.member == member.member && s.store == member.store && !s.primary)
+    });
+    answered.cloned().collect()
+}
+
+/// Record that also contains `members`. A member with a new store replaces the recorded one. The old
+/// store may have held the only second copy of an acknowledged commit, so it counts as uncovered.
+///
+/// Any position will do: the read quorum grows with the record, so it still meets every set of
+/// members that may have acknowledged a commit.
+#[must_use]
+pub fn with_members(record: &Record, members: &[Member]) -> Record {
+    let mut changed = record.clone();
+    for member in members {
+        if contains(&changed, &member.member, &member.store) {
+            continue;
+        }
+        let known = changed.members.len();
+        changed.members.retain(|m| m.member != member.member);
+        if changed.members.len() < known {
+            changed.uncovered += 1;
+        }
+        changed.members.push(member.clone());
+    }
+    changed.members.sort_by(|a, b| a.member.cmp(&b.member));
+    changed
+}
--- a/crates/control/src/upstream.rs
+++ b/crates/control/src/upstream.rs
@@ -134,6 +134,12 @@
     fn may_return_renamed(&self) -> bool {
         false
     }
+
+    /// Whether a primary acknowledges a commit as soon as any replica has it, even one that is not
+    /// in the group record.
+    fn counts_any_replica(&self) -> bool {
+        false
+    }
 }
 
 /// Databases that speak the PostgreSQL protocol, over management connections.
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -409,11 +409,15 @@
 
 /// Like [`Postgres`], but databases may come back with their log under another name.
 #[derive(Debug)]
-pub struct RenamingPostgres(pub Postgres);
+pub struct RenamingPostgres {
+    pub postgres: Postgres,
+    /// Whether the primary acknowledges a commit that any replica has.
+    pub any_replica: bool,
+}
 
 impl Databases for RenamingPostgres {
     fn status<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<Status, String>> {
-        self.0.status(target)
+        self.postgres.status(target)
     }
 
     fn order<'a>(
@@ -421,12 +425,16 @@
         target: &'a Target,
         order: &'a Order,
     ) -> LocalBoxFuture<'a, Result<(), String>> {
-        self.0.order(target, order)
+        self.postgres.order(target, order)
     }
 
     fn may_return_renamed(&self) -> bool {
         true
     }
+
+    fn counts_any_replica(&self) -> bool {
+        self.any_replica
+    }
 }
 
 /// A control host that serves RPC on loopback.
@@ -454,11 +462,18 @@
     pub shared: Rc<SharedLog>,
     pub hosts: Vec<TestHost>,
     pub addresses: Vec<(HostName, SocketAddr)>,
+    any_replica: bool,
 }
 
 impl Cluster {
     /// Starts three hosts; the first leads.
     pub async fn start() -> Self {
+        Self::start_with(false).await
+    }
+
+    /// Like [`Self::start`]; with `any_replica`, the primary acknowledges a commit that any replica
+    /// has.
+    pub async fn start_with(any_replica: bool) -> Self {
         let mut listeners = Vec::new();
         for _ in 0..3 {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -471,6 +486,7 @@
             shared: Rc::default(),
             hosts: Vec::new(),
             addresses,
+            any_replica,
         };
         for (i, listener) in listeners.into_iter().enumerate() {
             let running = cluster.run(i, listener, past_start());
@@ -491,9 +507,12 @@
             peers: self.addresses.clone(),
             allow_replacement: false,
         };
-        let databases = Rc::new(RenamingPostgres(Postgres {
-            host: identity.host,
-        }));
+        let databases = Rc::new(RenamingPostgres {
+            postgres: Postgres {
+                host: identity.host,
+            },
+            any_replica: self.any_replica,
+        });
         let host = Host::new(now, identity, log, databases, state, base::log::silent());
         let tasks = vec![
             compio::runtime::spawn(gate::serve(Rc::clone(&host), listener)),
@@ -690,7 +709,11 @@
 /// Starts a cluster with a stable group in term 1: the primary is `a`, and all members are at
 /// offset 10.
 pub async fn stable_group() -> (Cluster, Group) {
-    let cluster = Cluster::start().await;
+    stable_group_of(Cluster::start().await).await
+}
+
+/// Like [`stable_group`], for a new cluster.
+pub async fn stable_group_of(cluster: Cluster) -> (Cluster, Group) {
     let group = Group::start().await;
     cluster.configure();
     observe_until_term(&cluster, &group, 1).await;
