End a message at CR LF only

Callers stored texts of several lines and were told COMPLETE, while only the first line was kept. Rows with a line feed broke the connection to the database.

Cause: Reader::next_line ended a line at LF, with or without CR. The protocol ends a message with CR LF and lets the last field extend to the end of the line.

Change: only CR LF ends a line, also when its two bytes arrive apart. All connections (callers, databases, forwarded sessions) read through this function. Texts of failures keep a lone CR or LF. The stand-ins of the platform's tests ended messages at LF too, so they could not show the fault.

--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -23,6 +23,8 @@
 const MAX_INITIAL_BYTES: usize = 10_000;
 /// Size of the type byte and length field before a body.
 const HEADER_BYTES: usize = 5;
+/// Terminator of a line.
+const LINE_END: &[u8] = b"\r\n";
 
 /// Result of a non-blocking read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -120,8 +122,8 @@
         }
     }
 
-    /// Waits for the next line and returns it without its terminator, which is LF or CRLF; `None`
-    /// when the peer closed the connection between lines.
+    /// Waits for the next line and returns it without its terminator, CR LF; `None` when the peer
+    /// closed the connection between lines. A CR or LF alone belongs to the line.
     ///
     /// # Errors
     /// The transport failed, the peer disconnected in the middle of a line, or a line is over the
@@ -129,22 +131,20 @@
     pub async fn next_line(&mut self) -> Result<Option<Bytes>, WireError> {
         let mut searched = 0;
         loop {
-            let end = self.buffer[searched..].iter().position(|b| *b == b'\n');
-            if let Some(end) = end {
-                let mut line = self.buffer.split_to(searched + end + 1);
-                line.truncate(line.len() - 1);
-                if line.last() == Some(&b'\r') {
-                    line.truncate(line.len() - 1);
-                }
+            let mut pairs = self.buffer[searched..].windows(LINE_END.len());
+            if let Some(end) = pairs.position(|pair| pair == LINE_END) {
+                let line = self.buffer.split_to(searched + end);
+                self.buffer.advance(LINE_END.len());
                 return Ok(Some(line.freeze()));
             }
-            searched = self.buffer.len();
-            if searched > self.limit {
+            if self.buffer.len() > self.limit {
                 return Err(WireError::TooLarge {
-                    length: searched,
+                    length: self.buffer.len(),
                     limit: self.limit,
                 });
             }
+            // The last byte may be a CR whose LF has not arrived yet.
+            searched = self.buffer.len().saturating_sub(1);
             if !self.fill().await? {
                 return if self.buffer.is_empty() {
                     Ok(None)
