Keep blanks at the end of a prepared statement

Cause: write_statement trimmed the whole text of EXECUTE, to drop the blank after the name of a statement without arguments.

Change: the parser tells a statement without arguments from one with an empty argument, so nothing has to be trimmed.

--- a/crates/session/src/command.rs
+++ b/crates/session/src/command.rs
@@ -43,8 +43,8 @@
     Execute {
         /// Name of the prepared statement.
         name: String,
-        /// Arguments as received.
-        arguments: String,
+        /// Arguments as received; `None` if not even a blank follows the name.
+        arguments: Option<String>,
     },
     /// Drops a prepared statement.
     Deallocate {
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -54,7 +54,7 @@
     pub(crate) request: &'a Request,
     pub(crate) kind: StatementKind,
     /// Prepared statement and its arguments; `None` for a statement sent as text.
-    pub(crate) prepared: Option<(Rc<PreparedStatement>, &'a str)>,
+    pub(crate) prepared: Option<(Rc<PreparedStatement>, Option<&'a str>)>,
 }
 
 impl PendingStatement<'_> {
@@ -74,7 +74,7 @@
                 id: &self.request.id,
                 min_position,
                 name: &prepared.name,
-                arguments,
+                arguments: *arguments,
             },
         }
     }
@@ -293,7 +293,7 @@
                 let pending = PendingStatement {
                     request,
                     kind: prepared.kind,
-                    prepared: Some((prepared, arguments)),
+                    prepared: Some((prepared, arguments.as_deref())),
                 };
                 self.run_statement(pending, start).await
             }
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -25,8 +25,8 @@
         min_position: Option<Position>,
         /// Name of the prepared statement on this connection.
         name: &'a str,
-        /// Arguments as received.
-        arguments: &'a str,
+        /// Arguments as received; `None` if not even a blank follows the name.
+        arguments: Option<&'a str>,
     },
     /// Starts a caller's transaction.
     Begin {
--- a/crates/session/tests/forward.rs
+++ b/crates/session/tests/forward.rs
@@ -10,7 +10,7 @@
 fn execute() -> Command {
     Command::Execute {
         name: "mine".to_owned(),
-        arguments: "k1".to_owned(),
+        arguments: Some("k1".to_owned()),
     }
 }
 
