Pass texts on as bytes

Callers whose texts were not UTF-8 lost their session without an answer, and a row that was not UTF-8 broke the connection to the database.

Cause: lines were decoded as UTF-8 strings. The protocol names no encoding, so a text is bytes.

Evidence: with the former code texts_may_have_any_bytes ends with a closed session, and the same in a forwarded session.

Change: ids, texts, names, rows, signatures and failure texts are byte strings (bstr) from one connection to the other, also in forwarded sessions. Log lines show them with replacement characters.

--- a/crates/session/src/command.rs
+++ b/crates/session/src/command.rs
@@ -1,4 +1,6 @@
-//! Requests from callers.
+//! Requests from callers. Their texts are bytes in no particular encoding.
+
+use bstr::BString;
 
 /// Whether a statement reads or writes data.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -26,30 +28,30 @@
     /// Sets a session variable.
     Set {
         /// Variable name.
-        name: String,
+        name: BString,
         /// Variable value.
-        value: String,
+        value: BString,
     },
     /// Creates a prepared statement.
     Prepare {
         /// Statement name, local to this session.
-        name: String,
+        name: BString,
         /// Whether the statement reads or writes.
         kind: StatementKind,
         /// Statement template.
-        template: String,
+        template: BString,
     },
     /// Runs a prepared statement.
     Execute {
         /// Name of the prepared statement.
-        name: String,
+        name: BString,
         /// Arguments as received; `None` if not even a blank follows the name.
-        arguments: Option<String>,
+        arguments: Option<BString>,
     },
     /// Drops a prepared statement.
     Deallocate {
         /// Name of the prepared statement.
-        name: String,
+        name: BString,
     },
     /// The text could not be parsed as a statement.
     Malformed,
@@ -59,9 +61,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
     /// Request id assigned by the caller.
-    pub id: String,
+    pub id: BString,
     /// Statement text as received.
-    pub text: String,
+    pub text: BString,
     /// Parsed content.
     pub command: Command,
 }
--- a/crates/session/src/connection_state.rs
+++ b/crates/session/src/connection_state.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, fmt::Write as _};
 
 use base::Set;
+use bstr::BString;
 
 use crate::{command::StatementKind, statement::Statement};
 
 /// Session variables by name.
-pub type SessionVariables = BTreeMap<String, String>;
+pub type SessionVariables = BTreeMap<BString, BString>;
 
 /// Prepared statements that a connection keeps; when there are more, all are dropped by a reset.
 const MAX_PREPARED: usize = 256;
@@ -18,9 +19,9 @@
     /// Whether the statement reads or writes.
     pub kind: StatementKind,
     /// Statement template.
-    pub template: String,
+    pub template: BString,
     /// Name on pooled connections, derived from the kind and the template.
-    pub name: String,
+    pub name: BString,
 }
 
 impl PreparedStatement {
@@ -36,12 +37,12 @@
     /// assert_ne!(read.name, PreparedStatement::new(StatementKind::Write, "q2c".into()).name);
     /// ```
     #[must_use]
-    pub fn new(kind: StatementKind, template: String) -> Self {
+    pub fn new(kind: StatementKind, template: BString) -> Self {
         let mut name = String::from(match kind {
             StatementKind::Read => "r",
             StatementKind::Write => "w",
         });
-        for byte in template.bytes() {
+        for byte in template.iter().copied() {
             if byte.is_ascii_lowercase() || byte.is_ascii_digit() {
                 name.push(char::from(byte));
             } else {
@@ -51,7 +52,7 @@
         Self {
             kind,
             template,
-            name,
+            name: name.into(),
         }
     }
 }
@@ -60,7 +61,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ConnectionState {
     variables: SessionVariables,
-    prepared: Set<String>,
+    prepared: Set<BString>,
     /// Whether the variables on the connection may differ from `variables`.
     invalidated: bool,
 }
@@ -90,16 +91,19 @@
         }
         for (name, value) in variables {
             if reset || self.variables.get(name) != Some(value) {
-                statements.push(Statement::Set { name, value });
+                statements.push(Statement::Set {
+                    name: name.as_ref(),
+                    value: value.as_ref(),
+                });
             }
         }
         if let Some(prepared) = prepared
             && (reset || !self.prepared.contains(&prepared.name))
         {
             statements.push(Statement::Prepare {
-                name: &prepared.name,
+                name: prepared.name.as_ref(),
                 kind: prepared.kind,
-                template: &prepared.template,
+                template: prepared.template.as_ref(),
             });
         }
         statements
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -11,6 +11,7 @@
 };
 
 use base::{Map, document::Route};
+use bstr::BString;
 use compio::time::sleep;
 use entry::{dialect::Dialect, near::NearEntry};
 use futures_util::future::{Either, select};
@@ -49,7 +50,7 @@
     client: Option<D::Client>,
     state: TransactionState,
     /// Kinds of the prepared statements by name.
-    prepared_kinds: Map<String, StatementKind>,
+    prepared_kinds: Map<BString, StatementKind>,
 }
 
 /// Possible effect of a request that got no response.
@@ -263,9 +264,9 @@
     D::Client: StatementClient,
 {
     let statement = [Statement::Forward {
-        id: &request.id,
+        id: request.id.as_ref(),
         min_position: None,
-        text: &request.text,
+        text: request.text.as_ref(),
     }];
     let mut responses = pin!(client.exchange(&statement));
     loop {
--- a/crates/session/src/request_log.rs
+++ b/crates/session/src/request_log.rs
@@ -71,7 +71,7 @@
             return;
         }
         let took = now.saturating_duration_since(start).as_millis();
-        info!(self.log, "request ended"; "request" => &request.id, "outcome" => outcome,
+        info!(self.log, "request ended"; "request" => %request.id, "outcome" => outcome,
             "cause" => cause, "route" => &context.route, "member" => &context.member,
             "term" => context.term, "config" => context.config, "record" => context.record,
             "attempts" => context.attempts, "took_ms" => u64::try_from(took).unwrap_or(u64::MAX));
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -7,6 +7,7 @@
 };
 
 use base::{Map, Position};
+use bstr::{BStr, BString};
 use compio::time::timeout;
 use entry::{dialect::Dialect, network::Network};
 use futures_util::future::{Either, select};
@@ -41,7 +42,7 @@
     may_forward: bool,
     pub(crate) variables: SessionVariables,
     /// Prepared statements by the name that the caller chose.
-    prepared: Map<String, Rc<PreparedStatement>>,
+    prepared: Map<BString, Rc<PreparedStatement>>,
     /// Position of the last write acknowledged to the caller.
     pub(crate) last_write: Option<Position>,
     pub(crate) transaction: Option<Transaction<D>>,
@@ -54,7 +55,7 @@
     pub(crate) request: &'a Request,
     pub(crate) kind: StatementKind,
     /// Prepared statement and its arguments; `None` for a statement sent as text.
-    pub(crate) prepared: Option<(Rc<PreparedStatement>, Option<&'a str>)>,
+    pub(crate) prepared: Option<(Rc<PreparedStatement>, Option<&'a BStr>)>,
 }
 
 impl PendingStatement<'_> {
@@ -66,14 +67,14 @@
     pub(crate) fn statement(&self, min_position: Option<Position>) -> Statement<'_> {
         match &self.prepared {
             None => Statement::Forward {
-                id: &self.request.id,
+                id: self.request.id.as_ref(),
                 min_position,
-                text: &self.request.text,
+                text: self.request.text.as_ref(),
             },
             Some((prepared, arguments)) => Statement::Execute {
-                id: &self.request.id,
+                id: self.request.id.as_ref(),
                 min_position,
-                name: &prepared.name,
+                name: prepared.name.as_ref(),
                 arguments: *arguments,
             },
         }
@@ -265,7 +266,8 @@
             }
             Command::Begin { read_only } => match self.resolve_route() {
                 Ok(target) => {
-                    self.transaction = Some(Transaction::new(target, &request.id, *read_only));
+                    self.transaction =
+                        Some(Transaction::new(target, request.id.as_ref(), *read_only));
                     Reply::done(TransactionState::Open)
                 }
                 Err(failure) => Reply::failed(failure, TransactionState::Idle),
@@ -287,13 +289,13 @@
             }
             Command::Execute { name, arguments } => {
                 let Some(prepared) = self.prepared.get(name).cloned() else {
-                    let failure = Failure::new(Code::UnknownStatement, name.as_str());
+                    let failure = Failure::new(Code::UnknownStatement, name.clone());
                     return self.fail(failure);
                 };
                 let pending = PendingStatement {
                     request,
                     kind: prepared.kind,
-                    prepared: Some((prepared, arguments.as_deref())),
+                    prepared: Some((prepared, arguments.as_ref().map(AsRef::as_ref))),
                 };
                 self.run_statement(pending, start).await
             }
@@ -377,7 +379,7 @@
                 request_log.request_ended(
                     request,
                     outcome,
-                    &failure.message,
+                    &failure.message.to_string(),
                     &self.context,
                     start,
                     now,
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -122,7 +122,7 @@
                     shared.pause_before_retry(deadline).await;
                 }
                 tried.insert(name);
-                return Attempt::Retry(Failure::new(Code::Busy, failure.message.as_str()));
+                return Attempt::Retry(Failure::new(Code::Busy, failure.message.clone()));
             }
             // A read has no side effects, so it is retried on another database.
             Err(failure) if failure.code == Code::Failed && tried.insert(name) => {
@@ -188,7 +188,7 @@
             Ok(_) => {}
             Err(failure) if failure.code.not_run() => {
                 shared.pause_before_retry(deadline).await;
-                return Attempt::Retry(Failure::new(Code::Busy, failure.message.as_str()));
+                return Attempt::Retry(Failure::new(Code::Busy, failure.message.clone()));
             }
             Err(failure) => {
                 return Attempt::Done(Reply::failed(failure.clone(), TransactionState::Idle));
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -1,6 +1,7 @@
-//! Statements sent to databases, and their results.
+//! Statements sent to databases, and their results. Texts are bytes in no particular encoding.
 
 use base::{Position, Term};
+use bstr::{BStr, BString};
 use entry::dialect::Client;
 
 use crate::{command::StatementKind, connection_state::ConnectionState};
@@ -11,27 +12,27 @@
     /// A caller's statement, forwarded unchanged.
     Forward {
         /// Request id assigned by the caller.
-        id: &'a str,
+        id: &'a BStr,
         /// Position that the database must have reached.
         min_position: Option<Position>,
         /// Statement text.
-        text: &'a str,
+        text: &'a BStr,
     },
     /// A caller's prepared statement.
     Execute {
         /// Request id assigned by the caller.
-        id: &'a str,
+        id: &'a BStr,
         /// Position that the database must have reached.
         min_position: Option<Position>,
         /// Name of the prepared statement on this connection.
-        name: &'a str,
+        name: &'a BStr,
         /// Arguments as received; `None` if not even a blank follows the name.
-        arguments: Option<&'a str>,
+        arguments: Option<&'a BStr>,
     },
     /// Starts a caller's transaction.
     Begin {
         /// Request id assigned by the caller.
-        id: &'a str,
+        id: &'a BStr,
         /// Whether the transaction is read-only.
         read_only: bool,
         /// Position that the database must have reached.
@@ -44,18 +45,18 @@
     /// Sets a session variable on the connection.
     Set {
         /// Variable name.
-        name: &'a str,
+        name: &'a BStr,
         /// Variable value.
-        value: &'a str,
+        value: &'a BStr,
     },
     /// Creates a prepared statement on the connection.
     Prepare {
         /// Statement name.
-        name: &'a str,
+        name: &'a BStr,
         /// Whether the statement reads or writes.
         kind: StatementKind,
         /// Statement template.
-        template: &'a str,
+        template: &'a BStr,
     },
     /// Queries the status of the database.
     Status,
@@ -100,7 +101,7 @@
     /// The route does not exist.
     NoRoute,
     /// A code that this version does not know, so the statement may or may not have run.
-    Other(String),
+    Other(BString),
 }
 
 impl Code {
@@ -125,13 +126,13 @@
     /// Error code.
     pub code: Code,
     /// Message for the caller.
-    pub message: String,
+    pub message: BString,
 }
 
 impl Failure {
     /// Creates a failure from a code and a message.
     #[must_use]
-    pub fn new(code: Code, message: impl Into<String>) -> Self {
+    pub fn new(code: Code, message: impl Into<BString>) -> Self {
         Self {
             code,
             message: message.into(),
@@ -143,9 +144,9 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Response {
     /// Result rows.
-    pub rows: Vec<String>,
+    pub rows: Vec<BString>,
     /// Signature of the database over the result, or the error.
-    pub outcome: Result<String, Failure>,
+    pub outcome: Result<BString, Failure>,
     /// Transaction state of the connection after the statement.
     pub state: TransactionState,
     /// Log position of the database.
@@ -156,10 +157,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Reply {
     /// Result rows.
-    pub rows: Vec<String>,
+    pub rows: Vec<BString>,
     /// Signature of the database that ran the statement (`None` if this process handled it), or the
     /// error.
-    pub outcome: Result<Option<String>, Failure>,
+    pub outcome: Result<Option<BString>, Failure>,
     /// Transaction state of the session after the request.
     pub state: TransactionState,
     /// Log position of the database that ran the statement.
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -7,6 +7,7 @@
 };
 
 use base::{Set, document::ReadConsistency};
+use bstr::{BStr, BString};
 use compio::time::timeout;
 use entry::{dialect::Dialect, pool::PooledConn};
 
@@ -33,7 +34,7 @@
 pub struct Transaction<D: Dialect> {
     target: Rc<ResolvedRoute<D>>,
     /// Id of the request that started the transaction.
-    request_id: Rc<str>,
+    request_id: BString,
     read_only: bool,
     /// Connection that the transaction is bound to; `None` before the first statement.
     connection: Option<PooledConn<D>>,
@@ -55,10 +56,10 @@
     D::Client: StatementClient,
 {
     /// Creates a transaction that has no connection yet.
-    pub(crate) fn new(target: ResolvedRoute<D>, request_id: &str, read_only: bool) -> Self {
+    pub(crate) fn new(target: ResolvedRoute<D>, request_id: &BStr, read_only: bool) -> Self {
         Self {
             target: Rc::new(target),
-            request_id: request_id.into(),
+            request_id: request_id.to_owned(),
             read_only,
             connection: None,
             wrote: false,
@@ -219,7 +220,7 @@
         if let Some(connection) = transaction.connection.take() {
             return Ok(connection);
         }
-        let (id, read_only) = (Rc::clone(&transaction.request_id), transaction.read_only);
+        let (id, read_only) = (transaction.request_id.clone(), transaction.read_only);
         let replica_allowed = read_only && target.route.reads != ReadConsistency::Latest;
         let mut tried = Set::default();
         let mut error = Failure::new(Code::Busy, "no database could take it in time");
@@ -243,7 +244,7 @@
                 min_position,
             } = acquired;
             let begin = Statement::Begin {
-                id: &id,
+                id: id.as_ref(),
                 read_only,
                 min_position,
             };
@@ -309,9 +310,9 @@
         let primary = connection.primary();
         let sent = Instant::now();
         let statement = Statement::Forward {
-            id: &request.id,
+            id: request.id.as_ref(),
             min_position: None,
-            text: &request.text,
+            text: request.text.as_ref(),
         };
         let result = self.run_with_retries(&mut connection, None, statement, deadline);
         let response = match result.await {
--- a/crates/session/tests/forward.rs
+++ b/crates/session/tests/forward.rs
@@ -9,8 +9,8 @@
 
 fn execute() -> Command {
     Command::Execute {
-        name: "mine".to_owned(),
-        arguments: Some("k1".to_owned()),
+        name: "mine".into(),
+        arguments: Some("k1".into()),
     }
 }
 
