Forward the text that begins a transaction unchanged

A database got BEGIN where the caller had sent BEGIN with a blank behind it.

Cause: the statement was written anew from its parsed form.

Change: the text of the request goes to the database, as that of COMMIT did before.

--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -33,10 +33,10 @@
     Begin {
         /// Request id assigned by the caller.
         id: &'a BStr,
-        /// Whether the transaction is read-only.
-        read_only: bool,
         /// Position that the database must have reached.
         min_position: Option<Position>,
+        /// Statement text.
+        text: &'a BStr,
     },
     /// Rolls the transaction back.
     Rollback,
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Set, document::ReadConsistency};
-use bstr::{BStr, BString};
+use bstr::BString;
 use compio::time::timeout;
 use entry::{dialect::Dialect, pool::PooledConn};
 
@@ -35,6 +35,8 @@
     target: Rc<ResolvedRoute<D>>,
     /// Id of the request that started the transaction.
     request_id: BString,
+    /// Text of that request.
+    begin: BString,
     read_only: bool,
     /// Connection that the transaction is bound to; `None` before the first statement.
     connection: Option<PooledConn<D>>,
@@ -56,10 +58,11 @@
     D::Client: StatementClient,
 {
     /// Creates a transaction that has no connection yet.
-    pub(crate) fn new(target: ResolvedRoute<D>, request_id: &BStr, read_only: bool) -> Self {
+    pub(crate) fn new(target: ResolvedRoute<D>, request: &Request, read_only: bool) -> Self {
         Self {
             target: Rc::new(target),
-            request_id: request_id.to_owned(),
+            request_id: request.id.clone(),
+            begin: request.text.clone(),
             read_only,
             connection: None,
             wrote: false,
@@ -220,7 +223,8 @@
         if let Some(connection) = transaction.connection.take() {
             return Ok(connection);
         }
-        let (id, read_only) = (transaction.request_id.clone(), transaction.read_only);
+        let (id, text) = (transaction.request_id.clone(), transaction.begin.clone());
+        let read_only = transaction.read_only;
         let replica_allowed = read_only && target.route.reads != ReadConsistency::Latest;
         let mut tried = Set::default();
         let mut error = Failure::new(Code::Busy, "no database could take it in time");
@@ -245,8 +249,8 @@
             } = acquired;
             let begin = Statement::Begin {
                 id: id.as_ref(),
-                read_only,
                 min_position,
+                text: text.as_ref(),
             };
             let variables = &self.variables;
             let result = self
