Leave out the answers of databases that restarted since they were recorded

Cause: a status on the users' platform does not tell the store. The control host filled in the recorded one.

Change: after a round of reads, the answers of members whose last announcement names another store are left out. A primary that comes back with its log has writes of its term and is the most advanced, and still counts.

Test: answers_of_restarted_databases_do_not_count. Without the filter four of its six cases give another result, by reading; the function is new.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -10,7 +10,7 @@
 };
 
 use base::{
-    EntryName, GroupName, HostName, Map, MemberName, RegionName, Set, Version, ZoneName,
+    EntryName, GroupName, HostName, Map, MemberName, RegionName, Set, StoreId, Version, ZoneName,
     document::{Document, Service},
 };
 use compio::time::sleep;
@@ -697,6 +697,13 @@
         current.map_or(&member.address, |a| &a.address).clone()
     }
 
+    /// Store that a member announced last.
+    pub(crate) fn announced_store(&self, member: &str) -> Option<StoreId> {
+        let directory = self.directory.borrow();
+        let received = directory.member(member);
+        received.map(|received| received.announcement.store.clone())
+    }
+
     /// Returns the target for orders to a recorded member.
     #[must_use]
     pub fn target(&self, group: &str, member: &Member) -> Target {
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -440,6 +440,11 @@
             renamed,
             unrecorded,
         } = read_statuses(host, record, waits).await;
+        let statuses = if host.databases.counts_any_replica() {
+            unrecorded::without_restarted(record, &statuses, |member| host.announced_store(member))
+        } else {
+            statuses
+        };
         let answered = unrecorded::answered(&unrecorded, &statuses);
         let known = unrecorded::with_members(record, &answered);
         let known = renamed
--- a/crates/control/src/unrecorded.rs
+++ b/crates/control/src/unrecorded.rs
@@ -2,10 +2,11 @@
 //!
 //! Where a primary acknowledges a commit as soon as any replica has it, such a database may hold the
 //! only other copy of an acknowledged commit. It is therefore recorded as soon as it answers, and a
-//! promotion asks it even before that.
+//! promotion asks it even before that. A database that restarted empty under its name is one of them.
 
 use std::time::Instant;
 
+use base::StoreId;
 use route::Status;
 
 use crate::{
@@ -42,6 +43,28 @@
         .is_some_and(|known| known.store == store)
 }
 
+/// Answers without those of databases that restarted after they were recorded and so no longer hold
+/// the log of the recorded store. `announced` returns the store that a member announced last; a status
+/// alone does not tell it.
+///
+/// A primary that crashed may come back with its log. It holds the log if it has writes of its term,
+/// which it can have from nobody else, and is at least as advanced as all others that answered.
+pub fn without_restarted(
+    record: &Record,
+    statuses: &[Status],
+    announced: impl Fn(&str) -> Option<StoreId>,
+) -> Vec<Status> {
+    let holds_log = |status: &Status| {
+        status.member == record.primary
+            && status.position.term == record.term
+            && statuses.iter().all(|s| status.position.covers(s.position))
+    };
+    let same = statuses.iter().filter(|status| {
+        announced(&status.member).is_none_or(|store| store == status.store) || holds_log(status)
+    });
+    same.cloned().collect()
+}
+
 /// Those of `members` that answered as replicas.
 pub(crate) fn answered(members: &[Member], statuses: &[Status]) -> Vec<Member> {
     let answered = members.iter().filter(|member| {
--- a/crates/control/tests/unrecorded.rs
+++ b/crates/control/tests/unrecorded.rs
@@ -9,8 +9,10 @@
 use control::{
     machine::{GroupState, Member, Record},
     sighting::Health,
-    unrecorded::with_members,
+    unrecorded::{with_members, without_restarted},
 };
+use route::Status;
+use rstest::rstest;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -193,3 +195,44 @@
     assert_eq!(changed.member("b").unwrap().store, "new");
     assert_eq!((changed.uncovered, changed.read_quorum()), (1, 3));
 }
+
+fn status(member: &str, term: u64, offset: u64) -> Status {
+    Status {
+        member: member.to_owned(),
+        store: "s".to_owned(),
+        primary: false,
+        position: Position::new(term, offset),
+        following: String::new(),
+    }
+}
+
+/// Guards against the loss of acknowledged commits because a database that restarted empty counts for
+/// the read quorum as if it still held its log (review/2), and against a group that stays without a
+/// primary because the one that came back with its log does not count.
+#[rstest]
+#[case::none_restarted(&[], &[("a", 1, 12), ("b", 1, 12), ("c", 1, 10)], &["a", "b", "c"])]
+#[case::empty_replica(&["b"], &[("b", 1, 0), ("c", 1, 10)], &["c"])]
+#[case::replica_that_copied_again(&["b"], &[("b", 1, 12), ("c", 1, 10)], &["c"])]
+#[case::empty_primary(&["a"], &[("a", 1, 0), ("c", 1, 10)], &["c"])]
+#[case::empty_primary_without_term(&["a"], &[("a", 0, 0), ("c", 0, 0)], &["c"])]
+#[case::primary_with_its_log(&["a"], &[("a", 1, 12), ("c", 1, 10)], &["a", "c"])]
+fn answers_of_restarted_databases_do_not_count(
+    #[case] restarted: &[&str],
+    #[case] answers: &[(&str, u64, u64)],
+    #[case] counted: &[&str],
+) {
+    let statuses: Vec<_> = answers.iter().map(|(m, t, o)| status(m, *t, *o)).collect();
+    let announced = |member: &str| {
+        let store = if restarted.contains(&member) {
+            "new"
+        } else {
+            "s"
+        };
+        Some(store.to_owned())
+    };
+
+    let kept = without_restarted(&record(), &statuses, announced);
+
+    let kept: Vec<_> = kept.iter().map(|status| status.member.as_str()).collect();
+    assert_eq!(kept, counted);
+}
