Record the new store of a primary that restarted with its log

Cause: the store on the users' platform includes the start time of the database, and entry processes use a primary only with the recorded store.

Evidence: the control host chose the primary that was back, and its record kept the former store; the entry processes refused every request with 'no primary in force'.

Change: a primary that restarted and leads its term gets its new store in the record. It can have writes of its term from nobody else, so it still holds its log.

Tests: primary_that_restarted_with_its_log_is_recorded and restarted_primary_that_a_promotion_needs_is_recorded; not run against the former code, whose record never takes the new store of a primary.

--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -445,8 +445,9 @@
         } else {
             statuses
         };
+        let (known, statuses) = with_restarted_primary(host, record, statuses);
         let answered = unrecorded::answered(&unrecorded, &statuses);
-        let known = unrecorded::with_members(record, &answered);
+        let known = unrecorded::with_members(&known, &answered);
         let known = renamed
             .and_then(|renamed| failover::with_renamed_primary(&known, &renamed, &statuses))
             .unwrap_or(known);
@@ -510,6 +511,21 @@
     Ok(Step::Continue)
 }
 
+/// Record and answers with the new store of the primary, if it restarted and its answer counts.
+fn with_restarted_primary<L: Log>(
+    host: &Host<L>,
+    record: &Record,
+    mut statuses: Vec<Status>,
+) -> (Record, Vec<Status>) {
+    let restarted = unrecorded::restarted_primary(host, record);
+    let answer = statuses.iter_mut().find(|s| s.member == record.primary);
+    let (Some(restarted), Some(answer)) = (restarted, answer) else {
+        return (record.clone(), statuses);
+    };
+    answer.store.clone_from(&restarted.store);
+    (unrecorded::with_store(record, &restarted), statuses)
+}
+
 /// Logs the answers that a choice rests on, so that a wrong choice can be traced.
 fn log_choice<L: Log>(host: &Host<L>, record: &Record, choice: &str, statuses: &[Status]) {
     let answers: Vec<_> = statuses
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -48,6 +48,7 @@
     } else {
         newcomers(host, record)
     };
+    let restarted = unrecorded::restarted_primary(host, record);
     if record.uncovered > 0 {
         // After this, removed members confirm no more writes. The position of the primary, read
         // below, therefore includes every write that they confirmed.
@@ -56,6 +57,7 @@
     let full = moved.is_some()
         || !newcomers.is_empty()
         || record.uncovered > 0
+        || restarted.is_some()
         || rand::random_ratio(1, FULL_SWEEP_PERIOD);
     let targets: Vec<_> = record
         .members
@@ -101,6 +103,14 @@
         let answers = statuses.iter().map(|(_, status)| status);
         with_newcomers(record, primary, answers, &newcomers)
     });
+    // It leads the term, so it still has its log.
+    let changed = match (restarted, primary) {
+        (Some(restarted), Some(_)) => Some(unrecorded::with_store(
+            changed.as_ref().unwrap_or(record),
+            &restarted,
+        )),
+        _ => changed,
+    };
     let known = changed.as_ref().unwrap_or(record);
     let recorded = with_unrecorded(known, &unrecorded, &statuses);
     let changed = recorded.or(changed);
--- a/crates/control/src/unrecorded.rs
+++ b/crates/control/src/unrecorded.rs
@@ -14,6 +14,7 @@
     host::Host,
     log::Log,
     machine::{Member, Record},
+    promotion::member_from,
 };
 
 /// Live databases of the group, including those that are about to stop, whose store the record
@@ -37,6 +38,30 @@
     unrecorded.cloned().collect()
 }
 
+/// The recorded primary, if it announces itself with another store: it restarted.
+pub(crate) fn restarted_primary<L: Log>(host: &Host<L>, record: &Record) -> Option<Member> {
+    if !host.databases.counts_any_replica() {
+        return None;
+    }
+    let primary = record.member(&record.primary)?;
+    let directory = host.directory.borrow();
+    let live = directory.live_members(Instant::now(), &record.group);
+    let mut live = live.into_iter();
+    let announced = live.find(|a| a.member == primary.member && a.store != primary.store)?;
+    Some(member_from(announced))
+}
+
+/// Record in which a member has the store that it announces now, because it still holds its log.
+#[must_use]
+pub fn with_store(record: &Record, restarted: &Member) -> Record {
+    let mut changed = record.clone();
+    let members = changed.members.iter_mut();
+    for member in members.filter(|member| member.member == restarted.member) {
+        *member = restarted.clone();
+    }
+    changed
+}
+
 fn contains(record: &Record, member: &str, store: &str) -> bool {
     record
         .member(member)
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -34,7 +34,7 @@
     sighting::{Health, Sighting},
     upstream::{Databases, Order, Postgres, Target},
 };
-use futures_util::future::LocalBoxFuture;
+use futures_util::{FutureExt as _, future::LocalBoxFuture};
 use proto::schema::peer;
 use route::Status;
 use serde_json::{Value, json};
@@ -417,7 +417,18 @@
 
 impl Databases for RenamingPostgres {
     fn status<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<Status, String>> {
-        self.postgres.status(target)
+        let status = self.postgres.status(target);
+        if !self.any_replica {
+            return status;
+        }
+        // As on the users' platform, a status doesn't tell the store.
+        let named = async move {
+            status.await.map(|status| Status {
+                store: target.store.clone(),
+                ..status
+            })
+        };
+        named.boxed_local()
     }
 
     fn order<'a>(
--- a/crates/control/tests/unrecorded.rs
+++ b/crates/control/tests/unrecorded.rs
@@ -138,6 +138,45 @@
     observe_until(&cluster, &group, 2 * TIMEOUT, || uncovered(0)).await;
 }
 
+/// Guards against a group that stays without a primary after its primary restarted with its log: the
+/// entry processes use only the recorded store.
+#[compio::test]
+async fn primary_that_restarted_with_its_log_is_recorded() {
+    let (cluster, group) = stable_group().await;
+    "again".clone_into(&mut group.members[0].state.borrow_mut().store);
+
+    observe_until(&cluster, &group, TIMEOUT, || {
+        let record = cluster.record().unwrap();
+        record.member("a").unwrap().store == "again"
+    })
+    .await;
+
+    let record = cluster.record().unwrap();
+    assert_eq!((record.primary.as_str(), record.term), ("a", 1));
+    assert_eq!(record.uncovered, 0);
+}
+
+/// Guards against a group that stays without a primary when a promotion needs the old primary and that
+/// restarted with its log: it was chosen, and its recorded store stayed the former one.
+#[compio::test]
+async fn restarted_primary_that_a_promotion_needs_is_recorded() {
+    let (mut cluster, group) = stable_group().await;
+    cluster.hosts[0].crash();
+    group.members[0].state.borrow_mut().position.offset = 12;
+    "again".clone_into(&mut group.members[0].state.borrow_mut().store);
+    group.members[2].state.borrow_mut().fault = Some(Health::Refused);
+    cluster.interrupt(GroupState::Fencing, "a").await;
+    group.observe(&cluster);
+
+    cluster.restart(0, common::past_start()).await;
+    cluster.shared.set_leader("c1");
+    observe_until_term(&cluster, &group, 2).await;
+
+    let record = cluster.record().unwrap();
+    assert_eq!(record.primary, "a");
+    assert_eq!(record.member("a").unwrap().store, "again");
+}
+
 /// Guards against a new replica that stays unrecorded until the next periodic check.
 #[compio::test]
 async fn new_replica_is_recorded_at_once() {
