Say in one place which databases count for a promotion

Comments only. The rule was spread over four functions; the meaning of uncovered members and the store in a status of the users' platform were not told where they are read.

--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -97,7 +97,8 @@
     /// Databases that an operator removed. They are not added again until an operator allows it.
     #[serde(default)]
     pub removed: BTreeSet<MemberName>,
-    /// Number of removed databases that may hold the only second copy of an acknowledged write.
+    /// Number of removed databases, and of replaced stores, that may have held the only second copy of
+    /// an acknowledged write. `coverage::clear_uncovered` sets it back.
     #[serde(default)]
     pub uncovered: u32,
     /// Log index of the last change.
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -421,6 +421,12 @@
 
 /// Steps 3 to 5: waits for the end of older leases, reads the members, then chooses the new primary
 /// and commits the choice.
+///
+/// Which databases count: `read_statuses` asks the recorded members and those that only announced
+/// themselves; [`unrecorded::without_restarted`] leaves out answers from another store than the
+/// recorded one; `with_restarted_primary` takes over the new store of a primary that kept its log; a
+/// database that has not answered counts until [`UNRECORDED_TIMEOUT`]. [`failover::choose_primary`]
+/// then decides from these alone.
 async fn choose_primary<L: Log>(
     host: &Rc<Host<L>>,
     record: &Record,
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -156,6 +156,8 @@
 
 /// Announced members whose store is not in the record: replacements of recorded members, and
 /// additional ones while the record has fewer members than configured.
+///
+/// For databases whose primary counts any replica, [`unrecorded`] takes the place of this.
 fn newcomers<L: Log>(host: &Host<L>, record: &Record) -> Vec<Announcement> {
     let document = host.document();
     let service = document.service_of_group(&record.group);
