Log what happens between a chosen primary and its promotion

After a promotion the log did not tell whether its order was sent twice, given up or answered late, nor whether the chosen member lacked positions that entry processes had seen at the former primary. A promoted member that did not answer as primary led to a new choice without any line. Each of these is a line now.

--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -539,9 +539,20 @@
         .map(|s| format!("{} {}.{}", s.store, s.position.term, s.position.offset))
         .collect();
     let members: Vec<_> = record.members.iter().map(|m| &m.store).collect();
+    let reported = reported_position(host, record).map(|p| format!("{}.{}", p.term, p.offset));
     slog::info!(host.logger, "primary chosen"; "group" => &record.group, "term" => record.next,
         "member" => choice, "former" => &record.primary, "needed" => record.read_quorum(),
-        "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers);
+        "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers,
+        "reported" => reported);
+}
+
+/// Most advanced position of the former primary that entry processes reported. Most commits up to it
+/// were acknowledged, so a choice that is far behind it shows that an answer was missing.
+fn reported_position<L: Log>(host: &Host<L>, record: &Record) -> Option<Position> {
+    let sightings = host.sightings.borrow();
+    let observers = sightings.observers(&record.group)?.values();
+    let seen = observers.filter_map(|observer| observer.members.get(&record.primary));
+    seen.map(|seen| seen.position).max()
 }
 
 fn unread_names<'a>(unrecorded: &'a [Member], answered: &[Member]) -> Vec<&'a str> {
@@ -786,12 +797,22 @@
         },
     };
     let ordered = timeout(ORDER_TIMEOUT, async {
+        let mut last_cause = String::new();
         loop {
             let address = host.target(&record.group, target);
             match send_order(host, &address, &promotion, relay_delay(host, target)).await {
                 Ok(()) => return Ok(()),
                 Err(cause) if is_final(&cause) => return Err(cause),
-                Err(_cause) => sleep(UPSTREAM_RETRY_DELAY).await,
+                Err(cause) => {
+                    if cause != last_cause {
+                        slog::info!(host.logger, "promotion not carried out yet";
+                            "group" => &record.group, "term" => record.next,
+                            "member" => &record.primary, "token" => host.log.term(),
+                            "cause" => &cause);
+                        last_cause = cause;
+                    }
+                    sleep(UPSTREAM_RETRY_DELAY).await;
+                }
             }
         }
     });
@@ -811,6 +832,8 @@
         return fence(host, &record, record.next + 1, timing).await;
     }
     let Some(term) = promoted_term(host, record, target).await else {
+        slog::warn!(host.logger, "promoted member does not answer as primary";
+            "group" => &record.group, "member" => &record.primary, "term" => record.next);
         return fence(host, record, record.next + 1, timing).await;
     };
     let record = &Record {
