--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -22,7 +22,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parents[2]
-PROGRAM = ROOT / "target/release/platform"
+PROGRAM = Path(os.environ.get("PROGRAM", ROOT / "target/release/platform"))
 HEARTBEAT_S = 1.2
 PROMOTE_S = 0.3
 MAX_RUN_S = 110
@@ -68,7 +68,8 @@
         self.role, self.term, self.log = "replica", group.term, []
         self.up, self.receiving, self.draining = False, True, False
         self.server, self.connections, self.sequence = None, set(), 0
-        self.born = 0
+        self.born, self.awake = 0, asyncio.Event()
+        self.awake.set()
 
     @property
     def address(self):
@@ -81,6 +82,10 @@
     def position_text(self):
         return "%d.%d" % (max(self.term, self.position[0]), self.position[1])
 
+    def requests(self):
+        """Ids of the writes in the log."""
+        return {write[0] for commit in self.log for write in commit.writes}
+
     def value(self, item):
         for commit in reversed(self.log):
             for _id, name, data in reversed(commit.writes):
@@ -119,6 +124,7 @@
 
     async def announce(self):
         while True:
+            await self.awake.wait()
             await self.beat()
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -145,12 +151,23 @@
         asyncio.get_running_loop().call_later(delay, replica.receive, self, commit)
 
     def receive(self, primary, commit):
-        if not self.up or self.role != "replica" or primary is not self.group.primary():
+        if not (self.up and self.awake.is_set()) or self.role != "replica" or primary is not self.group.primary():
             return
         if self.receiving and commit.number == self.position[1] + 1:
             self.log.append(commit)
             commit.held_by_replica.set()
 
+    def freeze(self):
+        """Answers, announces and receives nothing until `thaw`."""
+        self.awake.clear()
+        self.group.record(f"database {self.id} freezes at {self.position_text()}")
+
+    def thaw(self):
+        self.awake.set()
+        self.group.record(f"database {self.id} thaws at {self.position_text()}")
+        if self is not self.group.primary():
+            asyncio.get_running_loop().call_later(1.0, self.group.demote, self)
+
     def stop_receiving(self):
         self.receiving = False
         self.group.record(f"database {self.id} receives nothing from now on, at {self.position_text()}")
@@ -173,6 +190,7 @@
         async def next_line():
             at, line = await lines.get()
             await asyncio.sleep(at - loop.time())
+            await self.awake.wait()
             return line
 
         def send(text):
@@ -192,6 +210,7 @@
             while (line := await next_line()) not in (None, "QUIT"):
                 _word, request, text = line.split(" ", 2)
                 rows, outcome = await self.run(session, request, text)
+                await self.awake.wait()
                 if not self.up:
                     return
                 state = "I" if session["open"] is None else "T"
@@ -287,7 +306,7 @@
     def __init__(self, world, name):
         self.world, self.name, self.record = world, name, world.record
         self.term, self.leader, self.databases, self.written = 1, None, {}, {}
-        self.promoted = []
+        self.promoted, self.at_promotion = [], None
 
     def primary(self):
         return self.databases.get(self.leader)
@@ -307,7 +326,12 @@
     def follow(self, database):
         """Makes a database a replica of the present primary, with the primary's log."""
         primary = self.primary()
-        database.role, database.term, database.log = "replica", self.term, list(primary.log)
+        database.role, database.term = "replica", self.term
+        if not database.receiving:
+            return
+        database.log = list(primary.log)
+        for commit in database.log:
+            commit.held_by_replica.set()
 
     def promote(self, name):
         """Makes a database the primary of the next term, with what it has received."""
@@ -317,16 +341,19 @@
         self.leader = name
         database.role, database.term = "primary", self.term
         self.record(f"database {name} leads term {self.term} with a log of {len(database.log)} commits")
-        self.promoted.append((name, {w[0] for c in database.log for w in c.writes}))
+        self.promoted.append((name, database.requests()))
+        if self.at_promotion:
+            self.at_promotion(database)
         for other in self.databases.values():
-            if other.up and other is not database and other is not before:
+            awake = other.up and other.awake.is_set()
+            if awake and other is not database and other is not before:
                 self.follow(other)
         if before and before.up and before is not database:
             asyncio.get_running_loop().call_later(1.0, self.demote, before)
 
     def demote(self, database):
         """A former primary that reaches the new one becomes a replica."""
-        if database.up and database is not self.primary():
+        if database.up and database.awake.is_set() and database is not self.primary():
             self.follow(database)
 
 
@@ -339,7 +366,7 @@
         self.net = self.free_net()
         self.control = [f"127.{self.net}.{i}" for i in (2, 3, 4)]
         self.entries, self.processes, self.groups, self.promotes = [], {}, {}, []
-        self.turn = 0
+        self.turn, self.authority = 0, None
 
     @staticmethod
     def free_net():
@@ -396,6 +423,23 @@
             )
         self.record(f"process {name} starts")
 
+    def control_process(self, host):
+        """Name of the process of a control host, which are numbered by address."""
+        address = self.control[int(host.rpartition("-")[2]) - 1]
+        return next(name for name, process in self.processes.items() if process["ip"] == address)
+
+    def signal(self, name, number):
+        self.processes[name]["child"].send_signal(number)
+        self.record(f"process {name} gets {signal.Signals(number).name}")
+
+    def log_lines(self, words):
+        """Log lines of the control processes that contain one of the words."""
+        for name, process in self.processes.items():
+            if process["role"] == "control":
+                for line in (self.folder / f"{name}.log").read_text(encoding="utf-8").splitlines():
+                    if any(word in line for word in words):
+                        yield f"{name} {line}"
+
     def end(self):
         for process in self.processes.values():
             child = process["child"]
@@ -499,7 +543,7 @@
     async def start(self, entries=3):
         if not PROGRAM.exists():
             raise CaseError(f"{PROGRAM} is missing; build it first")
-        await self.start_authority()
+        await (self.authority.start() if self.authority else self.start_authority())
         for i, ip in enumerate(self.control, 1):
             self.add_control(f"core-{i}", ip, f"z{i}")
         for i in range(1, entries + 1):
@@ -527,7 +571,7 @@
 
     def __init__(self, world, route, writers, pause_s, entries):
         self.world, self.route, self.pause_s = world, route, pause_s
-        self.acked, self.stopped = {}, False
+        self.acked, self.acked_at, self.errors, self.stopped = {}, [], {}, False
         self.tasks = [
             asyncio.create_task(self.write(entries[i % len(entries)][1])) for i in range(writers)
         ]
@@ -541,6 +585,9 @@
                 answer = await client.execute(f"STORE {item} {item[::-1]}")
                 if answer.ok:
                     self.acked[client.request] = item
+                    self.acked_at.append(time.monotonic())
+                else:
+                    self.errors[answer.outcome] = self.errors.get(answer.outcome, 0) + 1
             except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
                 if client:
                     client.close()
@@ -548,12 +595,36 @@
                 await asyncio.sleep(0.1)
             await asyncio.sleep(random.uniform(0.5, 1.5) * self.pause_s)
 
+    def longest_gap(self):
+        """Longest time without an acknowledgement since the first one, in seconds."""
+        later = [*self.acked_at[1:], time.monotonic()]
+        return max((b - a for a, b in zip(self.acked_at, later)), default=0.0)
+
     def stop(self):
         self.stopped = True
         for task in self.tasks:
             task.cancel()
 
 
+class PromotionCheck:
+    """Compares the log of each promoted database with the commits acknowledged so far."""
+
+    def __init__(self, group, load):
+        self.group, self.load, self.rolled_back, self.broken = group, load, set(), []
+        group.at_promotion = self.check
+
+    def check(self, database):
+        lost = set(self.load.acked) - database.requests() - self.rolled_back
+        self.rolled_back |= lost
+        if lost:
+            held = {d.id: len(lost & d.requests()) for d in self.group.databases.values()}
+            self.broken.append(
+                f"LOST: {database.id} was promoted to term {self.group.term} without {len(lost)} of "
+                f"{len(self.load.acked)} acknowledged commits; databases that hold them: {held}"
+            )
+            self.group.record(self.broken[-1])
+
+
 async def lost_commits(world, group, load, before):
     """Checks that the promoted database holds the commits that were acknowledged before."""
     if not group.promoted:
