Promote another database only once earlier promotion calls are settled

Cause: the authority that promotes databases checks no fence and acts some time after a call. A call without an answer was given up by closing its connection, which does not take back bytes that a cut link holds up, and was repeated after 100 ms; the caller did not ask whether it still led between connecting and sending. After 3 s another database was chosen while such calls could still act. One that acted late promoted a database that lacked what had been acknowledged since.

Change: a call is sent by the leader only, and reset without an answer; the kernel drops it after the same time while the process does not run. A chosen member that answers is not given up. One that is given up stays in the record, and no other is promoted before its calls are settled. A new leader waits for the effect of a call before it repeats it.

--- a/crates/base/src/net.rs
+++ b/crates/base/src/net.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use compio::net::TcpStream;
+use compio::net::{SocketOpts, TcpStream};
 
 /// Placeholder for the address of a host that does not exist yet.
 pub const UNASSIGNED: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
@@ -19,10 +19,34 @@
 /// The connection is refused or not established within `timeout` (kind `TimedOut`), or `to` is
 /// [`UNASSIGNED`].
 pub async fn connect(from: IpAddr, to: SocketAddr, timeout: Duration) -> io::Result<TcpStream> {
+    connect_with(from, to, timeout, &SocketOpts::new()).await
+}
+
+/// Like [`connect`]. Closing the connection discards what the other side has not acknowledged, and so
+/// does the kernel `timeout` after it was written, also while this process does not run.
+pub(crate) async fn connect_resetting(
+    from: IpAddr,
+    to: SocketAddr,
+    timeout: Duration,
+) -> io::Result<TcpStream> {
+    let options = SocketOpts::new().linger(Duration::ZERO);
+    let stream = connect_with(from, to, timeout, &options).await?;
+    let limit = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
+    rustix::net::sockopt::set_tcp_user_timeout(&stream, limit)?;
+    Ok(stream)
+}
+
+async fn connect_with(
+    from: IpAddr,
+    to: SocketAddr,
+    timeout: Duration,
+    options: &SocketOpts,
+) -> io::Result<TcpStream> {
     if to == UNASSIGNED {
         return Err(io::Error::from(io::ErrorKind::AddrNotAvailable));
     }
-    let connecting = TcpStream::bind_and_connect(SocketAddr::new(from, 0), to);
+    let from = SocketAddr::new(from, 0);
+    let connecting = TcpStream::bind_and_connect_with_options(from, to, options);
     let stream = compio::time::timeout(timeout, connecting)
         .await
         .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))??;
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -181,11 +181,13 @@
 pub fn completeness(record: &Record, statuses: &[Status]) -> Completeness {
     let counted = recorded_answers(record, statuses);
     let has_answered = |name: &str| counted.iter().any(|(member, _)| member.member == name);
-    let old = has_answered(&record.primary);
+    let old = former_primary(record).is_some_and(has_answered);
     let others = counted.len() - usize::from(old);
     match &record.planned {
         None if others < record.read_quorum() => Completeness::TooFew,
-        None if others + 1 == record.members.len() => Completeness::All,
+        None if others + usize::from(former_primary(record).is_some()) == record.members.len() => {
+            Completeness::All
+        }
         None => Completeness::Enough,
         Some(planned) => {
             let target = planned
@@ -218,7 +220,7 @@
 ) -> Option<MemberName> {
     let mut answers = recorded_answers(record, statuses);
     let old = record.primary.as_str();
-    if record.planned.is_none() {
+    if record.planned.is_none() && former_primary(record).is_some() {
         let others: Vec<_> = answers
             .iter()
             .filter(|(member, _)| member.member != old)
@@ -254,9 +256,12 @@
         .into_iter()
         .filter(|(_, status)| status.position == chosen_position);
     // The name breaks ties, so every host makes the same choice.
-    let best = best.max_by_key(|(member, _)| {
+    let best = best.max_by_key(|(member, status)| {
         (
+            // A request that was given up was carried out after all.
+            status.primary && status.position.term > record.term,
             wanted(member),
+            record.abandoned.contains(&member.member),
             reach.get(&member.member),
             proximity(member),
             std::cmp::Reverse(member.member.clone()),
@@ -265,6 +270,12 @@
     best.map(|(member, _)| member.member.clone())
 }
 
+/// Primary of the term that ended. `None` if the recorded primary is a member whose promotion was
+/// given up, which is chosen like any other.
+fn former_primary(record: &Record) -> Option<&str> {
+    (!record.abandoned.contains(&record.primary)).then_some(record.primary.as_str())
+}
+
 /// Record in which `renamed` replaces the recorded primary, if `renamed` holds the primary's log.
 /// `renamed` is a database that announces itself at the primary's address under another name.
 ///
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,8 @@
 
 pub mod access;
 pub mod admin;
+mod appoint;
+pub mod calls;
 pub mod cancel;
 pub mod console;
 mod coverage;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -101,6 +101,10 @@
     /// an acknowledged write. `coverage::clear_uncovered` sets it back.
     #[serde(default)]
     pub uncovered: u32,
+    /// Members whose promotion was requested from an authority and given up. They may still be
+    /// promoted, until [`crate::calls`] counts the request as settled.
+    #[serde(default)]
+    pub abandoned: BTreeSet<MemberName>,
     /// Log index of the last change.
     pub version: Version,
 }
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -19,6 +19,8 @@
 use route::Status;
 
 use crate::{
+    appoint::appoint,
+    calls::Calls,
     directory::{self, Announcement},
     failover::{self, Completeness, ReachCounts, Verdict},
     host::{GRANT_POLL_INTERVAL, Host, PromotionTiming, millis},
@@ -61,6 +63,7 @@
 /// leading.
 pub async fn run_group<L: Log>(host: Rc<Host<L>>, group: String) {
     let mut timing = PromotionTiming::default();
+    let mut calls = calls_of_former_leader(&host, &group);
     let suspect = host.group_notify(&group);
     loop {
         let count = suspect.count();
@@ -69,8 +72,12 @@
             Some(record) => match (record.state, record.next) {
                 (GroupState::Stable, 0) => monitor(&host, &record, &mut timing).await,
                 (GroupState::Stable, _) => drain(&host, &record, &mut timing).await,
-                (GroupState::Fencing, _) => choose_primary(&host, &record, &mut timing).await,
-                (GroupState::Promoting, _) => promote(&host, &record, &mut timing).await,
+                (GroupState::Fencing, _) => {
+                    choose_primary(&host, &record, &mut timing, &calls).await
+                }
+                (GroupState::Promoting, _) => {
+                    promote(&host, &record, &mut timing, &mut calls).await
+                }
             },
         };
         match result {
@@ -91,6 +98,21 @@
     }
 }
 
+/// Requests to the authority that a former leader may have made, by the record.
+fn calls_of_former_leader<L: Log>(host: &Host<L>, group: &str) -> Calls {
+    let mut calls = Calls::default();
+    let record = host
+        .record(group)
+        .filter(|_| host.databases.authority().is_some());
+    if let Some(record) = record {
+        let promoting = (record.state == GroupState::Promoting).then_some(&record.primary);
+        for member in record.abandoned.iter().chain(promoting) {
+            calls.assume(member, Instant::now());
+        }
+    }
+    calls
+}
+
 /// What the group task does next.
 #[derive(Debug)]
 enum Step {
@@ -153,6 +175,7 @@
         planned: None,
         removed: BTreeSet::new(),
         uncovered: 0,
+        abandoned: BTreeSet::new(),
         version: 0,
     };
     slog::info!(host.logger, "creating group record"; "group" => group,
@@ -207,6 +230,7 @@
         planned: None,
         removed: BTreeSet::new(),
         uncovered: 0,
+        abandoned: BTreeSet::new(),
         version: 0,
     };
     slog::info!(host.logger, "creating group record"; "group" => group,
@@ -431,6 +455,7 @@
     host: &Rc<Host<L>>,
     record: &Record,
     timing: &mut PromotionTiming,
+    calls: &Calls,
 ) -> Result<Step, LogError> {
     let start = Instant::now();
     wait_for_release(host, record).await;
@@ -473,7 +498,10 @@
         let choice = failover::choose_primary(record, &statuses, &reach);
         let wait = failover::awaits_catch_up(record, &statuses, &reach)
             && start.elapsed() < CATCH_UP_TIMEOUT;
-        if let Some(choice) = choice.filter(|_| !wait) {
+        let open = choice
+            .as_ref()
+            .is_some_and(|choice| !calls.allow(choice, Instant::now()));
+        if let Some(choice) = choice.filter(|_| !wait && !open) {
             log_choice(host, record, &choice, &statuses);
             let unread = unrecorded.len() - answered.len();
             if unread > 0 {
@@ -491,7 +519,7 @@
         if !host.log.is_leader(Instant::now()) {
             return Err(LogError::NotLeader(host.log.leader()));
         }
-        if !wait && warned_at.elapsed() >= DRAIN_TIMEOUT {
+        if !wait && !open && warned_at.elapsed() >= DRAIN_TIMEOUT {
             warned_at = Instant::now();
             slog::warn!(host.logger, "too few members answer to choose a primary";
                 "group" => &record.group, "term" => record.next, "needed" => record.read_quorum(),
@@ -768,27 +796,12 @@
     join_all(orders).await;
 }
 
-/// Term of the promoted member. It is read from the member if the databases number their terms
-/// themselves.
-async fn promoted_term<L: Log>(host: &Host<L>, record: &Record, target: &Member) -> Option<Term> {
-    if !host.databases.finds_primary() {
-        return Some(record.next);
-    }
-    let address = host.target(&record.group, target);
-    let status = probe(host, address, relay_delay(host, target)).await?;
-    status.primary.then_some(status.position.term)
-}
-
-/// Steps 5 and 6: orders the promotion in the record and commits the new term.
-async fn promote<L: Log>(
+/// Orders the promotion of `target` and returns the term that it leads, or why it is given up.
+async fn order_promotion<L: Log>(
     host: &Rc<Host<L>>,
     record: &Record,
-    timing: &mut PromotionTiming,
-) -> Result<Step, LogError> {
-    let start = Instant::now();
-    let Some(target) = record.member(&record.primary) else {
-        return fence(host, record, record.next + 1, timing).await;
-    };
+    target: &Member,
+) -> Result<Term, String> {
     let promotion = Order::Promote {
         term: record.next,
         fence: Fence {
@@ -797,45 +810,50 @@
         },
     };
     let ordered = timeout(ORDER_TIMEOUT, async {
-        let mut last_cause = String::new();
         loop {
             let address = host.target(&record.group, target);
             match send_order(host, &address, &promotion, relay_delay(host, target)).await {
-                Ok(()) => return Ok(()),
+                Ok(()) => return Ok(record.next),
                 Err(cause) if is_final(&cause) => return Err(cause),
-                Err(cause) => {
-                    if cause != last_cause {
-                        slog::info!(host.logger, "promotion not carried out yet";
-                            "group" => &record.group, "term" => record.next,
-                            "member" => &record.primary, "token" => host.log.term(),
-                            "cause" => &cause);
-                        last_cause = cause;
-                    }
-                    sleep(UPSTREAM_RETRY_DELAY).await;
-                }
+                Err(_cause) => sleep(UPSTREAM_RETRY_DELAY).await,
             }
         }
     });
-    let cause = match ordered.await {
-        Ok(Ok(())) => None,
-        Ok(Err(cause)) => Some(cause),
-        Err(_elapsed) => Some(format!("no answer within {ORDER_TIMEOUT:?}")),
-    };
-    if let Some(cause) = cause {
-        slog::warn!(host.logger, "promotion order failed"; "group" => &record.group,
-            "member" => &record.primary, "term" => record.next, "cause" => cause);
-        // Drop the plan, so that the next choice does not wait for the target that failed.
-        let record = Record {
-            planned: None,
-            ..record.clone()
-        };
-        return fence(host, &record, record.next + 1, timing).await;
-    }
-    let Some(term) = promoted_term(host, record, target).await else {
-        slog::warn!(host.logger, "promoted member does not answer as primary";
-            "group" => &record.group, "member" => &record.primary, "term" => record.next);
+    let no_answer = |_elapsed| Err(format!("no answer within {ORDER_TIMEOUT:?}"));
+    ordered.await.unwrap_or_else(no_answer)
+}
+
+/// Steps 5 and 6: orders the promotion in the record and commits the new term.
+async fn promote<L: Log>(
+    host: &Rc<Host<L>>,
+    record: &Record,
+    timing: &mut PromotionTiming,
+    calls: &mut Calls,
+) -> Result<Step, LogError> {
+    let start = Instant::now();
+    let Some(target) = record.member(&record.primary) else {
         return fence(host, record, record.next + 1, timing).await;
     };
+    let ordered = match host.databases.authority() {
+        Some(authority) => appoint(host, authority, record, target, calls).await?,
+        None => order_promotion(host, record, target).await,
+    };
+    let term = match ordered {
+        Ok(term) => term,
+        Err(cause) => {
+            slog::warn!(host.logger, "promotion order failed"; "group" => &record.group,
+                "member" => &record.primary, "term" => record.next, "cause" => cause);
+            let mut given_up = Record {
+                // Without the plan, the next choice does not wait for the target that failed.
+                planned: None,
+                ..record.clone()
+            };
+            if calls.is_open(&record.primary, Instant::now()) {
+                given_up.abandoned.insert(record.primary.clone());
+            }
+            return fence(host, &given_up, record.next + 1, timing).await;
+        }
+    };
     let record = &Record {
         next: term,
         ..record.clone()
@@ -852,6 +870,7 @@
         term: record.next,
         next: 0,
         planned: None,
+        abandoned: BTreeSet::new(),
         ..record.clone()
     };
     if !host.propose_record(record.version, stable).await? {
--- a/crates/control/src/upstream.rs
+++ b/crates/control/src/upstream.rs
@@ -106,6 +106,32 @@
     }
 }
 
+/// Outcome of a request to an [`Authority`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CallOutcome {
+    /// The authority will promote the member.
+    Accepted,
+    /// The authority does not promote this member.
+    Refused(String),
+    /// The authority got nothing.
+    Unsent(String),
+    /// The authority may have got the request and may promote the member.
+    Unanswered(String),
+}
+
+/// Service outside the deployment that promotes databases. It acts some time after a request, and
+/// doesn't check that a newer request came before.
+pub trait Authority: fmt::Debug {
+    /// Requests the promotion of a member, once. `leads` tells whether the caller still leads the
+    /// control hosts; it is asked right before the request is sent.
+    fn promote<'a>(
+        &'a self,
+        target: &'a Target,
+        fence: &'a Fence,
+        leads: &'a dyn Fn() -> bool,
+    ) -> LocalBoxFuture<'a, CallOutcome>;
+}
+
 /// Management interface of the databases of a deployment.
 ///
 /// Every call ends within [`CALL_TIMEOUT`].
@@ -124,6 +150,11 @@
         order: &'a Order,
     ) -> LocalBoxFuture<'a, Result<(), String>>;
 
+    /// Authority that promotes the databases in place of [`Order::Promote`].
+    fn authority(&self) -> Option<&dyn Authority> {
+        None
+    }
+
     /// Whether replicas find the primary of the newest term by themselves, without an order.
     fn finds_primary(&self) -> bool {
         false
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -6,6 +6,7 @@
     reason = "each test file uses a part of the fakes"
 )]
 
+pub mod authority;
 pub mod caller;
 pub mod http;
 
@@ -16,6 +17,7 @@
     time::{Duration, Instant},
 };
 
+use authority::FakeAuthority;
 use base::{HostName, Map, Position};
 use capnp::Error;
 use compio::{
@@ -32,7 +34,7 @@
     machine::{Answer, Command, ConfigChange, GroupState, Record, State},
     notify::Notify,
     sighting::{Health, Sighting},
-    upstream::{Databases, Order, Postgres, Target},
+    upstream::{Authority, Databases, Order, Postgres, Target},
 };
 use futures_util::{FutureExt as _, future::LocalBoxFuture};
 use proto::schema::peer;
@@ -413,6 +415,8 @@
     pub postgres: Postgres,
     /// Whether the primary acknowledges a commit that any replica has.
     pub any_replica: bool,
+    /// Promotes the databases in place of orders.
+    pub authority: Option<Rc<FakeAuthority>>,
 }
 
 impl Databases for RenamingPostgres {
@@ -439,6 +443,15 @@
         self.postgres.order(target, order)
     }
 
+    fn authority(&self) -> Option<&dyn Authority> {
+        let authority = self.authority.as_deref()?;
+        Some(authority)
+    }
+
+    fn finds_primary(&self) -> bool {
+        self.authority.is_some()
+    }
+
     fn may_return_renamed(&self) -> bool {
         true
     }
@@ -474,6 +487,7 @@
     pub hosts: Vec<TestHost>,
     pub addresses: Vec<(HostName, SocketAddr)>,
     any_replica: bool,
+    authority: Option<Rc<FakeAuthority>>,
 }
 
 impl Cluster {
@@ -482,9 +496,18 @@
         Self::start_with(false).await
     }
 
+    /// Like [`Self::start`], with databases that `authority` promotes.
+    pub async fn start_managed(authority: &Rc<FakeAuthority>) -> Self {
+        Self::launch(true, Some(Rc::clone(authority))).await
+    }
+
     /// Like [`Self::start`]; with `any_replica`, the primary acknowledges a commit that any replica
     /// has.
     pub async fn start_with(any_replica: bool) -> Self {
+        Self::launch(any_replica, None).await
+    }
+
+    async fn launch(any_replica: bool, authority: Option<Rc<FakeAuthority>>) -> Self {
         let mut listeners = Vec::new();
         for _ in 0..3 {
             listeners.push(TcpListener::bind("127.0.0.1:0").await.unwrap());
@@ -498,6 +521,7 @@
             hosts: Vec::new(),
             addresses,
             any_replica,
+            authority,
         };
         for (i, listener) in listeners.into_iter().enumerate() {
             let running = cluster.run(i, listener, past_start());
@@ -523,6 +547,7 @@
                 host: identity.host,
             },
             any_replica: self.any_replica,
+            authority: self.authority.clone(),
         });
         let host = Host::new(now, identity, log, databases, state, base::log::silent());
         let tasks = vec![
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -188,6 +188,7 @@
             planned: None,
             removed: BTreeSet::new(),
             uncovered: 0,
+            abandoned: BTreeSet::new(),
             version,
         };
         state.records.insert(group, record);
--- a/crates/control/tests/machine.rs
+++ b/crates/control/tests/machine.rs
@@ -30,6 +30,7 @@
         planned: None,
         removed: BTreeSet::new(),
         uncovered: 0,
+        abandoned: BTreeSet::new(),
         version: 0,
     }
 }
--- a/crates/control/tests/unrecorded.rs
+++ b/crates/control/tests/unrecorded.rs
@@ -211,6 +211,7 @@
         planned: None,
         removed: std::collections::BTreeSet::new(),
         uncovered: 0,
+        abandoned: std::collections::BTreeSet::new(),
         version: 1,
     }
 }
--- a/crates/lab/src/control_host.rs
+++ b/crates/lab/src/control_host.rs
@@ -363,6 +363,7 @@
                 planned: None,
                 removed: BTreeSet::new(),
                 uncovered: 0,
+                abandoned: BTreeSet::new(),
                 version: 0,
             };
             return self.propose_record(node, epoch, 0, record);
