Record the term of a primary that was promoted twice

Cause: the first effect ended the order and its term was recorded; the second raised the term of the database.

If another member leads a newer term, the recorded primary counts as failed, since it is about to lose its role; the next choice takes the member that leads.

Result: two tests of control/tests/appoint.rs.

--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -350,6 +350,32 @@
     })
 }
 
+/// Why a database that finds its primary itself no longer follows the recorded one: it leads a newer
+/// term, so that the recorded primary is about to lose its role.
+#[must_use]
+pub fn overtaken_cause(record: &Record, status: &Status) -> Option<String> {
+    let overtaken = status.primary
+        && status.position.term > record.term
+        && status.member != record.primary
+        && record.member(&status.member).is_some();
+    overtaken.then(|| format!("{} leads term {}", status.member, status.position.term))
+}
+
+/// Record with the term that the primary leads, if that is newer than the recorded one: the primary was
+/// promoted twice. It kept its log, so that nothing that was acknowledged is at risk.
+#[must_use]
+pub fn with_raised_term(record: &Record, status: &Status) -> Option<Record> {
+    let primary = record.member(&record.primary)?;
+    let raised = status.primary
+        && status.position.term > record.term
+        && status.member == primary.member
+        && status.store == primary.store;
+    raised.then(|| Record {
+        term: status.position.term,
+        ..record.clone()
+    })
+}
+
 /// Order that a member of a stable group needs according to its status. With
 /// `replicas_find_primary`, replicas find the primary without an order, so only a former primary
 /// needs one.
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -77,16 +77,21 @@
         .zip(statuses)
         .filter_map(|(target, status)| Some((target, status?)))
         .collect();
-    if let Some(cause) = statuses
-        .iter()
-        .find_map(|(_, status)| failover::demotion_cause(record, status))
-    {
+    let managed = host.databases.authority().is_some();
+    let lost_by = |(_, status): &(Target, Status)| {
+        failover::demotion_cause(record, status)
+            .or_else(|| failover::overtaken_cause(record, status).filter(|_| managed))
+    };
+    if let Some(cause) = statuses.iter().find_map(lost_by) {
         return Ok(Outcome::Demoted(cause));
     }
     let primary = statuses
         .iter()
         .find(|(_, s)| s.member == record.primary)
         .map(|(_, s)| s);
+    if managed && let Some(raised) = primary.and_then(|p| failover::with_raised_term(record, p)) {
+        return record_raised_term(host, record, raised).await;
+    }
     for (target, status) in &statuses {
         let Some(follow) = failover::needed_order(record, status, host.databases.finds_primary())
         else {
@@ -135,6 +140,17 @@
     Ok(Outcome::Done)
 }
 
+async fn record_raised_term<L: Log>(
+    host: &Host<L>,
+    record: &Record,
+    raised: Record,
+) -> Result<Outcome, LogError> {
+    slog::warn!(host.logger, "primary was promoted twice"; "group" => &record.group,
+        "member" => &record.primary, "recorded" => record.term, "term" => raised.term);
+    host.propose_record(record.version, raised).await?;
+    Ok(Outcome::Changed)
+}
+
 /// Whether entry processes recently saw a member healthy, and always in its recorded role and term.
 fn is_in_order<L: Log>(host: &Host<L>, record: &Record, member: &Member) -> bool {
     let now = Instant::now();
--- a/crates/control/tests/appoint.rs
+++ b/crates/control/tests/appoint.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use base::Position;
 use common::{
     Cluster, Group,
     authority::{FakeAuthority, Handling},
@@ -120,6 +121,34 @@
     assert_eq!(authority.requests.borrow().len(), 1);
 }
 
+/// Guards against a group without a primary in force after its primary was promoted twice.
+#[compio::test]
+async fn term_of_a_primary_that_was_promoted_twice_is_recorded() {
+    let (cluster, group, _authority) = managed_group().await;
+
+    for member in &group.members {
+        member.state.borrow_mut().position = Position::new(2, 10);
+    }
+
+    observe_until_term(&cluster, &group, 2).await;
+    assert_eq!(state_of(&cluster), (GroupState::Stable, "a".to_owned()));
+}
+
+/// Guards against acknowledgements at a primary that was replaced by a late request.
+#[compio::test]
+async fn member_that_a_late_request_promoted_becomes_the_recorded_primary() {
+    let (cluster, group, authority) = managed_group().await;
+    group.members[0].state.borrow_mut().position = Position::new(1, 20);
+
+    group.members[2].state.borrow_mut().position = Position::new(2, 10);
+    group.members[2].state.borrow_mut().primary = true;
+
+    observe_until_term(&cluster, &group, 2).await;
+    assert_eq!(state_of(&cluster), (GroupState::Stable, "c".to_owned()));
+    let requests = authority.requests.borrow().clone();
+    assert!(requests.iter().all(|member| member == "c"), "{requests:?}");
+}
+
 /// Guards against a request by a host that lost its leadership while it worked.
 #[compio::test]
 async fn host_that_no_longer_leads_requests_nothing() {
