--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -1,6 +1,7 @@
 //! Types and utilities shared by all goldcrestrail processes: identifiers, log positions, settings,
 //! logging, metrics and state dumps.
 
+pub mod clock;
 pub mod document;
 pub mod exit;
 pub mod fault;
