Count suspended time in the leadership of control hosts

Cause: the age of the last answers of a majority was on the steady clock. Change: the environment of agree and all questions about leadership use base::clock; callers in control ask Host::leads. The test rpc asks by the same clock as the node, otherwise unchanged. Leases of control hosts stay on the steady clock: after a suspension their grants only last longer. Evidence: by reading; no test at this level suspends a leader.

--- a/crates/agree/src/host.rs
+++ b/crates/agree/src/host.rs
@@ -9,7 +9,7 @@
     rpc::RpcNetwork,
 };
 
-/// Environment with the system clock, a data directory and RPC connections, on the compio runtime
+/// Environment with [`base::clock`], a data directory and RPC connections, on the compio runtime
 /// of the current thread.
 #[derive(Debug)]
 pub struct HostEnvironment {
@@ -35,7 +35,7 @@
     type Network = RpcNetwork;
 
     fn now(&self) -> Instant {
-        Instant::now()
+        base::clock::now()
     }
 
     fn sleep(&self, duration: Duration) -> impl Future<Output = ()> {
--- a/crates/agree/tests/rpc.rs
+++ b/crates/agree/tests/rpc.rs
@@ -256,7 +256,7 @@
     let former_leader = hosts[0].node.leader().unwrap();
     let leader = hosts
         .iter()
-        .find(|host| host.node.is_leader(Instant::now()));
+        .find(|host| host.node.is_leader(base::clock::now()));
 
     let transferred = leader.unwrap().node.transfer_leadership().await;
 
@@ -314,7 +314,7 @@
     let leader = loop {
         match hosts
             .iter()
-            .find(|host| host.node.is_leader(Instant::now()))
+            .find(|host| host.node.is_leader(base::clock::now()))
         {
             Some(leader) => break leader,
             None => compio::time::sleep(Duration::from_millis(10)).await,
--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -494,7 +494,7 @@
         let state = host.state.borrow();
         json!({
             "host": host.identity.name,
-            "age_ms": millis(host.log.time_since_leader(now)),
+            "age_ms": millis(host.log.time_since_leader(base::clock::now())),
             "leader": leader,
             "config_version": state.config.version,
             "config_digest": state.config.digest,
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -387,7 +387,7 @@
         }
     }
     reply.set_directory_run(host.run);
-    reply.set_age(wire_millis(host.log.time_since_leader(now)));
+    reply.set_age(wire_millis(host.log.time_since_leader(base::clock::now())));
     let mut changed: Vec<_> = state.records_since(records).collect();
     if changed.len() > MAX_CHANGES {
         changed.sort_unstable_by_key(|record| record.version);
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -380,6 +380,12 @@
         }
     }
 
+    /// Whether this host leads. After a suspension it does not until a majority replies again.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.log.is_leader(base::clock::now())
+    }
+
     /// Whether this host holds no unexpired lease grant older than `version`; `None` when it can't
     /// know, because it has just started or lost its disk.
     #[must_use]
@@ -514,7 +520,7 @@
             renewal.stopping,
             renewal.sightings,
         );
-        let leader = self.log.is_leader(now);
+        let leader = self.leads();
         let permits = if leader {
             self.lend_connections(now, &holder, &renewal.demands)
         } else {
@@ -752,7 +758,7 @@
             "name": self.identity.name,
             "zone": self.identity.zone,
             "run": self.run,
-            "leader": self.log.is_leader(now),
+            "leader": self.leads(),
             "log": self.log.dump(),
             "config": state.config,
             "history": state.history,
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -27,7 +27,7 @@
 /// Runs until the process ends.
 pub async fn run<L: Log>(host: Rc<Host<L>>) {
     loop {
-        if !host.log.is_leader(Instant::now()) {
+        if !host.leads() {
             sleep(POLL_INTERVAL).await;
             continue;
         }
@@ -46,7 +46,7 @@
         let term = host.log.term();
         let mut tasks: Map<GroupName, JoinHandle<()>> = Map::default();
         let mut known_versions = None;
-        while host.log.is_leader(Instant::now()) && host.log.term() == term {
+        while host.leads() && host.log.term() == term {
             let versions = {
                 let state = host.state.borrow();
                 (state.config.version, state.version)
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -516,7 +516,7 @@
             break (choice, top, known);
         }
         // Another leader may have changed the record in the meantime.
-        if !host.log.is_leader(Instant::now()) {
+        if !host.leads() {
             return Err(LogError::NotLeader(host.log.leader()));
         }
         if !wait && !open && warned_at.elapsed() >= DRAIN_TIMEOUT {
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -226,7 +226,7 @@
         metrics: admin.host.metrics.registry.clone(),
         dump: Rc::new(move || dump.dump(Instant::now())),
         ready: Rc::new(move || {
-            !ready.stopping.get() && ready.log.time_since_leader(Instant::now()) < READY_MAX_AGE
+            !ready.stopping.get() && ready.log.time_since_leader(base::clock::now()) < READY_MAX_AGE
         }),
     };
     http::routes(report)
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -10,7 +10,7 @@
     fs, io,
     net::IpAddr,
     path::Path,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 use base::HostName;
@@ -105,7 +105,7 @@
 
 /// Assigns a seat to the host at `address` if this host leads and a seat is free.
 pub async fn join<L: Log>(host: &Host<L>, address: &str) -> JoinReply {
-    let now = Instant::now();
+    let now = base::clock::now();
     let leader = host.log.leader();
     let seats = addresses(&host.state.borrow(), &host.identity);
     let refused = |seats| JoinReply {
