Count suspended time in write leases and position samples

Cause: the ages were on the steady clock, which does not count a suspension. Change: the request time of grants, each lease check, position samples and the read barrier use base::clock. Deadlines stay on the steady clock. The fakes of the tests begin reads by the same clock as the sessions. Evidence: suspended_before_lease_check and suspended_after_sample fail when the lease check and the age of samples use Instant::now() again, and passed with this change in one run, with the 5 other tests of entry faults.

--- a/crates/entry/src/dump.rs
+++ b/crates/entry/src/dump.rs
@@ -11,13 +11,13 @@
     /// Returns the complete state for the dump.
     #[must_use]
     pub fn dump(&self) -> Value {
-        let now = Instant::now();
+        let (now, lease_now) = (Instant::now(), base::clock::now());
         let ago = |at: Instant| now.saturating_duration_since(at).as_millis();
         let lease = self.lease.borrow();
         let until = |version| {
-            lease
-                .expires_at(version)
-                .map_or(0, |until| until.saturating_duration_since(now).as_millis())
+            lease.expires_at(version).map_or(0, |until| {
+                until.saturating_duration_since(lease_now).as_millis()
+            })
         };
         let hosts: Map<_, _> = self
             .hosts
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -18,7 +18,8 @@
     pub token: Option<Position>,
     /// Age of the data that the caller accepts if no barrier can be obtained.
     pub max_age: Option<Duration>,
-    /// When the session began; the position of the barrier must be read after it.
+    /// When the session began; the position of the barrier must be read after it. By
+    /// [`base::clock`].
     pub since: Instant,
     /// Deadline of the request.
     pub deadline: Instant,
--- a/crates/entry/src/group.rs
+++ b/crates/entry/src/group.rs
@@ -195,7 +195,7 @@
             .filter(|record| record.phase == Phase::Stable)
     }
 
-    /// Records the answer to a probe that was sent at `sent`.
+    /// Records the answer to a probe that was sent at `sent` by [`base::clock`].
     pub fn record_status(&self, status: &Status, sent: Instant) {
         self.confirmation.borrow_mut().update_position(
             &status.member,
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -250,7 +250,7 @@
     observed: &ClusterView,
     sender: &mut ReportSender,
 ) -> Result<RenewOutcome, capnp::Error> {
-    let requested = Instant::now();
+    let (requested, lease_start) = (Instant::now(), base::clock::now());
     let version = network.record_version();
     let changes = sender.next_report(requested, observed);
     let mut call = control.renew_request();
@@ -289,7 +289,7 @@
     network.note_entries(reply.get_entries(), reply.get_zones());
     if reply.get_granted() {
         // Grants are counted by address, so that a host with a wrong name is not counted twice.
-        network.record_grant(&address.to_string(), requested, version);
+        network.record_grant(&address.to_string(), lease_start, version);
     }
     // A leader that has just started sends no list; its mark is 0.
     let mark = reply.get_near_mark();
--- a/crates/entry/src/login.rs
+++ b/crates/entry/src/login.rs
@@ -1,6 +1,6 @@
 //! Login of a caller, up to the first `ReadyForQuery`.
 
-use std::{rc::Rc, time::Instant};
+use std::rc::Rc;
 
 use base::{Map, document::digest};
 use compio::{BufResult, io::AsyncWriteExt, net::TcpStream};
@@ -306,6 +306,6 @@
         writer,
         registration,
         Rc::clone(shared),
-        Instant::now(),
+        base::clock::now(),
     )))
 }
--- a/crates/entry/src/member.rs
+++ b/crates/entry/src/member.rs
@@ -81,7 +81,7 @@
         self.pool.drain(true);
     }
 
-    /// Last status, and when it was requested.
+    /// Last status, and when it was requested by [`base::clock`].
     #[must_use]
     pub fn status(&self) -> Option<(Status, Instant)> {
         self.status.borrow().clone()
@@ -132,8 +132,8 @@
             .is_some_and(|record| record.primary == self.name)
     }
 
-    /// Records the answer to a status request that was sent at `sent`. Returns whether the status
-    /// changed.
+    /// Records the answer to a status request that was sent at `sent` by [`base::clock`]. Returns
+    /// whether the status changed.
     pub fn record_status(&self, status: Status, sent: Instant) -> bool {
         self.detector.borrow_mut().record_answer(Instant::now());
         let changed = self
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -277,7 +277,8 @@
     }
 
     /// Whether a load balancer may send callers here: the configuration and the assignment of groups
-    /// are known, the process is not stopping, and its write lease is not about to expire.
+    /// are known, the process is not stopping, and its write lease is not about to expire
+    /// at `now` by [`base::clock`].
     #[must_use]
     pub fn is_ready(&self, now: Instant) -> bool {
         let configured = self.config_version() > 0 && self.is_assignment_known();
@@ -285,7 +286,7 @@
     }
 
     /// Whether the write lease is about to expire because no majority of the control hosts renews it.
-    /// It is reported that early because load balancers need two seconds to send callers elsewhere.
+    /// It is reported that early because load balancers need two seconds to send callers elsewhere. `now` is by [`base::clock`].
     #[must_use]
     pub fn is_lease_expiring(&self, now: Instant) -> bool {
         let until = self.lease.borrow().expires_at(0);
@@ -294,6 +295,7 @@
 
     /// Whether this process lost its write lease because it does not reach a majority of the control
     /// hosts. It can serve nothing that needs the primary meanwhile, while other entry processes may.
+    /// `now` is by [`base::clock`].
     #[must_use]
     pub fn is_isolated(&self, now: Instant) -> bool {
         let until = self.lease.borrow().expires_at(0);
@@ -462,8 +464,8 @@
         }
     }
 
-    /// Records a lease grant of `host` for a renewal that was sent at `requested` with record
-    /// `version`.
+    /// Records a lease grant of `host` for a renewal that was sent at `requested` by
+    /// [`base::clock`] with record `version`.
     pub fn record_grant(&self, host: &str, requested: Instant, version: Version) {
         self.lease
             .borrow_mut()
--- a/crates/entry/src/probe.rs
+++ b/crates/entry/src/probe.rs
@@ -46,7 +46,7 @@
     // Connection whose latest probe timed out, with the time of the timeout.
     let mut unanswered: Option<(wire::Client, Instant)> = None;
     loop {
-        let sent = Instant::now();
+        let sent = base::clock::now();
         let fresh = client.is_none();
         let result = compio::time::timeout(TIMEOUT, read_status(&mut client, from, &member)).await;
         let fault = match result {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -174,7 +174,7 @@
             match member.pool.acquire(need.deadline).await {
                 Ok(mut lease) => {
                     if let Some(term) = term {
-                        if !self.is_in_force(&group, term, Instant::now()) {
+                        if !self.is_in_force(&group, term) {
                             continue;
                         }
                         lease.set_primary(term);
@@ -226,7 +226,7 @@
             })
             .map(|(_, member)| member)
             .collect();
-        let samples = group.samples.borrow();
+        let (samples, sampled_until) = (group.samples.borrow(), base::clock::now());
         let replicas: Vec<_> = members
             .iter()
             .enumerate()
@@ -238,7 +238,7 @@
                     age: match demand {
                         // For a token the age only tells whether waiting for the replica is worthwhile.
                         Requirement::Token(token) if position.covers(token) => None,
-                        _ => samples.age(position, now),
+                        _ => samples.age(position, sampled_until),
                     },
                     proximity: location.proximity(&member.place),
                     queued: member.pool.waiting(),
@@ -296,7 +296,7 @@
         service: &Service,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Refusal> {
-        if self.is_isolated(Instant::now()) {
+        if self.is_isolated(base::clock::now()) {
             // Another entry process may be able to serve the request; waiting here can't help.
             return self.count_refusal(Err(Refusal::NoPrimary));
         }
@@ -331,7 +331,7 @@
             match member.pool.acquire(deadline).await {
                 Ok(mut lease) => {
                     // The record or the write lease may have changed while the request was queued.
-                    if self.is_in_force(&group, record.term, Instant::now()) {
+                    if self.is_in_force(&group, record.term) {
                         lease.set_primary(record.term);
                         fail::fail_point!("write-send");
                         return Ok(lease);
@@ -363,7 +363,7 @@
         let usable = member.health(now).0 == Health::Ok
             && member.pool.is_usable(now)
             && self.directory.borrow().is_usable_primary(&member.name, now);
-        if leads && known && usable && self.is_lease_valid(record.version, now) {
+        if leads && known && usable && self.is_lease_valid(record.version) {
             Ok((member, record))
         } else {
             Err(Refusal::NoPrimary)
@@ -412,7 +412,7 @@
                 return Err(ended());
             }
             let now = Instant::now();
-            if self.is_lease_valid(record.version, now) {
+            if self.is_lease_valid(record.version) {
                 if let Some(since) = group.gap_start.take() {
                     let gap = now.saturating_duration_since(since);
                     self.metrics.gap.observe(gap.as_secs_f64());
@@ -436,16 +436,18 @@
         }
     }
 
-    /// Whether the write lease is valid at `now` and was granted with record changes up to `version`.
-    fn is_lease_valid(&self, version: Version, now: Instant) -> bool {
+    /// Whether the write lease is valid now, also counting the time during which the machine was
+    /// suspended, and was granted with record changes up to `version`.
+    fn is_lease_valid(&self, version: Version) -> bool {
         disabled("lease-disabled")
-            || (self.knows_control_hosts() && self.lease.borrow().is_valid(version, now))
+            || (self.knows_control_hosts()
+                && self.lease.borrow().is_valid(version, base::clock::now()))
     }
 
-    fn is_in_force(&self, group: &Group, term: Term, now: Instant) -> bool {
+    fn is_in_force(&self, group: &Group, term: Term) -> bool {
         group
             .stable()
-            .is_some_and(|record| record.term == term && self.is_lease_valid(record.version, now))
+            .is_some_and(|record| record.term == term && self.is_lease_valid(record.version))
     }
 
     async fn confirm_position(
@@ -513,14 +515,13 @@
                 continue;
             }
             fail::fail_point!("confirm-after");
-            // The time must be read after the confirmation: this process may have been frozen in
+            // The lease must be checked after the confirmation: this process may have been frozen in
             // between, and the lease may have expired meanwhile.
-            let now = Instant::now();
-            if self.is_lease_valid(record.version, now) {
+            if self.is_lease_valid(record.version) {
                 fail::fail_point!("lease-after");
                 return Ok(());
             }
-            if now >= deadline {
+            if Instant::now() >= deadline {
                 return deadline_exceeded("the write lease was not renewed");
             }
             let _changed = compio::time::timeout_at(deadline, changed).await;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -1,11 +1,6 @@
 //! Runs an entry process, from reading its settings to its graceful stop.
 
-use std::{
-    io,
-    path::Path,
-    rc::Rc,
-    time::{Duration, Instant},
-};
+use std::{io, path::Path, rc::Rc, time::Duration};
 
 use base::{
     Exit,
@@ -64,7 +59,7 @@
     let report = Report {
         metrics: network.metrics.registry.clone(),
         dump: Rc::new(move || dump.dump()),
-        ready: Rc::new(move || ready.is_ready(Instant::now())),
+        ready: Rc::new(move || ready.is_ready(base::clock::now())),
     };
     let router = base::http::routes(report).merge(announce::routes(Rc::clone(network)));
     let http = base::http::serve(settings.http, router).fuse();
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -548,7 +548,7 @@
         let need = ReadRequirement {
             token,
             max_age: max_age.map(Duration::from_millis),
-            since: Instant::now(),
+            since: base::clock::now(),
             deadline: deadline_in(millis),
         };
         self.network.read(&service, need).await
--- a/crates/entry/tests/faults.rs
+++ b/crates/entry/tests/faults.rs
@@ -71,3 +71,43 @@
     });
     scenario.teardown();
 }
+
+/// Guards against an acknowledgement under an expired lease after the machine was suspended, which
+/// the steady clock does not count. The suspension begins and ends before the lease check.
+#[test]
+fn suspended_before_lease_check() {
+    let scenario = FailScenario::setup();
+    run(async {
+        let deployment = Deployment::ready().await;
+        deployment.set_position(&[0, 1], Position::new(1, 11));
+        sleep(400).await;
+        deployment.control_state.grants_leases.set(false);
+        fail::cfg("clock-suspended", "return(2100)").unwrap();
+        let result = deployment.confirm(Position::new(1, 11), 1_000).await;
+        assert!(
+            matches!(result, Err(Refusal::OutcomeUnknown(_))),
+            "{result:?}"
+        );
+    });
+    scenario.teardown();
+}
+
+/// Guards against a read that is older than its caller accepts, because the machine was suspended
+/// after the position of the primary was sampled. No later sample can be taken.
+#[test]
+fn suspended_after_sample() {
+    let scenario = FailScenario::setup();
+    run(async {
+        let mut deployment = Deployment::ready().await;
+        sleep(300).await;
+        deployment.upstreams[0].kill();
+        deployment.controls.clear();
+        sleep(3_500).await;
+        let fresh = deployment.read(None, Some(10_000), 1_000).await;
+        drop(fresh.unwrap());
+        fail::cfg("clock-suspended", "return(60000)").unwrap();
+        let stale = deployment.read(None, Some(10_000), 1_000).await;
+        assert_eq!(stale.err(), Some(Refusal::NotFresh));
+    });
+    scenario.teardown();
+}
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -87,7 +87,7 @@
     loop {
         sleep(ISOLATION_POLL_INTERVAL).await;
         let now = Instant::now();
-        let phase = if shared.network.is_lease_expiring(now) {
+        let phase = if shared.network.is_lease_expiring(base::clock::now()) {
             let since = *since.get_or_insert(now);
             if now.saturating_duration_since(since) < delay {
                 Phase::Serving
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -270,8 +270,8 @@
 where
     D::Client: StatementClient,
 {
-    /// Records the position that the primary returned for a statement sent at `sent`. Call it only
-    /// after [`Self::confirm_term`] has confirmed the term.
+    /// Records the position that the primary returned for a statement sent at `sent` by
+    /// [`base::clock`]. Call it only after [`Self::confirm_term`] has confirmed the term.
     pub(crate) fn record_position(&self, sent: Instant, position: Option<Position>) {
         if let Some(position) = position {
             self.group.samples.borrow_mut().add(sent, position);
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -95,7 +95,7 @@
         } = acquired;
         let primary = connection.primary();
         self.context.member.clone_from(connection.member());
-        let sent = Instant::now();
+        let sent = base::clock::now();
         let shared = &self.shared;
         let result = shared
             .run(
@@ -164,7 +164,7 @@
         };
         let term = connection.primary().unwrap_or_default();
         self.context.member.clone_from(connection.member());
-        let sent = Instant::now();
+        let sent = base::clock::now();
         let result = shared
             .run(
                 &mut connection,
@@ -240,7 +240,7 @@
                 ));
             }
             let changed = target.group.listen();
-            let min_position = required_position(target, self.last_write, now);
+            let min_position = required_position(target, self.last_write, base::clock::now());
             let replica = min_position.and_then(|_| {
                 let skip = |name: &MemberName| tried.contains(name) || full.contains(name);
                 let replicas = network.replicas(&target.group, now).into_iter();
@@ -287,7 +287,7 @@
             if !tried.is_empty() {
                 return Err(Failure::new(Code::Busy, "no database was fresh enough"));
             }
-            if network.is_isolated(now) {
+            if network.is_isolated(base::clock::now()) {
                 return Err(Failure::new(Code::Busy, "this process is cut off"));
             }
             let until = (now + RECHECK_INTERVAL).min(deadline);
@@ -307,7 +307,8 @@
 }
 
 /// Position that a replica must have reached to serve a read on this route; `None` if only the
-/// primary may serve it, also because no recent position of the primary is known.
+/// primary may serve it, also because no recent position of the primary is known. `now` is by
+/// [`base::clock`].
 fn required_position<D: Dialect>(
     target: &ResolvedRoute<D>,
     last_write: Option<Position>,
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -154,7 +154,7 @@
             Err(failure) => return self.fail(failure),
         };
         self.context.member.clone_from(connection.member());
-        let sent = Instant::now();
+        let sent = base::clock::now();
         let statement = pending.statement(None);
         let result =
             self.run_with_retries(&mut connection, pending.prepared(), statement, deadline);
@@ -312,7 +312,7 @@
     ) -> Reply {
         self.context.member.clone_from(connection.member());
         let primary = connection.primary();
-        let sent = Instant::now();
+        let sent = base::clock::now();
         let statement = Statement::Forward {
             id: request.id.as_ref(),
             min_position: None,
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -80,10 +80,10 @@
 {
     let mut probe = Probe::Status;
     loop {
-        let sent = Instant::now();
+        let (sent, sampled) = (Instant::now(), base::clock::now());
         let result = match run_probe(&member, probe).await {
             ProbeOutcome::Status(status) => {
-                member.record_status(status, sent);
+                member.record_status(status, sampled);
                 "ok"
             }
             ProbeOutcome::Alive => "ok",
@@ -142,7 +142,7 @@
     let Some((status, read)) = member.status() else {
         return Some(Probe::Status);
     };
-    let age = now.saturating_duration_since(read);
+    let age = base::clock::now().saturating_duration_since(read);
     let record = member.group.in_force();
     let leads = record
         .as_ref()
