Count suspended time in the check right before a promotion call

The check of the leadership in control::appoint asked the steady clock. By reading: after a suspension the answers of a majority would seem to lie in the future, so that the check would always pass.

--- a/crates/control/src/appoint.rs
+++ b/crates/control/src/appoint.rs
@@ -43,7 +43,7 @@
         holder: host.identity.name.clone(),
         token: host.log.term(),
     };
-    let leads = || host.log.is_leader(Instant::now()) && host.log.term() == fence.token;
+    let leads = || host.leads() && host.log.term() == fence.token;
     let member = target.member.as_str();
     let mut answered_at = Instant::now();
     let mut warned_at = answered_at;
