Keep the former primary in the record while another member is promoted

Callers could lose acknowledged commits after a promotion that was given up: the record named only the target by then. The target was left out of the next choice as if it were the primary that failed, the former primary was chosen again, and a target that restarted and copied a part of the log counted as the primary that kept its log.

The test shows the condition, not a lost commit.

--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -181,13 +181,11 @@
 pub fn completeness(record: &Record, statuses: &[Status]) -> Completeness {
     let counted = recorded_answers(record, statuses);
     let has_answered = |name: &str| counted.iter().any(|(member, _)| member.member == name);
-    let old = former_primary(record).is_some_and(has_answered);
+    let old = has_answered(record.former_primary());
     let others = counted.len() - usize::from(old);
     match &record.planned {
         None if others < record.read_quorum() => Completeness::TooFew,
-        None if others + usize::from(former_primary(record).is_some()) == record.members.len() => {
-            Completeness::All
-        }
+        None if others + 1 == record.members.len() => Completeness::All,
         None => Completeness::Enough,
         Some(planned) => {
             let target = planned
@@ -219,8 +217,8 @@
     reach: &ReachCounts,
 ) -> Option<MemberName> {
     let mut answers = recorded_answers(record, statuses);
-    let old = record.primary.as_str();
-    if record.planned.is_none() && former_primary(record).is_some() {
+    let old = record.former_primary();
+    if record.planned.is_none() {
         let others: Vec<_> = answers
             .iter()
             .filter(|(member, _)| member.member != old)
@@ -270,12 +268,6 @@
     best.map(|(member, _)| member.member.clone())
 }
 
-/// Primary of the term that ended. `None` if the recorded primary is a member whose promotion was
-/// given up, which is chosen like any other.
-fn former_primary(record: &Record) -> Option<&str> {
-    (!record.abandoned.contains(&record.primary)).then_some(record.primary.as_str())
-}
-
 /// Record in which `renamed` replaces the recorded primary, if `renamed` holds the primary's log.
 /// `renamed` is a database that announces itself at the primary's address under another name.
 ///
@@ -289,7 +281,7 @@
     renamed: &Member,
     statuses: &[Status],
 ) -> Option<Record> {
-    let primary = record.member(&record.primary)?;
+    let primary = record.member(record.former_primary())?;
     let is_renamed =
         |status: &&Status| status.member == renamed.member && status.store == renamed.store;
     let position = statuses.iter().find(is_renamed)?.position;
@@ -307,11 +299,15 @@
     let others = record.members.iter().filter(|member| *member != primary);
     let mut members: Vec<_> = others.cloned().chain([renamed.clone()]).collect();
     members.sort_by(|a, b| a.member.cmp(&b.member));
-    Some(Record {
-        primary: renamed.member.clone(),
+    let mut changed = Record {
         members,
         ..record.clone()
-    })
+    };
+    match &mut changed.former {
+        Some(former) => former.clone_from(&renamed.member),
+        None => changed.primary.clone_from(&renamed.member),
+    }
+    Some(changed)
 }
 
 /// Whether a planned change should wait for its target to catch up: no member that the plan allows
@@ -324,7 +320,7 @@
                 .planned
                 .as_ref()
                 .and_then(|planned| planned.member.as_ref());
-            planned.map_or(choice == record.primary, |name| *name != choice)
+            planned.map_or(choice == record.former_primary(), |name| *name != choice)
         })
 }
 
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -105,6 +105,10 @@
     /// promoted, until [`crate::calls`] counts the request as settled.
     #[serde(default)]
     pub abandoned: BTreeSet<MemberName>,
+    /// Primary of the term that ended, once another member was chosen; see
+    /// [`Record::former_primary`].
+    #[serde(default)]
+    pub former: Option<MemberName>,
     /// Log index of the last change.
     pub version: Version,
 }
@@ -116,6 +120,13 @@
         self.members.iter().find(|member| member.member == name)
     }
 
+    /// Primary in `term`. It differs from `primary` while a chosen member is promoted, and after that
+    /// was given up.
+    #[must_use]
+    pub fn former_primary(&self) -> &str {
+        self.former.as_deref().unwrap_or(&self.primary)
+    }
+
     /// Number of members to read before a promotion, so that one of them holds every acknowledged
     /// write; at least one.
     ///
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -176,6 +176,7 @@
         removed: BTreeSet::new(),
         uncovered: 0,
         abandoned: BTreeSet::new(),
+        former: None,
         version: 0,
     };
     slog::info!(host.logger, "creating group record"; "group" => group,
@@ -231,6 +232,7 @@
         removed: BTreeSet::new(),
         uncovered: 0,
         abandoned: BTreeSet::new(),
+        former: None,
         version: 0,
     };
     slog::info!(host.logger, "creating group record"; "group" => group,
@@ -482,10 +484,10 @@
         let known = renamed
             .and_then(|renamed| failover::with_renamed_primary(&known, &renamed, &statuses))
             .unwrap_or(known);
-        if known.primary != record.primary {
+        if known.former_primary() != record.former_primary() {
             slog::info!(host.logger, "primary returned under another name";
-                "group" => &record.group, "former" => &record.primary,
-                "member" => &known.primary, "term" => record.term);
+                "group" => &record.group, "former" => record.former_primary(),
+                "member" => known.former_primary(), "term" => record.term);
         }
         // An unrecorded database counts before it has answered, for a limited time.
         let counted = if waits {
@@ -536,6 +538,7 @@
     fail::fail_point!("promotion-chosen");
     let chosen = Record {
         state: GroupState::Promoting,
+        former: Some(known.former_primary().to_owned()),
         primary: choice,
         // Members reject a term that they have already seen.
         next: record.next.max(top.unwrap_or_default() + 1),
@@ -552,7 +555,9 @@
     mut statuses: Vec<Status>,
 ) -> (Record, Vec<Status>) {
     let restarted = unrecorded::restarted_primary(host, record);
-    let answer = statuses.iter_mut().find(|s| s.member == record.primary);
+    let answer = statuses
+        .iter_mut()
+        .find(|s| s.member == record.former_primary());
     let (Some(restarted), Some(answer)) = (restarted, answer) else {
         return (record.clone(), statuses);
     };
@@ -569,7 +574,7 @@
     let members: Vec<_> = record.members.iter().map(|m| &m.store).collect();
     let reported = reported_position(host, record).map(|p| format!("{}.{}", p.term, p.offset));
     slog::info!(host.logger, "primary chosen"; "group" => &record.group, "term" => record.next,
-        "member" => choice, "former" => &record.primary, "needed" => record.read_quorum(),
+        "member" => choice, "former" => record.former_primary(), "needed" => record.read_quorum(),
         "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers,
         "reported" => reported);
 }
@@ -579,7 +584,7 @@
 fn reported_position<L: Log>(host: &Host<L>, record: &Record) -> Option<Position> {
     let sightings = host.sightings.borrow();
     let observers = sightings.observers(&record.group)?.values();
-    let seen = observers.filter_map(|observer| observer.members.get(&record.primary));
+    let seen = observers.filter_map(|observer| observer.members.get(record.former_primary()));
     seen.map(|seen| seen.position).max()
 }
 
@@ -628,7 +633,7 @@
 /// Database that announces itself at the address of the recorded primary under another name, if the
 /// kind of database allows that it holds the primary's log.
 fn renamed_primary<L: Log>(host: &Host<L>, record: &Record) -> Option<Member> {
-    let address = &record.member(&record.primary)?.address;
+    let address = &record.member(record.former_primary())?.address;
     if !host.databases.may_return_renamed() {
         return None;
     }
@@ -871,6 +876,7 @@
         next: 0,
         planned: None,
         abandoned: BTreeSet::new(),
+        former: None,
         ..record.clone()
     };
     if !host.propose_record(record.version, stable).await? {
--- a/crates/control/src/unrecorded.rs
+++ b/crates/control/src/unrecorded.rs
@@ -26,7 +26,7 @@
     if !host.databases.counts_any_replica() {
         return Vec::new();
     }
-    let primary = record.member(&record.primary);
+    let primary = record.member(record.former_primary());
     let primary_address = primary.map(|member| host.member_address(member));
     let directory = host.directory.borrow();
     let live = directory.live_members(Instant::now(), &record.group);
@@ -43,7 +43,7 @@
     if !host.databases.counts_any_replica() {
         return None;
     }
-    let primary = record.member(&record.primary)?;
+    let primary = record.member(record.former_primary())?;
     let directory = host.directory.borrow();
     let live = directory.live_members(Instant::now(), &record.group);
     let mut live = live.into_iter();
@@ -80,7 +80,7 @@
     announced: impl Fn(&str) -> Option<StoreId>,
 ) -> Vec<Status> {
     let holds_log = |status: &Status| {
-        status.member == record.primary
+        status.member == record.former_primary()
             && status.position.term == record.term
             && statuses.iter().all(|s| status.position.covers(s.position))
     };
--- a/crates/control/tests/unrecorded.rs
+++ b/crates/control/tests/unrecorded.rs
@@ -212,6 +212,7 @@
         removed: std::collections::BTreeSet::new(),
         uncovered: 0,
         abandoned: std::collections::BTreeSet::new(),
+        former: None,
         version: 1,
     }
 }
@@ -276,3 +277,22 @@
     let kept: Vec<_> = kept.iter().map(|status| status.member.as_str()).collect();
     assert_eq!(kept, counted);
 }
+
+/// Guards against the loss of acknowledged commits because the target of a failed promotion, which
+/// restarted and copied a part of the log again, counts as the primary that kept its log.
+#[test]
+fn restarted_target_of_a_failed_promotion_does_not_count() {
+    let record = Record {
+        state: GroupState::Fencing,
+        primary: "b".to_owned(),
+        former: Some("a".to_owned()),
+        ..record()
+    };
+    let statuses = [status("b", 1, 12), status("c", 1, 10)];
+    let announced = |member: &str| Some(if member == "b" { "new" } else { "s" }.to_owned());
+
+    let kept = without_restarted(&record, &statuses, announced);
+
+    let kept: Vec<_> = kept.iter().map(|status| status.member.as_str()).collect();
+    assert_eq!(kept, ["c"]);
+}
--- a/crates/lab/src/control_host.rs
+++ b/crates/lab/src/control_host.rs
@@ -364,6 +364,7 @@
                 removed: BTreeSet::new(),
                 uncovered: 0,
                 abandoned: BTreeSet::new(),
+                former: None,
                 version: 0,
             };
             return self.propose_record(node, epoch, 0, record);
