Assume open calls for the primary after a change of leader

Found by review: a leader that asked twice for one database, and was lost after the first effect, left a call that its successor did not know of, since the record was stable by then.

--- a/crates/base/src/request.rs
+++ b/crates/base/src/request.rs
@@ -58,7 +58,7 @@
 ///
 /// `may_send` is asked once the connection is open, right before the request is written: connecting
 /// takes time in which the reason for the request may have gone. Without an answer within `limit`, the
-/// connection is reset, so that what has not arrived by then never arrives.
+/// connection is reset, so that what has not left this host by then is not sent.
 ///
 /// # Errors
 /// [`SendError::Unsent`] if the connection can't be opened or `may_send` refuses.
--- a/crates/control/src/appoint.rs
+++ b/crates/control/src/appoint.rs
@@ -45,8 +45,8 @@
     };
     let leads = || host.leads() && host.log.term() == fence.token;
     let member = target.member.as_str();
-    let mut answered_at = Instant::now();
-    let mut warned_at = answered_at;
+    let (mut accepted, mut silent_since) = (false, None::<Instant>);
+    let mut warned_at = Instant::now();
     loop {
         if !leads() {
             return Err(LogError::NotLeader(host.log.leader()));
@@ -65,6 +65,7 @@
                 "member" => member, "term" => record.next, "token" => fence.token,
                 "outcome" => ?outcome, "ms" => crate::host::millis(start.elapsed()));
             calls.record(member, Instant::now(), &outcome);
+            accepted |= outcome == CallOutcome::Accepted;
             if let CallOutcome::Refused(cause) = outcome {
                 return Ok(Err(cause));
             }
@@ -75,12 +76,13 @@
             // The present primary keeps its term when it is requested again.
             Some(status)
                 if status.primary
-                    && (status.position.term > record.term || calls.is_accepted(member)) =>
+                    && (status.position.term > record.term
+                        || accepted && status.position.term == record.term) =>
             {
                 return Ok(Ok(status.position.term));
             }
-            Some(_) => answered_at = Instant::now(),
-            None if answered_at.elapsed() >= SILENCE_LIMIT => {
+            Some(_) => silent_since = None,
+            None if silent_since.get_or_insert(start).elapsed() >= SILENCE_LIMIT => {
                 return Ok(Err(format!("it does not answer for {SILENCE_LIMIT:?}")));
             }
             None => {}
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -18,7 +18,7 @@
 /// Delay before a request without an answer is repeated. Each one that is carried out starts a term.
 const UNANSWERED_RETRY: Duration = Duration::from_secs(1);
 /// Time that a new leader allows for the effect of a request that the former one may have made.
-const RESUME_DELAY: Duration = Duration::from_millis(600);
+const RESUME_DELAY: Duration = Duration::from_millis(1_100);
 
 #[derive(Debug, Clone, Copy)]
 struct Call {
@@ -26,7 +26,6 @@
     repeat_at: Instant,
     /// When the request can no longer be carried out.
     settled_at: Instant,
-    accepted: bool,
 }
 
 /// Requests for the members of one group.
@@ -53,7 +52,6 @@
         let call = Call {
             repeat_at: now + RESUME_DELAY,
             settled_at: now + UNANSWERED_LIMIT,
-            accepted: false,
         };
         self.last.insert(member.to_owned(), call);
     }
@@ -69,7 +67,6 @@
         let call = Call {
             repeat_at: now + repeat,
             settled_at: known.map_or(now, |call| call.settled_at).max(now + settled),
-            accepted: *outcome == CallOutcome::Accepted,
         };
         self.last.insert(member.to_owned(), call);
     }
@@ -82,12 +79,6 @@
             .is_none_or(|call| call.repeat_at <= now)
     }
 
-    /// Whether the last request for `member` was accepted.
-    #[must_use]
-    pub fn is_accepted(&self, member: &str) -> bool {
-        self.last.get(member).is_some_and(|call| call.accepted)
-    }
-
     /// Whether a request for `member` may still be carried out.
     #[must_use]
     pub fn is_open(&self, member: &str, now: Instant) -> bool {
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -98,15 +98,15 @@
     }
 }
 
-/// Requests to the authority that a former leader may have made, by the record.
+/// Requests to the authority that a former leader may have made, by the record. The primary of a stable
+/// group may have been requested more than once.
 fn calls_of_former_leader<L: Log>(host: &Host<L>, group: &str) -> Calls {
     let mut calls = Calls::default();
     let record = host
         .record(group)
         .filter(|_| host.databases.authority().is_some());
     if let Some(record) = record {
-        let promoting = (record.state == GroupState::Promoting).then_some(&record.primary);
-        for member in record.abandoned.iter().chain(promoting) {
+        for member in record.abandoned.iter().chain([&record.primary]) {
             calls.assume(member, Instant::now());
         }
     }
@@ -856,6 +856,8 @@
             if calls.is_open(&record.primary, Instant::now()) {
                 given_up.abandoned.insert(record.primary.clone());
             }
+            // The same member may be chosen and refused again.
+            sleep(UPSTREAM_RETRY_DELAY).await;
             return fence(host, &given_up, record.next + 1, timing).await;
         }
     };
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -89,7 +89,10 @@
         .iter()
         .find(|(_, s)| s.member == record.primary)
         .map(|(_, s)| s);
-    if managed && let Some(raised) = primary.and_then(|p| failover::with_raised_term(record, p)) {
+    if managed
+        && restarted.is_none()
+        && let Some(raised) = primary.and_then(|p| failover::with_raised_term(record, p))
+    {
         return record_raised_term(host, record, raised).await;
     }
     for (target, status) in &statuses {
--- a/crates/control/tests/appoint.rs
+++ b/crates/control/tests/appoint.rs
@@ -166,3 +166,20 @@
 
     assert_eq!(authority.requests.borrow().len(), sent);
 }
+
+/// Guards against a late request for the primary that a former leader made more than once: a new leader
+/// does not know of it, and another database would be promoted at once.
+#[compio::test]
+async fn new_leader_assumes_an_open_request_for_the_primary() {
+    let (mut cluster, group, authority) = managed_group().await;
+    cluster.restart(0, past_start()).await;
+    cluster.shared.set_leader("c1");
+    let leads_since = Instant::now();
+    group.members[0].state.borrow_mut().fault = Some(Health::Refused);
+
+    let requested = || !authority.requests.borrow().is_empty();
+    observe_until(&cluster, &group, TIMEOUT, requested).await;
+
+    let waited = leads_since.elapsed();
+    assert!(waited >= UNANSWERED_LIMIT, "waited {waited:?}");
+}
