--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -265,6 +265,7 @@
     /// The file can't be read.
     pub fn load(data: &Path) -> io::Result<Option<Self>> {
         match fs::read_to_string(data.join(SEATING_FILE)) {
+            Ok(text) if text.is_empty() => Ok(None),
             Ok(text) => toml::from_str(&text)
                 .map(Some)
                 .map_err(|cause| io::Error::new(io::ErrorKind::InvalidData, cause.to_string())),
@@ -282,4 +283,31 @@
         let text = toml::to_string(self).map_err(io::Error::other)?;
         base::files::replace(&data.join(SEATING_FILE), text)
     }
+
+    /// Whether a data directory belongs to a host that gave up a seat or is about to take one that
+    /// it asked for. Such a host founds nothing: its founding seat may be held by another host, and
+    /// the log that it voted with is gone.
+    #[must_use]
+    pub fn is_vacated(data: &Path) -> bool {
+        data.join(SEATING_FILE).exists()
+    }
+
+    /// Removes what a former seat left in a data directory.
+    ///
+    /// The seating goes first, durably: after a loss of power any subset of the other files may be
+    /// back, and no host may start from them.
+    ///
+    /// # Errors
+    /// The data directory can't be written.
+    pub fn vacate(data: &Path) -> io::Result<()> {
+        fs::create_dir_all(data)?;
+        base::files::replace(&data.join(SEATING_FILE), "")?;
+        for entry in fs::read_dir(data)? {
+            let path = entry?.path();
+            if path.file_name().is_some_and(|name| name != SEATING_FILE) {
+                fs::remove_file(path)?;
+            }
+        }
+        fs::File::open(data)?.sync_all()
+    }
 }
--- a/crates/control/tests/seats.rs
+++ b/crates/control/tests/seats.rs
@@ -154,3 +154,43 @@
     assert_ne!(first.name, second.name);
     assert_eq!(third.name, None);
 }
+
+/// Guards against a host that founds the deployment a second time after its seat was given to
+/// another one: it would vote with an empty log as the host that it was before.
+#[test]
+fn host_without_its_seat_founds_nothing() {
+    let parent = tempfile::tempdir().unwrap();
+    let data = parent.path().join("data");
+    let addresses = ["a:1", "b:1", "c:1"].map(String::from);
+    let seating = Seating::founding(&addresses, "c:1", 1).unwrap();
+    let before = Seating::is_vacated(&data);
+    agree::format(&data, &seating.name).unwrap();
+    seating.store(&data).unwrap();
+
+    Seating::vacate(&data).unwrap();
+
+    assert!(!before);
+    assert!(Seating::is_vacated(&data));
+    assert_eq!(Seating::load(&data).unwrap(), None);
+}
+
+/// Guards against a host that starts from what a loss of power left of its former seat: a state
+/// without its log, or a log without its state.
+#[rstest]
+#[case::state(&["state"])]
+#[case::log(&["log"])]
+#[case::unfinished(&["state.new", "log", "lock"])]
+fn no_file_of_a_former_seat_is_left(#[case] left: &[&str]) {
+    let parent = tempfile::tempdir().unwrap();
+    let data = parent.path().join("data");
+    std::fs::create_dir_all(&data).unwrap();
+    for name in left {
+        std::fs::write(data.join(name), "old").unwrap();
+    }
+
+    Seating::vacate(&data).unwrap();
+
+    let names = std::fs::read_dir(&data).unwrap();
+    let names: Vec<_> = names.map(|entry| entry.unwrap().file_name()).collect();
+    assert_eq!(names, ["seating"]);
+}
