--- a/crates/agree/tests/power.rs
+++ b/crates/agree/tests/power.rs
@@ -22,7 +22,7 @@
     for host in 0..size {
         cluster.start(host);
     }
-    for _ in 0..1 + seed % 30 {
+    for _ in 0..=seed % 30 {
         cluster.write();
     }
     cluster
