Wait after a change of leader only for calls that may be open

Change: the record keeps the names of members with calls that may still be carried out when a promotion ends: those given up, and a promoted one that was requested more than once or under an earlier leader. A new leader counts only these as open. The branch of send_order for an authority is gone, since none of its callers takes it.

--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -24,8 +24,9 @@
 struct Call {
     /// When the request may be repeated.
     repeat_at: Instant,
-    /// When the request can no longer be carried out.
+    /// When the last request can no longer be carried out.
     settled_at: Instant,
+    requests: u32,
 }
 
 /// Requests for the members of one group.
@@ -52,6 +53,8 @@
         let call = Call {
             repeat_at: now + RESUME_DELAY,
             settled_at: now + UNANSWERED_LIMIT,
+            // It may have repeated the request.
+            requests: 2,
         };
         self.last.insert(member.to_owned(), call);
     }
@@ -67,6 +70,7 @@
         let call = Call {
             repeat_at: now + repeat,
             settled_at: known.map_or(now, |call| call.settled_at).max(now + settled),
+            requests: known.map_or(0, |call| call.requests).saturating_add(1),
         };
         self.last.insert(member.to_owned(), call);
     }
@@ -87,6 +91,13 @@
             .is_some_and(|call| call.settled_at > now)
     }
 
+    /// Whether a request for `member`, which has been promoted, may be carried out once more.
+    #[must_use]
+    pub fn is_repeated(&self, member: &str, now: Instant) -> bool {
+        let last = self.last.get(member);
+        last.is_some_and(|call| call.settled_at > now && call.requests > 1)
+    }
+
     /// Whether `member` may be promoted: no request for another member may still be carried out.
     #[must_use]
     pub fn allow(&self, member: &str, now: Instant) -> bool {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -101,8 +101,8 @@
     /// an acknowledged write. `coverage::clear_uncovered` sets it back.
     #[serde(default)]
     pub uncovered: u32,
-    /// Members whose promotion was requested from an authority and given up. They may still be
-    /// promoted, until [`crate::calls`] counts the request as settled.
+    /// Members for which a request to an authority may still be carried out, although they were given
+    /// up or have been promoted already; see [`crate::calls`].
     #[serde(default)]
     pub abandoned: BTreeSet<MemberName>,
     /// Primary of the term that ended, once another member was chosen; see
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -98,15 +98,15 @@
     }
 }
 
-/// Requests to the authority that a former leader may have made, by the record. The primary of a stable
-/// group may have been requested more than once.
+/// Requests to the authority that a former leader may have made, by the record.
 fn calls_of_former_leader<L: Log>(host: &Host<L>, group: &str) -> Calls {
     let mut calls = Calls::default();
     let record = host
         .record(group)
         .filter(|_| host.databases.authority().is_some());
     if let Some(record) = record {
-        for member in record.abandoned.iter().chain([&record.primary]) {
+        let promoting = (record.state == GroupState::Promoting).then_some(&record.primary);
+        for member in record.abandoned.iter().chain(promoting) {
             calls.assume(member, Instant::now());
         }
     }
@@ -745,10 +745,6 @@
     delay: Duration,
 ) -> Result<(), String> {
     let mut direct = host.databases.order(target, order);
-    if host.databases.finds_primary() && matches!(order, Order::Promote { .. }) {
-        // An external authority carries out this promotion. Only the leader asks it, and only once.
-        return direct.await;
-    }
     let mut cause = match timeout(delay, &mut direct).await {
         Ok(Err(cause)) if !is_final(&cause) => Some(cause),
         Ok(outcome) => return outcome,
@@ -872,12 +868,17 @@
     compio::runtime::spawn(order_followers(Rc::clone(host), record.clone())).detach();
 
     let start = Instant::now();
+    let mut abandoned = record.abandoned.clone();
+    abandoned.retain(|member| calls.is_open(member, start));
+    if calls.is_repeated(&record.primary, start) {
+        abandoned.insert(record.primary.clone());
+    }
     let stable = Record {
         state: GroupState::Stable,
         term: record.next,
         next: 0,
         planned: None,
-        abandoned: BTreeSet::new(),
+        abandoned,
         former: None,
         ..record.clone()
     };
