--- a/crates/control/src/appoint.rs
+++ b/crates/control/src/appoint.rs
@@ -31,7 +31,8 @@
 /// a late promotion of this one would take its place.
 ///
 /// # Errors
-/// The member is given up; the text says why.
+/// [`LogError::NotLeader`] once this host no longer leads. The inner error says why the member is given
+/// up.
 pub(crate) async fn appoint<L: Log>(
     host: &Rc<Host<L>>,
     authority: &dyn Authority,
