--- a/crates/base/src/net.rs
+++ b/crates/base/src/net.rs
@@ -22,8 +22,9 @@
     connect_with(from, to, timeout, &SocketOpts::new()).await
 }
 
-/// Like [`connect`]. Closing the connection discards what the other side has not acknowledged, and so
-/// does the kernel `timeout` after it was written, also while this process does not run.
+/// Like [`connect`], for a request that must not arrive late. Closing the connection discards the bytes
+/// that the other side has not acknowledged. The kernel discards them after `timeout` even if this
+/// process is frozen.
 pub(crate) async fn connect_resetting(
     from: IpAddr,
     to: SocketAddr,
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -346,8 +346,8 @@
     })
 }
 
-/// Why a database that finds its primary itself no longer follows the recorded one: it leads a newer
-/// term, so that the recorded primary is about to lose its role.
+/// Why the recorded primary is about to lose its role: another member leads a newer term. `None` if the
+/// status is not that of such a member.
 #[must_use]
 pub fn overtaken_cause(record: &Record, status: &Status) -> Option<String> {
     let overtaken = status.primary
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -453,6 +453,8 @@
 /// recorded one; `with_restarted_primary` takes over the new store of a primary that kept its log; a
 /// database that has not answered counts until [`UNRECORDED_TIMEOUT`]. [`failover::choose_primary`]
 /// then decides from these alone.
+/// The choice is committed only if [`Calls::allow`] returns true for it: no request to promote another
+/// member may still be carried out.
 async fn choose_primary<L: Log>(
     host: &Rc<Host<L>>,
     record: &Record,
