--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -184,6 +184,7 @@
         http: read_text(request.get_http())?,
         forwarding: read_text(request.get_forwarding())?,
         stopping: request.get_stopping(),
+        acks: Vec::new(),
     })
 }
 
@@ -545,10 +546,17 @@
         mut results: peer::GrantsResults,
     ) -> Result<(), Error> {
         let version = params.get()?.get_version();
+        let group = read_text(params.get()?.get_group())?;
         let _elapsed = timeout(GRANTS_TIMEOUT, self.host.wait_grants_expired(version)).await;
         let clear = self.host.grants_expired(Instant::now(), version);
         results.get().set_known(clear.is_some());
         results.get().set_clear(clear == Some(true));
+        if let Some(bounds) = self.host.acks(&group) {
+            let mut acks = results.get().init_acks();
+            acks.set_term(bounds.term);
+            acks.set_least(bounds.least);
+            acks.set_most(bounds.most);
+        }
         Ok(())
     }
 
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -14,6 +14,7 @@
     document::{Document, Service},
 };
 use compio::time::sleep;
+use route::AckBounds;
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -106,6 +107,8 @@
     pub forwarding: String,
     /// Whether the entry process is stopping.
     pub stopping: bool,
+    /// How far it acknowledged the writes of each group.
+    pub acks: Vec<(GroupName, AckBounds)>,
 }
 
 /// Connections that an entry process uses and wants at one member.
@@ -214,6 +217,8 @@
     pub run: u64,
     /// Health of the members as entry processes see it.
     pub sightings: RefCell<Sightings>,
+    /// How far entry processes acknowledged the writes of each group.
+    acks: RefCell<Map<GroupName, AckBounds>>,
     /// Connections lent to entry processes; `Some` while this host leads.
     pub permits: RefCell<Option<Permits>>,
     /// Entry processes that receive cancel requests.
@@ -280,6 +285,7 @@
             directory: RefCell::default(),
             run: rand::random(),
             sightings: RefCell::default(),
+            acks: RefCell::default(),
             permits: RefCell::default(),
             peers,
             changes: Notify::default(),
@@ -394,6 +400,19 @@
         clear.filter(|_| !self.log.is_learner())
     }
 
+    /// How far entry processes acknowledged the writes of a group, as far as this host was told.
+    #[must_use]
+    pub fn acks(&self, group: &str) -> Option<AckBounds> {
+        self.acks.borrow().get(group).copied()
+    }
+
+    /// Takes in how far writes of a group were acknowledged.
+    pub(crate) fn merge_acks(&self, group: &str, bounds: AckBounds) {
+        let mut acks = self.acks.borrow_mut();
+        let known = acks.entry(group.to_owned()).or_default();
+        *known = known.merge(bounds);
+    }
+
     /// Waits until this host knows that it holds no unexpired lease grant older than `version`.
     pub async fn wait_grants_expired(&self, version: Version) {
         while self.grants_expired(Instant::now(), version) != Some(true) {
@@ -468,6 +487,10 @@
     /// Processes a renewal and returns its reply.
     pub fn renew(&self, now: Instant, renewal: Renewal) -> RenewalReply {
         let holder = (renewal.entry.clone(), renewal.run);
+        // Before the release of a lease, whose end a change of primary waits for.
+        for (group, bounds) in renewal.acks {
+            self.merge_acks(&group, bounds);
+        }
         let known = LogState {
             fenced: self.state.borrow().fenced,
             applied: self.log.last_applied(),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -12,7 +12,7 @@
 use compio::{runtime::JoinHandle, time::timeout};
 use proto::schema::{gate, peer};
 
-use route::Status;
+use route::{AckBounds, Status};
 
 use crate::{
     directory::ReceivedAnnouncement,
@@ -146,6 +146,7 @@
     }
 
     /// Asks whether a host holds no lease grant older than `version`; `None` when it can't know yet.
+    /// Also returns how far writes of `group` were acknowledged, as far as that host was told.
     ///
     /// # Errors
     /// The host can't be reached.
@@ -153,13 +154,22 @@
         &self,
         name: &str,
         version: Version,
-    ) -> Result<Option<bool>, String> {
+        group: &str,
+    ) -> Result<(Option<bool>, Option<AckBounds>), String> {
         self.call(name, CALL_TIMEOUT, async |client| {
             let mut request = client.grants_request();
             request.get().set_version(version);
+            request.get().set_group(group);
             let response = request.send().promise.await?;
             let answer = response.get()?;
-            Ok(answer.get_known().then(|| answer.get_clear()))
+            let clear = answer.get_known().then(|| answer.get_clear());
+            let acks = answer.get_acks()?;
+            let bounds = AckBounds {
+                term: acks.get_term(),
+                least: acks.get_least(),
+                most: acks.get_most(),
+            };
+            Ok((clear, (bounds.term > 0).then_some(bounds)))
         })
         .await
     }
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -575,14 +575,16 @@
         .collect();
     let members: Vec<_> = record.members.iter().map(|m| &m.store).collect();
     let reported = reported_position(host, record).map(|p| format!("{}.{}", p.term, p.offset));
+    let acks = host.acks(&record.group);
+    let acks = acks.map(|acks| format!("{}.{}..{}", acks.term, acks.least, acks.most));
     slog::info!(host.logger, "primary chosen"; "group" => &record.group, "term" => record.next,
         "member" => choice, "former" => record.former_primary(), "needed" => record.read_quorum(),
         "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers,
-        "reported" => reported);
+        "reported" => reported, "acknowledged" => acks);
 }
 
-/// Most advanced position of the former primary that entry processes reported. Most commits up to it
-/// were acknowledged, so a choice that is far behind it shows that an answer was missing.
+/// Most advanced position of the former primary that entry processes reported. It may include commits
+/// that nobody has acknowledged.
 fn reported_position<L: Log>(host: &Host<L>, record: &Record) -> Option<Position> {
     let sightings = host.sightings.borrow();
     let observers = sightings.observers(&record.group)?.values();
@@ -597,7 +599,8 @@
     unread.map(|member| member.member.as_str()).collect()
 }
 
-/// Waits until a majority of control hosts hold no grant older than the record.
+/// Waits until a majority of control hosts hold no grant older than the record, and learns from them
+/// how far writes of the group were acknowledged.
 ///
 /// The hosts are asked concurrently, so an unreachable one does not delay the others. A positive
 /// answer stays valid, because the host grants no older lease after it.
@@ -606,8 +609,16 @@
     let others = names.iter().map(|name| {
         let request = async move {
             loop {
-                match host.peers.grants_expired(name, record.version).await {
-                    Ok(Some(true)) => return,
+                let asked = host
+                    .peers
+                    .grants_expired(name, record.version, &record.group);
+                match asked.await {
+                    Ok((Some(true), acks)) => {
+                        if let Some(bounds) = acks {
+                            host.merge_acks(&record.group, bounds);
+                        }
+                        return;
+                    }
                     Ok(_) => sleep(GRANT_POLL_INTERVAL).await,
                     Err(_cause) => sleep(RETRY_DELAY).await,
                 }
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -5,7 +5,10 @@
 use base::Position;
 use capnp::Error;
 use proto::schema;
-use route::report::{ClusterView, MemberNumber, Observation, Report, ReportReceiver};
+use route::{
+    AckBounds,
+    report::{ClusterView, MemberNumber, Observation, Report, ReportReceiver},
+};
 
 use crate::{
     directory::Announcement,
@@ -102,6 +105,8 @@
             wanted: demand.wanted,
         })
         .collect();
+    let acks = view.acks.into_iter();
+    renewal.acks = acks.map(|(group, acks)| (group, acks.bounds)).collect();
 }
 
 fn millis(milliseconds: u32) -> Duration {
@@ -153,6 +158,14 @@
         };
         (d.get_number(), demand)
     });
+    let acks = request.get_acks()?.iter().map(|a| {
+        let bounds = AckBounds {
+            term: a.get_term(),
+            least: a.get_least(),
+            most: a.get_most(),
+        };
+        (a.get_number(), bounds)
+    });
     Ok(Report {
         sequence: request.get_sequence(),
         names: names.collect::<Result<_, Error>>()?,
@@ -162,5 +175,6 @@
             .collect(),
         observations: sightings.collect::<Result<_, Error>>()?,
         demands: demands.collect(),
+        acks: acks.collect(),
     })
 }
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -276,12 +276,24 @@
                 left && now.saturating_duration_since(received.received_at) >= directory::LOST_AFTER
             })
     })?;
+    slog::info!(host.logger, "member dropped from the record"; "group" => &record.group,
+        "member" => &departed.member, "cause" => "it announced its stop and is silent",
+        "position" => last_position(host, record, &departed.member));
     let mut changed = record.clone();
     changed.members.retain(|member| member != departed);
     changed.uncovered += 1;
     Some(changed)
 }
 
+/// Most advanced position of a member that entry processes reported.
+fn last_position<L: Log>(host: &Host<L>, record: &Record, member: &str) -> Option<String> {
+    let sightings = host.sightings.borrow();
+    let observers = sightings.observers(&record.group)?.values();
+    let seen = observers.filter_map(|observer| observer.members.get(member));
+    let last = seen.map(|seen| seen.position).max()?;
+    Some(format!("{}.{}", last.term, last.offset))
+}
+
 /// Record with the new addresses of members that moved together with their store. `None` if none
 /// did.
 fn with_moved_addresses<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -391,19 +391,19 @@
     let reported = cluster
         .leader()
         .peers
-        .grants_expired("c1", 5)
+        .grants_expired("c1", 5, "g")
         .await
         .unwrap();
     let other = cluster
         .leader()
         .peers
-        .grants_expired("c2", 0)
+        .grants_expired("c2", 0, "g")
         .await
         .unwrap();
 
     assert_eq!(granted, [true, false, true]);
-    assert_eq!(reported, None);
-    assert_eq!(other, Some(true));
+    assert_eq!(reported.0, None);
+    assert_eq!(other.0, Some(true));
 }
 
 /// Records the cancel requests that it receives.
--- a/crates/entry/src/group.rs
+++ b/crates/entry/src/group.rs
@@ -10,7 +10,7 @@
 use base::{GroupName, MemberName, Position, StoreId, Term, Version};
 use event_listener::{Event, EventListener};
 use futures_channel::oneshot;
-use route::{Confirmation, Location, PositionSamples, Status};
+use route::{AckBounds, Confirmation, Location, PositionSamples, Status};
 
 /// Phase of a group in the records of the control hosts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -104,6 +104,7 @@
     pub last_used: Cell<Option<Instant>>,
     /// When the first write after the last confirmation had to wait for a primary.
     pub gap_start: Cell<Option<Instant>>,
+    acks: Cell<Option<AckBounds>>,
     confirmation: RefCell<Confirmation>,
     required: Cell<usize>,
     waiting: RefCell<BTreeMap<u64, Vec<oneshot::Sender<()>>>>,
@@ -123,6 +124,7 @@
             samples: RefCell::default(),
             last_used: Cell::default(),
             gap_start: Cell::default(),
+            acks: Cell::default(),
             confirmation: RefCell::new(Confirmation::new(0, Vec::new(), required as usize)),
             required: Cell::new(required as usize),
             waiting: RefCell::default(),
@@ -234,6 +236,19 @@
         }
     }
 
+    /// Records that a write is acknowledged. Call it before the caller gets the answer, and without
+    /// waiting after the term was verified, so that a report of the end of the term includes it.
+    pub fn record_acks(&self, bounds: AckBounds) {
+        let known = self.acks.get().unwrap_or_default();
+        self.acks.set(Some(known.merge(bounds)));
+    }
+
+    /// How far writes were acknowledged; `None` before the first one.
+    #[must_use]
+    pub const fn acks(&self) -> Option<AckBounds> {
+        self.acks.get()
+    }
+
     /// Whether enough members hold `position`.
     #[must_use]
     pub fn is_confirmed(&self, position: Position) -> bool {
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -6,10 +6,10 @@
 use proto::schema;
 use route::{
     Health,
-    report::{ClusterView, ConnectionDemand, Observation, Report},
+    report::{ClusterView, ConnectionDemand, GroupAcks, Observation, Report},
 };
 
-use crate::{dialect::Dialect, network::Network};
+use crate::{dialect::Dialect, group::Phase, network::Network};
 
 /// Collects the state to report at `now`, with the announcements received since `since`, or all of
 /// them.
@@ -59,10 +59,21 @@
         let group = member.group.name.clone();
         (wanted > 0).then(|| (member.name.clone(), (group, demand)))
     });
+    let known_groups = network.groups.borrow();
+    let acks = known_groups.values().filter_map(|group| {
+        let (record, bounds) = (group.current()?, group.acks()?);
+        let acks = GroupAcks {
+            member: record.primary.clone(),
+            bounds,
+            urgent: record.phase != Phase::Stable,
+        };
+        Some((group.name.clone(), acks))
+    });
     ClusterView {
         announcements,
         groups,
         demands: demands.collect(),
+        acks: acks.collect(),
     }
 }
 
@@ -129,7 +140,7 @@
         }
     }
     if !report.demands.is_empty() {
-        let mut list = request.init_wanted(len_u32(&report.demands));
+        let mut list = request.reborrow().init_wanted(len_u32(&report.demands));
         for (i, (number, demand)) in (0..).zip(&report.demands) {
             let mut item = list.reborrow().get(i);
             item.set_number(*number);
@@ -138,4 +149,14 @@
             item.set_wanted(demand.wanted);
         }
     }
+    if !report.acks.is_empty() {
+        let mut list = request.init_acks(len_u32(&report.acks));
+        for (i, (number, bounds)) in (0..).zip(&report.acks) {
+            let mut item = list.reborrow().get(i);
+            item.set_number(*number);
+            item.set_term(bounds.term);
+            item.set_least(bounds.least);
+            item.set_most(bounds.most);
+        }
+    }
 }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -8,7 +8,7 @@
 use base::{MemberName, Position, Set, Term, Version, document::Service, fault::disabled};
 use rand::RngExt as _;
 use route::{
-    Health, Location,
+    AckBounds, Health, Location,
     freshness::{self, Choice, Replica, Requirement},
 };
 
@@ -472,6 +472,7 @@
         }
         self.await_confirmed(&group, term, position, deadline)
             .await?;
+        group.record_acks(AckBounds::exact(position));
         if let Some(since) = group.gap_start.take() {
             self.metrics.gap.observe(since.elapsed().as_secs_f64());
         }
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -107,7 +107,8 @@
   append @1 (request :AppendRequest) -> (reply :AppendReply);
   snapshot @2 (request :SnapshotRequest) -> (reply :SnapshotReply);
   # Answers whether this host holds no unexpired lease grant older than the record version.
-  grants @3 (version :UInt64) -> (clear :Bool, known :Bool);
+  # Also tells how far writes of the group were acknowledged, by the reports of entry processes.
+  grants @3 (version :UInt64, group :Text) -> (clear :Bool, known :Bool, acks :Acks);
   # Reads the status of an upstream on behalf of a host that can't reach it.
   probe @4 (target :Target) -> (reached :Bool, status :UpstreamStatus);
   # Gives an upstream the order to follow or to become primary on behalf of a host that can't reach
@@ -157,6 +158,16 @@
   address @1 :Text;
 }
 
+# How far writes of a group were acknowledged to callers: up to an offset between least and most. No
+# bounds if the term is 0.
+struct Acks {
+  # Any member of the group, by its number on the connection; only in a report.
+  number @0 :UInt16;
+  term @1 :UInt64;
+  least @2 :UInt64;
+  most @3 :UInt64;
+}
+
 # Gives a member the number that stands for it on this connection.
 struct MemberNumber {
   number @0 :UInt16;
@@ -255,6 +266,8 @@
   forwarding @15 :Text;
   # Mark of the list of near entry processes that the sender has; 0 for none.
   nearMark @16 :UInt64;
+  # Groups whose bounds changed.
+  acks @17 :List(Acks);
 }
 
 struct NearEntry {
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -7500,7 +7500,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -7512,6 +7512,17 @@
             pub fn get_version(self) -> u64 {
                 self.reader.get_data_field::<u64>(0)
             }
+            #[inline]
+            pub fn get_group(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_group(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -7521,7 +7532,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 1,
-                    pointers: 0,
+                    pointers: 1,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -7616,6 +7627,33 @@
             pub fn set_version(&mut self, value: u64) {
                 self.builder.set_data_field::<u64>(0, value);
             }
+            #[inline]
+            pub fn get_group(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_group(
+                &mut self,
+                value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+            ) {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+                .unwrap()
+            }
+            #[inline]
+            pub fn init_group(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_group(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline {
@@ -7630,17 +7668,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(73, 39, 26, 76, 94, 234, 49, 151),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -7648,14 +7686,21 @@
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 103, 114, 97, 110, 116, 115, 36),
                 ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7664,10 +7709,19 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -7686,9 +7740,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
             pub(crate) const TYPE_ID: u64 = 0x9731_ea5e_4c1a_2749;
         }
     }
@@ -7792,7 +7846,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -7808,6 +7862,17 @@
             pub fn get_known(self) -> bool {
                 self.reader.get_bool_field(1)
             }
+            #[inline]
+            pub fn get_acks(self) -> ::capnp::Result<crate::goldcrestrail_capnp::acks::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_acks(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -7817,7 +7882,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 1,
-                    pointers: 0,
+                    pointers: 1,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -7920,6 +7985,37 @@
             pub fn set_known(&mut self, value: bool) {
                 self.builder.set_bool_field(1, value);
             }
+            #[inline]
+            pub fn get_acks(
+                self,
+            ) -> ::capnp::Result<crate::goldcrestrail_capnp::acks::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_acks(
+                &mut self,
+                value: crate::goldcrestrail_capnp::acks::Reader<'_>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_acks(self) -> crate::goldcrestrail_capnp::acks::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    0,
+                )
+            }
+            #[inline]
+            pub fn has_acks(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
         }
 
         pub struct Pipeline {
@@ -7932,19 +8028,23 @@
                 }
             }
         }
-        impl Pipeline {}
+        impl Pipeline {
+            pub fn get_acks(&self) -> crate::goldcrestrail_capnp::acks::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(3, 3, 165, 12, 208, 48, 90, 250),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -7952,21 +8052,28 @@
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 103, 114, 97, 110, 116, 115, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(99, 108, 101, 97, 114, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7983,11 +8090,20 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 99, 107, 115, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(71, 49, 103, 166, 65, 126, 246, 209),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::goldcrestrail_capnp::acks::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8006,9 +8122,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
             pub(crate) const TYPE_ID: u64 = 0xfa5a_30d0_0ca5_0303;
         }
     }
@@ -13795,7 +13911,7 @@
     }
 }
 
-pub mod member_number {
+pub mod acks {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned {
@@ -13890,7 +14006,7 @@
         }
     }
 
-    impl<'a> Reader<'a> {
+    impl Reader<'_> {
         pub fn reborrow(&self) -> Reader<'_> {
             Self { ..*self }
         }
@@ -13903,26 +14019,16 @@
             self.reader.get_data_field::<u16>(0)
         }
         #[inline]
-        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn has_group(&self) -> bool {
-            !self.reader.get_pointer_field(0).is_null()
+        pub fn get_term(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
-            ::capnp::traits::FromPointerReader::get_from_pointer(
-                &self.reader.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
+        pub fn get_least(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn has_member(&self) -> bool {
-            !self.reader.get_pointer_field(1).is_null()
+        pub fn get_most(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
         }
     }
 
@@ -13932,8 +14038,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 1,
-                pointers: 2,
+                data: 4,
+                pointers: 0,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -14024,58 +14130,28 @@
             self.builder.set_data_field::<u16>(0, value);
         }
         #[inline]
-        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(0),
-                ::core::option::Option::None,
-            )
-        }
-        #[inline]
-        pub fn set_group(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(0),
-                value,
-                false,
-            )
-            .unwrap()
-        }
-        #[inline]
-        pub fn init_group(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(0).init_text(size)
+        pub fn get_term(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn has_group(&self) -> bool {
-            !self.builder.is_pointer_field_null(0)
+        pub fn set_term(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
-            ::capnp::traits::FromPointerBuilder::get_from_pointer(
-                self.builder.get_pointer_field(1),
-                ::core::option::Option::None,
-            )
+        pub fn get_least(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_member(
-            &mut self,
-            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
-        ) {
-            ::capnp::traits::SetterInput::set_pointer_builder(
-                self.builder.reborrow().get_pointer_field(1),
-                value,
-                false,
-            )
-            .unwrap()
+        pub fn set_least(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn init_member(self, size: u32) -> ::capnp::text::Builder<'a> {
-            self.builder.get_pointer_field(1).init_text(size)
+        pub fn get_most(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
         }
         #[inline]
-        pub fn has_member(&self) -> bool {
-            !self.builder.is_pointer_field_null(1)
+        pub fn set_most(&mut self, value: u64) {
+            self.builder.set_data_field::<u64>(3, value);
         }
     }
 
@@ -14091,48 +14167,455 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(55, 137, 130, 238, 165, 172, 163, 164),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(71, 49, 103, 166, 65, 126, 246, 209),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
-            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
             ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
-            ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
-            ::capnp::word(101, 114, 78, 117, 109, 98, 101, 114),
+            ::capnp::word(112, 110, 112, 58, 65, 99, 107, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 101, 97, 115, 116, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 111, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(
+            child_index: Option<u16>,
+            index: u32,
+        ) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+            ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+            ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME,
+            );
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
+        pub(crate) const TYPE_ID: u64 = 0xd1f6_7e41_a667_3147;
+    }
+}
+
+pub mod member_number {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned {
+        fn introspect() -> ::capnp::introspect::Type {
+            ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema {
+                generic: &_private::RAW_SCHEMA,
+                field_types: _private::get_field_types,
+                annotation_types: _private::get_annotation_types,
+                type_id: ::core::any::TypeId::of::<Owned>(),
+            })
+            .into()
+        }
+    }
+    impl ::capnp::traits::Owned for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::OwnedStruct for Owned {
+        type Reader<'a> = Reader<'a>;
+        type Builder<'a> = Builder<'a>;
+    }
+    impl ::capnp::traits::Pipelined for Owned {
+        type Pipeline = Pipeline;
+    }
+
+    pub struct Reader<'a> {
+        reader: ::capnp::private::layout::StructReader<'a>,
+    }
+    impl ::core::marker::Copy for Reader<'_> {}
+    impl ::core::clone::Clone for Reader<'_> {
+        fn clone(&self) -> Self {
+            *self
+        }
+    }
+
+    impl ::capnp::traits::HasTypeId for Reader<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+        fn from(reader: Reader<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(
+                reader.reader,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl ::core::fmt::Debug for Reader<'_> {
+        fn fmt(
+            &self,
+            f: &mut ::core::fmt::Formatter<'_>,
+        ) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(
+                &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                f,
+            )
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+        fn get_from_pointer(
+            reader: &::capnp::private::layout::PointerReader<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader
+                .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> Reader<'a> {
+        pub fn reborrow(&self) -> Reader<'_> {
+            Self { ..*self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.reader.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_group(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> {
+        builder: ::capnp::private::layout::StructBuilder<'a>,
+    }
+    impl ::capnp::traits::HasStructSize for Builder<'_> {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+            ::capnp::private::layout::StructSize {
+                data: 1,
+                pointers: 2,
+            };
+    }
+    impl ::capnp::traits::HasTypeId for Builder<'_> {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder }
+        }
+    }
+
+    impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+        fn from(builder: Builder<'a>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(
+                builder.builder,
+                ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema {
+                    generic: &_private::RAW_SCHEMA,
+                    field_types: _private::get_field_types,
+                    annotation_types: _private::get_annotation_types,
+                    type_id: ::core::any::TypeId::of::<Owned>(),
+                }),
+            ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder
+                .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                    cap_table,
+                ))
+        }
+    }
+
+    impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder
+                .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                .into()
+        }
+        fn get_from_pointer(
+            builder: ::capnp::private::layout::PointerBuilder<'a>,
+            default: ::core::option::Option<&'a [::capnp::Word]>,
+        ) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(
+                builder
+                    .get_struct(
+                        <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                        default,
+                    )?
+                    .into(),
+            )
+        }
+    }
+
+    impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+        fn set_pointer_builder(
+            mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+            value: Self,
+            canonicalize: bool,
+        ) -> ::capnp::Result<()> {
+            pointer.set_struct(&value.reader, canonicalize)
+        }
+    }
+
+    impl<'a> Builder<'a> {
+        pub fn into_reader(self) -> Reader<'a> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_> {
+            Builder {
+                builder: self.builder.reborrow(),
+            }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_number(self) -> u16 {
+            self.builder.get_data_field::<u16>(0)
+        }
+        #[inline]
+        pub fn set_number(&mut self, value: u16) {
+            self.builder.set_data_field::<u16>(0, value);
+        }
+        #[inline]
+        pub fn get_group(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(0),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_group(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(0),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_group(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_group(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_member(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(1),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_member(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>,
+        ) {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(1),
+                value,
+                false,
+            )
+            .unwrap()
+        }
+        #[inline]
+        pub fn init_member(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_member(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline {
+        _typeless: ::capnp::any_pointer::Pipeline,
+    }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self {
+                _typeless: typeless,
+            }
+        }
+    }
+    impl Pipeline {}
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(55, 137, 130, 238, 165, 172, 163, 164),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+            ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+            ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+            ::capnp::word(112, 110, 112, 58, 77, 101, 109, 98),
+            ::capnp::word(101, 114, 78, 117, 109, 98, 101, 114),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -17219,6 +17702,21 @@
         pub fn get_near_mark(self) -> u64 {
             self.reader.get_data_field::<u64>(4)
         }
+        #[inline]
+        pub fn get_acks(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::acks::Owned>,
+        > {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(11),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_acks(&self) -> bool {
+            !self.reader.get_pointer_field(11).is_null()
+        }
     }
 
     pub struct Builder<'a> {
@@ -17228,7 +17726,7 @@
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
                 data: 5,
-                pointers: 11,
+                pointers: 12,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -17725,6 +18223,42 @@
         pub fn set_near_mark(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(4, value);
         }
+        #[inline]
+        pub fn get_acks(
+            self,
+        ) -> ::capnp::Result<
+            ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::acks::Owned>,
+        > {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(11),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn set_acks(
+            &mut self,
+            value: ::capnp::struct_list::Reader<'_, crate::goldcrestrail_capnp::acks::Owned>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(11),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_acks(
+            self,
+            size: u32,
+        ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::acks::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(11),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_acks(&self) -> bool {
+            !self.builder.is_pointer_field_null(11)
+        }
     }
 
     pub struct Pipeline {
@@ -17739,17 +18273,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 310] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 329] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(161, 243, 184, 154, 86, 141, 144, 181),
             ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
-            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -17758,126 +18292,133 @@
             ::capnp::word(119, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(73, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(85, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(189, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -18050,6 +18591,18 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 107, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(71, 49, 103, 166, 65, 126, 246, 209),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -18070,6 +18623,7 @@
                 14 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::wanted::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 15 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 16 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                17 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::acks::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -18089,10 +18643,10 @@
                 MEMBERS_BY_NAME,
             );
         pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16];
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME: &[u16] =
-            &[5, 4, 7, 0, 15, 8, 11, 16, 3, 12, 2, 13, 10, 6, 9, 14, 1];
+            &[17, 5, 4, 7, 0, 15, 8, 11, 16, 3, 12, 2, 13, 10, 6, 9, 14, 1];
         pub(crate) const TYPE_ID: u64 = 0xb590_8d56_9ab8_f3a1;
     }
 }
--- a/crates/route/src/freshness.rs
+++ b/crates/route/src/freshness.rs
@@ -74,6 +74,12 @@
         }
     }
 
+    /// Latest known position.
+    #[must_use]
+    pub fn latest(&self) -> Option<Position> {
+        self.samples.back().map(|(_, position)| *position)
+    }
+
     /// Lowest known position at which a replica has all data that is older than `age`; `None` when
     /// no sample is recent enough.
     ///
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Functions whose result depends on time take the time as an argument.
 
+pub mod acks;
 pub mod affinity;
 pub mod budget;
 pub mod confirm;
@@ -19,6 +20,7 @@
 pub mod share;
 pub mod status;
 
+pub use acks::AckBounds;
 pub use budget::RetryBudget;
 pub use confirm::Confirmation;
 pub use detect::{FailureDetector, Health};
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -8,7 +8,7 @@
 
 use base::{GroupName, Map, MemberName, Position, Set};
 
-use crate::{Announcement, Health};
+use crate::{AckBounds, Announcement, Health};
 
 /// Identifies a member on one connection.
 pub type MemberNumber = u16;
@@ -53,6 +53,17 @@
 /// Observations of the members of one group, ordered by name.
 pub type GroupObservations = Vec<(MemberName, Observation)>;
 
+/// How far the writes of one group were acknowledged by an entry process.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct GroupAcks {
+    /// Any member, which stands for the group.
+    pub member: MemberName,
+    /// Bounds on the highest acknowledged position.
+    pub bounds: AckBounds,
+    /// Whether the primary is being changed, so that the choice of the next one needs the bounds.
+    pub urgent: bool,
+}
+
 /// Everything that an entry process reports with one renewal.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct ClusterView {
@@ -62,6 +73,8 @@
     pub groups: Map<GroupName, GroupObservations>,
     /// Demand for the members in use, with their groups.
     pub demands: Map<MemberName, (GroupName, ConnectionDemand)>,
+    /// How far writes were acknowledged, by group.
+    pub acks: Map<GroupName, GroupAcks>,
 }
 
 /// Changes since the previous report.
@@ -79,6 +92,8 @@
     pub observations: Vec<(MemberNumber, Observation)>,
     /// Changed demands.
     pub demands: Vec<(MemberNumber, ConnectionDemand)>,
+    /// Changed bounds of groups, each with the number of any member.
+    pub acks: Vec<(MemberNumber, AckBounds)>,
 }
 
 /// Sending side: remembers what was reported to a control host on the current connection.
@@ -90,6 +105,7 @@
     announced: Map<MemberName, Announcement>,
     groups: Map<GroupName, (GroupObservations, Instant)>,
     demands: Map<MemberName, ConnectionDemand>,
+    acks: Map<GroupName, (AckBounds, Instant)>,
 }
 
 impl ReportSender {
@@ -181,6 +197,17 @@
                 self.demands.insert(member.clone(), *demand);
             }
         }
+        for (group, acks) in &view.acks {
+            let known = self.acks.get(group).is_some_and(|(reported, at)| {
+                let recent = now.saturating_duration_since(*at) < POSITION_INTERVAL;
+                *reported == acks.bounds || (recent && !acks.urgent)
+            });
+            if !known {
+                let number = self.number(&mut report, group, &acks.member);
+                report.acks.push((number, acks.bounds));
+                self.acks.insert(group.clone(), (acks.bounds, now));
+            }
+        }
         report
     }
 
@@ -226,6 +253,7 @@
     announced: Map<MemberNumber, Announcement>,
     groups: Map<GroupName, GroupObservations>,
     demands: Map<MemberNumber, ConnectionDemand>,
+    acks: Map<GroupName, GroupAcks>,
 }
 
 impl ReportReceiver {
@@ -277,6 +305,16 @@
                 self.demands.insert(number, demand);
             }
         }
+        for (number, bounds) in report.acks {
+            let (group, member) = self.names.get(&number)?;
+            let acks = GroupAcks {
+                member: member.clone(),
+                bounds,
+                urgent: false,
+            };
+            self.acks.insert(group.clone(), acks);
+        }
+        view.acks.clone_from(&self.acks);
         view.groups.clone_from(&self.groups);
         view.demands = self
             .demands
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -9,6 +9,7 @@
     pool::{PoolError, PooledConn},
     refusal::Refusal,
 };
+use route::AckBounds;
 
 use crate::{
     caller::Caller,
@@ -164,7 +165,7 @@
         };
         let term = connection.primary().unwrap_or_default();
         self.context.member.clone_from(connection.member());
-        let sent = base::clock::now();
+        let sent = SentCommit::now(target);
         let result = shared
             .run(
                 &mut connection,
@@ -209,14 +210,18 @@
         &mut self,
         target: &ResolvedRoute<D>,
         term: Term,
-        sent: Instant,
+        sent: SentCommit,
         response: &Response,
         deadline: Instant,
     ) -> Result<(), Failure> {
         if let Err(cause) = target.confirm_term(term, deadline).await {
             return Err(Failure::new(Code::InDoubt, cause));
         }
-        target.record_position(sent, response.position);
+        if let Some(after) = response.position.filter(|_| sent.wrote) {
+            let bounds = AckBounds::of_commit(sent.before, after);
+            target.group.record_acks(bounds);
+        }
+        target.record_position(sent.at, response.position);
         self.last_write = self.last_write.max(response.position);
         Ok(())
     }
@@ -296,6 +301,28 @@
     }
 }
 
+/// What was known when a commit was sent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct SentCommit {
+    /// When it was sent, by [`base::clock`].
+    pub(crate) at: Instant,
+    /// Latest known position of the primary.
+    pub(crate) before: Option<Position>,
+    /// Whether it commits a write.
+    pub(crate) wrote: bool,
+}
+
+impl SentCommit {
+    /// A write that is sent now.
+    pub(crate) fn now<D: Dialect>(target: &ResolvedRoute<D>) -> Self {
+        Self {
+            at: base::clock::now(),
+            before: target.group.samples.borrow().latest(),
+            wrote: true,
+        }
+    }
+}
+
 /// Whether a member recently reported a position below `min_position`.
 fn is_behind<D: Dialect>(member: &Member<D>, min_position: Option<Position>, now: Instant) -> bool {
     let reported = member
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -17,7 +17,7 @@
     connection_state::PreparedStatement,
     session::{PendingStatement, Session},
     shared::{DEADLINE_PASSED, ResolvedRoute},
-    single::{ReadConnection, into_reply, refusal_failure},
+    single::{ReadConnection, SentCommit, into_reply, refusal_failure},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, Statement, StatementClient,
         TransactionState,
@@ -312,7 +312,10 @@
     ) -> Reply {
         self.context.member.clone_from(connection.member());
         let primary = connection.primary();
-        let sent = base::clock::now();
+        let sent = SentCommit {
+            wrote,
+            ..SentCommit::now(target)
+        };
         let statement = Statement::Forward {
             id: request.id.as_ref(),
             min_position: None,
