--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -245,6 +245,8 @@
     pub following: String,
     /// Announced as about to stop.
     pub leaving: bool,
+    /// Announces nothing any more, and still answers.
+    pub unheard: bool,
     /// Injected fault: connections are refused, or accepted and never answered.
     pub fault: Option<Health>,
     /// Refuses connections after it has executed a PROMOTE.
@@ -617,7 +619,15 @@
 
     /// Puts a configuration with one service of group `g` in force.
     pub fn configure(&self) {
-        let document = "[[service]]\nname = \"s\"\ngroup = \"g\"\n";
+        self.configure_with("[[service]]\nname = \"s\"\ngroup = \"g\"\n");
+    }
+
+    /// Like [`Self::configure`], with databases that come and go without an operator's order.
+    pub fn configure_open_group(&self) {
+        self.configure_with("[[service]]\nname = \"s\"\ngroup = \"g\"\ndatabases = 0\n");
+    }
+
+    fn configure_with(&self, document: &str) {
         let answer = self
             .shared
             .commit(&configure("first", 0, document).encode())
@@ -664,7 +674,8 @@
 
     pub fn announcements(&self) -> Vec<(Announcement, Duration)> {
         let members = self.members.iter().enumerate();
-        members
+        let heard = members.filter(|(_, m)| !m.state.borrow().unheard);
+        heard
             .map(|(i, m)| (m.announcement("g", &format!("z{i}")), Duration::ZERO))
             .collect()
     }
--- /dev/null
+++ b/crates/control/tests/counted.rs
@@ -0,0 +1,121 @@
+//! Databases that the primary counts for its commits, whatever the record says.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use base::Position;
+use common::{Cluster, FakeMember, Group, observe_until, observe_until_term};
+use compio::time::sleep;
+use control::{host::Renewal, machine::GroupState, sighting::Health};
+use route::AckBounds;
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+/// A group with the primary `a` in term 1, whose databases come and go by announcing themselves. All
+/// are at offset 10.
+async fn open_group() -> (Cluster, Group) {
+    let cluster = Cluster::start_with(true).await;
+    let group = Group::start().await;
+    for member in &group.members {
+        let mut state = member.state.borrow_mut();
+        state.position = Position::new(1, 10);
+        state.primary = state.member == "a";
+    }
+    cluster.configure_open_group();
+    observe_until(&cluster, &group, TIMEOUT, || {
+        cluster.record().is_some_and(|r| r.members.len() == 3)
+    })
+    .await;
+    (cluster, group)
+}
+
+/// Sends renewals for `time`.
+async fn observe_for(cluster: &Cluster, group: &Group, time: Duration) {
+    let start = Instant::now();
+    while start.elapsed() < time {
+        group.observe(cluster);
+        sleep(Duration::from_millis(50)).await;
+    }
+}
+
+fn set_offset(group: &Group, member: usize, offset: u64) {
+    group.members[member].state.borrow_mut().position.offset = offset;
+}
+
+fn fail(group: &Group, member: usize, fault: Health) {
+    group.members[member].state.borrow_mut().fault = Some(fault);
+}
+
+/// Reports that writes up to `offset` of term 1 were acknowledged.
+fn acknowledge(cluster: &Cluster, group: &Group, offset: u64) {
+    let records = cluster.leader().state.borrow().version;
+    let bounds = AckBounds::exact(Position::new(1, offset));
+    cluster.renew(&Renewal {
+        acks: vec![("g".to_owned(), bounds)],
+        ..group.renewal(0, records, Group::actual_health)
+    });
+}
+
+/// Guards against the loss of commits that only a stopping replica has: it goes on receiving after its
+/// last announcement, and was dropped from the record.
+#[compio::test]
+async fn stopping_replica_that_still_answers_is_asked() {
+    let (cluster, group) = open_group().await;
+    group.members[2].state.borrow_mut().leaving = true;
+    group.observe(&cluster);
+    group.members[2].state.borrow_mut().unheard = true;
+    observe_for(&cluster, &group, Duration::from_secs(6)).await;
+
+    set_offset(&group, 0, 12);
+    set_offset(&group, 2, 12);
+    fail(&group, 0, Health::Refused);
+    observe_until_term(&cluster, &group, 2).await;
+
+    assert_eq!(cluster.record().unwrap().primary, "c");
+}
+
+/// Guards against the loss of commits that only a stopping replica has while control hosts don't reach
+/// it: its silence does not show that it ended.
+#[compio::test]
+async fn stopping_replica_that_is_cut_off_is_waited_for() {
+    let (cluster, group) = open_group().await;
+    group.members[2].state.borrow_mut().leaving = true;
+    group.observe(&cluster);
+    group.members[2].state.borrow_mut().unheard = true;
+    fail(&group, 2, Health::Silent);
+    observe_for(&cluster, &group, Duration::from_secs(6)).await;
+
+    set_offset(&group, 0, 12);
+    set_offset(&group, 2, 12);
+    acknowledge(&cluster, &group, 12);
+    fail(&group, 0, Health::Refused);
+    observe_for(&cluster, &group, Duration::from_secs(3)).await;
+    let before = cluster.record().unwrap();
+    group.members[2].state.borrow_mut().fault = None;
+    observe_until_term(&cluster, &group, 2).await;
+
+    assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
+    assert_eq!(cluster.record().unwrap().primary, "c");
+}
+
+/// Guards against the loss of commits that only a new replica has whose announcements were all lost.
+#[compio::test]
+async fn acknowledged_commits_of_an_unheard_replica_are_waited_for() {
+    let (cluster, mut group) = open_group().await;
+    let replica = FakeMember::start("d").await;
+    replica.state.borrow_mut().position = Position::new(1, 12);
+    replica.state.borrow_mut().unheard = true;
+    group.members.push(replica);
+    set_offset(&group, 0, 12);
+    acknowledge(&cluster, &group, 12);
+
+    fail(&group, 0, Health::Refused);
+    observe_for(&cluster, &group, Duration::from_secs(3)).await;
+    let before = cluster.record().unwrap();
+    group.members[3].state.borrow_mut().unheard = false;
+    observe_until_term(&cluster, &group, 2).await;
+
+    assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
+    assert_eq!(cluster.record().unwrap().primary, "d");
+}
