Drop a member from the record only when it is shown that it ended

A replica that announced its stop was dropped from the record 3 s after its last announcement, while the primary still counted it; commits that only it held were then missing from a choice that no longer asked it.

A member now counts until its address refuses connections or serves another database, or until it announced its end and does not answer. One that announced its stop and is silent is kept in the record under "stopping", which the next leader finds there. The status of a database tells refused from unknown, also when it is read through another control host. A crashed replica is not dropped: it may come back with its log.

--- /dev/null
+++ b/crates/control/src/departure.rs
@@ -0,0 +1,114 @@
+//! Members that leave a group: a member counts until it is shown that it ended.
+//!
+//! Where the primary decides which replicas it counts, a replica that announced its stop goes on
+//! receiving commits for an unknown time. It is not dropped because it is silent.
+
+use std::time::Instant;
+
+use crate::{
+    directory,
+    host::Host,
+    log::Log,
+    machine::{Member, Record},
+    upstream::StatusError,
+};
+
+/// Record without a member that ended, if databases come and go without an operator's order. It counts
+/// as uncovered, because it may have confirmed writes that another member lacks.
+///
+/// A member ended if it is silent and another database serves at its address; or it announced its stop
+/// before, and either its address refuses connections or it announced its end and does not answer.
+/// `unread` are the members that were asked just now and did not answer.
+pub(crate) fn without_ended<L: Log>(
+    host: &Host<L>,
+    record: &Record,
+    unread: &[(String, StatusError)],
+) -> Option<Record> {
+    let document = host.document();
+    let service = document.service_of_group(&record.group)?;
+    let needed = usize::try_from(service.confirmations.max(record.confirmations)).ok()?;
+    if service.databases > 0 || record.members.len() <= needed {
+        return None;
+    }
+    let (ended, cause) = unread.iter().find_map(|(name, error)| {
+        let member = record.member(name)?;
+        if member.member == record.primary || is_live(host, member) {
+            return None;
+        }
+        let stops = record.stopping.contains(name) || announced(host, member, |a| a.leaving);
+        let cause = match error {
+            StatusError::Replaced(_) => "another database serves at its address",
+            StatusError::Refused(_) if stops => "it announced its stop and refuses connections",
+            _ if announced(host, member, |a| a.gone) => "it announced its end and does not answer",
+            _ => return None,
+        };
+        Some((member, cause))
+    })?;
+    slog::info!(host.logger, "member dropped from the record"; "group" => &record.group,
+        "member" => &ended.member, "cause" => cause, "position" => last_position(host, record, ended));
+    let mut changed = record.clone();
+    changed.members.retain(|member| member != ended);
+    changed.stopping.remove(&ended.member);
+    changed.uncovered += 1;
+    Some(changed)
+}
+
+/// Record that names the members which announced their stop and are silent since. `None` if it does so
+/// already.
+pub(crate) fn with_stopping<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
+    let document = host.document();
+    if document.service_of_group(&record.group)?.databases > 0 {
+        return None;
+    }
+    let mut changed = record.clone();
+    let known = |name: &String| {
+        record
+            .member(name)
+            .is_some_and(|member| !is_live(host, member))
+    };
+    changed.stopping.retain(known);
+    let stopping = record.members.iter().filter(|member| {
+        member.member != record.primary
+            && !is_live(host, member)
+            && announced(host, member, |a| a.leaving)
+    });
+    changed
+        .stopping
+        .extend(stopping.map(|member| member.member.clone()));
+    (changed.stopping != record.stopping).then(|| {
+        slog::info!(host.logger, "members announced their stop and are silent";
+            "group" => &record.group, "members" => ?changed.stopping);
+        changed
+    })
+}
+
+/// Whether a recorded store announced itself lately.
+fn is_live<L: Log>(host: &Host<L>, member: &Member) -> bool {
+    let directory = host.directory.borrow();
+    let now = Instant::now();
+    directory.member(&member.member).is_some_and(|received| {
+        received.announcement.store == member.store
+            && now.saturating_duration_since(received.received_at) < directory::LOST_AFTER
+    })
+}
+
+/// Whether the last announcement of a recorded store satisfies `predicate`.
+fn announced<L: Log>(
+    host: &Host<L>,
+    member: &Member,
+    predicate: impl Fn(&directory::Announcement) -> bool,
+) -> bool {
+    let directory = host.directory.borrow();
+    directory.member(&member.member).is_some_and(|received| {
+        received.announcement.store == member.store && predicate(&received.announcement)
+    })
+}
+
+/// Most advanced position of a member that entry processes reported.
+fn last_position<L: Log>(host: &Host<L>, record: &Record, member: &Member) -> Option<String> {
+    let sightings = host.sightings.borrow();
+    let observers = sightings.observers(&record.group)?.values();
+    let seen = observers.filter_map(|observer| observer.members.get(&member.member));
+    let last = seen.map(|seen| seen.position).max()?;
+    Some(format!("{}.{}", last.term, last.offset))
+}
--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -42,6 +42,8 @@
     pub sequence: u64,
     /// Start time of the database by its own clock, in milliseconds since the epoch; 0 if unknown.
     pub born: u64,
+    /// Whether it said that it ends now.
+    pub gone: bool,
 }
 
 impl Announcement {
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -25,7 +25,7 @@
     permits, seat,
     session::RenewalSession,
     sighting::{Health, Sighting},
-    upstream::{Order, Target},
+    upstream::{Order, StatusError, Target},
 };
 
 /// A watch without changes is answered after this time, unless the caller asks for another one.
@@ -457,6 +457,7 @@
     builder.set_age(wire_millis(now.duration_since(received.received_at)));
     builder.set_sequence(announcement.sequence);
     builder.set_born(announcement.born);
+    builder.set_gone(announcement.gone);
 }
 
 pub(crate) fn fill_target(target: &Target, mut builder: schema::target::Builder<'_>) {
@@ -488,6 +489,7 @@
         leaving: reader.get_leaving(),
         sequence: reader.get_sequence(),
         born: reader.get_born(),
+        gone: reader.get_gone(),
     })
 }
 
@@ -566,9 +568,16 @@
         mut results: peer::ProbeResults,
     ) -> Result<(), Error> {
         let target = read_target(params.get()?.get_target()?)?;
-        let Ok(status) = self.host.databases.status(&target).await else {
-            results.get().set_reached(false);
-            return Ok(());
+        let status = match self.host.databases.status(&target).await {
+            Ok(status) => status,
+            Err(cause) => {
+                results.get().set_ended(match cause {
+                    StatusError::Refused(_) => schema::Ended::Refused,
+                    StatusError::Replaced(_) => schema::Ended::Replaced,
+                    StatusError::Unknown(_) => schema::Ended::Unknown,
+                });
+                return Ok(());
+            }
         };
         results.get().set_reached(true);
         let mut builder = results.get().init_status();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cancel;
 pub mod console;
 mod coverage;
+pub mod departure;
 pub mod directory;
 pub mod documents;
 pub mod failover;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -105,6 +105,10 @@
     /// up or have been promoted already; see [`crate::calls`].
     #[serde(default)]
     pub abandoned: BTreeSet<MemberName>,
+    /// Members that announced their stop and are silent since. The primary counts them until they end,
+    /// which their silence does not show.
+    #[serde(default)]
+    pub stopping: BTreeSet<MemberName>,
     /// Primary of the term that ended, once another member was chosen; see
     /// [`Record::former_primary`].
     #[serde(default)]
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -10,14 +10,14 @@
 
 use base::{HostName, Map, Position, Version};
 use compio::{runtime::JoinHandle, time::timeout};
-use proto::schema::{gate, peer};
+use proto::schema::{self, gate, peer};
 
 use route::{AckBounds, Status};
 
 use crate::{
     directory::ReceivedAnnouncement,
     gate::{fill_announcement, fill_target, list_len},
-    upstream::{self, Order, Target},
+    upstream::{self, Order, StatusError, Target},
 };
 
 /// Timeout for connecting to a peer.
@@ -178,18 +178,23 @@
     ///
     /// # Errors
     /// The host or the database can't be reached.
-    pub async fn relay_status(&self, name: &str, target: &Target) -> Result<Status, String> {
+    pub async fn relay_status(&self, name: &str, target: &Target) -> Result<Status, StatusError> {
         self.call(name, RELAY_TIMEOUT, async |client| {
             let mut request = client.probe_request();
             fill_target(target, request.get().init_target());
             let response = request.send().promise.await?;
             let answer = response.get()?;
             if !answer.get_reached() {
-                return Ok(None);
+                let cause = format!("{name} can't reach {} either", target.address);
+                return Ok(Err(match answer.get_ended()? {
+                    schema::Ended::Refused => StatusError::Refused(cause),
+                    schema::Ended::Replaced => StatusError::Replaced(cause),
+                    schema::Ended::Unknown => StatusError::Unknown(cause),
+                }));
             }
             let status = answer.get_status()?;
             let position = status.get_position()?;
-            Ok(Some(Status {
+            Ok(Ok(Status {
                 member: status.get_member()?.to_string()?,
                 store: status.get_store()?.to_string()?,
                 primary: status.get_primary(),
@@ -198,7 +203,6 @@
             }))
         })
         .await?
-        .ok_or_else(|| format!("{name} can't reach {} either", target.address))
     }
 
     /// Forwards announcements that arrived at this host.
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -29,7 +29,7 @@
     machine::{Command, GroupState, Member, PlannedChange, Record},
     sweep,
     unrecorded::{self, unrecorded},
-    upstream::{self, Fence, Order, Target},
+    upstream::{self, Fence, Order, StatusError, Target},
 };
 
 /// Delay between attempts of a step that waits for other processes.
@@ -176,6 +176,7 @@
         removed: BTreeSet::new(),
         uncovered: 0,
         abandoned: BTreeSet::new(),
+        stopping: BTreeSet::new(),
         former: None,
         version: 0,
     };
@@ -232,6 +233,7 @@
         removed: BTreeSet::new(),
         uncovered: 0,
         abandoned: BTreeSet::new(),
+        stopping: BTreeSet::new(),
         former: None,
         version: 0,
     };
@@ -725,26 +727,39 @@
     target: Target,
     delay: Duration,
 ) -> Option<Status> {
-    let mut direct = host.databases.status(&target);
-    let failed = match timeout(delay, &mut direct).await {
-        Ok(Ok(status)) => return Some(status),
-        Ok(Err(_cause)) => true,
-        Err(_elapsed) => false,
+    read_status(host, &target, delay).await.ok()
+}
+
+/// Like [`probe`]. Without an answer, the error tells whether any host found that the database ended.
+pub(crate) async fn read_status<L: Log>(
+    host: &Host<L>,
+    target: &Target,
+    delay: Duration,
+) -> Result<Status, StatusError> {
+    let mut direct = host.databases.status(target);
+    let mut error = match timeout(delay, &mut direct).await {
+        Ok(Ok(status)) => return Ok(status),
+        Ok(Err(cause)) => Some(cause),
+        Err(_elapsed) => None,
     };
     let names = host.peers.names();
     let relayed = names
         .iter()
-        .map(|name| host.peers.relay_status(name, &target).boxed_local());
+        .map(|name| host.peers.relay_status(name, target).boxed_local());
     let mut attempts: FuturesUnordered<_> = relayed.collect();
-    if !failed {
+    if error.is_none() {
         attempts.push(direct);
     }
     while let Some(answer) = attempts.next().await {
-        if let Ok(status) = answer {
-            return Some(status);
+        match answer {
+            Ok(status) => return Ok(status),
+            Err(cause) if matches!(error, None | Some(StatusError::Unknown(_))) => {
+                error = Some(cause);
+            }
+            Err(_cause) => {}
         }
     }
-    None
+    Err(error.unwrap_or_else(|| StatusError::Unknown(format!("no answer from {}", target.address))))
 }
 
 /// Sends an order directly, and also through the other control hosts if that fails or takes longer
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -3,21 +3,22 @@
 
 use std::{rc::Rc, time::Instant};
 
+use base::MemberName;
 use futures_util::future::join_all;
 
 use route::Status;
 
 use crate::{
-    coverage,
-    directory::{self, Announcement},
+    coverage, departure,
+    directory::Announcement,
     failover,
     host::Host,
     log::{Log, LogError},
     machine::{Member, Record},
-    promotion::{RELAY_DELAY, member_from, probe, send_order, wait_for_release},
+    promotion::{RELAY_DELAY, member_from, read_status, send_order, wait_for_release},
     sighting::Health,
     unrecorded::{self, unrecorded},
-    upstream::{self, Target},
+    upstream::{self, StatusError, Target},
 };
 
 /// On average, one sweep in this many asks every member, because a sighting does not show which
@@ -66,17 +67,20 @@
         .map(|member| host.target(&record.group, member))
         .chain(newcomers.iter().map(newcomer_target))
         .collect();
-    let statuses = join_all(
+    let answers = join_all(
         targets
             .iter()
-            .map(|target| probe(host, target.clone(), RELAY_DELAY)),
+            .map(|target| read_status(host, target, RELAY_DELAY)),
     )
     .await;
-    let statuses: Vec<_> = targets
-        .into_iter()
-        .zip(statuses)
-        .filter_map(|(target, status)| Some((target, status?)))
-        .collect();
+    let mut statuses = Vec::new();
+    let mut unread: Vec<(MemberName, StatusError)> = Vec::new();
+    for (target, answer) in targets.into_iter().zip(answers) {
+        match answer {
+            Ok(status) => statuses.push((target, status)),
+            Err(cause) => unread.push((target.member, cause)),
+        }
+    }
     let managed = host.databases.authority().is_some();
     let lost_by = |(_, status): &(Target, Status)| {
         failover::demotion_cause(record, status)
@@ -129,7 +133,8 @@
         (changed, _) => changed,
     };
     let changed = changed
-        .or_else(|| without_departed(host, record))
+        .or_else(|| departure::without_ended(host, record, &unread))
+        .or_else(|| departure::with_stopping(host, record))
         .or_else(|| moved.clone());
     if let Some(changed) = changed {
         slog::info!(host.logger, "members of a group changed"; "group" => &record.group,
@@ -255,45 +260,6 @@
     }
 }
 
-/// Record without a member that announced its stop and is now silent, if databases come and go
-/// without an operator's order. The member counts as uncovered, because it may have confirmed
-/// writes that another member lacks.
-fn without_departed<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
-    let document = host.document();
-    let service = document.service_of_group(&record.group)?;
-    let needed = usize::try_from(service.confirmations.max(record.confirmations)).ok()?;
-    if service.databases > 0 || record.members.len() <= needed {
-        return None;
-    }
-    let directory = host.directory.borrow();
-    let now = Instant::now();
-    let departed = record.members.iter().find(|member| {
-        let received = directory.member(&member.member);
-        member.member != record.primary
-            && received.is_some_and(|received| {
-                let left =
-                    received.announcement.leaving && received.announcement.store == member.store;
-                left && now.saturating_duration_since(received.received_at) >= directory::LOST_AFTER
-            })
-    })?;
-    slog::info!(host.logger, "member dropped from the record"; "group" => &record.group,
-        "member" => &departed.member, "cause" => "it announced its stop and is silent",
-        "position" => last_position(host, record, &departed.member));
-    let mut changed = record.clone();
-    changed.members.retain(|member| member != departed);
-    changed.uncovered += 1;
-    Some(changed)
-}
-
-/// Most advanced position of a member that entry processes reported.
-fn last_position<L: Log>(host: &Host<L>, record: &Record, member: &str) -> Option<String> {
-    let sightings = host.sightings.borrow();
-    let observers = sightings.observers(&record.group)?.values();
-    let seen = observers.filter_map(|observer| observer.members.get(member));
-    let last = seen.map(|seen| seen.position).max()?;
-    Some(format!("{}.{}", last.term, last.offset))
-}
-
 /// Record with the new addresses of members that moved together with their store. `None` if none
 /// did.
 fn with_moved_addresses<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
--- a/crates/control/src/upstream.rs
+++ b/crates/control/src/upstream.rs
@@ -18,6 +18,40 @@
 /// SQLSTATE at the start of the error text when a database refuses an order because of its state.
 pub const REFUSED_SQLSTATE: &str = "55000";
 
+/// Why the status of a database can't be read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StatusError {
+    /// The address refuses connections: no process serves there.
+    Refused(String),
+    /// Another database serves at the address.
+    Replaced(String),
+    /// The database may be running.
+    Unknown(String),
+}
+
+impl fmt::Display for StatusError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (Self::Refused(cause) | Self::Replaced(cause) | Self::Unknown(cause)) = self;
+        f.write_str(cause)
+    }
+}
+
+impl From<String> for StatusError {
+    fn from(cause: String) -> Self {
+        Self::Unknown(cause)
+    }
+}
+
+impl From<std::io::Error> for StatusError {
+    fn from(error: std::io::Error) -> Self {
+        if error.kind() == std::io::ErrorKind::ConnectionRefused {
+            Self::Refused(error.to_string())
+        } else {
+            Self::Unknown(error.to_string())
+        }
+    }
+}
+
 /// Identifies a database and the store that it must have.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Target {
@@ -139,7 +173,7 @@
     /// Reads the status of a database.
     ///
     /// The error says why the status can't be read.
-    fn status<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<Status, String>>;
+    fn status<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<Status, StatusError>>;
 
     /// Sends an order to a database.
     ///
@@ -181,10 +215,12 @@
 }
 
 impl Databases for Postgres {
-    fn status<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<Status, String>> {
+    fn status<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Result<Status, StatusError>> {
         let address = &target.address;
-        let work =
-            async move { read_status(&mut connect(self.host, address).await?, address).await };
+        let work = async move {
+            let mut client = connect(self.host, address).await?;
+            Ok(read_status(&mut client, address).await?)
+        };
         with_timeout(address, work).boxed_local()
     }
 
@@ -197,7 +233,9 @@
     ) -> LocalBoxFuture<'a, Result<(), String>> {
         let address = &target.address;
         let work = async move {
-            let mut client = connect(self.host, address).await?;
+            let mut client = connect(self.host, address)
+                .await
+                .map_err(|cause| cause.to_string())?;
             let statement = match order {
                 Order::Promote { term, .. } => {
                     let store = read_status(&mut client, address).await?.store;
@@ -226,13 +264,10 @@
         .map_err(|_cause| format!("{text} is no ip:port"))
 }
 
-async fn connect(host: IpAddr, text: &str) -> Result<wire::Client, String> {
-    let stream = base::net::connect(host, parse_address(text)?, CALL_TIMEOUT)
-        .await
-        .map_err(|e| e.to_string())?;
-    wire::Client::open(stream, "monitor", "postgres")
-        .await
-        .map_err(|cause| cause.to_string())
+async fn connect(host: IpAddr, text: &str) -> Result<wire::Client, StatusError> {
+    let stream = base::net::connect(host, parse_address(text)?, CALL_TIMEOUT).await?;
+    let opened = wire::Client::open(stream, "monitor", "postgres").await;
+    Ok(opened.map_err(|cause| cause.to_string())?)
 }
 
 async fn query(client: &mut wire::Client, sql: &str) -> Result<wire::client::Rows, String> {
@@ -243,10 +278,10 @@
 ///
 /// # Errors
 /// `work` fails or times out.
-pub async fn with_timeout<T>(
+pub async fn with_timeout<T, E: From<String>>(
     address: &str,
-    work: impl Future<Output = Result<T, String>>,
-) -> Result<T, String> {
+    work: impl Future<Output = Result<T, E>>,
+) -> Result<T, E> {
     let done = timeout(CALL_TIMEOUT, work).await;
     done.map_err(|_elapsed| format!("no answer from {address} within {CALL_TIMEOUT:?}"))?
 }
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -39,6 +39,7 @@
         removed: std::collections::BTreeSet::new(),
         uncovered: 0,
         abandoned: std::collections::BTreeSet::new(),
+        stopping: std::collections::BTreeSet::new(),
         former: None,
         version: 7,
     }
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -189,6 +189,7 @@
             removed: BTreeSet::new(),
             uncovered: 0,
             abandoned: BTreeSet::new(),
+            stopping: BTreeSet::new(),
             former: None,
             version,
         };
--- a/crates/control/tests/machine.rs
+++ b/crates/control/tests/machine.rs
@@ -31,6 +31,7 @@
         removed: BTreeSet::new(),
         uncovered: 0,
         abandoned: BTreeSet::new(),
+        stopping: BTreeSet::new(),
         former: None,
         version: 0,
     }
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -41,6 +41,8 @@
 pub enum OpenError {
     /// The database has no capacity for another connection.
     Full,
+    /// Another database than the requested one serves at the address.
+    WrongMember(String),
     /// The connection failed, or the database refused it.
     Failed(String),
 }
--- a/crates/lab/src/control_host.rs
+++ b/crates/lab/src/control_host.rs
@@ -364,6 +364,7 @@
                 removed: BTreeSet::new(),
                 uncovered: 0,
                 abandoned: BTreeSet::new(),
+                stopping: BTreeSet::new(),
                 former: None,
                 version: 0,
             };
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -110,7 +110,8 @@
   # Also tells how far writes of the group were acknowledged, by the reports of entry processes.
   grants @3 (version :UInt64, group :Text) -> (clear :Bool, known :Bool, acks :Acks);
   # Reads the status of an upstream on behalf of a host that can't reach it.
-  probe @4 (target :Target) -> (reached :Bool, status :UpstreamStatus);
+  # `ended`: the process that served the target is gone from its address.
+  probe @4 (target :Target) -> (reached :Bool, status :UpstreamStatus, ended :Ended);
   # Gives an upstream the order to follow or to become primary on behalf of a host that can't reach
   # it. It becomes primary only if it has the store of the target.
   order @5 (target :Target, order :Text) -> (done :Bool, cause :Text);
@@ -142,6 +143,17 @@
   sequence @11 :UInt64;
   # Start of the member in milliseconds since the epoch on its own clock; 0 when it is not told.
   born @12 :UInt64;
+  # The member said that it ends now.
+  gone @13 :Bool;
+}
+
+# Whether a database that can't be asked is known to have ended.
+enum Ended {
+  unknown @0;
+  # Its address refuses connections.
+  refused @1;
+  # Another database serves at its address.
+  replaced @2;
 }
 
 # A database as control hosts address it.
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -8582,6 +8582,13 @@
             pub fn has_status(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_ended(
+                self,
+            ) -> ::core::result::Result<crate::goldcrestrail_capnp::Ended, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.reader.get_data_field::<u16>(1))
+            }
         }
 
         pub struct Builder<'a> {
@@ -8718,6 +8725,17 @@
             pub fn has_status(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_ended(
+                self,
+            ) -> ::core::result::Result<crate::goldcrestrail_capnp::Ended, ::capnp::NotInSchema>
+            {
+                ::core::convert::TryFrom::try_from(self.builder.get_data_field::<u16>(1))
+            }
+            #[inline]
+            pub fn set_ended(&mut self, value: crate::goldcrestrail_capnp::Ended) {
+                self.builder.set_data_field::<u16>(1, value as u16);
+            }
         }
 
         pub struct Pipeline {
@@ -8736,7 +8754,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(234, 40, 79, 30, 89, 185, 94, 191),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 1, 0),
@@ -8746,7 +8764,7 @@
                 ::capnp::word(21, 0, 0, 0, 58, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -8754,21 +8772,28 @@
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 112, 114, 111, 98, 101, 36, 82),
                 ::capnp::word(101, 115, 117, 108, 116, 115, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(114, 101, 97, 99, 104, 101, 100, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8785,11 +8810,20 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 100, 101, 100, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(76, 83, 236, 231, 134, 158, 181, 199),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(15, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <crate::goldcrestrail_capnp::upstream_status::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::goldcrestrail_capnp::Ended as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8808,9 +8842,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
             pub(crate) const TYPE_ID: u64 = 0xbf5e_b959_1e4f_28ea;
         }
     }
@@ -12502,6 +12536,10 @@
         pub fn get_born(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_gone(self) -> bool {
+            self.reader.get_bool_field(65)
+        }
     }
 
     pub struct Builder<'a> {
@@ -12808,6 +12846,14 @@
         pub fn set_born(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_gone(self) -> bool {
+            self.builder.get_bool_field(65)
+        }
+        #[inline]
+        pub fn set_gone(&mut self, value: bool) {
+            self.builder.set_bool_field(65, value);
+        }
     }
 
     pub struct Pipeline {
@@ -12822,7 +12868,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 216] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 231] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(83, 110, 121, 86, 76, 39, 56, 243),
             ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
@@ -12832,7 +12878,7 @@
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 23, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -12841,98 +12887,105 @@
             ::capnp::word(117, 110, 99, 101, 109, 101, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(56, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(121, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(145, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(161, 1, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(165, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(177, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 65, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(109, 101, 109, 98, 101, 114, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -13039,6 +13092,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 111, 110, 101, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -13055,6 +13116,7 @@
                 10 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 11 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 12 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -13073,13 +13135,107 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12];
+        pub(crate) static NONUNION_MEMBERS: &[u16] =
+            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 9, 12, 6, 1, 8, 0, 10, 5, 11, 7, 2, 4];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[3, 9, 12, 6, 13, 1, 8, 0, 10, 5, 11, 7, 2, 4];
         pub(crate) const TYPE_ID: u64 = 0xf338_274c_5679_6e53;
     }
 }
 
+#[repr(u16)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Unknown = 0,
+    Refused = 1,
+    Replaced = 2,
+}
+
+impl ::capnp::introspect::Introspect for Ended {
+    fn introspect() -> ::capnp::introspect::Type {
+        ::capnp::introspect::TypeVariant::Enum(::capnp::introspect::RawEnumSchema::new(
+            &ended::ARENA,
+            ended::get_annotation_types,
+        ))
+        .into()
+    }
+}
+impl ::core::convert::From<Ended> for ::capnp::dynamic_value::Reader<'_> {
+    fn from(e: Ended) -> Self {
+        ::capnp::dynamic_value::Enum::new(
+            e.into(),
+            ::capnp::introspect::RawEnumSchema::new(&ended::ARENA, ended::get_annotation_types)
+                .into(),
+        )
+        .into()
+    }
+}
+impl ::core::convert::TryFrom<u16> for Ended {
+    type Error = ::capnp::NotInSchema;
+    fn try_from(
+        value: u16,
+    ) -> ::core::result::Result<Self, <Ended as ::core::convert::TryFrom<u16>>::Error> {
+        match value {
+            0 => ::core::result::Result::Ok(Self::Unknown),
+            1 => ::core::result::Result::Ok(Self::Refused),
+            2 => ::core::result::Result::Ok(Self::Replaced),
+            n => ::core::result::Result::Err(::capnp::NotInSchema(n)),
+        }
+    }
+}
+impl From<Ended> for u16 {
+    #[inline]
+    fn from(x: Ended) -> u16 {
+        x as u16
+    }
+}
+impl ::capnp::traits::HasTypeId for Ended {
+    const TYPE_ID: u64 = 0xc7b5_9e86_e7ec_534cu64;
+}
+mod ended {
+    pub(crate) static ENCODED_NODE: [::capnp::Word; 31] = [
+        ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+        ::capnp::word(76, 83, 236, 231, 134, 158, 181, 199),
+        ::capnp::word(20, 0, 0, 0, 2, 0, 0, 0),
+        ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+        ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 79, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
+        ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
+        ::capnp::word(112, 110, 112, 58, 69, 110, 100, 101),
+        ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+        ::capnp::word(12, 0, 0, 0, 1, 0, 2, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(29, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(21, 0, 0, 0, 66, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(13, 0, 0, 0, 74, 0, 0, 0),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ::capnp::word(117, 110, 107, 110, 111, 119, 110, 0),
+        ::capnp::word(114, 101, 102, 117, 115, 101, 100, 0),
+        ::capnp::word(114, 101, 112, 108, 97, 99, 101, 100),
+        ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+    ];
+    pub(crate) fn get_annotation_types(
+        child_index: Option<u16>,
+        index: u32,
+    ) -> ::capnp::introspect::Type {
+        ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+    }
+    pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+        ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+}
+
 pub mod target {
     #[derive(Copy, Clone)]
     pub struct Owned(());
