Choose a primary only if it holds every acknowledged write

The test acknowledged_commits_of_an_unheard_replica_are_waited_for failed before: b was promoted at offset 10 while an unheard replica held the acknowledged offset 12.

What entry processes report with the end of a lease now guards the choice. A position below the lower bound waits 8 s for a further answer, one between the bounds 3 s, and the log tells whom a choice waits for and what it gives up (goldcrestrail_missing_writes_total). The former primary is chosen again if only its answer holds an acknowledged write. Silent members that announced their stop stay out of the quorum once an answer holds all that was acknowledged, provided that each lease ended with a report; else after 8 s, so that they don't keep a group without a primary.

--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -185,6 +185,7 @@
         forwarding: read_text(request.get_forwarding())?,
         stopping: request.get_stopping(),
         acks: Vec::new(),
+        reports_acks: request.get_reports_acks(),
     })
 }
 
@@ -553,6 +554,8 @@
         let clear = self.host.grants_expired(Instant::now(), version);
         results.get().set_known(clear.is_some());
         results.get().set_clear(clear == Some(true));
+        let complete = self.host.has_all_acks(&group);
+        results.get().set_complete(complete);
         if let Some(bounds) = self.host.acks(&group) {
             let mut acks = results.get().init_acks();
             acks.set_term(bounds.term);
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -109,6 +109,8 @@
     pub stopping: bool,
     /// How far it acknowledged the writes of each group.
     pub acks: Vec<(GroupName, AckBounds)>,
+    /// Whether `acks` is told at all; older versions of the program do not.
+    pub reports_acks: bool,
 }
 
 /// Connections that an entry process uses and wants at one member.
@@ -192,6 +194,17 @@
     }
 }
 
+/// How far writes of a group were acknowledged.
+#[derive(Debug, Clone, Copy)]
+struct KnownAcks {
+    bounds: AckBounds,
+    /// When the lower bound last grew.
+    grown_at: Instant,
+}
+
+/// Longest time from the acknowledgement of a write to the report that tells it.
+const ACK_REPORT_DELAY: Duration = Duration::from_secs(5);
+
 /// State of a control host.
 #[derive(Debug)]
 pub struct Host<L> {
@@ -218,7 +231,7 @@
     /// Health of the members as entry processes see it.
     pub sightings: RefCell<Sightings>,
     /// How far entry processes acknowledged the writes of each group.
-    acks: RefCell<Map<GroupName, AckBounds>>,
+    acks: RefCell<Map<GroupName, KnownAcks>>,
     /// Connections lent to entry processes; `Some` while this host leads.
     pub permits: RefCell<Option<Permits>>,
     /// Entry processes that receive cancel requests.
@@ -403,14 +416,33 @@
     /// How far entry processes acknowledged the writes of a group, as far as this host was told.
     #[must_use]
     pub fn acks(&self, group: &str) -> Option<AckBounds> {
-        self.acks.borrow().get(group).copied()
+        self.acks.borrow().get(group).map(|known| known.bounds)
     }
 
     /// Takes in how far writes of a group were acknowledged.
-    pub(crate) fn merge_acks(&self, group: &str, bounds: AckBounds) {
+    pub(crate) fn merge_acks(&self, now: Instant, group: &str, bounds: AckBounds) {
         let mut acks = self.acks.borrow_mut();
-        let known = acks.entry(group.to_owned()).or_default();
-        *known = known.merge(bounds);
+        let known = acks.entry(group.to_owned()).or_insert(KnownAcks {
+            bounds,
+            grown_at: now,
+        });
+        let merged = known.bounds.merge(bounds);
+        if merged.least() > known.bounds.least() {
+            known.grown_at = now;
+        }
+        known.bounds = merged;
+    }
+
+    /// Whether this host was told all that entry processes with a lease from it acknowledged in a group.
+    /// A lease that ended without a report leaves this open until a later write is known to be
+    /// acknowledged: its position is beyond all earlier ones.
+    #[must_use]
+    pub fn has_all_acks(&self, group: &str) -> bool {
+        let unreported_at = self.leases.borrow().unreported_at();
+        let acks = self.acks.borrow();
+        acks.get(group).is_some_and(|known| {
+            known.grown_at.saturating_duration_since(unreported_at) >= ACK_REPORT_DELAY
+        })
     }
 
     /// Waits until this host knows that it holds no unexpired lease grant older than `version`.
@@ -489,7 +521,7 @@
         let holder = (renewal.entry.clone(), renewal.run);
         // Before the release of a lease, whose end a change of primary waits for.
         for (group, bounds) in renewal.acks {
-            self.merge_acks(&group, bounds);
+            self.merge_acks(now, &group, bounds);
         }
         let known = LogState {
             fenced: self.state.borrow().fenced,
@@ -500,6 +532,9 @@
         };
         let granted = {
             let mut leases = self.leases.borrow_mut();
+            if !renewal.reports_acks {
+                leases.note_unreported(now);
+            }
             leases.release(&holder, renewal.record_version);
             leases.renew(now, holder.clone(), renewal.record_version, known)
         };
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -37,6 +37,7 @@
     start: Instant,
     min_version: Version,
     grants: Map<Holder, Grant>,
+    unreported_at: Instant,
 }
 
 impl Leases {
@@ -47,6 +48,7 @@
             start: now,
             min_version: 0,
             grants: Map::default(),
+            unreported_at: now,
         }
     }
 
@@ -96,14 +98,29 @@
     /// it reported that there is none.
     pub fn fence(&mut self, now: Instant, version: Version) -> Option<bool> {
         self.min_version = self.min_version.max(version);
-        self.grants.retain(|_, grant| grant.expires_at > now);
+        self.expire(now);
         (now >= self.start + LEASE_DURATION)
             .then(|| self.grants.values().all(|grant| grant.version >= version))
     }
 
+    /// Records that a holder does not tell what it acknowledged.
+    pub const fn note_unreported(&mut self, now: Instant) {
+        self.unreported_at = now;
+    }
+
+    /// When a grant last ended without a report of its holder; at least the start of this host.
+    #[must_use]
+    pub const fn unreported_at(&self) -> Instant {
+        self.unreported_at
+    }
+
     /// Removes expired grants and returns the number of remaining ones.
     pub fn expire(&mut self, now: Instant) -> usize {
+        let known = self.grants.len();
         self.grants.retain(|_, grant| grant.expires_at > now);
+        if self.grants.len() < known {
+            self.unreported_at = now;
+        }
         self.grants.len()
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod failover;
 pub mod form;
 pub mod gate;
+pub mod guard;
 pub mod host;
 pub mod leader;
 pub mod leases;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -19,6 +19,8 @@
     pub step_seconds: HistogramVec,
     /// Databases that announced themselves and did not answer before a promotion.
     pub unread_members: IntCounter,
+    /// Acknowledged writes that a promotion went on without.
+    pub missing_writes: IntCounter,
     /// Finished promotions by kind: failure, planned or first.
     pub promotions: IntCounterVec,
     /// Connections lent in answers to renewals, summed up since the process started.
@@ -84,6 +86,10 @@
                 "goldcrestrail_unread_members_total",
                 "Announced databases outside the group record that a promotion went on without.",
             ),
+            missing_writes: counter(
+                "goldcrestrail_missing_writes_total",
+                "Acknowledged writes that a promotion went on without, at least.",
+            ),
             connections_lent: counter(
                 "goldcrestrail_permits_lent_total",
                 "Connections lent to renewals.",
@@ -100,12 +106,13 @@
             ),
             registry,
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(metrics.renewals.clone()),
             Box::new(metrics.announcements.clone()),
             Box::new(metrics.step_seconds.clone()),
             Box::new(metrics.promotions.clone()),
             Box::new(metrics.unread_members.clone()),
+            Box::new(metrics.missing_writes.clone()),
             Box::new(metrics.connections_lent.clone()),
             Box::new(metrics.region_bytes.clone()),
             Box::new(metrics.leader.clone()),
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -146,7 +146,8 @@
     }
 
     /// Asks whether a host holds no lease grant older than `version`; `None` when it can't know yet.
-    /// Also returns how far writes of `group` were acknowledged, as far as that host was told.
+    /// Also returns how far writes of `group` were acknowledged, as far as that host was told, and
+    /// whether it was told all.
     ///
     /// # Errors
     /// The host can't be reached.
@@ -155,7 +156,7 @@
         name: &str,
         version: Version,
         group: &str,
-    ) -> Result<(Option<bool>, Option<AckBounds>), String> {
+    ) -> Result<(Option<bool>, Option<AckBounds>, bool), String> {
         self.call(name, CALL_TIMEOUT, async |client| {
             let mut request = client.grants_request();
             request.get().set_version(version);
@@ -169,7 +170,11 @@
                 least: acks.get_least(),
                 most: acks.get_most(),
             };
-            Ok((clear, (bounds.term > 0).then_some(bounds)))
+            Ok((
+                clear,
+                (bounds.term > 0).then_some(bounds),
+                answer.get_complete(),
+            ))
         })
         .await
     }
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -16,13 +16,14 @@
     stream::FuturesUnordered,
 };
 
-use route::Status;
+use route::{AckBounds, Status};
 
 use crate::{
     appoint::appoint,
     calls::Calls,
     directory::{self, Announcement},
     failover::{self, Completeness, ReachCounts, Verdict},
+    guard::{self, Coverage, Guard},
     host::{GRANT_POLL_INTERVAL, Host, PromotionTiming, millis},
     leases::LEASE_DURATION,
     log::{Log, LogError},
@@ -362,6 +363,9 @@
 
 fn assess<L: Log>(host: &Host<L>, record: &Record) -> Verdict {
     let now = Instant::now();
+    // A change is worth a try without members that stop. Whether it can do without them is decided when
+    // the members are read.
+    let record = &guard::without_stopping(record, |_| false);
     let sightings = host.sightings.borrow();
     let Some(observers) = sightings.observers(&record.group) else {
         return Verdict::Stay;
@@ -464,19 +468,24 @@
     calls: &Calls,
 ) -> Result<Step, LogError> {
     let start = Instant::now();
-    wait_for_release(host, record).await;
+    let complete = wait_for_release(host, record).await;
     timing.leases = Some(millis(start.elapsed()));
     fail::fail_point!("promotion-released");
 
     let start = Instant::now();
-    let mut warned_at = start;
+    let (mut warned_at, mut shortfall_logged) = (start, false);
     let (choice, top, known) = loop {
-        let waits = start.elapsed() < UNRECORDED_TIMEOUT;
+        let guard = Guard {
+            acks: host.acks(&record.group),
+            complete,
+            elapsed: start.elapsed(),
+        };
+        let waits = guard.elapsed < UNRECORDED_TIMEOUT;
         let Answers {
             statuses,
             renamed,
             unrecorded,
-        } = read_statuses(host, record, waits).await;
+        } = read_statuses(host, record, waits, &guard).await;
         let statuses = if host.databases.counts_any_replica() {
             unrecorded::without_restarted(record, &statuses, |member| host.announced_store(member))
         } else {
@@ -501,14 +510,26 @@
         };
         let record = &counted;
         let reach = reach_counts(host, record);
-        let choice = failover::choose_primary(record, &statuses, &reach);
+        let choice = guard.choose(record, &statuses, &reach);
         let wait = failover::awaits_catch_up(record, &statuses, &reach)
             && start.elapsed() < CATCH_UP_TIMEOUT;
         let open = choice
             .as_ref()
-            .is_some_and(|choice| !calls.allow(choice, Instant::now()));
-        if let Some(choice) = choice.filter(|_| !wait && !open) {
+            .is_some_and(|(choice, _)| !calls.allow(choice, Instant::now()));
+        let short = choice.as_ref().filter(|(_, held)| !guard.allows(*held));
+        if let Some((_, held)) = short
+            && !shortfall_logged
+        {
+            shortfall_logged = true;
+            slog::warn!(host.logger, "waiting for acknowledged writes that no answer holds";
+                "group" => &record.group, "term" => record.next, "held" => text(*held),
+                "acknowledged" => acks_text(guard.acks),
+                "unanswered" => ?unanswered(record, &statuses));
+        }
+        let short = short.is_some();
+        if let Some((choice, held)) = choice.filter(|_| !wait && !open && !short) {
             log_choice(host, record, &choice, &statuses);
+            log_given_up(host, record, &guard, held, &statuses);
             let unread = unrecorded.len() - answered.len();
             if unread > 0 {
                 slog::warn!(host.logger, "primary chosen without announced databases that do not answer";
@@ -525,7 +546,7 @@
         if !host.leads() {
             return Err(LogError::NotLeader(host.log.leader()));
         }
-        if !wait && !open && warned_at.elapsed() >= DRAIN_TIMEOUT {
+        if !wait && !open && !short && warned_at.elapsed() >= DRAIN_TIMEOUT {
             warned_at = Instant::now();
             slog::warn!(host.logger, "too few members answer to choose a primary";
                 "group" => &record.group, "term" => record.next, "needed" => record.read_quorum(),
@@ -577,12 +598,53 @@
         .collect();
     let members: Vec<_> = record.members.iter().map(|m| &m.store).collect();
     let reported = reported_position(host, record).map(|p| format!("{}.{}", p.term, p.offset));
-    let acks = host.acks(&record.group);
-    let acks = acks.map(|acks| format!("{}.{}..{}", acks.term, acks.least, acks.most));
     slog::info!(host.logger, "primary chosen"; "group" => &record.group, "term" => record.next,
         "member" => choice, "former" => record.former_primary(), "needed" => record.read_quorum(),
         "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers,
-        "reported" => reported, "acknowledged" => acks);
+        "reported" => reported, "acknowledged" => acks_text(host.acks(&record.group)));
+}
+
+/// Logs what a choice goes on without: acknowledged writes, and members that stop and do not answer.
+fn log_given_up<L: Log>(
+    host: &Host<L>,
+    record: &Record,
+    guard: &Guard,
+    held: Position,
+    statuses: &[Status],
+) {
+    if guard.coverage(held) < Coverage::Full {
+        let least = guard.acks.map_or(0, |acks| acks.least);
+        host.metrics
+            .missing_writes
+            .inc_by(least.saturating_sub(held.offset));
+        slog::warn!(host.logger, "primary chosen without writes that may have been acknowledged";
+            "group" => &record.group, "term" => record.next, "held" => text(held),
+            "acknowledged" => acks_text(guard.acks), "unanswered" => ?unanswered(record, statuses));
+    }
+    let counted = guard.counted(record, statuses);
+    if counted.members.len() < record.members.len() {
+        slog::info!(host.logger, "primary chosen without members that stop and do not answer";
+            "group" => &record.group, "term" => record.next, "complete" => guard.complete,
+            "unanswered" => ?unanswered(record, statuses));
+    }
+}
+
+fn text(position: Position) -> String {
+    format!("{}.{}", position.term, position.offset)
+}
+
+fn acks_text(acks: Option<AckBounds>) -> Option<String> {
+    acks.map(|acks| format!("{}.{}..{}", acks.term, acks.least, acks.most))
+}
+
+/// Recorded members that did not answer.
+fn unanswered<'a>(record: &'a Record, statuses: &[Status]) -> Vec<&'a str> {
+    let answers = failover::recorded_answers(record, statuses);
+    let silent = record
+        .members
+        .iter()
+        .filter(|member| !answers.iter().any(|(answered, _)| answered == member));
+    silent.map(|member| member.member.as_str()).collect()
 }
 
 /// Most advanced position of the former primary that entry processes reported. It may include commits
@@ -602,11 +664,11 @@
 }
 
 /// Waits until a majority of control hosts hold no grant older than the record, and learns from them
-/// how far writes of the group were acknowledged.
+/// how far writes of the group were acknowledged. Returns whether they told all.
 ///
 /// The hosts are asked concurrently, so an unreachable one does not delay the others. A positive
 /// answer stays valid, because the host grants no older lease after it.
-pub(crate) async fn wait_for_release<L: Log>(host: &Host<L>, record: &Record) {
+pub(crate) async fn wait_for_release<L: Log>(host: &Host<L>, record: &Record) -> bool {
     let names = host.peers.names();
     let others = names.iter().map(|name| {
         let request = async move {
@@ -615,11 +677,11 @@
                     .peers
                     .grants_expired(name, record.version, &record.group);
                 match asked.await {
-                    Ok((Some(true), acks)) => {
+                    Ok((Some(true), acks, complete)) => {
                         if let Some(bounds) = acks {
-                            host.merge_acks(&record.group, bounds);
+                            host.merge_acks(Instant::now(), &record.group, bounds);
                         }
-                        return;
+                        return complete;
                     }
                     Ok(_) => sleep(GRANT_POLL_INTERVAL).await,
                     Err(_cause) => sleep(RETRY_DELAY).await,
@@ -629,13 +691,20 @@
         request.boxed_local()
     });
     let mut waits: FuturesUnordered<_> = others.collect();
-    waits.push(host.wait_grants_expired(record.version).boxed_local());
-    let mut released = 0;
+    let own = async {
+        host.wait_grants_expired(record.version).await;
+        host.has_all_acks(&record.group)
+    };
+    waits.push(own.boxed_local());
+    let (mut released, mut all_complete) = (0, true);
     while released < host.majority() {
         match timeout(2 * LEASE_DURATION, waits.next()).await {
-            Ok(Some(())) => released += 1,
+            Ok(Some(complete)) => {
+                released += 1;
+                all_complete &= complete;
+            }
             // Unreachable: there are as many waits as hosts.
-            Ok(None) => return,
+            Ok(None) => return false,
             Err(_elapsed) => {
                 slog::warn!(host.logger,
                     "no majority of control hosts reports the end of old leases";
@@ -643,6 +712,7 @@
             }
         }
     }
+    all_complete
 }
 
 /// Database that announces itself at the address of the recorded primary under another name, if the
@@ -675,6 +745,7 @@
     host: &Rc<Host<L>>,
     record: &Record,
     wait_unrecorded: bool,
+    guard: &Guard,
 ) -> Answers {
     let renamed = renamed_primary(host, record);
     let unrecorded: Vec<_> = unrecorded(host, record).iter().map(member_from).collect();
@@ -694,7 +765,7 @@
         let mut limit = READ_TIMEOUT;
         while let Ok(Some(answer)) = timeout(limit, answers.next()).await {
             statuses.extend(answer);
-            match failover::completeness(needed, &statuses) {
+            match guard.completeness(needed, &statuses) {
                 Completeness::All => break,
                 Completeness::Enough => limit = EXTRA_READ_TIMEOUT,
                 Completeness::TooFew => {}
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -49,6 +49,7 @@
         renewal.record_version = request.get_record_version();
         renewal.config_version = request.get_config_version();
         renewal.stopping = request.get_stopping();
+        renewal.reports_acks = request.get_reports_acks();
         fill(&mut renewal, view);
         Ok(Some(renewal))
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -712,6 +712,7 @@
             config_version: 1,
             announcements: self.announcements(),
             sightings: sightings.collect(),
+            reports_acks: true,
             ..Renewal::default()
         }
     }
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -268,6 +268,7 @@
     request.set_record_version(version);
     request.set_config_version(network.config_version());
     request.set_stopping(network.is_stopped());
+    request.set_reports_acks(true);
     report::write(&changes, request);
 
     let response = call.send().promise.await?;
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -107,8 +107,10 @@
   append @1 (request :AppendRequest) -> (reply :AppendReply);
   snapshot @2 (request :SnapshotRequest) -> (reply :SnapshotReply);
   # Answers whether this host holds no unexpired lease grant older than the record version.
-  # Also tells how far writes of the group were acknowledged, by the reports of entry processes.
-  grants @3 (version :UInt64, group :Text) -> (clear :Bool, known :Bool, acks :Acks);
+  # Also tells how far writes of the group were acknowledged, by the reports of entry processes, and
+  # whether all holders of grants reported.
+  grants @3 (version :UInt64, group :Text)
+      -> (clear :Bool, known :Bool, acks :Acks, complete :Bool);
   # Reads the status of an upstream on behalf of a host that can't reach it.
   # `ended`: the process that served the target is gone from its address.
   probe @4 (target :Target) -> (reached :Bool, status :UpstreamStatus, ended :Ended);
@@ -280,6 +282,8 @@
   nearMark @16 :UInt64;
   # Groups whose bounds changed.
   acks @17 :List(Acks);
+  # The sender reports how far it acknowledges writes.
+  reportsAcks @18 :Bool;
 }
 
 struct NearEntry {
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -7873,6 +7873,10 @@
             pub fn has_acks(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
+            #[inline]
+            pub fn get_complete(self) -> bool {
+                self.reader.get_bool_field(2)
+            }
         }
 
         pub struct Builder<'a> {
@@ -8016,6 +8020,14 @@
             pub fn has_acks(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
+            #[inline]
+            pub fn get_complete(self) -> bool {
+                self.builder.get_bool_field(2)
+            }
+            #[inline]
+            pub fn set_complete(&mut self, value: bool) {
+                self.builder.set_bool_field(2, value);
+            }
         }
 
         pub struct Pipeline {
@@ -8034,7 +8046,7 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(3, 3, 165, 12, 208, 48, 90, 250),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 1, 0),
@@ -8044,7 +8056,7 @@
                 ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -8052,28 +8064,35 @@
                 ::capnp::word(112, 110, 112, 58, 80, 101, 101, 114),
                 ::capnp::word(46, 103, 114, 97, 110, 116, 115, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(99, 108, 101, 97, 114, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8098,12 +8117,22 @@
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 109, 112, 108, 101, 116, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     2 => <crate::goldcrestrail_capnp::acks::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8122,9 +8151,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 0, 3, 1];
             pub(crate) const TYPE_ID: u64 = 0xfa5a_30d0_0ca5_0303;
         }
     }
@@ -17873,6 +17902,10 @@
         pub fn has_acks(&self) -> bool {
             !self.reader.get_pointer_field(11).is_null()
         }
+        #[inline]
+        pub fn get_reports_acks(self) -> bool {
+            self.reader.get_bool_field(193)
+        }
     }
 
     pub struct Builder<'a> {
@@ -18415,6 +18448,14 @@
         pub fn has_acks(&self) -> bool {
             !self.builder.is_pointer_field_null(11)
         }
+        #[inline]
+        pub fn get_reports_acks(self) -> bool {
+            self.builder.get_bool_field(193)
+        }
+        #[inline]
+        pub fn set_reports_acks(&mut self, value: bool) {
+            self.builder.set_bool_field(193, value);
+        }
     }
 
     pub struct Pipeline {
@@ -18429,7 +18470,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 329] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 345] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(161, 243, 184, 154, 86, 141, 144, 181),
             ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
@@ -18439,7 +18480,7 @@
             ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
             ::capnp::word(37, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 47, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -18448,133 +18489,140 @@
             ::capnp::word(119, 82, 101, 113, 117, 101, 115, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(17, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(25, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(33, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(81, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(101, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 192, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(201, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(18, 0, 0, 0, 193, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -18759,6 +18807,15 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 112, 111, 114, 116, 115, 65),
+            ::capnp::word(99, 107, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -18780,6 +18837,7 @@
                 15 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 16 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 17 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::acks::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                18 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -18798,11 +18856,13 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] =
-            &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[
+            0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18,
+        ];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] =
-            &[17, 5, 4, 7, 0, 15, 8, 11, 16, 3, 12, 2, 13, 10, 6, 9, 14, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[
+            17, 5, 4, 7, 0, 15, 8, 11, 16, 3, 12, 18, 2, 13, 10, 6, 9, 14, 1,
+        ];
         pub(crate) const TYPE_ID: u64 = 0xb590_8d56_9ab8_f3a1;
     }
 }
