Keep a lease grant when its holder applied only an earlier change

A caller could get an acknowledgement in a term whose positions had already been read for the next primary, so that the write was lost. A control host dropped the grant of an entry process as soon as it had applied any newer change of records, also one of another group. When the end of a term was stored meanwhile, no new grant was given, and the host reported that no older lease was left, while the entry process went on using its lease for up to 1.98 s.

The grant now stays with the version that its holder applied. A change of primary waits for it until the holder has applied the end of the term, or the grant expires.

--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -79,15 +79,13 @@
         true
     }
 
-    /// Ends a holder's grant at a version older than `version`, which the holder has applied. This
-    /// happens even if no new grant can be given.
+    /// Records that the holder of a grant has applied all changes up to `version`, so that it no longer
+    /// uses the grant for what those ended. This happens even if no new grant can be given.
+    ///
+    /// The grant itself stays: the holder goes on using it for what is in force at `version`.
     pub fn release(&mut self, holder: &Holder, version: Version) {
-        if self
-            .grants
-            .get(holder)
-            .is_some_and(|grant| grant.version < version)
-        {
-            self.grants.remove(holder);
+        if let Some(grant) = self.grants.get_mut(holder) {
+            grant.version = grant.version.max(version);
         }
     }
 
--- a/crates/control/tests/leases.rs
+++ b/crates/control/tests/leases.rs
@@ -295,3 +295,32 @@
     };
     std::mem::replace(host, empty)
 }
+
+/// Guards against a write that is acknowledged after its term ended: a holder that applied an earlier
+/// change of another group still holds its lease, and has not applied the end of the term.
+#[rstest]
+#[case::earlier_change(7, Some(false))]
+#[case::end_of_term(10, Some(true))]
+fn grant_ends_only_for_the_changes_that_its_holder_applied(
+    #[case] applied: u64,
+    #[case] clear: Option<bool>,
+) {
+    let now = Instant::now();
+    let mut leases = Leases::new(now.checked_sub(Duration::from_mins(1)).unwrap());
+    let holder = ("e".to_owned(), 1);
+    let current = LogState {
+        current: true,
+        ..LogState::default()
+    };
+    let fenced = LogState {
+        fenced: 10,
+        ..current
+    };
+    assert!(leases.renew(now, holder.clone(), 5, current));
+
+    leases.release(&holder, applied);
+    let renewed = leases.renew(now, holder, applied, fenced);
+
+    assert_eq!(leases.fence(now, 10), clear);
+    assert_eq!(renewed, clear == Some(true));
+}
