--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -824,12 +824,24 @@
             "record_version": state.version,
             "fenced": state.fenced,
             "applied": state.applied,
+            "acks": self.acks_json(),
             "members": self.members_json(now),
             "entries": self.entries_json(now),
             "timings": *self.timings.borrow(),
         })
     }
 
+    fn acks_json(&self) -> Value {
+        let acks = self.acks.borrow();
+        let acks = acks.iter().map(|(group, known)| {
+            let AckBounds { term, least, most } = known.bounds;
+            let complete = self.has_all_acks(group);
+            let bounds = json!({"term": term, "least": least, "most": most, "complete": complete});
+            (group.clone(), bounds)
+        });
+        Value::Object(acks.collect())
+    }
+
     /// Returns the announced members for `/v1/status` and `/dump`.
     #[must_use]
     pub fn members_json(&self, now: Instant) -> Value {
