--- a/crates/control/src/departure.rs
+++ b/crates/control/src/departure.rs
@@ -53,30 +53,22 @@
     Some(changed)
 }
 
-/// Record that names the members which announced their stop and are silent since. `None` if it does so
-/// already.
+/// Record that names the members which announced their stop. `None` if it does so already.
 pub(crate) fn with_stopping<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
     let document = host.document();
     if document.service_of_group(&record.group)?.databases > 0 {
         return None;
     }
     let mut changed = record.clone();
-    let known = |name: &String| {
-        record
-            .member(name)
-            .is_some_and(|member| !is_live(host, member))
-    };
-    changed.stopping.retain(known);
-    let stopping = record.members.iter().filter(|member| {
-        member.member != record.primary
-            && !is_live(host, member)
-            && announced(host, member, |a| a.leaving)
-    });
+    let stopping = record
+        .members
+        .iter()
+        .filter(|member| member.member != record.primary && announced(host, member, |a| a.leaving));
     changed
         .stopping
         .extend(stopping.map(|member| member.member.clone()));
     (changed.stopping != record.stopping).then(|| {
-        slog::info!(host.logger, "members announced their stop and are silent";
+        slog::info!(host.logger, "members announced their stop";
             "group" => &record.group, "members" => ?changed.stopping);
         changed
     })
--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -55,6 +55,30 @@
 }
 
 impl Guard {
+    /// Guard of the term that the record ends. Of what was acknowledged in earlier terms, the part that
+    /// was given up no longer counts.
+    #[must_use]
+    pub fn new(
+        record: &Record,
+        acks: Option<AckBounds>,
+        complete: bool,
+        elapsed: Duration,
+    ) -> Self {
+        let kept = |acks: AckBounds| match record.base {
+            Some(base) if acks.term < record.term => AckBounds {
+                term: acks.term,
+                least: acks.least.min(base),
+                most: acks.most.min(base),
+            },
+            _ => acks,
+        };
+        Self {
+            acks: acks.map(kept),
+            complete,
+            elapsed,
+        }
+    }
+
     /// Compares a position with the acknowledged writes.
     #[must_use]
     pub fn coverage(&self, position: Position) -> Coverage {
@@ -66,18 +90,23 @@
     }
 
     /// Whether a member at `position` may be chosen now.
+    ///
+    /// Once all other members have answered, an uncertain write was most likely not acknowledged: a
+    /// replica would hold it.
     #[must_use]
-    pub fn allows(&self, position: Position) -> bool {
+    pub fn allows(&self, record: &Record, statuses: &[Status], position: Position) -> bool {
         match self.coverage(position) {
             Coverage::Full => true,
-            Coverage::Uncertain => self.elapsed >= UNCERTAIN_TIMEOUT,
-            Coverage::Missing => self.elapsed >= MISSING_TIMEOUT,
+            Coverage::Uncertain if has_all_others(record, statuses) => {
+                self.elapsed >= UNCERTAIN_TIMEOUT
+            }
+            Coverage::Uncertain | Coverage::Missing => self.elapsed >= MISSING_TIMEOUT,
         }
     }
 
-    /// Record of the members that count for the choice: without those that announced their stop, are
-    /// silent and do not answer, once an answer is known to hold every acknowledged write, or after
-    /// [`MISSING_TIMEOUT`].
+    /// Record of the members that count for the choice. Once an answer is known to hold every
+    /// acknowledged write, or after [`MISSING_TIMEOUT`], members that announced their stop and do not
+    /// answer are left out. In the first case, so are stores that no longer exist.
     #[must_use]
     pub fn counted(&self, record: &Record, statuses: &[Status]) -> Record {
         let answers = failover::recorded_answers(record, statuses);
@@ -92,25 +121,34 @@
             return record.clone();
         }
         let answered = |name: &str| answers.iter().any(|(member, _)| member.member == name);
-        without_stopping(record, answered)
+        let mut counted = without_stopping(record, answered);
+        if covered {
+            counted.uncovered = 0;
+        }
+        counted
     }
 
     /// Like [`failover::completeness`], for the members that count. While an acknowledged write is
     /// missing, a further answer may hold it.
     #[must_use]
     pub fn completeness(&self, record: &Record, statuses: &[Status]) -> Completeness {
-        let counted = self.counted(record, statuses);
         let answers = failover::recorded_answers(record, statuses);
         let best = answers.iter().map(|(_, status)| status.position).max();
         let short = best.is_none_or(|best| self.coverage(best) < Coverage::Full);
-        if short && answers.len() < record.members.len() {
+        if short && !has_all_others(record, statuses) {
             return Completeness::TooFew;
         }
-        failover::completeness(&counted, statuses)
+        match failover::completeness(&self.counted(record, statuses), statuses) {
+            // The former primary may hold it.
+            Completeness::All if short => Completeness::Enough,
+            found => found,
+        }
     }
 
-    /// Like [`failover::choose_primary`], for the members that count. The former primary is chosen
-    /// again if only its answer holds an acknowledged write.
+    /// Like [`failover::choose_primary`], for the members that count, with the position of the choice.
+    ///
+    /// The former primary is chosen again if only its answer holds an acknowledged write. While a member
+    /// has not answered, an uncertain write counts as acknowledged.
     #[must_use]
     pub fn choose(
         &self,
@@ -128,11 +166,13 @@
         };
         let chosen = position(&choice).unwrap_or_default();
         let former = record.former_primary();
+        let needed = if has_all_others(record, statuses) {
+            Coverage::Uncertain
+        } else {
+            Coverage::Full
+        };
         match position(former) {
-            Some(held)
-                if self.coverage(chosen) == Coverage::Missing
-                    && self.coverage(held) > Coverage::Missing =>
-            {
+            Some(held) if self.coverage(chosen) < needed && self.coverage(held) >= needed => {
                 Some((former.to_owned(), held))
             }
             _ => Some((choice, chosen)),
@@ -140,7 +180,16 @@
     }
 }
 
-/// Record without the members that announced their stop and are silent, except those that `answered`.
+/// Whether all members but the former primary answered.
+fn has_all_others(record: &Record, statuses: &[Status]) -> bool {
+    let answers = failover::recorded_answers(record, statuses);
+    record.members.iter().all(|member| {
+        member.member == record.former_primary()
+            || answers.iter().any(|(answered, _)| *answered == member)
+    })
+}
+
+/// Record without the members that announced their stop, except those that `answered`.
 #[must_use]
 pub fn without_stopping(record: &Record, answered: impl Fn(&str) -> bool) -> Record {
     let mut counted = record.clone();
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -107,8 +107,8 @@
     pub forwarding: String,
     /// Whether the entry process is stopping.
     pub stopping: bool,
-    /// How far it acknowledged the writes of each group.
-    pub acks: Vec<(GroupName, AckBounds)>,
+    /// How far it acknowledged the writes of each group, and how long ago the lower bound grew.
+    pub acks: Vec<(GroupName, AckBounds, Duration)>,
     /// Whether `acks` is told at all; older versions of the program do not.
     pub reports_acks: bool,
 }
@@ -198,12 +198,12 @@
 #[derive(Debug, Clone, Copy)]
 struct KnownAcks {
     bounds: AckBounds,
-    /// When the lower bound last grew.
-    grown_at: Instant,
+    /// When the lower bound last grew, by the reports of entry processes to this host.
+    grown_at: Option<Instant>,
 }
 
-/// Longest time from the acknowledgement of a write to the report that tells it.
-const ACK_REPORT_DELAY: Duration = Duration::from_secs(5);
+/// Longest time that a report is under way.
+const REPORT_DELAY: Duration = Duration::from_secs(2);
 
 /// State of a control host.
 #[derive(Debug)]
@@ -419,18 +419,18 @@
         self.acks.borrow().get(group).map(|known| known.bounds)
     }
 
-    /// Takes in how far writes of a group were acknowledged.
-    pub(crate) fn merge_acks(&self, now: Instant, group: &str, bounds: AckBounds) {
+    /// Takes in how far writes of a group were acknowledged, and when the lower bound grew, if an entry
+    /// process told this.
+    pub(crate) fn merge_acks(&self, group: &str, bounds: AckBounds, grown_at: Option<Instant>) {
         let mut acks = self.acks.borrow_mut();
         let known = acks.entry(group.to_owned()).or_insert(KnownAcks {
             bounds,
-            grown_at: now,
+            grown_at: None,
         });
-        let merged = known.bounds.merge(bounds);
-        if merged.least() > known.bounds.least() {
-            known.grown_at = now;
+        if known.grown_at.is_none() || bounds.least() > known.bounds.least() {
+            known.grown_at = known.grown_at.max(grown_at);
         }
-        known.bounds = merged;
+        known.bounds = known.bounds.merge(bounds);
     }
 
     /// Whether this host was told all that entry processes with a lease from it acknowledged in a group.
@@ -440,9 +440,8 @@
     pub fn has_all_acks(&self, group: &str) -> bool {
         let unreported_at = self.leases.borrow().unreported_at();
         let acks = self.acks.borrow();
-        acks.get(group).is_some_and(|known| {
-            known.grown_at.saturating_duration_since(unreported_at) >= ACK_REPORT_DELAY
-        })
+        let grown_at = acks.get(group).and_then(|known| known.grown_at);
+        grown_at.is_some_and(|at| at.saturating_duration_since(unreported_at) >= REPORT_DELAY)
     }
 
     /// Waits until this host knows that it holds no unexpired lease grant older than `version`.
@@ -520,8 +519,8 @@
     pub fn renew(&self, now: Instant, renewal: Renewal) -> RenewalReply {
         let holder = (renewal.entry.clone(), renewal.run);
         // Before the release of a lease, whose end a change of primary waits for.
-        for (group, bounds) in renewal.acks {
-            self.merge_acks(now, &group, bounds);
+        for (group, bounds, age) in renewal.acks {
+            self.merge_acks(&group, bounds, now.checked_sub(age));
         }
         let known = LogState {
             fenced: self.state.borrow().fenced,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -6,6 +6,7 @@
 mod appoint;
 pub mod calls;
 pub mod cancel;
+mod choice;
 pub mod console;
 mod coverage;
 pub mod departure;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -105,10 +105,14 @@
     /// up or have been promoted already; see [`crate::calls`].
     #[serde(default)]
     pub abandoned: BTreeSet<MemberName>,
-    /// Members that announced their stop and are silent since. The primary counts them until they end,
-    /// which their silence does not show.
+    /// Members that announced their stop. The primary counts them until they end, which their silence
+    /// does not show.
     #[serde(default)]
     pub stopping: BTreeSet<MemberName>,
+    /// Offset that the primary held when it was chosen; `None` if unknown. Writes of earlier terms beyond
+    /// it were given up.
+    #[serde(default)]
+    pub base: Option<u64>,
     /// Primary of the term that ended, once another member was chosen; see
     /// [`Record::former_primary`].
     #[serde(default)]
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -16,27 +16,27 @@
     stream::FuturesUnordered,
 };
 
-use route::{AckBounds, Status};
+use route::Status;
 
 use crate::{
     appoint::appoint,
     calls::Calls,
-    directory::{self, Announcement},
-    failover::{self, Completeness, ReachCounts, Verdict},
-    guard::{self, Coverage, Guard},
+    choice::choose_primary,
+    directory::Announcement,
+    failover::{self, ReachCounts, Verdict},
+    guard,
     host::{GRANT_POLL_INTERVAL, Host, PromotionTiming, millis},
     leases::LEASE_DURATION,
     log::{Log, LogError},
     machine::{Command, GroupState, Member, PlannedChange, Record},
     sweep,
-    unrecorded::{self, unrecorded},
     upstream::{self, Fence, Order, StatusError, Target},
 };
 
 /// Delay between attempts of a step that waits for other processes.
-const RETRY_DELAY: Duration = Duration::from_millis(20);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Delay before a failed read or order is repeated.
-const UPSTREAM_RETRY_DELAY: Duration = Duration::from_millis(100);
+pub(crate) const UPSTREAM_RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Interval between sweeps over a stable group.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// Time limit on ordering a promotion. After it the promotion is abandoned and the next term is
@@ -44,27 +44,19 @@
 const ORDER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time limit for running transactions to finish before a planned change. Also the interval between
 /// warnings that too few members answer.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
-/// Time limit for the target of a planned change to catch up after fencing.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const DRAIN_TIMEOUT: Duration = Duration::from_secs(5);
 /// Minimum time between handovers planned for a stopping primary; each one interrupts writes.
 const REPLAN_DELAY: Duration = Duration::from_secs(10);
-/// Time limit on one round of status reads.
-const READ_TIMEOUT: Duration = Duration::from_secs(2);
 /// Delay before a read or order to a member in this host's region is also sent through the other
 /// control hosts.
 pub(crate) const RELAY_DELAY: Duration = Duration::from_millis(40);
-/// Time to wait for further answers once enough members have answered.
-const EXTRA_READ_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time limit on the wait for a database that is not in the record and announces itself but does not
-/// answer. It may not exist; then no promotion would ever finish.
-const UNRECORDED_TIMEOUT: Duration = directory::LOST_AFTER;
 
 /// Runs the changes of primary of one group until the caller drops the task, when this host stops
 /// leading.
 pub async fn run_group<L: Log>(host: Rc<Host<L>>, group: String) {
     let mut timing = PromotionTiming::default();
     let mut calls = calls_of_former_leader(&host, &group);
+    let mut reading = None;
     let suspect = host.group_notify(&group);
     loop {
         let count = suspect.count();
@@ -74,7 +66,7 @@
                 (GroupState::Stable, 0) => monitor(&host, &record, &mut timing).await,
                 (GroupState::Stable, _) => drain(&host, &record, &mut timing).await,
                 (GroupState::Fencing, _) => {
-                    choose_primary(&host, &record, &mut timing, &calls).await
+                    choose_primary(&host, &record, &mut timing, &calls, &mut reading).await
                 }
                 (GroupState::Promoting, _) => {
                     promote(&host, &record, &mut timing, &mut calls).await
@@ -116,7 +108,7 @@
 
 /// What the group task does next.
 #[derive(Debug)]
-enum Step {
+pub(crate) enum Step {
     /// Run the next step at once: the record changed or the step must be repeated.
     Continue,
     /// Wait for [`SWEEP_INTERVAL`] or until the primary is suspected to have failed.
@@ -178,6 +170,7 @@
         uncovered: 0,
         abandoned: BTreeSet::new(),
         stopping: BTreeSet::new(),
+        base: None,
         former: None,
         version: 0,
     };
@@ -235,6 +228,7 @@
         uncovered: 0,
         abandoned: BTreeSet::new(),
         stopping: BTreeSet::new(),
+        base: None,
         former: None,
         version: 0,
     };
@@ -363,9 +357,12 @@
 
 fn assess<L: Log>(host: &Host<L>, record: &Record) -> Verdict {
     let now = Instant::now();
-    // A change is worth a try without members that stop. Whether it can do without them is decided when
-    // the members are read.
-    let record = &guard::without_stopping(record, |_| false);
+    // A change is worth a try without stopping members that nobody reaches. Whether it can do without
+    // them is decided when the members are read.
+    let reach = reach_counts(host, record);
+    let record = &guard::without_stopping(record, |name| {
+        reach.get(name).is_some_and(|count| *count > 0)
+    });
     let sightings = host.sightings.borrow();
     let Some(observers) = sightings.observers(&record.group) else {
         return Verdict::Stay;
@@ -378,7 +375,7 @@
     failover::assess_primary(now, record, observers)
 }
 
-fn reach_counts<L: Log>(host: &Host<L>, record: &Record) -> ReachCounts {
+pub(crate) fn reach_counts<L: Log>(host: &Host<L>, record: &Record) -> ReachCounts {
     let sightings = host.sightings.borrow();
     let observers = sightings.observers(&record.group);
     observers.map_or_else(ReachCounts::default, |observers| {
@@ -451,218 +448,6 @@
     Ok(Step::Continue)
 }
 
-/// Steps 3 to 5: waits for the end of older leases, reads the members, then chooses the new primary
-/// and commits the choice.
-///
-/// Which databases count: `read_statuses` asks the recorded members and those that only announced
-/// themselves; [`unrecorded::without_restarted`] leaves out answers from another store than the
-/// recorded one; `with_restarted_primary` takes over the new store of a primary that kept its log; a
-/// database that has not answered counts until [`UNRECORDED_TIMEOUT`]. [`failover::choose_primary`]
-/// then decides from these alone.
-/// The choice is committed only if [`Calls::allow`] returns true for it: no request to promote another
-/// member may still be carried out.
-async fn choose_primary<L: Log>(
-    host: &Rc<Host<L>>,
-    record: &Record,
-    timing: &mut PromotionTiming,
-    calls: &Calls,
-) -> Result<Step, LogError> {
-    let start = Instant::now();
-    let complete = wait_for_release(host, record).await;
-    timing.leases = Some(millis(start.elapsed()));
-    fail::fail_point!("promotion-released");
-
-    let start = Instant::now();
-    let (mut warned_at, mut shortfall_logged) = (start, false);
-    let (choice, top, known) = loop {
-        let guard = Guard {
-            acks: host.acks(&record.group),
-            complete,
-            elapsed: start.elapsed(),
-        };
-        let waits = guard.elapsed < UNRECORDED_TIMEOUT;
-        let Answers {
-            statuses,
-            renamed,
-            unrecorded,
-        } = read_statuses(host, record, waits, &guard).await;
-        let statuses = if host.databases.counts_any_replica() {
-            unrecorded::without_restarted(record, &statuses, |member| host.announced_store(member))
-        } else {
-            statuses
-        };
-        let (known, statuses) = with_restarted_primary(host, record, statuses);
-        let answered = unrecorded::answered(&unrecorded, &statuses);
-        let known = unrecorded::with_members(&known, &answered);
-        let known = renamed
-            .and_then(|renamed| failover::with_renamed_primary(&known, &renamed, &statuses))
-            .unwrap_or(known);
-        if known.former_primary() != record.former_primary() {
-            slog::info!(host.logger, "primary returned under another name";
-                "group" => &record.group, "former" => record.former_primary(),
-                "member" => known.former_primary(), "term" => record.term);
-        }
-        // An unrecorded database counts before it has answered, for a limited time.
-        let counted = if waits {
-            unrecorded::with_members(&known, &unrecorded)
-        } else {
-            known.clone()
-        };
-        let record = &counted;
-        let reach = reach_counts(host, record);
-        let choice = guard.choose(record, &statuses, &reach);
-        let wait = failover::awaits_catch_up(record, &statuses, &reach)
-            && start.elapsed() < CATCH_UP_TIMEOUT;
-        let open = choice
-            .as_ref()
-            .is_some_and(|(choice, _)| !calls.allow(choice, Instant::now()));
-        let short = choice.as_ref().filter(|(_, held)| !guard.allows(*held));
-        if let Some((_, held)) = short
-            && !shortfall_logged
-        {
-            shortfall_logged = true;
-            slog::warn!(host.logger, "waiting for acknowledged writes that no answer holds";
-                "group" => &record.group, "term" => record.next, "held" => text(*held),
-                "acknowledged" => acks_text(guard.acks),
-                "unanswered" => ?unanswered(record, &statuses));
-        }
-        let short = short.is_some();
-        if let Some((choice, held)) = choice.filter(|_| !wait && !open && !short) {
-            log_choice(host, record, &choice, &statuses);
-            log_given_up(host, record, &guard, held, &statuses);
-            let unread = unrecorded.len() - answered.len();
-            if unread > 0 {
-                slog::warn!(host.logger, "primary chosen without announced databases that do not answer";
-                    "group" => &record.group, "term" => record.next,
-                    "unread" => ?unread_names(&unrecorded, &answered));
-                host.metrics
-                    .unread_members
-                    .inc_by(u64::try_from(unread).unwrap_or(u64::MAX));
-            }
-            let top = statuses.iter().map(|s| s.position.term).max();
-            break (choice, top, known);
-        }
-        // Another leader may have changed the record in the meantime.
-        if !host.leads() {
-            return Err(LogError::NotLeader(host.log.leader()));
-        }
-        if !wait && !open && !short && warned_at.elapsed() >= DRAIN_TIMEOUT {
-            warned_at = Instant::now();
-            slog::warn!(host.logger, "too few members answer to choose a primary";
-                "group" => &record.group, "term" => record.next, "needed" => record.read_quorum(),
-                "answered" => failover::recorded_answers(record, &statuses).len());
-        }
-        sleep(if wait {
-            RETRY_DELAY
-        } else {
-            UPSTREAM_RETRY_DELAY
-        })
-        .await;
-    };
-    timing.reads = Some(millis(start.elapsed()));
-    fail::fail_point!("promotion-chosen");
-    let chosen = Record {
-        state: GroupState::Promoting,
-        former: Some(known.former_primary().to_owned()),
-        primary: choice,
-        // Members reject a term that they have already seen.
-        next: record.next.max(top.unwrap_or_default() + 1),
-        ..known
-    };
-    host.propose_record(record.version, chosen).await?;
-    Ok(Step::Continue)
-}
-
-/// Record and answers with the new store of the primary, if it restarted and its answer counts.
-fn with_restarted_primary<L: Log>(
-    host: &Host<L>,
-    record: &Record,
-    mut statuses: Vec<Status>,
-) -> (Record, Vec<Status>) {
-    let restarted = unrecorded::restarted_primary(host, record);
-    let answer = statuses
-        .iter_mut()
-        .find(|s| s.member == record.former_primary());
-    let (Some(restarted), Some(answer)) = (restarted, answer) else {
-        return (record.clone(), statuses);
-    };
-    answer.store.clone_from(&restarted.store);
-    (unrecorded::with_store(record, &restarted), statuses)
-}
-
-/// Logs the answers that a choice rests on, so that a wrong choice can be traced.
-fn log_choice<L: Log>(host: &Host<L>, record: &Record, choice: &str, statuses: &[Status]) {
-    let answers: Vec<_> = statuses
-        .iter()
-        .map(|s| format!("{} {}.{}", s.store, s.position.term, s.position.offset))
-        .collect();
-    let members: Vec<_> = record.members.iter().map(|m| &m.store).collect();
-    let reported = reported_position(host, record).map(|p| format!("{}.{}", p.term, p.offset));
-    slog::info!(host.logger, "primary chosen"; "group" => &record.group, "term" => record.next,
-        "member" => choice, "former" => record.former_primary(), "needed" => record.read_quorum(),
-        "members" => ?members, "uncovered" => record.uncovered, "answers" => ?answers,
-        "reported" => reported, "acknowledged" => acks_text(host.acks(&record.group)));
-}
-
-/// Logs what a choice goes on without: acknowledged writes, and members that stop and do not answer.
-fn log_given_up<L: Log>(
-    host: &Host<L>,
-    record: &Record,
-    guard: &Guard,
-    held: Position,
-    statuses: &[Status],
-) {
-    if guard.coverage(held) < Coverage::Full {
-        let least = guard.acks.map_or(0, |acks| acks.least);
-        host.metrics
-            .missing_writes
-            .inc_by(least.saturating_sub(held.offset));
-        slog::warn!(host.logger, "primary chosen without writes that may have been acknowledged";
-            "group" => &record.group, "term" => record.next, "held" => text(held),
-            "acknowledged" => acks_text(guard.acks), "unanswered" => ?unanswered(record, statuses));
-    }
-    let counted = guard.counted(record, statuses);
-    if counted.members.len() < record.members.len() {
-        slog::info!(host.logger, "primary chosen without members that stop and do not answer";
-            "group" => &record.group, "term" => record.next, "complete" => guard.complete,
-            "unanswered" => ?unanswered(record, statuses));
-    }
-}
-
-fn text(position: Position) -> String {
-    format!("{}.{}", position.term, position.offset)
-}
-
-fn acks_text(acks: Option<AckBounds>) -> Option<String> {
-    acks.map(|acks| format!("{}.{}..{}", acks.term, acks.least, acks.most))
-}
-
-/// Recorded members that did not answer.
-fn unanswered<'a>(record: &'a Record, statuses: &[Status]) -> Vec<&'a str> {
-    let answers = failover::recorded_answers(record, statuses);
-    let silent = record
-        .members
-        .iter()
-        .filter(|member| !answers.iter().any(|(answered, _)| answered == member));
-    silent.map(|member| member.member.as_str()).collect()
-}
-
-/// Most advanced position of the former primary that entry processes reported. It may include commits
-/// that nobody has acknowledged.
-fn reported_position<L: Log>(host: &Host<L>, record: &Record) -> Option<Position> {
-    let sightings = host.sightings.borrow();
-    let observers = sightings.observers(&record.group)?.values();
-    let seen = observers.filter_map(|observer| observer.members.get(record.former_primary()));
-    seen.map(|seen| seen.position).max()
-}
-
-fn unread_names<'a>(unrecorded: &'a [Member], answered: &[Member]) -> Vec<&'a str> {
-    let unread = unrecorded
-        .iter()
-        .filter(|member| !answered.contains(member));
-    unread.map(|member| member.member.as_str()).collect()
-}
-
 /// Waits until a majority of control hosts hold no grant older than the record, and learns from them
 /// how far writes of the group were acknowledged. Returns whether they told all.
 ///
@@ -679,7 +464,7 @@
                 match asked.await {
                     Ok((Some(true), acks, complete)) => {
                         if let Some(bounds) = acks {
-                            host.merge_acks(Instant::now(), &record.group, bounds);
+                            host.merge_acks(&record.group, bounds, None);
                         }
                         return complete;
                     }
@@ -717,7 +502,7 @@
 
 /// Database that announces itself at the address of the recorded primary under another name, if the
 /// kind of database allows that it holds the primary's log.
-fn renamed_primary<L: Log>(host: &Host<L>, record: &Record) -> Option<Member> {
+pub(crate) fn renamed_primary<L: Log>(host: &Host<L>, record: &Record) -> Option<Member> {
     let address = &record.member(record.former_primary())?.address;
     if !host.databases.may_return_renamed() {
         return None;
@@ -729,61 +514,10 @@
     Some(member_from(renamed))
 }
 
-/// Answers to one round of status reads.
-struct Answers {
-    statuses: Vec<Status>,
-    /// Database that took the place of the primary.
-    renamed: Option<Member>,
-    /// Databases outside the record that were asked as well.
-    unrecorded: Vec<Member>,
-}
-
-/// Reads the status of every recorded member, of the [`renamed_primary`] and of the databases that
-/// announce themselves outside the record. Returns early once the members that the choice needs have
-/// answered; with `wait_unrecorded`, databases outside the record are needed like members.
-async fn read_statuses<L: Log>(
-    host: &Rc<Host<L>>,
-    record: &Record,
-    wait_unrecorded: bool,
-    guard: &Guard,
-) -> Answers {
-    let renamed = renamed_primary(host, record);
-    let unrecorded: Vec<_> = unrecorded(host, record).iter().map(member_from).collect();
-    let asked = unrecorded::with_members(record, &unrecorded);
-    let needed = if wait_unrecorded { &asked } else { record };
-    let mut answers: FuturesUnordered<_> = asked
-        .members
-        .iter()
-        .chain(&renamed)
-        .map(|member| {
-            let target = host.target(&record.group, member);
-            probe(host, target, relay_delay(host, member))
-        })
-        .collect();
-    let mut statuses = Vec::new();
-    let all = async {
-        let mut limit = READ_TIMEOUT;
-        while let Ok(Some(answer)) = timeout(limit, answers.next()).await {
-            statuses.extend(answer);
-            match guard.completeness(needed, &statuses) {
-                Completeness::All => break,
-                Completeness::Enough => limit = EXTRA_READ_TIMEOUT,
-                Completeness::TooFew => {}
-            }
-        }
-    };
-    let _elapsed = timeout(READ_TIMEOUT, all).await;
-    Answers {
-        statuses,
-        renamed,
-        unrecorded,
-    }
-}
-
 /// Delay before a request to a member is also sent through the other control hosts. It is zero for
 /// another region: a new connection there takes three round trips, while the connections to the
 /// control hosts already exist.
-fn relay_delay<L: Log>(host: &Host<L>, member: &Member) -> Duration {
+pub(crate) fn relay_delay<L: Log>(host: &Host<L>, member: &Member) -> Duration {
     if member.region == host.identity.region {
         RELAY_DELAY
     } else {
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -107,7 +107,9 @@
         })
         .collect();
     let acks = view.acks.into_iter();
-    renewal.acks = acks.map(|(group, acks)| (group, acks.bounds)).collect();
+    renewal.acks = acks
+        .map(|(group, acks)| (group, acks.bounds, acks.age))
+        .collect();
 }
 
 fn millis(milliseconds: u32) -> Duration {
@@ -165,7 +167,7 @@
             least: a.get_least(),
             most: a.get_most(),
         };
-        (a.get_number(), bounds)
+        (a.get_number(), bounds, millis(a.get_age()))
     });
     Ok(Report {
         sequence: request.get_sequence(),
--- a/crates/control/src/sweep.rs
+++ b/crates/control/src/sweep.rs
@@ -67,20 +67,7 @@
         .map(|member| host.target(&record.group, member))
         .chain(newcomers.iter().map(newcomer_target))
         .collect();
-    let answers = join_all(
-        targets
-            .iter()
-            .map(|target| read_status(host, target, RELAY_DELAY)),
-    )
-    .await;
-    let mut statuses = Vec::new();
-    let mut unread: Vec<(MemberName, StatusError)> = Vec::new();
-    for (target, answer) in targets.into_iter().zip(answers) {
-        match answer {
-            Ok(status) => statuses.push((target, status)),
-            Err(cause) => unread.push((target.member, cause)),
-        }
-    }
+    let (statuses, unread) = ask(host, targets).await;
     let managed = host.databases.authority().is_some();
     let lost_by = |(_, status): &(Target, Status)| {
         failover::demotion_cause(record, status)
@@ -148,6 +135,25 @@
     Ok(Outcome::Done)
 }
 
+/// Reads the statuses of `targets`. Also returns those that don't answer, with the cause.
+async fn ask<L: Log>(
+    host: &Host<L>,
+    targets: Vec<Target>,
+) -> (Vec<(Target, Status)>, Vec<(MemberName, StatusError)>) {
+    let reads = targets
+        .iter()
+        .map(|target| read_status(host, target, RELAY_DELAY));
+    let answers = join_all(reads).await;
+    let (mut statuses, mut unread) = (Vec::new(), Vec::new());
+    for (target, answer) in targets.into_iter().zip(answers) {
+        match answer {
+            Ok(status) => statuses.push((target, status)),
+            Err(cause) => unread.push((target.member, cause)),
+        }
+    }
+    (statuses, unread)
+}
+
 async fn record_raised_term<L: Log>(
     host: &Host<L>,
     record: &Record,
--- a/crates/control/src/unrecorded.rs
+++ b/crates/control/src/unrecorded.rs
@@ -115,6 +115,7 @@
         changed.members.retain(|m| m.member != member.member);
         if changed.members.len() < known {
             changed.uncovered += 1;
+            changed.stopping.remove(&member.member);
         }
         changed.members.push(member.clone());
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -245,8 +245,6 @@
     pub following: String,
     /// Announced as about to stop.
     pub leaving: bool,
-    /// Announces nothing any more, and still answers.
-    pub unheard: bool,
     /// Injected fault: connections are refused, or accepted and never answered.
     pub fault: Option<Health>,
     /// Refuses connections after it has executed a PROMOTE.
@@ -260,6 +258,8 @@
 pub struct FakeMember {
     pub state: Rc<RefCell<Database>>,
     pub address: SocketAddr,
+    /// Announces nothing any more, whether or not it answers.
+    pub unheard: Cell<bool>,
     task: Option<JoinHandle<()>>,
 }
 
@@ -289,6 +289,7 @@
         Self {
             state,
             address,
+            unheard: Cell::new(false),
             task: Some(task),
         }
     }
@@ -679,7 +680,7 @@
 
     pub fn announcements(&self) -> Vec<(Announcement, Duration)> {
         let members = self.members.iter().enumerate();
-        let heard = members.filter(|(_, m)| !m.state.borrow().unheard);
+        let heard = members.filter(|(_, m)| !m.unheard.get());
         heard
             .map(|(i, m)| (m.announcement("g", &format!("z{i}")), Duration::ZERO))
             .collect()
--- a/crates/control/tests/counted.rs
+++ b/crates/control/tests/counted.rs
@@ -52,7 +52,7 @@
     let records = cluster.leader().state.borrow().version;
     let bounds = AckBounds::exact(Position::new(1, offset));
     cluster.renew(&Renewal {
-        acks: vec![("g".to_owned(), bounds)],
+        acks: vec![("g".to_owned(), bounds, Duration::ZERO)],
         ..group.renewal(0, records, Group::actual_health)
     });
 }
@@ -64,7 +64,7 @@
     let (cluster, group) = open_group().await;
     group.members[2].state.borrow_mut().leaving = true;
     group.observe(&cluster);
-    group.members[2].state.borrow_mut().unheard = true;
+    group.members[2].unheard.set(true);
     observe_for(&cluster, &group, Duration::from_secs(6)).await;
 
     set_offset(&group, 0, 12);
@@ -82,7 +82,7 @@
     let (cluster, group) = open_group().await;
     group.members[2].state.borrow_mut().leaving = true;
     group.observe(&cluster);
-    group.members[2].state.borrow_mut().unheard = true;
+    group.members[2].unheard.set(true);
     fail(&group, 2, Health::Silent);
     observe_for(&cluster, &group, Duration::from_secs(6)).await;
 
@@ -95,7 +95,7 @@
     group.members[2].state.borrow_mut().fault = None;
     observe_until_term(&cluster, &group, 2).await;
 
-    assert_eq!((before.term, before.primary.as_str()), (1, "a"));
+    assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
     assert_eq!(cluster.record().unwrap().primary, "c");
 }
 
@@ -106,7 +106,7 @@
     let (cluster, mut group) = open_group().await;
     group.members[2].state.borrow_mut().leaving = true;
     group.observe(&cluster);
-    group.members[2].state.borrow_mut().unheard = true;
+    group.members[2].unheard.set(true);
     fail(&group, 2, Health::Refused);
     group.members[2].end();
 
@@ -121,7 +121,7 @@
 #[compio::test]
 async fn crashed_replica_that_refuses_connections_stays_recorded() {
     let (cluster, mut group) = open_group().await;
-    group.members[2].state.borrow_mut().unheard = true;
+    group.members[2].unheard.set(true);
     fail(&group, 2, Health::Refused);
     group.members[2].end();
 
@@ -136,7 +136,7 @@
     let (cluster, mut group) = open_group().await;
     let replica = FakeMember::start("d").await;
     replica.state.borrow_mut().position = Position::new(1, 12);
-    replica.state.borrow_mut().unheard = true;
+    replica.unheard.set(true);
     group.members.push(replica);
     set_offset(&group, 0, 12);
     acknowledge(&cluster, &group, 12);
@@ -144,7 +144,7 @@
     fail(&group, 0, Health::Refused);
     observe_for(&cluster, &group, Duration::from_secs(3)).await;
     let before = cluster.record().unwrap();
-    group.members[3].state.borrow_mut().unheard = false;
+    group.members[3].unheard.set(false);
     observe_until_term(&cluster, &group, 2).await;
 
     assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
--- a/crates/control/tests/failover.rs
+++ b/crates/control/tests/failover.rs
@@ -40,6 +40,7 @@
         uncovered: 0,
         abandoned: std::collections::BTreeSet::new(),
         stopping: std::collections::BTreeSet::new(),
+        base: None,
         former: None,
         version: 7,
     }
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -190,6 +190,7 @@
             uncovered: 0,
             abandoned: BTreeSet::new(),
             stopping: BTreeSet::new(),
+            base: None,
             former: None,
             version,
         };
--- a/crates/control/tests/guard.rs
+++ b/crates/control/tests/guard.rs
@@ -8,7 +8,7 @@
 use base::Position;
 use control::{
     failover::{Completeness, ReachCounts},
-    guard::{Guard, MISSING_TIMEOUT, UNCERTAIN_TIMEOUT},
+    guard::{Coverage, Guard, MISSING_TIMEOUT, UNCERTAIN_TIMEOUT},
     leases::{LEASE_DURATION, Leases, LogState},
     machine::{GroupState, Member, Record},
 };
@@ -40,6 +40,7 @@
         uncovered: 0,
         abandoned: BTreeSet::new(),
         stopping: stopping.iter().map(|name| (*name).to_owned()).collect(),
+        base: None,
         former: None,
         version: 1,
     }
@@ -82,9 +83,55 @@
     #[case] elapsed: Duration,
     #[case] allowed: bool,
 ) {
+    let record = record(&["a", "b"], &[]);
     let guard = guard(8, 9, true, elapsed);
 
-    assert_eq!(guard.allows(Position::new(1, offset)), allowed);
+    let found = guard.allows(&record, &[status("b", offset)], Position::new(1, offset));
+
+    assert_eq!(found, allowed);
+}
+
+/// Guards against the loss of an acknowledged write that a member which has not answered may hold.
+#[rstest]
+#[case::all_answered(&["a", "b"], true)]
+#[case::one_silent(&["a", "b", "c"], false)]
+fn uncertain_write_waits_longer_for_a_silent_member(
+    #[case] members: &[&str],
+    #[case] allowed: bool,
+) {
+    let guard = guard(8, 9, true, UNCERTAIN_TIMEOUT);
+
+    let found = guard.allows(
+        &record(members, &[]),
+        &[status("b", 8)],
+        Position::new(1, 8),
+    );
+
+    assert_eq!(found, allowed);
+}
+
+/// Guards against a group that waits again for writes of an earlier term that were given up.
+#[rstest]
+#[case::given_up(Some(7), Coverage::Full)]
+#[case::unknown(None, Coverage::Missing)]
+fn writes_given_up_in_an_earlier_term_do_not_count(
+    #[case] base: Option<u64>,
+    #[case] expected: Coverage,
+) {
+    let record = Record {
+        term: 2,
+        base,
+        ..record(&["a", "b"], &[])
+    };
+    let acks = AckBounds {
+        term: 1,
+        least: 8,
+        most: 9,
+    };
+
+    let guard = Guard::new(&record, Some(acks), true, Duration::ZERO);
+
+    assert_eq!(guard.coverage(Position::new(2, 7)), expected);
 }
 
 /// Guards against a primary that is left out although only its answer holds an acknowledged write.
@@ -142,8 +189,11 @@
 #[case::held(9, true)]
 #[case::missing(7, false)]
 fn reads_go_on_while_an_acknowledged_write_is_missing(#[case] offset: u64, #[case] enough: bool) {
-    let record = record(&["a", "b", "c", "d"], &[]);
-    let statuses = [status("b", offset), status("c", 7), status("d", 7)];
+    let record = Record {
+        confirmations: 3,
+        ..record(&["a", "b", "c", "d"], &[])
+    };
+    let statuses = [status("b", offset), status("c", 7)];
 
     let found = guard(8, 9, true, Duration::ZERO).completeness(&record, &statuses);
 
--- a/crates/control/tests/machine.rs
+++ b/crates/control/tests/machine.rs
@@ -32,6 +32,7 @@
         uncovered: 0,
         abandoned: BTreeSet::new(),
         stopping: BTreeSet::new(),
+        base: None,
         former: None,
         version: 0,
     }
--- a/crates/entry/src/group.rs
+++ b/crates/entry/src/group.rs
@@ -104,7 +104,8 @@
     pub last_used: Cell<Option<Instant>>,
     /// When the first write after the last confirmation had to wait for a primary.
     pub gap_start: Cell<Option<Instant>>,
-    acks: Cell<Option<AckBounds>>,
+    acks: Cell<Option<(AckBounds, Instant)>>,
+    has_unknown_acks: Cell<bool>,
     confirmation: RefCell<Confirmation>,
     required: Cell<usize>,
     waiting: RefCell<BTreeMap<u64, Vec<oneshot::Sender<()>>>>,
@@ -125,6 +126,7 @@
             last_used: Cell::default(),
             gap_start: Cell::default(),
             acks: Cell::default(),
+            has_unknown_acks: Cell::default(),
             confirmation: RefCell::new(Confirmation::new(0, Vec::new(), required as usize)),
             required: Cell::new(required as usize),
             waiting: RefCell::default(),
@@ -238,14 +240,32 @@
 
     /// Records that a write is acknowledged. Call it before the caller gets the answer, and without
     /// waiting after the term was verified, so that a report of the end of the term includes it.
-    pub fn record_acks(&self, bounds: AckBounds) {
-        let known = self.acks.get().unwrap_or_default();
-        self.acks.set(Some(known.merge(bounds)));
+    pub fn record_acks(&self, now: Instant, bounds: AckBounds) {
+        let (known, grown_at) = self.acks.get().unwrap_or((bounds, now));
+        let merged = known.merge(bounds);
+        let grown_at = if merged.least() > known.least() {
+            now
+        } else {
+            grown_at
+        };
+        self.acks.set(Some((merged, grown_at)));
+    }
+
+    /// Records that a write is acknowledged whose position is not known.
+    pub fn record_unknown_ack(&self) {
+        self.has_unknown_acks.set(true);
+    }
+
+    /// Whether a write was acknowledged whose position is not known.
+    #[must_use]
+    pub const fn has_unknown_acks(&self) -> bool {
+        self.has_unknown_acks.get()
     }
 
-    /// How far writes were acknowledged; `None` before the first one.
+    /// How far writes were acknowledged, and when the lower bound last grew; `None` before the first
+    /// write.
     #[must_use]
-    pub const fn acks(&self) -> Option<AckBounds> {
+    pub const fn acks(&self) -> Option<(AckBounds, Instant)> {
         self.acks.get()
     }
 
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -268,7 +268,7 @@
     request.set_record_version(version);
     request.set_config_version(network.config_version());
     request.set_stopping(network.is_stopped());
-    request.set_reports_acks(true);
+    request.set_reports_acks(!network.has_unknown_acks());
     report::write(&changes, request);
 
     let response = call.send().promise.await?;
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -574,6 +574,12 @@
         records.any(|record| predicate(record.phase))
     }
 
+    /// Whether a write was acknowledged whose position is not known.
+    pub(crate) fn has_unknown_acks(&self) -> bool {
+        let groups = self.groups.borrow();
+        groups.values().any(|group| group.has_unknown_acks())
+    }
+
     pub(crate) fn all_members(&self) -> Vec<Rc<Member<D>>> {
         self.members.borrow().values().cloned().collect()
     }
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -61,10 +61,11 @@
     });
     let known_groups = network.groups.borrow();
     let acks = known_groups.values().filter_map(|group| {
-        let (record, bounds) = (group.current()?, group.acks()?);
+        let (record, (bounds, grown_at)) = (group.current()?, group.acks()?);
         let acks = GroupAcks {
             member: record.primary.clone(),
             bounds,
+            age: now.saturating_duration_since(grown_at),
             urgent: record.phase != Phase::Stable,
         };
         Some((group.name.clone(), acks))
@@ -151,12 +152,13 @@
     }
     if !report.acks.is_empty() {
         let mut list = request.init_acks(len_u32(&report.acks));
-        for (i, (number, bounds)) in (0..).zip(&report.acks) {
+        for (i, (number, bounds, age)) in (0..).zip(&report.acks) {
             let mut item = list.reborrow().get(i);
             item.set_number(*number);
             item.set_term(bounds.term);
             item.set_least(bounds.least);
             item.set_most(bounds.most);
+            item.set_age(as_millis_u32(*age));
         }
     }
 }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -472,7 +472,7 @@
         }
         self.await_confirmed(&group, term, position, deadline)
             .await?;
-        group.record_acks(AckBounds::exact(position));
+        group.record_acks(Instant::now(), AckBounds::exact(position));
         if let Some(since) = group.gap_start.take() {
             self.metrics.gap.observe(since.elapsed().as_secs_f64());
         }
--- a/crates/lab/src/control_host.rs
+++ b/crates/lab/src/control_host.rs
@@ -365,6 +365,7 @@
                 uncovered: 0,
                 abandoned: BTreeSet::new(),
                 stopping: BTreeSet::new(),
+                base: None,
                 former: None,
                 version: 0,
             };
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -180,6 +180,8 @@
   term @1 :UInt64;
   least @2 :UInt64;
   most @3 :UInt64;
+  # Milliseconds since least last grew; only in a report.
+  age @4 :UInt32;
 }
 
 # Gives a member the number that stands for it on this connection.
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -14215,6 +14215,10 @@
         pub fn get_most(self) -> u64 {
             self.reader.get_data_field::<u64>(3)
         }
+        #[inline]
+        pub fn get_age(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
     }
 
     pub struct Builder<'a> {
@@ -14338,6 +14342,14 @@
         pub fn set_most(&mut self, value: u64) {
             self.builder.set_data_field::<u64>(3, value);
         }
+        #[inline]
+        pub fn get_age(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_age(&mut self, value: u32) {
+            self.builder.set_data_field::<u32>(1, value);
+        }
     }
 
     pub struct Pipeline {
@@ -14352,7 +14364,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 93] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(71, 49, 103, 166, 65, 126, 246, 209),
             ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
@@ -14362,7 +14374,7 @@
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -14370,35 +14382,42 @@
             ::capnp::word(112, 110, 112, 58, 65, 99, 107, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(110, 117, 109, 98, 101, 114, 0, 0),
             ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -14431,6 +14450,14 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -14438,6 +14465,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -14456,9 +14484,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[2, 3, 0, 1];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 2, 3, 0, 1];
         pub(crate) const TYPE_ID: u64 = 0xd1f6_7e41_a667_3147;
     }
 }
--- a/crates/route/src/report.rs
+++ b/crates/route/src/report.rs
@@ -60,6 +60,8 @@
     pub member: MemberName,
     /// Bounds on the highest acknowledged position.
     pub bounds: AckBounds,
+    /// Time since the lower bound last grew.
+    pub age: Duration,
     /// Whether the primary is being changed, so that the choice of the next one needs the bounds.
     pub urgent: bool,
 }
@@ -93,7 +95,7 @@
     /// Changed demands.
     pub demands: Vec<(MemberNumber, ConnectionDemand)>,
     /// Changed bounds of groups, each with the number of any member.
-    pub acks: Vec<(MemberNumber, AckBounds)>,
+    pub acks: Vec<(MemberNumber, AckBounds, Duration)>,
 }
 
 /// Sending side: remembers what was reported to a control host on the current connection.
@@ -204,7 +206,7 @@
             });
             if !known {
                 let number = self.number(&mut report, group, &acks.member);
-                report.acks.push((number, acks.bounds));
+                report.acks.push((number, acks.bounds, acks.age));
                 self.acks.insert(group.clone(), (acks.bounds, now));
             }
         }
@@ -305,11 +307,12 @@
                 self.demands.insert(number, demand);
             }
         }
-        for (number, bounds) in report.acks {
+        for (number, bounds, age) in report.acks {
             let (group, member) = self.names.get(&number)?;
             let acks = GroupAcks {
                 member: member.clone(),
                 bounds,
+                age,
                 urgent: false,
             };
             self.acks.insert(group.clone(), acks);
--- a/crates/route/tests/acks.rs
+++ b/crates/route/tests/acks.rs
@@ -17,6 +17,7 @@
     let acks = GroupAcks {
         member: "a".into(),
         bounds,
+        age: Duration::ZERO,
         urgent,
     };
     ClusterView {
@@ -82,7 +83,7 @@
     let mut receiver = ReportReceiver::default();
     let report = Report {
         sequence: 1,
-        acks: vec![(4, bounds(1, 2, 3))],
+        acks: vec![(4, bounds(1, 2, 3), Duration::ZERO)],
         ..Report::default()
     };
 
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -217,9 +217,13 @@
         if let Err(cause) = target.confirm_term(term, deadline).await {
             return Err(Failure::new(Code::InDoubt, cause));
         }
-        if let Some(after) = response.position.filter(|_| sent.wrote) {
-            let bounds = AckBounds::of_commit(sent.before, after);
-            target.group.record_acks(bounds);
+        match response.position {
+            Some(after) if sent.wrote => {
+                let bounds = AckBounds::of_commit(sent.before, after);
+                target.group.record_acks(Instant::now(), bounds);
+            }
+            None if sent.wrote => target.group.record_unknown_ack(),
+            _ => {}
         }
         target.record_position(sent.at, response.position);
         self.last_write = self.last_write.max(response.position);
