Test losses of power and disks right after other events of the log

Each case loses every minority of 3 and of 5 hosts, 12 seeds each, at the moment of the acknowledgement.

--- /dev/null
+++ b/crates/agree/tests/power_events.rs
@@ -0,0 +1,179 @@
+//! All hosts lose power, and as many of them as a minority their disks, at the moment of an
+//! acknowledgement that follows another event.
+
+mod cluster;
+
+use std::{rc::Rc, time::Duration};
+
+use cluster::{Cluster, Files};
+use rstest::rstest;
+
+const FIVE_SECONDS: Duration = Duration::from_secs(5);
+/// Longer than the time between the acknowledgement of a write and the end of the next one.
+const SLOW_WRITE: Duration = Duration::from_millis(30);
+const SEEDS: u64 = 12;
+
+/// What happens right before the acknowledged write.
+#[derive(Debug, Clone, Copy)]
+enum Event {
+    /// A follower forwards the write.
+    Forwarded,
+    /// The leader transfers its leadership.
+    Transferred,
+    /// The leader loses power and another host is elected.
+    Elected,
+    /// A host that was down for long gets a snapshot.
+    SnapshotInstalled,
+    /// All hosts take a snapshot, and no disk has finished writing it.
+    Compacted,
+    /// One follower gets nothing until the loss of power.
+    Lagging,
+}
+
+/// A cluster that takes snapshots often, with a few commands.
+fn started_cluster(seed: u64, size: usize) -> Cluster {
+    let mut cluster = Cluster::new(seed, size, Vec::new());
+    cluster.tuning.snapshot_threshold_bytes = 300;
+    cluster.tuning.trailing_entries = 3;
+    cluster.tuning.snapshot_chunk_bytes = 200;
+    for host in 0..size {
+        cluster.start(host);
+    }
+    for _ in 0..=seed % 30 {
+        cluster.write();
+    }
+    cluster
+}
+
+/// A running host that does not lead.
+fn follower(cluster: &mut Cluster) -> usize {
+    let leader = cluster.leader();
+    (leader + 1) % cluster.size
+}
+
+/// Index of the first entry that the leader holds.
+fn first_index(cluster: &mut Cluster) -> u64 {
+    let leader = cluster.leader();
+    cluster.node(leader).dump()["first"].as_u64().unwrap()
+}
+
+fn snapshot_index(cluster: &mut Cluster) -> u64 {
+    let leader = cluster.leader();
+    cluster.node(leader).dump()["snapshot"].as_u64().unwrap()
+}
+
+/// Performs the event. Returns the host that takes the next write.
+fn perform(cluster: &mut Cluster, event: Event) -> usize {
+    match event {
+        Event::Forwarded => return follower(cluster),
+        Event::Transferred => {
+            let leader = cluster.leader();
+            cluster.submit_transfer(leader);
+            let transferred = |cluster: &Cluster| {
+                let found = cluster.find_leader();
+                found.is_some_and(|found| found != leader)
+            };
+            assert!(cluster.run_until(FIVE_SECONDS, transferred));
+        }
+        Event::Elected => {
+            let leader = cluster.leader();
+            cluster.submit(leader, false);
+            cluster.crash(leader);
+            cluster.leader();
+            cluster.start(leader);
+        }
+        Event::SnapshotInstalled => {
+            let absent = follower(cluster);
+            let last = cluster.node(absent).applied_index();
+            cluster.crash(absent);
+            while first_index(cluster) <= last + 1 {
+                cluster.write();
+            }
+            let before = cluster.simulation.chunks.get();
+            cluster.start(absent);
+            let sent = |cluster: &Cluster| cluster.simulation.chunks.get() > before;
+            assert!(cluster.run_until(2 * FIVE_SECONDS, sent));
+        }
+        Event::Compacted => {
+            for host in 0..cluster.size {
+                cluster.slow_disk(host, SLOW_WRITE);
+            }
+            let before = snapshot_index(cluster);
+            while snapshot_index(cluster) == before {
+                cluster.write();
+            }
+        }
+        Event::Lagging => {
+            let absent = follower(cluster);
+            cluster.isolate(absent);
+        }
+    }
+    cluster.leader()
+}
+
+/// Submits a write to a host and waits until it is acknowledged.
+fn write_at(cluster: &mut Cluster, host: usize) {
+    let payload = cluster.submit(host, true);
+    let acked = Rc::clone(&cluster.acked);
+    let is_acked = move |_: &Cluster| acked.borrow().values().any(|known| *known == payload);
+    assert!(cluster.run_until(FIVE_SECONDS, is_acked));
+}
+
+/// Ends all hosts now, takes the disks of `lost` and starts all. Returns the violations that are seen
+/// then.
+fn lose_power(cluster: &mut Cluster, lost: &[usize]) -> Vec<String> {
+    for host in 0..cluster.size {
+        cluster.crash(host);
+        cluster.slow_disk(host, Duration::ZERO);
+    }
+    cluster.heal();
+    for host in lost {
+        cluster.replace_files(*host, Files::new());
+    }
+    for host in 0..cluster.size {
+        cluster.start(host);
+    }
+    cluster.converge();
+    cluster.check()
+}
+
+/// Every choice of a minority of the hosts that is as large as possible.
+fn minorities(size: usize) -> Vec<Vec<usize>> {
+    let sets = 0_u32..1 << size;
+    let sets = sets.map(|set| (0..size).filter(|host| set >> host & 1 == 1).collect());
+    sets.filter(|set: &Vec<usize>| set.len() == size / 2)
+        .collect()
+}
+
+/// Guards against an acknowledgement that rests on a copy that is not synced or is not known to those
+/// who are left.
+#[rstest]
+fn keeps_acknowledged_after_event(
+    #[values(3, 5)] size: usize,
+    #[values(
+        Event::Forwarded,
+        Event::Transferred,
+        Event::Elected,
+        Event::SnapshotInstalled,
+        Event::Compacted,
+        Event::Lagging
+    )]
+    event: Event,
+) {
+    for seed in 1..=SEEDS {
+        for lost in minorities(size) {
+            let mut cluster = started_cluster(seed, size);
+            let host = perform(&mut cluster, event);
+            if !matches!(event, Event::Compacted) {
+                write_at(&mut cluster, host);
+            }
+
+            let violations = lose_power(&mut cluster, &lost);
+
+            assert!(
+                violations.is_empty(),
+                "seed {seed}, lost {lost:?}: {violations:#?}"
+            );
+        }
+    }
+}
