--- a/crates/agree/tests/power_events.rs
+++ b/crates/agree/tests/power_events.rs
@@ -111,6 +111,20 @@
     cluster.leader()
 }
 
+/// Replaces the disk of a host and waits until the leader counts it again.
+fn readmit(cluster: &mut Cluster, host: usize) {
+    cluster.crash(host);
+    cluster.replace_files(host, Files::new());
+    cluster.start(host);
+    let counted = |cluster: &Cluster| {
+        cluster.find_leader().is_some_and(|leader| {
+            let members = &cluster.node(leader).dump()["members"];
+            members[format!("control-{host}")] != 0
+        })
+    };
+    assert!(cluster.run_until(2 * FIVE_SECONDS, counted));
+}
+
 /// Submits a write to a host and waits until it is acknowledged.
 fn write_at(cluster: &mut Cluster, host: usize) {
     let payload = cluster.submit(host, true);
@@ -177,3 +191,33 @@
         }
     }
 }
+
+/// Guards against a readmitted host that counts for acknowledgements but can't vote after a loss of
+/// power, because it or another host does not know yet that it was readmitted.
+#[rstest]
+fn keeps_acknowledged_after_readmission(
+    #[values(3, 5)] size: usize,
+    #[values(false, true)] cut_off: bool,
+) {
+    for seed in 1..=SEEDS {
+        for lost in minorities(size) {
+            let mut cluster = started_cluster(seed, size);
+            let readmitted = usize::try_from(seed).unwrap() % size;
+            readmit(&mut cluster, readmitted);
+            if cut_off {
+                cluster.isolate(readmitted);
+                cluster.run(FIVE_SECONDS);
+            }
+            let leader = cluster.leader();
+            write_at(&mut cluster, leader);
+
+            let violations = lose_power(&mut cluster, &lost);
+
+            assert!(
+                violations.is_empty(),
+                "seed {seed}, readmitted {readmitted}, leader {leader}, lost {lost:?}: \
+                 {violations:#?}"
+            );
+        }
+    }
+}
