Test two more ways in which the primary counts what the record lacks

A new leader that knows no announcements of before, and a replica that restarted empty under its name without an announcement that tells so.

--- a/crates/control/tests/counted.rs
+++ b/crates/control/tests/counted.rs
@@ -150,3 +150,56 @@
     assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
     assert_eq!(cluster.record().unwrap().primary, "d");
 }
+
+/// Guards against the loss of commits that only a new replica has which the former leader heard of: a
+/// new leader knows no announcements of before.
+#[compio::test]
+async fn acknowledged_commits_of_a_replica_unknown_to_a_new_leader_are_waited_for() {
+    let (mut cluster, mut group) = open_group().await;
+    let replica = FakeMember::start("d").await;
+    replica.state.borrow_mut().position = Position::new(1, 12);
+    replica.state.borrow_mut().unheard = true;
+    let announcement = replica.announcement("g", "z0");
+    group.members.push(replica);
+    set_offset(&group, 0, 12);
+    acknowledge(&cluster, &group, 12);
+    cluster.shared.commits_blocked.set(true);
+    cluster
+        .leader()
+        .receive_announcement(Instant::now(), announcement);
+
+    cluster.hosts[0].crash();
+    fail(&group, 0, Health::Refused);
+    cluster.shared.commits_blocked.set(false);
+    cluster.shared.set_leader("c1");
+    observe_for(&cluster, &group, Duration::from_secs(3)).await;
+    let before = cluster.record().unwrap();
+    group.members[3].state.borrow_mut().unheard = false;
+    observe_until_term(&cluster, &group, 2).await;
+
+    assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
+    assert_eq!(cluster.record().unwrap().primary, "d");
+}
+
+/// Guards against the loss of commits when a replica restarts empty and no announcement tells so: its
+/// answer counts as that of the recorded store, and only the failed primary has them.
+#[compio::test]
+async fn acknowledged_commits_are_waited_for_after_an_unheard_restart() {
+    let (cluster, group) = open_group().await;
+    group.members[1].state.borrow_mut().unheard = true;
+    set_offset(&group, 0, 12);
+    acknowledge(&cluster, &group, 12);
+    group.members[1].lose_disk();
+
+    fail(&group, 0, Health::Refused);
+    observe_for(&cluster, &group, Duration::from_secs(3)).await;
+    let before = cluster.record().unwrap();
+    group.members[0].state.borrow_mut().fault = None;
+    observe_until(&cluster, &group, TIMEOUT, || {
+        cluster.record().unwrap().state == GroupState::Stable
+    })
+    .await;
+
+    assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
+    assert_eq!(cluster.record().unwrap().primary, "a");
+}
