Reproduce: a copying replica of a newer term is preferred to all acknowledged writes

A replica that copies the log from the primary of a new term has a higher position than members that did not follow that primary yet. If the primary fails before a write of its term is acknowledged, the replica is chosen although others that answered hold all acknowledged writes.

--- a/crates/control/tests/guard.rs
+++ b/crates/control/tests/guard.rs
@@ -226,3 +226,26 @@
 
     assert_eq!(leases.unreported_at() > start, noted);
 }
+
+/// Guards against the loss of all writes: a new replica copies the log from the primary of a new term,
+/// which fails, and is preferred for its term to members that hold every acknowledged write.
+#[rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::for_long(MISSING_TIMEOUT)]
+fn member_with_all_acknowledged_writes_precedes_newer_term(#[case] elapsed: Duration) {
+    let failed = Record {
+        term: 2,
+        next: 3,
+        primary: "b".to_owned(),
+        ..record(&["a", "b", "c", "d"], &[])
+    };
+    let copying = Status {
+        position: Position::new(2, 3),
+        ..status("d", 3)
+    };
+    let statuses = [status("a", 12), status("c", 12), copying];
+
+    let choice = choose(&guard(12, 12, true, elapsed), &failed, &statuses);
+
+    assert_ne!(choice.as_deref(), Some("d"));
+}
