Choose the member that holds most of what was acknowledged before one of a newer term

A replica that copies the log from the primary of a new term is beyond all others by its term, however little it holds.

--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -157,15 +157,31 @@
         reach: &ReachCounts,
     ) -> Option<(MemberName, Position)> {
         let counted = self.counted(record, statuses);
-        let choice = failover::choose_primary(&counted, statuses, reach)?;
+        let mut choice = failover::choose_primary(&counted, statuses, reach)?;
         let answers = failover::recorded_answers(record, statuses);
         let position = |name: &str| {
             let mut answers = answers.iter();
             let found = answers.find(|(member, _)| member.member == name);
             found.map(|(_, status)| status.position)
         };
-        let chosen = position(&choice).unwrap_or_default();
         let former = record.former_primary();
+        let mut chosen = position(&choice).unwrap_or_default();
+        // A replica that copies the log of a newer term is beyond all others, and may have little of it.
+        let others = answers.iter().filter(|(member, _)| member.member != former);
+        let fullest = others.max_by_key(|(member, status)| {
+            (
+                self.coverage(status.position),
+                status.position,
+                reach.get(&member.member),
+                std::cmp::Reverse(&member.member),
+            )
+        });
+        if let Some((member, status)) = fullest
+            && self.coverage(status.position) > self.coverage(chosen)
+        {
+            choice.clone_from(&member.member);
+            chosen = status.position;
+        }
         let needed = if has_all_others(record, statuses) {
             Coverage::Uncertain
         } else {
--- a/crates/control/tests/counted.rs
+++ b/crates/control/tests/counted.rs
@@ -158,7 +158,7 @@
     let (mut cluster, mut group) = open_group().await;
     let replica = FakeMember::start("d").await;
     replica.state.borrow_mut().position = Position::new(1, 12);
-    replica.state.borrow_mut().unheard = true;
+    replica.unheard.set(true);
     let announcement = replica.announcement("g", "z0");
     group.members.push(replica);
     set_offset(&group, 0, 12);
@@ -174,7 +174,7 @@
     cluster.shared.set_leader("c1");
     observe_for(&cluster, &group, Duration::from_secs(3)).await;
     let before = cluster.record().unwrap();
-    group.members[3].state.borrow_mut().unheard = false;
+    group.members[3].unheard.set(false);
     observe_until_term(&cluster, &group, 2).await;
 
     assert_eq!((before.state, before.term), (GroupState::Fencing, 1));
@@ -186,7 +186,7 @@
 #[compio::test]
 async fn acknowledged_commits_are_waited_for_after_an_unheard_restart() {
     let (cluster, group) = open_group().await;
-    group.members[1].state.borrow_mut().unheard = true;
+    group.members[1].unheard.set(true);
     set_offset(&group, 0, 12);
     acknowledge(&cluster, &group, 12);
     group.members[1].lose_disk();
