Wait for a write that may have been acknowledged as long as for one that was

Any answer below the upper bound now waits 8 s, and the former primary is chosen again meanwhile if it holds more. A position told below one that was known before is raised.

--- a/crates/control/src/choice.rs
+++ b/crates/control/src/choice.rs
@@ -128,9 +128,7 @@
         let open = choice
             .as_ref()
             .is_some_and(|(choice, _)| !calls.allow(choice, Instant::now()));
-        let short = choice
-            .as_ref()
-            .filter(|(_, held)| !guard.allows(record, &statuses, *held));
+        let short = choice.as_ref().filter(|(_, held)| !guard.allows(*held));
         if let Some((_, held)) = short
             && !std::mem::replace(&mut shortfall_logged, true)
         {
--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -14,11 +14,9 @@
     machine::Record,
 };
 
-/// Time limit on the wait for acknowledged writes that no answer holds. Their last copy may be lost;
-/// then no promotion would ever finish.
+/// Time limit on the wait for writes that no answer holds and that may have been acknowledged. Their last
+/// copy may be lost; then no promotion would ever finish.
 pub const MISSING_TIMEOUT: Duration = Duration::from_secs(8);
-/// Time limit on the wait for writes that may not have been acknowledged.
-pub const UNCERTAIN_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// How a position compares with the acknowledged writes of its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -90,18 +88,9 @@
     }
 
     /// Whether a member at `position` may be chosen now.
-    ///
-    /// Once all other members have answered, an uncertain write was most likely not acknowledged: a
-    /// replica would hold it.
     #[must_use]
-    pub fn allows(&self, record: &Record, statuses: &[Status], position: Position) -> bool {
-        match self.coverage(position) {
-            Coverage::Full => true,
-            Coverage::Uncertain if has_all_others(record, statuses) => {
-                self.elapsed >= UNCERTAIN_TIMEOUT
-            }
-            Coverage::Uncertain | Coverage::Missing => self.elapsed >= MISSING_TIMEOUT,
-        }
+    pub fn allows(&self, position: Position) -> bool {
+        self.coverage(position) == Coverage::Full || self.elapsed >= MISSING_TIMEOUT
     }
 
     /// Record of the members that count for the choice. Once an answer is known to hold every
@@ -147,8 +136,8 @@
 
     /// Like [`failover::choose_primary`], for the members that count, with the position of the choice.
     ///
-    /// The former primary is chosen again if only its answer holds an acknowledged write. While a member
-    /// has not answered, an uncertain write counts as acknowledged.
+    /// The former primary is chosen again if its answer holds more of what was acknowledged than all
+    /// others; for a write that may not have been acknowledged, until [`MISSING_TIMEOUT`].
     #[must_use]
     pub fn choose(
         &self,
@@ -182,13 +171,12 @@
             choice.clone_from(&member.member);
             chosen = status.position;
         }
-        let needed = if has_all_others(record, statuses) {
-            Coverage::Uncertain
-        } else {
-            Coverage::Full
-        };
-        match position(former) {
-            Some(held) if self.coverage(chosen) < needed && self.coverage(held) >= needed => {
+        let (held, found) = (position(former), self.coverage(chosen));
+        match held {
+            Some(held)
+                if self.coverage(held) > found
+                    && (found == Coverage::Missing || self.elapsed < MISSING_TIMEOUT) =>
+            {
                 Some((former.to_owned(), held))
             }
             _ => Some((choice, chosen)),
--- a/crates/control/tests/guard.rs
+++ b/crates/control/tests/guard.rs
@@ -8,7 +8,7 @@
 use base::Position;
 use control::{
     failover::{Completeness, ReachCounts},
-    guard::{Coverage, Guard, MISSING_TIMEOUT, UNCERTAIN_TIMEOUT},
+    guard::{Coverage, Guard, MISSING_TIMEOUT},
     leases::{LEASE_DURATION, Leases, LogState},
     machine::{GroupState, Member, Record},
 };
@@ -70,44 +70,22 @@
     Some(choice.0)
 }
 
-/// Guards against a choice that lacks an acknowledged write, and against a group without a primary when
-/// the last copy of one is lost.
+/// Guards against a choice that lacks a write which may have been acknowledged, and against a group without
+/// a primary when the last copy of one is lost.
 #[rstest]
 #[case::all(9, Duration::ZERO, true)]
-#[case::uncertain(8, UNCERTAIN_TIMEOUT / 2, false)]
-#[case::uncertain_for_long(8, UNCERTAIN_TIMEOUT, true)]
-#[case::missing(7, UNCERTAIN_TIMEOUT, false)]
+#[case::uncertain(8, MISSING_TIMEOUT / 2, false)]
+#[case::uncertain_for_long(8, MISSING_TIMEOUT, true)]
+#[case::missing(7, MISSING_TIMEOUT / 2, false)]
 #[case::missing_for_long(7, MISSING_TIMEOUT, true)]
 fn position_is_allowed_by_what_it_lacks(
     #[case] offset: u64,
     #[case] elapsed: Duration,
     #[case] allowed: bool,
 ) {
-    let record = record(&["a", "b"], &[]);
     let guard = guard(8, 9, true, elapsed);
 
-    let found = guard.allows(&record, &[status("b", offset)], Position::new(1, offset));
-
-    assert_eq!(found, allowed);
-}
-
-/// Guards against the loss of an acknowledged write that a member which has not answered may hold.
-#[rstest]
-#[case::all_answered(&["a", "b"], true)]
-#[case::one_silent(&["a", "b", "c"], false)]
-fn uncertain_write_waits_longer_for_a_silent_member(
-    #[case] members: &[&str],
-    #[case] allowed: bool,
-) {
-    let guard = guard(8, 9, true, UNCERTAIN_TIMEOUT);
-
-    let found = guard.allows(
-        &record(members, &[]),
-        &[status("b", 8)],
-        Position::new(1, 8),
-    );
-
-    assert_eq!(found, allowed);
+    assert_eq!(guard.allows(Position::new(1, offset)), allowed);
 }
 
 /// Guards against a group that waits again for writes of an earlier term that were given up.
@@ -134,18 +112,22 @@
     assert_eq!(guard.coverage(Position::new(2, 7)), expected);
 }
 
-/// Guards against a primary that is left out although only its answer holds an acknowledged write.
+/// Guards against a primary that is left out although only its answer holds an acknowledged write, and
+/// against one that is chosen again and again for a write that nobody was told of.
 #[rstest]
-#[case::missing(7, "a")]
-#[case::uncertain(8, "b")]
+#[case::missing(7, MISSING_TIMEOUT, "a")]
+#[case::uncertain(8, MISSING_TIMEOUT / 2, "a")]
+#[case::uncertain_for_long(8, MISSING_TIMEOUT, "b")]
+#[case::held(9, Duration::ZERO, "b")]
 fn primary_is_chosen_again_if_only_it_holds_acknowledged_writes(
     #[case] others: u64,
+    #[case] elapsed: Duration,
     #[case] chosen: &str,
 ) {
     let record = record(&["a", "b", "c"], &[]);
     let statuses = [status("a", 10), status("b", others), status("c", others)];
 
-    let choice = choose(&guard(8, 9, true, Duration::ZERO), &record, &statuses);
+    let choice = choose(&guard(8, 9, true, elapsed), &record, &statuses);
 
     assert_eq!(choice.as_deref(), Some(chosen));
 }
@@ -156,7 +138,7 @@
 #[case::covered(9, true, Duration::ZERO, Some("b"))]
 #[case::not_all_reported(9, false, Duration::ZERO, None)]
 #[case::uncertain(8, true, Duration::ZERO, None)]
-#[case::missing(7, true, UNCERTAIN_TIMEOUT, None)]
+#[case::missing(7, true, MISSING_TIMEOUT / 2, None)]
 #[case::for_long(9, false, MISSING_TIMEOUT, Some("b"))]
 fn silent_stopping_member_counts_unless_all_writes_are_held(
     #[case] offset: u64,
--- a/crates/route/src/acks.rs
+++ b/crates/route/src/acks.rs
@@ -36,8 +36,8 @@
             .map_or(0, |before| before.offset.saturating_add(1));
         Self {
             term: after.term,
-            least: least.min(after.offset),
-            most: after.offset,
+            least,
+            most: after.offset.max(least),
         }
     }
 
--- a/crates/route/tests/acks.rs
+++ b/crates/route/tests/acks.rs
@@ -33,7 +33,7 @@
 #[case::exact(Some(Position::new(2, 8)), bounds(2, 9, 9))]
 #[case::unknown(None, bounds(2, 0, 9))]
 #[case::former_term(Some(Position::new(1, 8)), bounds(2, 0, 9))]
-#[case::overtaken(Some(Position::new(2, 12)), bounds(2, 9, 9))]
+#[case::told_too_low(Some(Position::new(2, 12)), bounds(2, 13, 13))]
 fn commit_lies_between_the_bounds(#[case] before: Option<Position>, #[case] expected: AckBounds) {
     assert_eq!(AckBounds::of_commit(before, Position::new(2, 9)), expected);
 }
