Let a readmitted control host vote before it knows of its readmission

After all power was lost, with the disk of one of three control hosts, no host led for good: nothing was served and the configuration could not be read. The host that was lost had just counted another one that was readmitted after a lost disk, and acknowledged a change with it. The readmitted one had that entry on disk but not its commit index, took itself for a learner and refused every vote; the third needed it.

A learner now answers vote requests. The candidate already counts only hosts whose readmission it has applied. A vote of a lost disk can't be repeated to effect: whoever applied the readmission is in a later term than all votes of before. The commit index of a readmission is written at once, not up to 150 ms later.

--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -37,10 +37,12 @@
     }
 
     /// Decides on a vote or pre-vote and records a granted vote.
+    ///
+    /// A learner votes as well. The candidate counts only hosts whose readmission it has applied, and this
+    /// one may not know of its own.
     fn grant_vote(&self, request: &VoteRequest) -> bool {
         let now = self.environment.now();
         let mut state = self.state.borrow_mut();
-        let is_learner = !state.is_voter() && !self.is_disabled(Mechanism::LearnerExclusion);
         let up_to_date = (request.last_term, request.last_index)
             >= (state.log.last_term(), state.log.last_index())
             || self.is_disabled(Mechanism::ElectionRestriction);
@@ -49,7 +51,7 @@
                 || state.last_leader_contact.is_some_and(|contact| {
                     now.duration_since(contact) < self.tuning.election_timeout.0
                 });
-            return !is_learner && up_to_date && !has_leader && request.term > state.hard.term;
+            return up_to_date && !has_leader && request.term > state.hard.term;
         }
         state.advance_term(request.term);
         let may_vote = state
@@ -57,7 +59,7 @@
             .vote
             .as_ref()
             .is_none_or(|vote| *vote == request.from.host);
-        let granted = !is_learner && up_to_date && may_vote && request.term == state.hard.term;
+        let granted = up_to_date && may_vote && request.term == state.hard.term;
         if granted {
             if state.hard.vote.is_none() {
                 state.hard.vote = Some(request.from.host.clone());
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -648,6 +648,7 @@
                     answer = self.machine.borrow_mut().apply(entry.index, command);
                 }
                 Payload::Readmit(name, number) => {
+                    self.state.borrow_mut().readmitted_at = entry.index;
                     outdated = self.apply_readmission(&name, number).or(outdated);
                 }
                 Payload::Unknown => {
@@ -842,6 +843,7 @@
         durable_commit: 0,
         commit: recovered.commit,
         applied: encoded.index,
+        readmitted_at: 0,
         snapshot: encoded,
         bytes_since_snapshot: 0,
         members,
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -103,6 +103,8 @@
     pub durable_commit: u64,
     pub commit: u64,
     pub applied: u64,
+    /// Index of the last readmission that was applied.
+    pub readmitted_at: u64,
     /// Payload bytes applied since the last snapshot.
     pub bytes_since_snapshot: usize,
     pub members: Members,
--- a/crates/agree/src/writer.rs
+++ b/crates/agree/src/writer.rs
@@ -69,6 +69,10 @@
             encode_frame(state.commit, &entries),
         ));
     }
+    // A readmitted host counts at once. After a loss of power the others must know that it does.
+    if state.durable_commit < state.readmitted_at {
+        return Some(WriteJob::Commit(state.commit));
+    }
     if state.stopping {
         return Some(if state.durable_commit < state.commit {
             WriteJob::Commit(state.commit)
