Choose a primary without members that ended during the change

Callers were refused writes for good after an ordinary replacement: a group kept waiting for members that no longer existed.

- A choice takes the announced stops from the directory, and members whose address refuses or serves another database count like stopping ones.
The failure of a primary is assessed without them.
- Among equal positions a member that stays is preferred to one that stops, and a planned change goes to a member that is reached and, if its target is silent, away from the old primary.

--- a/crates/control/src/choice.rs
+++ b/crates/control/src/choice.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Position, Term};
+use base::{MemberName, Position, Term};
 use compio::time::{sleep, timeout};
 use futures_util::{StreamExt as _, stream::FuturesUnordered};
 
@@ -14,15 +14,15 @@
 
 use crate::{
     calls::Calls,
-    directory,
+    departure, directory,
     failover::{self, Completeness},
     guard::{Coverage, Guard},
     host::{Host, PromotionTiming, millis},
     log::{Log, LogError},
     machine::{GroupState, Member, Record},
     promotion::{
-        DRAIN_TIMEOUT, RETRY_DELAY, Step, UPSTREAM_RETRY_DELAY, member_from, probe, reach_counts,
-        relay_delay, renamed_primary, wait_for_release,
+        DRAIN_TIMEOUT, RETRY_DELAY, Step, UPSTREAM_RETRY_DELAY, member_from, reach_counts,
+        read_status, relay_delay, renamed_primary, wait_for_release,
     },
     unrecorded::{self, unrecorded},
 };
@@ -69,8 +69,8 @@
 /// Which databases count: `read_statuses` asks the recorded members and those that only announced
 /// themselves; [`unrecorded::without_restarted`] leaves out answers from another store than the
 /// recorded one; `with_restarted_primary` takes over the new store of a primary that kept its log; a
-/// database that has not answered counts until [`UNRECORDED_TIMEOUT`]. [`failover::choose_primary`]
-/// then decides from these alone.
+/// database that has not answered counts until [`UNRECORDED_TIMEOUT`]. [`Guard::choose`] then decides
+/// from these alone.
 /// The choice is committed only if [`Calls::allow`] returns true for it: no request to promote another
 /// member may still be carried out.
 pub(crate) async fn choose_primary<L: Log>(
@@ -88,11 +88,16 @@
     let start = Instant::now();
     let (mut warned_at, mut shortfall_logged) = (start, false);
     let (choice, top, known) = loop {
+        let record = &departure::with_announced_stops(host, record);
         let since = Reading::resume(reading, record.term, Instant::now());
-        let guard = || Guard::new(record, host.acks(&record.group), complete, since.elapsed());
+        let guard = || Guard {
+            open: host.databases.counts_any_replica(),
+            ..Guard::new(record, host.acks(&record.group), complete, since.elapsed())
+        };
         let waits = start.elapsed() < UNRECORDED_TIMEOUT;
         let Answers {
             statuses,
+            ended,
             renamed,
             unrecorded,
         } = read_statuses(host, record, waits, &guard()).await;
@@ -104,7 +109,8 @@
         };
         let (known, statuses) = with_restarted_primary(host, record, statuses);
         let answered = unrecorded::answered(&unrecorded, &statuses);
-        let known = unrecorded::with_members(&known, &answered);
+        let mut known = unrecorded::with_members(&known, &answered);
+        known.stopping.extend(ended);
         let known = renamed
             .and_then(|renamed| failover::with_renamed_primary(&known, &renamed, &statuses))
             .unwrap_or(known);
@@ -296,6 +302,8 @@
 /// Answers to one round of status reads.
 struct Answers {
     statuses: Vec<Status>,
+    /// Members that are known to have ended.
+    ended: Vec<MemberName>,
     /// Database that took the place of the primary.
     renamed: Option<Member>,
     /// Databases outside the record that were asked as well.
@@ -315,20 +323,24 @@
     let unrecorded: Vec<_> = unrecorded(host, record).iter().map(member_from).collect();
     let asked = unrecorded::with_members(record, &unrecorded);
     let needed = if wait_unrecorded { &asked } else { record };
-    let mut answers: FuturesUnordered<_> = asked
-        .members
-        .iter()
-        .chain(&renamed)
-        .map(|member| {
-            let target = host.target(&record.group, member);
-            probe(host, target, relay_delay(host, member))
-        })
-        .collect();
-    let mut statuses = Vec::new();
+    let read = async |member: &Member| {
+        let target = host.target(&record.group, member);
+        let answer = read_status(host, &target, relay_delay(host, member)).await;
+        (member.clone(), answer)
+    };
+    let members = asked.members.iter().chain(&renamed);
+    let mut answers: FuturesUnordered<_> = members.map(read).collect();
+    let (mut statuses, mut ended) = (Vec::new(), Vec::new());
     let all = async {
         let mut limit = READ_TIMEOUT;
-        while let Ok(Some(answer)) = timeout(limit, answers.next()).await {
-            statuses.extend(answer);
+        while let Ok(Some((member, answer))) = timeout(limit, answers.next()).await {
+            match answer {
+                Ok(status) => statuses.push(status),
+                Err(cause) if departure::ended_cause(host, record, &member, &cause).is_some() => {
+                    ended.push(member.member);
+                }
+                Err(_cause) => {}
+            }
             match guard.completeness(needed, &statuses) {
                 Completeness::All => break,
                 Completeness::Enough => limit = EXTRA_READ_TIMEOUT,
@@ -336,10 +348,11 @@
             }
         }
     };
-    let _elapsed = timeout(READ_TIMEOUT, all).await;
+    let _elapsed = timeout(guard.next_decision().min(READ_TIMEOUT), all).await;
     Answers {
         statuses,
-        renamed,
+        ended,
+        renamed: renamed.clone(),
         unrecorded,
     }
 }
--- a/crates/control/src/departure.rs
+++ b/crates/control/src/departure.rs
@@ -16,8 +16,6 @@
 /// Record without a member that ended, if databases come and go without an operator's order. It counts
 /// as uncovered, because it may have confirmed writes that another member lacks.
 ///
-/// A member ended if it is silent and another database serves at its address; or it announced its stop
-/// before, and either its address refuses connections or it announced its end and does not answer.
 /// `unread` are the members that were asked just now and did not answer.
 pub(crate) fn without_ended<L: Log>(
     host: &Host<L>,
@@ -32,17 +30,8 @@
     }
     let (ended, cause) = unread.iter().find_map(|(name, error)| {
         let member = record.member(name)?;
-        if member.member == record.primary || is_live(host, member) {
-            return None;
-        }
-        let stops = record.stopping.contains(name) || announced(host, member, |a| a.leaving);
-        let cause = match error {
-            StatusError::Replaced(_) => "another database serves at its address",
-            StatusError::Refused(_) if stops => "it announced its stop and refuses connections",
-            _ if announced(host, member, |a| a.gone) => "it announced its end and does not answer",
-            _ => return None,
-        };
-        Some((member, cause))
+        let cause = ended_cause(host, record, member, error)?;
+        (member.member != record.primary).then_some((member, cause))
     })?;
     slog::info!(host.logger, "member dropped from the record"; "group" => &record.group,
         "member" => &ended.member, "cause" => cause, "position" => last_position(host, record, ended));
@@ -53,20 +42,33 @@
     Some(changed)
 }
 
+/// Why a member that does not answer is known to have ended; `None` if it may be running.
+pub(crate) fn ended_cause<L: Log>(
+    host: &Host<L>,
+    record: &Record,
+    member: &Member,
+    error: &StatusError,
+) -> Option<&'static str> {
+    let stops = record.stopping.contains(&member.member) || announced(host, member, |a| a.leaving);
+    match error {
+        StatusError::Replaced(_) if !is_live(host, member) => {
+            Some("another database serves at its address")
+        }
+        StatusError::Refused(_) if stops => Some("it announced its stop and refuses connections"),
+        _ if announced(host, member, |a| a.gone) => {
+            Some("it announced its end and does not answer")
+        }
+        _ => None,
+    }
+}
+
 /// Record that names the members which announced their stop. `None` if it does so already.
 pub(crate) fn with_stopping<L: Log>(host: &Host<L>, record: &Record) -> Option<Record> {
     let document = host.document();
     if document.service_of_group(&record.group)?.databases > 0 {
         return None;
     }
-    let mut changed = record.clone();
-    let stopping = record
-        .members
-        .iter()
-        .filter(|member| member.member != record.primary && announced(host, member, |a| a.leaving));
-    changed
-        .stopping
-        .extend(stopping.map(|member| member.member.clone()));
+    let changed = with_announced_stops(host, record);
     (changed.stopping != record.stopping).then(|| {
         slog::info!(host.logger, "members announced their stop";
             "group" => &record.group, "members" => ?changed.stopping);
@@ -74,6 +76,17 @@
     })
 }
 
+/// Record in which all members that announced their stop are named.
+pub(crate) fn with_announced_stops<L: Log>(host: &Host<L>, record: &Record) -> Record {
+    let mut changed = record.clone();
+    let stopping = record.members.iter().filter(|member| {
+        member.member != record.former_primary() && announced(host, member, |a| a.leaving)
+    });
+    let stopping = stopping.map(|member| member.member.clone());
+    changed.stopping.extend(stopping);
+    changed
+}
+
 /// Whether a recorded store announced itself lately.
 fn is_live<L: Log>(host: &Host<L>, member: &Member) -> bool {
     let directory = host.directory.borrow();
--- a/crates/control/src/failover.rs
+++ b/crates/control/src/failover.rs
@@ -259,6 +259,9 @@
             // A request that was given up was carried out after all.
             status.primary && status.position.term > record.term,
             wanted(member),
+            // A stopping member would have to hand over soon, and a planned change leaves the old primary.
+            !record.stopping.contains(&member.member),
+            record.planned.is_none() || member.member != old,
             record.abandoned.contains(&member.member),
             reach.get(&member.member),
             proximity(member),
--- a/crates/control/src/guard.rs
+++ b/crates/control/src/guard.rs
@@ -50,6 +50,8 @@
     pub complete: bool,
     /// Time since the members were first read.
     pub elapsed: Duration,
+    /// Whether databases come and go by themselves, so that a dropped member has ended.
+    pub open: bool,
 }
 
 impl Guard {
@@ -74,6 +76,7 @@
             acks: acks.map(kept),
             complete,
             elapsed,
+            open: false,
         }
     }
 
@@ -87,6 +90,15 @@
         }
     }
 
+    /// Time after which a choice may become possible without a further answer.
+    #[must_use]
+    pub fn next_decision(&self) -> Duration {
+        match MISSING_TIMEOUT.checked_sub(self.elapsed) {
+            Some(left) if !left.is_zero() => left,
+            _ => Duration::MAX,
+        }
+    }
+
     /// Whether a member at `position` may be chosen now.
     #[must_use]
     pub fn allows(&self, position: Position) -> bool {
@@ -95,7 +107,8 @@
 
     /// Record of the members that count for the choice. Once an answer is known to hold every
     /// acknowledged write, or after [`MISSING_TIMEOUT`], members that announced their stop and do not
-    /// answer are left out. In the first case, so are stores that no longer exist.
+    /// answer are left out. So are dropped members and replaced stores; after the time only if they have
+    /// ended.
     #[must_use]
     pub fn counted(&self, record: &Record, statuses: &[Status]) -> Record {
         let answers = failover::recorded_answers(record, statuses);
@@ -110,11 +123,15 @@
             return record.clone();
         }
         let answered = |name: &str| answers.iter().any(|(member, _)| member.member == name);
-        let mut counted = without_stopping(record, answered);
-        if covered {
-            counted.uncovered = 0;
+        let counted = without_stopping(record, answered);
+        if covered || self.open {
+            Record {
+                uncovered: 0,
+                ..counted
+            }
+        } else {
+            counted
         }
-        counted
     }
 
     /// Like [`failover::completeness`], for the members that count. While an acknowledged write is
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -346,9 +346,12 @@
         seen.map(|seen| seen.position).max()
     };
     let present = directory.present_members(now, &record.group);
+    let reach = failover::count_reach(now, record, observers);
     let staying = record.members.iter().filter(|member| {
         let recorded = |a: &&Announcement| a.member == member.member && a.store == member.store;
-        member.member != record.primary && present.iter().any(recorded)
+        member.member != record.primary
+            && reach.get(&member.member).is_some_and(|count| *count > 0)
+            && present.iter().any(recorded)
     });
     let best =
         staying.max_by_key(|member| (position(&member.member), member.region == primary.region));
@@ -357,12 +360,16 @@
 
 fn assess<L: Log>(host: &Host<L>, record: &Record) -> Verdict {
     let now = Instant::now();
-    // A change is worth a try without stopping members that nobody reaches. Whether it can do without
-    // them is decided when the members are read.
+    // A change is worth a try without stopping members that nobody reaches, and without those that ended.
+    // Whether it can do without them is decided when the members are read.
     let reach = reach_counts(host, record);
-    let record = &guard::without_stopping(record, |name| {
+    let mut counted = guard::without_stopping(record, |name| {
         reach.get(name).is_some_and(|count| *count > 0)
     });
+    if host.databases.counts_any_replica() {
+        counted.uncovered = 0;
+    }
+    let record = &counted;
     let sightings = host.sightings.borrow();
     let Some(observers) = sightings.observers(&record.group) else {
         return Verdict::Stay;
--- a/crates/control/tests/counted.rs
+++ b/crates/control/tests/counted.rs
@@ -117,6 +117,25 @@
     .await;
 }
 
+/// Guards against a group without a primary because a replica ended right before the primary failed: only
+/// a sweep of a stable group drops it from the record.
+#[compio::test]
+async fn replica_that_ended_right_before_a_failure_is_not_waited_for() {
+    let (cluster, mut group) = open_group().await;
+    acknowledge(&cluster, &group, 10);
+    group.members[2].state.borrow_mut().leaving = true;
+    group.observe(&cluster);
+    group.members[2].unheard.set(true);
+    fail(&group, 2, Health::Refused);
+    group.members[2].end();
+
+    fail(&group, 0, Health::Refused);
+    let took = observe_until_term(&cluster, &group, 2).await;
+
+    assert_eq!(cluster.record().unwrap().primary, "b");
+    assert!(took < Duration::from_secs(5), "took {took:?}");
+}
+
 /// Guards against the loss of commits of a replica that crashed: it comes back with its log.
 #[compio::test]
 async fn crashed_replica_that_refuses_connections_stays_recorded() {
--- a/crates/control/tests/guard.rs
+++ b/crates/control/tests/guard.rs
@@ -62,6 +62,7 @@
         acks: Some(AckBounds { term, least, most }),
         complete,
         elapsed,
+        open: true,
     }
 }
 
@@ -157,6 +158,43 @@
     assert_eq!(choice.as_deref(), chosen);
 }
 
+/// Guards against a group without a primary after a member that ended was dropped: nobody can show that
+/// another one holds what it confirmed.
+#[rstest]
+#[case::covered(9, true, Duration::ZERO, Some("b"))]
+#[case::not_all_reported(9, false, MISSING_TIMEOUT / 2, None)]
+#[case::for_long(9, false, MISSING_TIMEOUT, Some("b"))]
+fn ended_member_counts_for_a_limited_time(
+    #[case] offset: u64,
+    #[case] complete: bool,
+    #[case] elapsed: Duration,
+    #[case] chosen: Option<&str>,
+) {
+    let record = Record {
+        uncovered: 1,
+        ..record(&["a", "b"], &[])
+    };
+
+    let choice = choose(
+        &guard(8, 9, complete, elapsed),
+        &record,
+        &[status("b", offset)],
+    );
+
+    assert_eq!(choice.as_deref(), chosen);
+}
+
+/// Guards against a primary that stops at once: entry processes don't use it, and it has to hand over.
+#[test]
+fn member_that_stays_is_preferred_to_a_stopping_one() {
+    let record = record(&["a", "b", "c"], &["b"]);
+    let guard = guard(9, 9, true, Duration::ZERO);
+
+    let choice = choose(&guard, &record, &[status("b", 9), status("c", 9)]);
+
+    assert_eq!(choice.as_deref(), Some("c"));
+}
+
 /// Guards against a silent member that counts as stopping without having announced it.
 #[test]
 fn silent_member_that_did_not_announce_its_stop_is_waited_for() {
