Keep the logs of a case of the fault matrix that fails

Two cases failed once beside load and couldn't be traced: the folder of the run was deleted with its logs. A run whose result isn't the expected one now keeps its folder and prints the path. The output also names the start of each step and of the longest pause of writes, in the time of the load, so that a pause can be found in the logs. No check changes.

--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -76,6 +76,21 @@
 /// write.
 #[must_use]
 pub fn gap(events: &[Event], service: usize, from: u64, until: u64) -> Option<Duration> {
+    longest_pause(events, service, from, until).map(|pause| pause.length)
+}
+
+/// Pause between two acknowledged writes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pause {
+    /// Start, since the start of the load.
+    pub start: Duration,
+    /// Length.
+    pub length: Duration,
+}
+
+/// Like [`gap`], with the start of the pause.
+#[must_use]
+pub fn longest_pause(events: &[Event], service: usize, from: u64, until: u64) -> Option<Pause> {
     let mut ends: Vec<u64> = events
         .iter()
         .filter(|event| event.service == service)
@@ -89,9 +104,11 @@
     ends.push(from);
     ends.sort_unstable();
     ends.windows(2)
-        .map(|pair| pair[1] - pair[0])
-        .max()
-        .map(Duration::from_micros)
+        .map(|pair| Pause {
+            start: Duration::from_micros(pair[0]),
+            length: Duration::from_micros(pair[1] - pair[0]),
+        })
+        .max_by_key(|pause| pause.length)
 }
 
 /// Sums a metric over all entry processes, by the value of one label.
--- a/crates/lab/src/scenario_run.rs
+++ b/crates/lab/src/scenario_run.rs
@@ -85,9 +85,10 @@
         running: None,
     };
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let from = running.now();
+    let (start, from) = (running.start, running.now());
     run.running = Some(running);
     for step in &scenario.steps {
+        println!("  {:?}: {step:?}", start.elapsed());
         run.run_step(step).await?;
     }
     run.run_step(&Step::Heal).await?;
@@ -442,8 +443,9 @@
             serde_json::to_string(&verdict).expect("plain values")
         );
         for service in 0..self.deployment.site.services.len() {
-            let gap = experiment::gap(&events, service, from, u64::MAX);
-            println!("  service {service}: longest pause of writes {gap:?}");
+            let pause = experiment::longest_pause(&events, service, from, u64::MAX);
+            println!("  service {service}: longest pause of writes {pause:?}");
+            let gap = pause.map(|pause| pause.length);
             let limit = Duration::from_millis(scenario.expect.gap_ms);
             if gap.is_none_or(|gap| gap > limit) {
                 self.failures.push(format!(
--- a/crates/lab/tests/matrix.rs
+++ b/crates/lab/tests/matrix.rs
@@ -55,8 +55,9 @@
     }
 }
 
-/// Plays a scenario and returns the violations that it found.
-fn run(scenario: &Scenario) -> Vec<String> {
+/// Plays a scenario, and panics unless the violations that it found are `expected`. Then the settings
+/// and logs of all processes are kept.
+fn run(scenario: &Scenario, expected: impl Fn(&[String]) -> bool) {
     let cores = thread::available_parallelism().map_or(1, usize::from);
     let networks = &NETWORKS[..(cores / CORES_PER_DEPLOYMENT).clamp(1, NETWORKS.len())];
     let number = usize::try_from(scenario.seed).unwrap() % networks.len();
@@ -79,13 +80,19 @@
     let runtime = lab::runtime().unwrap();
     let violations = runtime.block_on(run_scenario(site, scenario, options));
     println!("  took {:?}", start.elapsed());
-    violations.unwrap()
+    if !violations.as_deref().is_ok_and(|found| expected(found)) {
+        let logs = folder.keep();
+        panic!(
+            "seed {}: {violations:?}; logs are in {}",
+            scenario.seed,
+            logs.display()
+        );
+    }
 }
 
 /// Plays the steps and asserts that there are no violations.
 fn assert_holds(guards: &str, seed: u64, steps: Vec<Step>) {
-    let violations = run(&scenario(guards, seed, steps));
-    assert!(violations.is_empty(), "seed {seed}: {violations:?}");
+    run(&scenario(guards, seed, steps), <[String]>::is_empty);
 }
 
 fn arm(target: Target, point: &str, actions: &str) -> Step {
@@ -135,12 +142,10 @@
 
 /// Plays a scenario with a mechanism disabled and asserts that the checker finds the violation.
 fn assert_found(scenario: &Scenario, violation: &str) {
-    let violations = run(scenario);
-    assert!(
-        violations.iter().any(|found| found.starts_with(violation)),
-        "seed {}: no {violation} found: {violations:?}",
-        scenario.seed
-    );
+    println!("{violation} must be found");
+    run(scenario, |found| {
+        found.iter().any(|found| found.starts_with(violation))
+    });
 }
 
 /// Guards against a write that is lost or executed twice when its entry process is killed at some
@@ -515,7 +520,7 @@
     if disabled {
         assert_found(&scenario, "stale reads");
     } else {
-        assert_eq!(run(&scenario), Vec::<String>::new(), "seed {seed}");
+        run(&scenario, <[String]>::is_empty);
     }
 }
 
