Make sure that acknowledgements without confirmation can be lost

found_without_confirmation found no lost write once. Whether a write was lost depended on two races that have nothing to do with the mechanism:

- The cut began right after the fault point was set.
A write that waited for its confirmation at that moment waited on behind the cut, and with it its caller: the prober, which makes nearly all writes, acknowledged none behind the cut.
- The cut ended after 3.5 s, whether or not another primary was in force.

Now writes that already wait are let through before the cut, one more write is sent behind it, and it ends only once control has another primary. A host that is cut off answers with its old state, so each one is asked.

--- a/crates/lab/src/deployment.rs
+++ b/crates/lab/src/deployment.rs
@@ -150,7 +150,15 @@
     /// # Errors
     /// No control host answers.
     pub fn primary(&self, service: u8) -> Result<Option<Host>, LabError> {
-        let status = self.admin().status()?;
+        self.primary_known_to(&self.admin(), service)
+    }
+
+    /// Like [`Deployment::primary`], according to the control hosts of `admin`.
+    ///
+    /// # Errors
+    /// None of them answers.
+    pub fn primary_known_to(&self, admin: &Admin, service: u8) -> Result<Option<Host>, LabError> {
+        let status = admin.status()?;
         let name = &self.site.services[usize::from(service)];
         let group = status["groups"]
             .as_array()
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -110,6 +110,11 @@
     },
     /// Waits until all control hosts report the same configuration version.
     Agree,
+    /// Waits until control has another primary for a service than when the scenario began.
+    Replaced {
+        /// Service number from 0.
+        service: u8,
+    },
     /// Removes every cut between zones.
     Heal,
     /// Permanently blocks every open connection between zones; new ones work.
--- a/crates/lab/src/scenario_run.rs
+++ b/crates/lab/src/scenario_run.rs
@@ -6,7 +6,7 @@
 use tokio::task::JoinHandle;
 
 use crate::{
-    admin::{answers, get_json, post_json, set_point},
+    admin::{Admin, answers, get_json, post_json, set_point},
     checker::Verdict,
     deployment::{Deployment, DeploymentOptions},
     error::LabError,
@@ -174,6 +174,7 @@
                     .isolate(zone, if reset { Fault::Reset } else { Fault::Cut });
             }
             Step::Agree => self.wait_same_config().await,
+            Step::Replaced { service } => self.wait_replaced(service).await,
             Step::CutPrimary { service } => {
                 let zone = self.resolve_target(Target::Primary(service))?.zone;
                 self.relay.isolate(zone, Fault::Cut);
@@ -316,6 +317,33 @@
         }
     }
 
+    /// Waits until any control host reports a stable primary other than the initial one.
+    async fn wait_replaced(&mut self, service: u8) {
+        let initial = self.initial_primaries[usize::from(service)];
+        let controls = self.deployment.site.controls();
+        let end = Instant::now() + RECOVERY_TIMEOUT;
+        loop {
+            // A host that is cut off answers with outdated state, so each one is asked.
+            let replaced = tokio::task::block_in_place(|| {
+                controls.iter().any(|host| {
+                    let admin = Admin::new(vec![host.http()]);
+                    let known = self.deployment.primary_known_to(&admin, service);
+                    known.is_ok_and(|primary| primary.is_some() && primary != initial)
+                })
+            });
+            if replaced {
+                return;
+            }
+            if Instant::now() > end {
+                let name = &self.deployment.site.services[usize::from(service)];
+                self.failures
+                    .push(format!("the primary of {name} was not replaced"));
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
     /// Checks that all control hosts report the same configuration version within 8 s.
     async fn wait_same_config(&mut self) {
         let controls = self.deployment.site.controls();
--- a/crates/lab/tests/matrix.rs
+++ b/crates/lab/tests/matrix.rs
@@ -476,11 +476,16 @@
     let mut steps = arm_control("guard-disabled");
     steps.extend([
         arm(ENTRY, "confirm-disabled", "return"),
+        // A write that already waits for its confirmation would wait on, and its caller with it.
+        wait(200),
         Step::Isolate {
             target,
             reset: false,
         },
-        wait(3_500),
+        // The old primary still acknowledges during its write lease.
+        Step::WriteIn { target },
+        // If the cut ended before the promotion, the old primary would stay and keep its writes.
+        Step::Replaced { service: 0 },
         Step::Heal,
         wait(500),
     ]);
