--- a/crates/lab/tests/matrix.rs
+++ b/crates/lab/tests/matrix.rs
@@ -80,7 +80,7 @@
     let runtime = lab::runtime().unwrap();
     let violations = runtime.block_on(run_scenario(site, scenario, options));
     println!("  took {:?}", start.elapsed());
-    if !violations.as_deref().is_ok_and(|found| expected(found)) {
+    if !violations.as_deref().is_ok_and(expected) {
         let logs = folder.keep();
         panic!(
             "seed {}: {violations:?}; logs are in {}",
