--- a/crates/control/src/choice.rs
+++ b/crates/control/src/choice.rs
@@ -66,11 +66,13 @@
 /// Steps 3 to 5: waits for the end of older leases, reads the members, then chooses the new primary
 /// and commits the choice.
 ///
-/// Which databases count: `read_statuses` asks the recorded members and those that only announced
+/// Which databases count: [`departure::with_announced_stops`] names those that stop; `read_statuses` asks the recorded members and those that only announced
 /// themselves; [`unrecorded::without_restarted`] leaves out answers from another store than the
 /// recorded one; `with_restarted_primary` takes over the new store of a primary that kept its log; a
-/// database that has not answered counts until [`UNRECORDED_TIMEOUT`]. [`Guard::choose`] then decides
-/// from these alone.
+/// database that has not answered counts until [`UNRECORDED_TIMEOUT`]. [`Guard::counted`] leaves out
+/// stopping and dropped members once that is safe, [`Guard::choose`] chooses among the rest, and
+/// [`Guard::allows`] holds the choice back while an acknowledged write is missing.
+///
 /// The choice is committed only if [`Calls::allow`] returns true for it: no request to promote another
 /// member may still be carried out.
 pub(crate) async fn choose_primary<L: Log>(
--- a/crates/control/src/promotion.rs
+++ b/crates/control/src/promotion.rs
@@ -1,5 +1,7 @@
 //! Changes of primary: the leader runs one task per group.
 //!
+//! Steps 3 to 5, which decide who becomes primary, are in [`crate::choice`].
+//!
 //! Every step starts from the group record, so a new leader can continue where the old one stopped.
 
 use std::{
