Log on which state a seat is judged lost, and how a learner catches up

The logs could not tell on which state a seat was judged lost, how far a learner was behind, how long its readmission took, or how many bytes the data directory holds. Adds these to the log, the dump and the metrics apply_backlog and stored_bytes. No logic changes.

--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -101,6 +101,10 @@
         let mut success = false;
         let mut matched = 0;
         if status.is_accepted() && self.accept_leader(&request.from, request.term) {
+            {
+                let mut state = self.state.borrow_mut();
+                state.leader_commit = state.leader_commit.max(request.commit);
+            };
             match self.append_entries(&request) {
                 Ok(last) => {
                     success = true;
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -29,7 +29,9 @@
     message::{Identity, ProposeReply},
     recover::recover,
     signal::Signal,
-    state::{EncodedSnapshot, LeadershipTransfer, PendingProposal, Progress, Role, State},
+    state::{
+        EncodedSnapshot, FileBytes, LeadershipTransfer, PendingProposal, Progress, Role, State,
+    },
 };
 
 /// Replicated state machine: every host applies the same commands in the same order.
@@ -419,6 +421,18 @@
         !self.state.borrow().is_voter()
     }
 
+    /// Number of committed entries that this host knows of and has not applied yet.
+    pub fn apply_backlog(&self) -> u64 {
+        let state = self.state.borrow();
+        state.leader_commit.saturating_sub(state.applied)
+    }
+
+    /// Bytes of the log and the snapshot in the data directory.
+    pub fn stored_bytes(&self) -> u64 {
+        let bytes = self.state.borrow().file_bytes;
+        bytes.log + bytes.snapshot
+    }
+
     /// Why the node stopped, after a disk error or another fatal error.
     pub fn failure(&self) -> Option<String> {
         self.state.borrow().failure.clone()
@@ -467,8 +481,11 @@
             "stored": state.durable_index,
             "commit": state.commit,
             "applied": state.applied,
+            "leader_commit": state.leader_commit,
             "snapshot": state.snapshot.index,
+            "snapshot_bytes": state.snapshot.bytes.len(),
             "log_bytes": state.log.payload_bytes(),
+            "stored_bytes": state.file_bytes.log + state.file_bytes.snapshot,
             "waiting": state.pending_proposals.len(),
             "members": state.members,
             "seen": state.hard.seen,
@@ -841,7 +858,12 @@
         durable_index: 0,
         truncated_to: u64::MAX,
         durable_commit: 0,
+        file_bytes: FileBytes {
+            log: 0,
+            snapshot: encoded.bytes.len() as u64,
+        },
         commit: recovered.commit,
+        leader_commit: 0,
         applied: encoded.index,
         readmitted_at: 0,
         snapshot: encoded,
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -234,6 +234,7 @@
             state.commit,
             state.log.last_index(),
         );
+        let (log_bytes, snapshot_bytes) = (state.log.payload_bytes(), state.snapshot.bytes.len());
         let Some(progress) = state.peers.get_mut(peer) else {
             return true;
         };
@@ -268,10 +269,18 @@
         // The commit index covers all earlier terms only once an entry of this term is committed.
         if progress.catch_up_index.is_none() && commit >= first {
             progress.catch_up_index = Some(commit);
+            progress.learner_since = Some(sent);
+            info!(self.options.logger, "host is a learner"; "host" => peer,
+                "incarnation" => reply.from.incarnation, "matched" => progress.match_index,
+                "wanted" => commit, "log_bytes" => log_bytes, "snapshot_bytes" => snapshot_bytes);
         }
         let caught_up = progress
             .catch_up_index
             .is_some_and(|index| progress.match_index >= index);
+        let took = progress
+            .learner_since
+            .map(|since| sent.saturating_duration_since(since));
+        let matched = progress.match_index;
         let incarnation = reply.from.incarnation;
         let already_proposed = state
             .pending_readmissions
@@ -281,7 +290,8 @@
             && !already_proposed
             && !state.transfer.in_progress
         {
-            info!(self.options.logger, "readmitting host"; "host" => peer, "incarnation" => incarnation);
+            info!(self.options.logger, "readmitting host"; "host" => peer, "incarnation" => incarnation,
+                "matched" => matched, "catch_up_ms" => took.map(|took| took.as_millis()));
             state.append_as_leader(&Payload::Readmit(peer.clone(), incarnation));
         }
         true
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -44,6 +44,15 @@
     pub last_contact: Option<Instant>,
     /// Index up to which a learner must hold the log to be readmitted.
     pub catch_up_index: Option<u64>,
+    /// When `catch_up_index` was set.
+    pub learner_since: Option<Instant>,
+}
+
+/// Sizes of the large files in the data directory.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct FileBytes {
+    pub log: u64,
+    pub snapshot: u64,
 }
 
 /// Last snapshot in its file format, as sent to peers.
@@ -101,7 +110,11 @@
     pub truncated_to: u64,
     /// Commit index on disk.
     pub durable_commit: u64,
+    /// Size of the log file and of the snapshot file, in bytes.
+    pub file_bytes: FileBytes,
     pub commit: u64,
+    /// Highest commit index that a leader told this host.
+    pub leader_commit: u64,
     pub applied: u64,
     /// Index of the last readmission that was applied.
     pub readmitted_at: u64,
--- a/crates/agree/src/writer.rs
+++ b/crates/agree/src/writer.rs
@@ -131,20 +131,30 @@
                 self.state.borrow_mut().saved_hard_state_version = version;
             }
             WriteJob::Snapshot(index, bytes) => {
+                let size = bytes.len() as u64;
                 disk.replace(File::Snapshot, bytes).await?;
-                self.state.borrow_mut().durable_snapshot_index = index;
+                let mut state = self.state.borrow_mut();
+                state.durable_snapshot_index = index;
+                state.file_bytes.snapshot = size;
             }
             WriteJob::Rewrite(last, commit, bytes) => {
+                let size = bytes.len() as u64;
                 disk.replace(File::Log, bytes).await?;
                 self.record_log_write(last, commit);
+                self.state.borrow_mut().file_bytes.log = size;
             }
             WriteJob::Append(last, commit, bytes) => {
+                let size = bytes.len() as u64;
                 disk.append(File::Log, bytes).await?;
                 self.record_log_write(last, commit);
+                self.state.borrow_mut().file_bytes.log += size;
             }
             WriteJob::Commit(commit) => {
-                disk.append(File::Log, encode_frame(commit, &[])).await?;
+                let frame = encode_frame(commit, &[]);
+                let size = frame.len() as u64;
+                disk.append(File::Log, frame).await?;
                 let mut state = self.state.borrow_mut();
+                state.file_bytes.log += size;
                 state.durable_commit = state.durable_commit.max(commit);
             }
             WriteJob::Close => {}
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -360,6 +360,8 @@
         };
         set(&self.metrics.config_version, state.config.version);
         set(&self.metrics.record_version, state.version);
+        set(&self.metrics.apply_backlog, self.log.apply_backlog());
+        set(&self.metrics.stored_bytes, self.log.stored_bytes());
         for (name, address) in &state.seats {
             match address.parse() {
                 Ok(address) => {
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -55,6 +55,10 @@
     fn last_applied(&self) -> u64;
     /// Returns the last stored log index.
     fn last_stored(&self) -> u64;
+    /// Returns the number of committed entries that this host knows of and has not applied yet.
+    fn apply_backlog(&self) -> u64;
+    /// Returns the bytes of the log and its snapshot on disk.
+    fn stored_bytes(&self) -> u64;
     /// Returns the current term of the log.
     fn term(&self) -> u64;
     /// Whether this host lost its disk and has no vote until it is readmitted.
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -35,6 +35,10 @@
     pub region_bytes: IntCounterVec,
     /// Number of entry processes that hold a lease grant.
     pub lease_holders: IntGauge,
+    /// Committed log entries that this host knows of and has not applied yet.
+    pub apply_backlog: IntGauge,
+    /// Bytes of the log and its snapshot on disk.
+    pub stored_bytes: IntGauge,
 }
 
 /// Upper bounds of the histogram of step durations, in seconds. The last one, 17 s, is the target
@@ -104,9 +108,17 @@
                 "goldcrestrail_lease_holders",
                 "Entry processes that hold a grant.",
             ),
+            apply_backlog: gauge(
+                "goldcrestrail_apply_backlog",
+                "Committed log entries that are not applied yet.",
+            ),
+            stored_bytes: gauge(
+                "goldcrestrail_stored_bytes",
+                "Bytes of the log and its snapshot on disk.",
+            ),
             registry,
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(metrics.renewals.clone()),
             Box::new(metrics.announcements.clone()),
             Box::new(metrics.step_seconds.clone()),
@@ -119,6 +131,8 @@
             Box::new(metrics.config_version.clone()),
             Box::new(metrics.record_version.clone()),
             Box::new(metrics.lease_holders.clone()),
+            Box::new(metrics.apply_backlog.clone()),
+            Box::new(metrics.stored_bytes.clone()),
         ];
         for collector in collectors {
             metrics
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -80,6 +80,14 @@
         Node::durable_index(self)
     }
 
+    fn apply_backlog(&self) -> u64 {
+        Node::apply_backlog(self)
+    }
+
+    fn stored_bytes(&self) -> u64 {
+        Node::stored_bytes(self)
+    }
+
     fn term(&self) -> u64 {
         Node::term(self)
     }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -161,6 +161,14 @@
         self.last_applied() + self.unapplied.get()
     }
 
+    fn apply_backlog(&self) -> u64 {
+        self.unapplied.get()
+    }
+
+    fn stored_bytes(&self) -> u64 {
+        0
+    }
+
     fn term(&self) -> u64 {
         self.shared.term.get()
     }
