--- a/crates/agree/tests/cluster/mod.rs
+++ b/crates/agree/tests/cluster/mod.rs
@@ -35,7 +35,15 @@
 pub type SimulatedNode = Node<RecordingMachine, SimulatedEnvironment>;
 pub type Files = BTreeMap<File, Vec<u8>>;
 
-/// State machine that keeps every command and reports a violation when another host applied a
+/// Number of bytes by which a command is told from all others.
+const COMMAND_BYTES: usize = 24;
+
+/// Beginning of a payload, which is unique.
+fn command_of(payload: &[u8]) -> Vec<u8> {
+    payload[..payload.len().min(COMMAND_BYTES)].to_vec()
+}
+
+/// State machine that keeps the beginning of every command and reports a violation when another host applied a
 /// different command at the same index.
 pub struct RecordingMachine {
     simulation: Weak<Simulation>,
@@ -57,8 +65,9 @@
 
 impl StateMachine for RecordingMachine {
     fn apply(&mut self, index: u64, payload: &[u8]) -> Vec<u8> {
-        self.record(index, payload);
-        self.commands.push((index, payload.to_vec()));
+        let command = command_of(payload);
+        self.record(index, &command);
+        self.commands.push((index, command));
         payload.to_vec()
     }
 
@@ -134,6 +143,8 @@
     pub chunks: Cell<u64>,
     /// Bandwidth of each connection in bytes per second.
     pub rate: Cell<u64>,
+    /// Additional time that each message takes in one direction.
+    pub latency: Cell<Duration>,
 }
 
 impl Simulation {
@@ -333,9 +344,11 @@
     let lost = |simulation: &Simulation| {
         !simulation.linked(source, target) || simulation.random_below(100) < simulation.loss.get()
     };
-    simulation
-        .sleep(Duration::from_micros(500 + simulation.random_below(3_000)))
-        .await;
+    let transit = || {
+        let delay = Duration::from_micros(500 + simulation.random_below(3_000));
+        simulation.sleep(simulation.latency.get() + delay)
+    };
+    transit().await;
     if lost(simulation) {
         return None;
     }
@@ -347,9 +360,7 @@
         handler
     };
     let reply = handler.await.ok()??;
-    simulation
-        .sleep(Duration::from_micros(500 + simulation.random_below(3_000)))
-        .await;
+    transit().await;
     (!lost(simulation)).then_some(reply)
 }
 
@@ -509,6 +520,8 @@
     pub not_applied: Rc<RefCell<Vec<Vec<u8>>>>,
     /// Number of commands that were submitted.
     submitted: u64,
+    /// Size to which payloads are filled up with random text.
+    pub payload_bytes: usize,
 }
 
 impl Cluster {
@@ -531,6 +544,7 @@
             violations: RefCell::default(),
             chunks: Cell::default(),
             rate: Cell::new(u64::MAX),
+            latency: Cell::default(),
         });
         let tuning = Tuning {
             disabled,
@@ -547,6 +561,7 @@
             acked: Rc::default(),
             not_applied: Rc::default(),
             submitted: 0,
+            payload_bytes: 0,
         };
         for host in 0..size {
             let files = Files::from([(File::State, HardState::new(host_name(host), 0).encode())]);
@@ -793,12 +808,25 @@
         output.take()
     }
 
-    /// Starts a proposal with a unique payload, which it returns, and records the outcome.
-    pub fn submit(&mut self, host: usize, forward: bool) -> Vec<u8> {
+    /// A unique payload of [`Self::payload_bytes`], or a few bytes.
+    fn next_payload(&mut self) -> Vec<u8> {
         self.submitted += 1;
-        let payload = format!("command {}", self.submitted).into_bytes();
+        let mut payload = format!("command {}", self.submitted).into_bytes();
+        if self.payload_bytes > 0 {
+            payload.resize(COMMAND_BYTES, b' ');
+        }
+        while payload.len() < self.payload_bytes {
+            payload.extend(self.simulation.next_random().to_le_bytes());
+        }
+        payload
+    }
+
+    /// Starts a proposal with a unique payload, and records the outcome. Returns the command.
+    pub fn submit(&mut self, host: usize, forward: bool) -> Vec<u8> {
+        let payload = self.next_payload();
+        let command = command_of(&payload);
         let (acked, not_applied) = (Rc::clone(&self.acked), Rc::clone(&self.not_applied));
-        let (node, sent) = (self.node(host), payload.clone());
+        let (node, sent, name) = (self.node(host), payload, command.clone());
         self.simulation
             .spawned
             .borrow_mut()
@@ -811,15 +839,15 @@
                 match outcome {
                     Ok((index, answer)) => {
                         assert_eq!(answer, sent, "the answer must belong to the command");
-                        acked.borrow_mut().insert(index, sent);
+                        acked.borrow_mut().insert(index, name);
                     }
                     Err(ProposeError::Unknown) => {}
                     Err(ProposeError::Dropped | ProposeError::NotLeader(_)) => {
-                        not_applied.borrow_mut().push(sent);
+                        not_applied.borrow_mut().push(name);
                     }
                 }
             }));
-        payload
+        command
     }
 
     /// Starts a linearizable read and checks that its read index covers every command that was
--- a/crates/agree/tests/power_events.rs
+++ b/crates/agree/tests/power_events.rs
@@ -221,3 +221,41 @@
         }
     }
 }
+
+/// Guards against acknowledgements that count a readmitted host while nobody else knows for sure that
+/// it was readmitted: writes in flight are counted at the moment of its readmission.
+#[rstest]
+fn keeps_acknowledged_with_writes_in_flight_at_readmission(#[values(3, 5)] size: usize) {
+    for seed in 1..=SEEDS {
+        for lost in minorities(size) {
+            let mut cluster = started_cluster(seed, size);
+            for host in 0..size {
+                cluster.slow_disk(host, SLOW_WRITE);
+            }
+            let host = usize::try_from(seed).unwrap() % size;
+            cluster.crash(host);
+            cluster.replace_files(host, Files::new());
+            cluster.start(host);
+            let counted = |cluster: &Cluster| {
+                let leader = cluster.find_leader();
+                leader.is_some_and(|leader| {
+                    cluster.node(leader).dump()["members"][format!("control-{host}")] != 0
+                })
+            };
+            while !counted(&cluster) {
+                let leader = cluster.leader();
+                cluster.submit(leader, false);
+                cluster.run(Duration::from_millis(1));
+            }
+            let leader = cluster.leader();
+            write_at(&mut cluster, leader);
+
+            let violations = lose_power(&mut cluster, &lost);
+
+            assert!(
+                violations.is_empty(),
+                "seed {seed}, readmitted {host}, leader {leader}, lost {lost:?}: {violations:#?}"
+            );
+        }
+    }
+}
--- a/crates/control/tests/seats.rs
+++ b/crates/control/tests/seats.rs
@@ -2,10 +2,15 @@
 
 mod common;
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
 
 use common::Cluster;
 use control::{
+    host::Identity,
     machine::{Answer, Command, State},
     seat::{self, REPLACEABLE_AFTER, Seating, VACANT},
 };
@@ -73,6 +78,38 @@
     assert!(matches!(answer, Answer::Done { version: 5, .. }));
 }
 
+/// A host that was given the seat of another one, which a replacement of it would hold at `127.0.0.9:1`.
+fn successor() -> Identity {
+    let address = |host| SocketAddr::from((Ipv4Addr::new(127, 0, 0, host), 1));
+    let peers = [("control-1", 4), ("control-2", 2), ("control-3", 3)];
+    Identity {
+        name: "control-1".to_owned(),
+        zone: "z".to_owned(),
+        region: "r".to_owned(),
+        host: address(4).ip(),
+        peers: peers
+            .map(|(name, host)| (name.to_owned(), address(host)))
+            .into(),
+        allow_replacement: true,
+    }
+}
+
+/// Guards against a host that judges its seat by a state that it is still replaying: it emptied its
+/// disk because its predecessor held the seat before.
+#[test]
+fn replayed_predecessor_does_not_displace_a_host() {
+    let mut state = State::default();
+    let identity = successor();
+    let mut displaced = Vec::new();
+
+    for (index, address) in [(5, "127.0.0.1:1"), (8, "127.0.0.4:1"), (9, "127.0.0.9:1")] {
+        state.apply(index, seat_command("control-1", address));
+        displaced.push(seat::is_displaced(&state, &identity));
+    }
+
+    assert_eq!(displaced, [false, false, true]);
+}
+
 /// Guards against a host that lost its seat and continues to grant leases.
 #[compio::test]
 async fn displaced_host_grants_nothing() {
