Give a seat only if its holder is still the one that the choice was based on

Cause: the leader chose from the seats in force while the commit for another host was pending, so a holder that came back without its disk got its seat again after it had been given away, and a host that asked twice got two seats.

A seat change now names the holder that it replaces and is refused if another one was seated in between; a repeated request gets the seat that is being committed.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -259,8 +259,8 @@
     last_new_entry: Cell<Instant>,
     /// Whether this host knows all entry processes; never reset.
     entries_discovered: Cell<bool>,
-    /// When this host last gave each seat to a new host.
-    pub reassigned_seats: RefCell<Map<HostName, Instant>>,
+    /// Address that this host last gave each seat to, and when.
+    pub reassigned_seats: RefCell<Map<HostName, (String, Instant)>>,
     /// When a change of primary was last planned for a group whose primary is leaving.
     pub last_planned: RefCell<Map<GroupName, Instant>>,
     /// Wakes the task of each group.
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -219,6 +219,10 @@
         name: HostName,
         /// RPC address of the host, `ip:port`.
         address: String,
+        /// Address that the choice was based on. The seat is given only if it still has this one, or
+        /// has the new one already.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        base: Option<String>,
     },
 }
 
@@ -345,7 +349,11 @@
             Command::Plan { group, planned } => self.plan_change(index, &group, planned),
             Command::Membership(order) => self.change_membership(index, order),
             Command::Supersede(change) => self.supersede(change),
-            Command::Seat { name, address } => self.assign_seat(index, name, address),
+            Command::Seat {
+                name,
+                address,
+                base,
+            } => self.assign_seat(index, name, address, base.as_ref()),
         }
     }
 
@@ -405,8 +413,20 @@
     /// Assigns a seat to an address. Like the end of a term, a change of the address ends older
     /// leases: the former host of the seat may go on granting leases, and must no longer count
     /// towards a majority.
-    fn assign_seat(&mut self, index: u64, name: HostName, address: String) -> Answer {
-        if self.seats.get(&name) != Some(&address) {
+    fn assign_seat(
+        &mut self,
+        index: u64,
+        name: HostName,
+        address: String,
+        base: Option<&String>,
+    ) -> Answer {
+        let current = self.seats.get(&name);
+        if current != Some(&address) {
+            if current.is_some() && base.is_some() && current != base {
+                return Answer::Conflict {
+                    version: self.seated,
+                };
+            }
             self.seats.insert(name, address);
             self.seated = index;
             self.version = index;
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -21,7 +21,7 @@
 use crate::{
     host::{Host, Identity},
     log::{Log, LogError},
-    machine::{Command, State},
+    machine::{Answer, Command, State},
     upstream,
 };
 
@@ -103,7 +103,11 @@
     for (name, address) in seats {
         let known = host.state.borrow().seats.contains_key(&name);
         if !known {
-            let command = Command::Seat { name, address };
+            let command = Command::Seat {
+                name,
+                address,
+                base: None,
+            };
             host.log.propose(command.encode()).await?;
         }
     }
@@ -126,29 +130,48 @@
     }
     // A host that was just assigned a seat may not have answered the leader yet.
     let reassigned_seats = host.reassigned_seats.borrow().clone();
-    let chosen = choose(&seats, address, |name| {
-        let reassigned_at = reassigned_seats.get(name);
-        let since_reassigned = reassigned_at.map(|at| now.saturating_duration_since(*at));
-        let absent = host.log.time_since_answer(name, now)?;
-        Some(since_reassigned.map_or(absent, |since| since.min(absent)))
+    let since_reassigned = |name: &str| {
+        let (_, at) = reassigned_seats.get(name)?;
+        Some(now.saturating_duration_since(*at))
+    };
+    // A repeated request must not get a second seat while the first one is being committed.
+    let pending = reassigned_seats.iter().find(|(name, (holder, _))| {
+        holder == address && since_reassigned(name).is_some_and(|since| since < REPLACEABLE_AFTER)
+    });
+    let pending = pending.map(|(name, _)| name.clone());
+    let chosen = pending.or_else(|| {
+        choose(&seats, address, |name| {
+            let absent = host.log.time_since_answer(name, now)?;
+            Some(since_reassigned(name).map_or(absent, |since| since.min(absent)))
+        })
     });
     let Some(name) = chosen else {
         return refused(seats);
     };
     slog::info!(host.logger, "seat given to a host"; "seat" => &name, "address" => address,
         "before" => seats.get(&name));
-    host.reassigned_seats.borrow_mut().insert(name.clone(), now);
+    let reassigned = (address.to_owned(), now);
+    host.reassigned_seats
+        .borrow_mut()
+        .insert(name.clone(), reassigned);
     let command = Command::Seat {
         name: name.clone(),
         address: address.to_owned(),
+        base: seats.get(&name).cloned(),
     };
-    match host.log.propose(command.encode()).await {
-        Ok((index, _answer)) => JoinReply {
+    let proposed = host.log.propose(command.encode()).await;
+    match proposed.map(|(index, answer)| (index, Answer::decode(&answer))) {
+        Ok((index, Answer::Done { .. })) => JoinReply {
             name: Some(name),
             index,
             seats: self::addresses(&host.state.borrow(), &host.identity),
             leader,
         },
+        Ok((_, answer)) => {
+            slog::info!(host.logger, "seat not given: another host got it first"; "seat" => &name,
+                "address" => address, "answer" => ?answer);
+            refused(self::addresses(&host.state.borrow(), &host.identity))
+        }
         Err(cause) => {
             slog::warn!(host.logger, "seat change failed: no answer from the replicated log";
                 "seat" => &name, "cause" => %cause);
--- a/crates/control/tests/seats.rs
+++ b/crates/control/tests/seats.rs
@@ -28,6 +28,7 @@
     Command::Seat {
         name: name.to_owned(),
         address: address.to_owned(),
+        base: None,
     }
 }
 
@@ -193,6 +194,49 @@
     assert_eq!(third.name, None);
 }
 
+/// Guards against one seat that two hosts believe to hold: the former holder came back without its disk
+/// and asked for its seat while another host was being given it.
+#[test]
+fn seat_is_given_only_as_it_was_chosen() {
+    let mut state = State::default();
+    state.apply(5, seat_command("control-1", "a:1"));
+    let based = |address: &str| Command::Seat {
+        name: "control-1".to_owned(),
+        address: address.to_owned(),
+        base: Some("a:1".to_owned()),
+    };
+
+    let other = state.apply(8, based("d:1"));
+    let former = state.apply(9, based("a:1"));
+    let repeated = state.apply(10, based("d:1"));
+
+    assert!(matches!(other, Answer::Done { .. }));
+    assert_eq!(former, Answer::Conflict { version: 8 });
+    assert!(matches!(repeated, Answer::Done { .. }));
+    assert_eq!(state.seats["control-1"], "d:1");
+}
+
+/// Guards against a host that gets a second seat because it asks again before the first is committed.
+#[compio::test]
+async fn repeated_request_gets_the_same_seat() {
+    let cluster = Cluster::start().await;
+    let absences = cluster.hosts[1..].iter();
+    let absences = absences.map(|running| (running.host.identity.name.clone(), REPLACEABLE_AFTER));
+    cluster.shared.seat_silence.borrow_mut().extend(absences);
+
+    cluster.shared.commits_blocked.set(true);
+    let unanswered = seat::join(cluster.leader(), "127.0.0.9:1").await;
+    cluster.shared.commits_blocked.set(false);
+    let repeated = seat::join(cluster.leader(), "127.0.0.9:1").await;
+    let other = seat::join(cluster.leader(), "127.0.0.8:1").await;
+
+    assert_eq!(unanswered.name, None);
+    assert!(repeated.name.is_some() && other.name.is_some());
+    assert_ne!(repeated.name, other.name);
+    let seats = cluster.leader().state.borrow().seats.clone();
+    assert_eq!(seats.values().filter(|at| *at == "127.0.0.9:1").count(), 1);
+}
+
 /// Guards against a host that founds the deployment a second time after its seat was given to
 /// another one: it would vote with an empty log as the host that it was before.
 #[test]
