Empty a disk only on the leader's word that another host counts in its seat

A host emptied its disk as soon as it had applied that its seat was given away. Its successor does not count yet then: if the change was committed through this host while a third one was cut off, the leader holds the only counted copy for a moment.

A host that has applied the loss of its seat, or has heard no leader for 3 s, asks the control hosts that it knows and its seeds. Only the leader answers, after a barrier: who holds the seat, and whether the asked data directory still counts or may count once a pending readmission commits. The disk is emptied only if it does not. A host that leads without a seat hands the leadership over once the others have a majority without it. All known hosts are asked at the same time, so that gone ones do not delay the answer.

--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -421,6 +421,35 @@
         !self.state.borrow().is_voter()
     }
 
+    /// Random id of this host's data directory.
+    pub fn incarnation(&self) -> u64 {
+        self.state.borrow().hard.identity.incarnation
+    }
+
+    /// Whether an incarnation of a host counts in a quorum, or will once a readmission in the log of
+    /// this host is committed.
+    pub fn may_count(&self, name: &str, incarnation: u64) -> bool {
+        let state = self.state.borrow();
+        let mut pending = state.pending_readmissions.values();
+        state.members.get(name) == Some(&incarnation)
+            || pending.any(|(host, other)| host == name && *other == incarnation)
+    }
+
+    /// Whether a majority of the voters without this one replied to this leader within the shortest
+    /// election timeout, so that another host could lead.
+    pub fn can_be_spared(&self, now: Instant) -> bool {
+        let state = self.state.borrow();
+        let replied = state.peers.iter().filter(|(name, peer)| {
+            let counts = peer
+                .identity
+                .as_ref()
+                .is_some_and(|identity| state.counts_in_quorum(name, identity.incarnation));
+            let recent = |contact| now.duration_since(contact) < self.tuning.election_timeout.0;
+            counts && peer.last_contact.is_some_and(recent)
+        });
+        state.role == Role::Leader && replied.count() >= state.majority()
+    }
+
     /// Number of committed entries that this host knows of and has not applied yet.
     pub fn apply_backlog(&self) -> u64 {
         let state = self.state.borrow();
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -25,6 +25,7 @@
     permits, seat,
     session::RenewalSession,
     sighting::{Health, Sighting},
+    tenure,
     upstream::{Order, StatusError, Target},
 };
 
@@ -642,6 +643,22 @@
         Ok(())
     }
 
+    async fn holder(
+        self: Rc<Self>,
+        params: peer::HolderParams,
+        mut results: peer::HolderResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let seat = read_text(params.get_seat())?;
+        let found = tenure::holder(&self.host, &seat, params.get_incarnation()).await;
+        let mut builder = results.get();
+        builder.set_known(found.known);
+        builder.set_address(&found.address);
+        builder.set_counted(found.counted);
+        fill_seats(&found.seats, |count| builder.init_seats(count));
+        Ok(())
+    }
+
     async fn propose(
         self: Rc<Self>,
         params: peer::ProposeParams,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod access;
 pub mod admin;
 mod appoint;
+pub mod ask;
 pub mod calls;
 pub mod cancel;
 mod choice;
@@ -34,5 +35,6 @@
 pub mod settings;
 pub mod sighting;
 pub mod sweep;
+pub mod tenure;
 pub mod unrecorded;
 pub mod upstream;
--- a/crates/control/src/log.rs
+++ b/crates/control/src/log.rs
@@ -63,6 +63,13 @@
     fn term(&self) -> u64;
     /// Whether this host lost its disk and has no vote until it is readmitted.
     fn is_learner(&self) -> bool;
+    /// Returns the random id of this host's data directory.
+    fn incarnation(&self) -> u64;
+    /// Whether a data directory of the host of a seat counts in a quorum, or will once a pending entry
+    /// is committed.
+    fn may_count(&self, seat: &str, incarnation: u64) -> bool;
+    /// Whether this leader is not needed for a majority.
+    fn can_be_spared(&self, now: Instant) -> bool;
     /// Whether this host has applied everything that was committed before its start.
     fn has_caught_up(&self) -> bool;
     /// Returns the time since this host last heard from a leader with a majority.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -96,6 +96,18 @@
         Node::is_learner(self)
     }
 
+    fn incarnation(&self) -> u64 {
+        Node::incarnation(self)
+    }
+
+    fn may_count(&self, seat: &str, incarnation: u64) -> bool {
+        Node::may_count(self, seat, incarnation)
+    }
+
+    fn can_be_spared(&self, now: Instant) -> bool {
+        Node::can_be_spared(self, now)
+    }
+
     fn has_caught_up(&self) -> bool {
         Node::is_caught_up(self)
     }
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -8,21 +8,17 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     fs, io,
-    net::IpAddr,
     path::Path,
     time::Duration,
 };
 
 use base::HostName;
-use compio::time::timeout;
-use proto::schema::gate;
 use serde::{Deserialize, Serialize};
 
 use crate::{
     host::{Host, Identity},
     log::{Log, LogError},
     machine::{Answer, Command, State},
-    upstream,
 };
 
 /// A host that has not answered the leader for this long may be replaced. This is several election
@@ -180,74 +176,6 @@
     }
 }
 
-/// Requests a seat for the host at `own_address` from the control hosts at `addresses` and those
-/// that they name. Returns `None` if the leader is not found or has no free seat.
-pub async fn request_seat(
-    host: IpAddr,
-    addresses: &[String],
-    own_address: &str,
-) -> Option<Seating> {
-    let mut visited: BTreeSet<String> = [own_address.to_owned()].into();
-    let mut pending: Vec<String> = addresses.to_vec();
-    while let Some(address) = pending.pop() {
-        if !visited.insert(address.clone()) {
-            continue;
-        }
-        let Ok(Ok((seating, seats))) = timeout(
-            REQUEST_TIMEOUT,
-            request_seat_from(host, &address, own_address),
-        )
-        .await
-        else {
-            continue;
-        };
-        if seating.is_some() {
-            return seating;
-        }
-        pending.extend(seats.into_values());
-    }
-    None
-}
-
-/// Time limit on one request for a seat, which takes a commit of the leader and two round trips
-/// between regions.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
-
-async fn request_seat_from(
-    host: IpAddr,
-    address: &str,
-    own_address: &str,
-) -> Result<(Option<Seating>, BTreeMap<HostName, String>), String> {
-    let to = upstream::parse_address(address)?;
-    let stream = base::net::connect(host, to, REQUEST_TIMEOUT).await;
-    let stream = stream.map_err(|cause| cause.to_string())?;
-    let (gate, driver) = proto::rpc::open::<gate::Client>(stream);
-    // The connection ends when this handle is dropped at the end of the function.
-    let _driver = compio::runtime::spawn(driver);
-    let peer = gate.peer_request().send().pipeline.get_peer();
-    let mut request = peer.join_request();
-    request.get().set_address(own_address);
-    let read = async {
-        let response = request.send().promise.await?;
-        let answer = response.get()?;
-        let mut seats = BTreeMap::new();
-        for seat in answer.get_seats()? {
-            seats.insert(
-                seat.get_name()?.to_string()?,
-                seat.get_address()?.to_string()?,
-            );
-        }
-        let name = answer.get_name()?.to_string()?;
-        let seating = (!name.is_empty()).then(|| Seating {
-            name,
-            index: answer.get_index(),
-            seats: seats.clone(),
-        });
-        Ok::<_, capnp::Error>((seating, seats))
-    };
-    read.await.map_err(|cause| cause.to_string())
-}
-
 /// The seat of this host as stored in its data directory, with the addresses of all seats that were
 /// known at that time.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -52,6 +52,8 @@
     pub commits_blocked: Cell<bool>,
     /// Time since the host of each seat last answered the leader.
     pub seat_silence: RefCell<Map<HostName, Duration>>,
+    /// Data directories that count, by seat.
+    pub counted: RefCell<Map<HostName, u64>>,
     /// Addresses set on a host's log, by host and seat.
     pub seat_addresses: RefCell<Map<(HostName, HostName), SocketAddr>>,
     changed: Notify,
@@ -89,6 +91,8 @@
     pub learner: Cell<bool>,
     /// Whether the host has applied what was committed before its start.
     pub caught_up: Cell<bool>,
+    /// Time since the host last heard from a leader.
+    pub leader_silence: Cell<Duration>,
 }
 
 impl FakeLog {
@@ -107,6 +111,7 @@
             unapplied: Cell::new(0),
             learner: Cell::new(false),
             caught_up: Cell::new(false),
+            leader_silence: Cell::default(),
         };
         (log, state)
     }
@@ -178,7 +183,19 @@
     }
 
     fn time_since_leader(&self, _now: Instant) -> Duration {
-        Duration::ZERO
+        self.leader_silence.get()
+    }
+
+    fn incarnation(&self) -> u64 {
+        1
+    }
+
+    fn may_count(&self, seat: &str, incarnation: u64) -> bool {
+        self.shared.counted.borrow().get(seat) == Some(&incarnation)
+    }
+
+    fn can_be_spared(&self, _now: Instant) -> bool {
+        false
     }
 
     fn has_caught_up(&self) -> bool {
