Bound what a host is sent to catch up, and what the log keeps, in bytes

Cause: everything was bounded by the number of entries. A host without a disk was sent up to 256 long entries, one for each round trip between regions, so that it stayed without a vote for as long as an operator went on sending changes, and the next lost disk took the majority. The log file kept the same entries whatever their size, and rewriting it needs the room twice.

--- a/crates/agree/src/codec.rs
+++ b/crates/agree/src/codec.rs
@@ -9,7 +9,10 @@
 
 use base::HostName;
 
-use crate::log::Entry;
+use crate::{
+    compress::{compress, decompress},
+    log::Entry,
+};
 
 /// Size of the frame header.
 const HEADER_BYTES: usize = 12;
@@ -194,6 +197,11 @@
     Ok(file)
 }
 
+/// Flag in the length of the membership: the state of the machine is compressed.
+const COMPRESSED: u64 = 1 << 63;
+/// Largest state of the machine that is decompressed; it holds configuration, not data.
+const MAX_MACHINE_BYTES: usize = 1 << 30;
+
 /// Membership: the incarnation of each host that is a voter.
 pub type Members = BTreeMap<HostName, u64>;
 
@@ -209,12 +217,13 @@
 impl Snapshot {
     pub fn encode(&self) -> Vec<u8> {
         let members = serde_json::to_vec(&self.members).expect("a map of names to numbers");
-        let mut body = Vec::with_capacity(members.len() + self.machine.len() + 24);
+        let machine = compress(&self.machine);
+        let mut body = Vec::with_capacity(members.len() + machine.len() + 24);
         body.extend(self.index.to_le_bytes());
         body.extend(self.term.to_le_bytes());
-        body.extend((members.len() as u64).to_le_bytes());
+        body.extend((members.len() as u64 | COMPRESSED).to_le_bytes());
         body.extend(members);
-        body.extend(&self.machine);
+        body.extend(machine);
         wrap_frame(&body)
     }
 
@@ -223,13 +232,19 @@
         let (index, rest) = split_u64(unwrap_frame(bytes)?).ok_or_else(malformed)?;
         let (term, rest) = split_u64(rest).ok_or_else(malformed)?;
         let (length, rest) = split_u64(rest).ok_or_else(malformed)?;
-        let length = usize::try_from(length).unwrap_or(usize::MAX);
+        let is_compressed = length & COMPRESSED != 0;
+        let length = usize::try_from(length & !COMPRESSED).unwrap_or(usize::MAX);
         let (members, machine) = rest.split_at_checked(length).ok_or_else(malformed)?;
+        let machine = if is_compressed {
+            decompress(machine, MAX_MACHINE_BYTES).map_err(|cause| cause.to_string())?
+        } else {
+            machine.to_vec()
+        };
         Ok(Self {
             index,
             term,
             members: serde_json::from_slice(members).map_err(|cause| cause.to_string())?,
-            machine: machine.to_vec(),
+            machine,
         })
     }
 }
--- a/crates/agree/src/lib.rs
+++ b/crates/agree/src/lib.rs
@@ -12,6 +12,7 @@
 //! are down at the same time, the others cannot tell the disk from an intact one.
 
 mod codec;
+mod compress;
 mod election;
 pub mod environment;
 pub mod error;
--- a/crates/agree/src/log.rs
+++ b/crates/agree/src/log.rs
@@ -1,9 +1,14 @@
 //! Log in memory and the payloads of its entries.
 
-use std::{collections::VecDeque, rc::Rc};
+use std::{borrow::Cow, collections::VecDeque, rc::Rc};
 
 use base::HostName;
 
+use crate::{
+    compress::{compress, decompress},
+    node::MAX_PAYLOAD_BYTES,
+};
+
 /// One entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Entry {
@@ -18,6 +23,10 @@
 const NOOP: u8 = 0;
 const READMIT: u8 = 1;
 const COMMAND: u8 = 2;
+const COMPRESSED_COMMAND: u8 = 3;
+
+/// Commands of at least this many bytes are compressed.
+const COMPRESS_FROM: usize = 4 << 10;
 
 /// Content of an entry.
 #[derive(Debug, PartialEq, Eq)]
@@ -27,7 +36,7 @@
     /// Readmission: the named host is a voter with this incarnation from this entry on.
     Readmit(HostName, u64),
     /// Command for the state machine.
-    Command(&'a [u8]),
+    Command(Cow<'a, [u8]>),
     /// Payload of a kind that this version does not know.
     Unknown,
 }
@@ -36,8 +45,13 @@
     pub fn parse(bytes: &[u8]) -> Payload<'_> {
         match bytes.split_first() {
             Some((&NOOP, _)) => Payload::Noop,
-            Some((&COMMAND, rest)) => Payload::Command(rest),
-            Some((&READMIT, rest)) => parse_readmit(rest).unwrap_or(Payload::Unknown),
+            Some((&COMMAND, rest)) => Payload::Command(rest.into()),
+            Some((&COMPRESSED_COMMAND, rest)) => decompress(rest, MAX_PAYLOAD_BYTES)
+                .map_or(Payload::Unknown, |content| Payload::Command(content.into())),
+            Some((&READMIT, rest)) => parse_readmit(rest)
+                .map_or(Payload::Unknown, |(name, incarnation)| {
+                    Payload::Readmit(name, incarnation)
+                }),
             _ => Payload::Unknown,
         }
     }
@@ -51,23 +65,32 @@
                 bytes.extend(incarnation.to_le_bytes());
                 bytes.extend(name.as_bytes());
             }
+            Self::Command(content) if content.len() >= COMPRESS_FROM => {
+                bytes.push(COMPRESSED_COMMAND);
+                bytes.extend(compress(content));
+            }
             Self::Command(content) => {
                 bytes.reserve_exact(content.len() + 1);
                 bytes.push(COMMAND);
-                bytes.extend(*content);
+                bytes.extend(&**content);
             }
         }
         bytes.into()
     }
 }
 
-fn parse_readmit(bytes: &[u8]) -> Option<Payload<'static>> {
+fn parse_readmit(bytes: &[u8]) -> Option<(HostName, u64)> {
     let (incarnation, name) = bytes.split_first_chunk()?;
     let name = std::str::from_utf8(name).ok()?;
-    Some(Payload::Readmit(
-        name.to_owned(),
-        u64::from_le_bytes(*incarnation),
-    ))
+    Some((name.to_owned(), u64::from_le_bytes(*incarnation)))
+}
+
+impl Entry {
+    /// Host and incarnation that this entry readmits, if it does.
+    pub(crate) fn readmission(&self) -> Option<(HostName, u64)> {
+        let (kind, rest) = self.payload.split_first()?;
+        (*kind == READMIT).then(|| parse_readmit(rest)).flatten()
+    }
 }
 
 /// Consecutive entries after a snapshot.
@@ -158,6 +181,33 @@
         }
     }
 
+    /// Drops the oldest entries up to `index` while those left up to there have more than `limit` bytes.
+    pub fn compact_to_bytes(&mut self, index: u64, limit: usize) {
+        let mut kept = 0;
+        let mut first = index + 1;
+        while first > self.first_index()
+            && let Some(entry) = self.get(first - 1)
+        {
+            kept += entry.payload.len() + ENTRY_OVERHEAD;
+            if kept > limit {
+                break;
+            }
+            first -= 1;
+        }
+        self.compact(first - 1);
+    }
+
+    /// Whether the entries from `first` to `last` have more than `limit` bytes.
+    pub fn exceeds(&self, first: u64, last: u64, limit: usize) -> bool {
+        let mut size = 0;
+        (first..=last)
+            .map_while(|index| self.get(index))
+            .any(|entry| {
+                size += entry.payload.len() + ENTRY_OVERHEAD;
+                size > limit
+            })
+    }
+
     /// Entries from `index` on, up to about `limit` bytes, but at least one if there is one.
     pub fn batch(&self, index: u64, limit: usize) -> Vec<Entry> {
         let Some(start) = self.position(index) else {
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -106,8 +106,11 @@
     /// that is larger.
     pub snapshot_threshold_bytes: usize,
     /// Entries kept in memory up to the snapshot index, so that a follower that is slightly behind
-    /// needs no snapshot.
+    /// needs no snapshot. Fewer are kept if they have more than `catch_up_bytes`.
     pub trailing_entries: u64,
+    /// Bytes of entries that a follower may lack and still be sent as entries. One that lacks more
+    /// gets a snapshot if that is smaller.
+    pub catch_up_bytes: usize,
     /// Maximum payload bytes in one append call: about 70 ms on the link between regions.
     pub max_batch_bytes: usize,
     /// Bytes in one snapshot chunk.
@@ -126,6 +129,7 @@
             propose_timeout: Duration::from_secs(3),
             snapshot_threshold_bytes: 4 << 20,
             trailing_entries: 256,
+            catch_up_bytes: 1 << 20,
             max_batch_bytes: 256 << 10,
             snapshot_chunk_bytes: 256 << 10,
             disabled: Vec::new(),
@@ -235,7 +239,7 @@
             if state.transfer.in_progress {
                 return Err(ProposeError::NotLeader(None));
             }
-            let index = state.append_as_leader(&Payload::Command(&payload));
+            let index = state.append_as_leader(&Payload::Command(payload.into()));
             let (sender, answer) = oneshot::channel();
             let term = state.hard.term;
             state.pending_proposals.insert(
@@ -691,7 +695,7 @@
             match Payload::parse(&entry.payload) {
                 Payload::Noop => {}
                 Payload::Command(command) => {
-                    answer = self.machine.borrow_mut().apply(entry.index, command);
+                    answer = self.machine.borrow_mut().apply(entry.index, &command);
                 }
                 Payload::Readmit(name, number) => {
                     self.state.borrow_mut().readmitted_at = entry.index;
@@ -739,13 +743,17 @@
     fn maybe_compact(&self) {
         let mut state = self.state.borrow_mut();
         if state.bytes_since_snapshot
-            <= self
+            > self
                 .tuning
                 .snapshot_threshold_bytes
                 .max(state.snapshot.bytes.len())
         {
-            return;
+            self.take_snapshot(&mut state);
         }
+    }
+
+    /// Takes a snapshot and compacts the log.
+    pub(crate) fn take_snapshot(&self, state: &mut State) {
         let Some(term) = state.log.term(state.applied) else {
             return;
         };
@@ -761,8 +769,12 @@
             bytes: snapshot.encode().into(),
         };
         state.bytes_since_snapshot = 0;
-        let compact_to = state.applied.saturating_sub(self.tuning.trailing_entries);
+        let applied = state.applied;
+        let compact_to = applied.saturating_sub(self.tuning.trailing_entries);
         state.log.compact(compact_to);
+        state
+            .log
+            .compact_to_bytes(applied, self.tuning.catch_up_bytes);
     }
 
     /// Advances the commit index to the highest index that a majority has on disk.
@@ -799,10 +811,7 @@
 fn find_readmissions(log: &Log, applied: u64) -> BTreeMap<u64, (HostName, u64)> {
     let entries =
         (log.first_index().max(applied + 1)..=log.last_index()).filter_map(|i| log.get(i));
-    let readmissions = entries.filter_map(|entry| match Payload::parse(&entry.payload) {
-        Payload::Readmit(name, incarnation) => Some((entry.index, (name, incarnation))),
-        _ => None,
-    });
+    let readmissions = entries.filter_map(|entry| Some((entry.index, entry.readmission()?)));
     readmissions.collect()
 }
 
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -129,7 +129,7 @@
         }
         let (round, commit, term) = (state.heartbeat_round, state.commit, state.hard.term);
         let from = state.hard.identity.clone();
-        let progress = state.peers.get_mut(peer)?;
+        let progress = state.peers.get(peer)?;
         // `now` may be up to one heartbeat interval old, so the clock is read again here.
         let due = progress.next_index <= state.log.last_index()
             || progress.sent_round < round
@@ -140,10 +140,14 @@
         if !due {
             return None;
         }
+        let next_index = progress.next_index;
+        let needs_snapshot = self.needs_snapshot(state, next_index);
+        let progress = state.peers.get_mut(peer)?;
         progress.last_sent = Some(self.environment.now());
         progress.sent_round = round;
-        let prev_index = progress.next_index - 1;
-        let Some(prev_term) = state.log.term(prev_index) else {
+        let prev_index = next_index - 1;
+        let prev_term = state.log.term(prev_index).filter(|_| !needs_snapshot);
+        let Some(prev_term) = prev_term else {
             return Some(PeerRequest::Snapshot(state.snapshot.clone(), from, term));
         };
         progress.sent_commit = commit;
@@ -153,13 +157,28 @@
             prev_index,
             prev_term,
             commit,
-            entries: state
-                .log
-                .batch(progress.next_index, self.tuning.max_batch_bytes),
+            entries: state.log.batch(next_index, self.tuning.max_batch_bytes),
         };
         Some(PeerRequest::Append(request, round))
     }
 
+    /// Whether a peer that lacks the entries from `next_index` on is sent a snapshot, which is taken anew
+    /// if a peer that has it would still lack many entries. So what a peer is sent does not grow with
+    /// the number of entries that it lacks, nor with the pace of new ones.
+    fn needs_snapshot(&self, state: &mut State, next_index: u64) -> bool {
+        let is_compacted = state.log.term(next_index - 1).is_none();
+        // An outdated snapshot still tells about how large the next one is.
+        let limit = self.tuning.catch_up_bytes.max(state.snapshot.bytes.len());
+        if !is_compacted && !state.log.exceeds(next_index, state.applied, limit) {
+            return false;
+        }
+        if state.bytes_since_snapshot > self.tuning.max_batch_bytes {
+            self.take_snapshot(state);
+            self.state_changed.notify();
+        }
+        is_compacted || state.snapshot.index >= next_index
+    }
+
     /// Sends this host's identity as a pre-vote with term 0. Returns whether the peer replied.
     async fn send_introduction(&self, peer: &HostName, request: VoteRequest) -> bool {
         let sent = request.from.clone();
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -199,9 +199,8 @@
 
     /// Appends an entry to the log in memory.
     pub fn append(&mut self, entry: Entry) {
-        if let Payload::Readmit(name, incarnation) = Payload::parse(&entry.payload) {
-            self.pending_readmissions
-                .insert(entry.index, (name, incarnation));
+        if let Some(readmission) = entry.readmission() {
+            self.pending_readmissions.insert(entry.index, readmission);
         }
         self.log.push(entry);
     }
--- a/crates/agree/tests/faults.rs
+++ b/crates/agree/tests/faults.rs
@@ -25,7 +25,7 @@
     let mut cluster = Cluster::new(seed, 3, Vec::new());
     cluster.tuning.snapshot_threshold_bytes = 300;
     cluster.tuning.trailing_entries = 3;
-    cluster.tuning.snapshot_chunk_bytes = 200;
+    cluster.tuning.snapshot_chunk_bytes = 50;
     for host in 0..3 {
         cluster.start(host);
     }
--- a/crates/agree/tests/files.rs
+++ b/crates/agree/tests/files.rs
@@ -26,6 +26,29 @@
     }
 }
 
+/// Guards against long configurations that fill the disk and the links between regions.
+#[rstest]
+#[compio::test]
+async fn long_texts_are_stored_compressed() {
+    let data = tempfile::tempdir().unwrap();
+    agree::format(data.path(), "a").unwrap();
+    let routes = (0..2_000).map(|i| format!("{{\"Name\":\"r-{i}\",\"TimeoutMs\":800}},"));
+    let text: String = routes.collect();
+    let node = start(data.path(), "a", true).unwrap();
+    wait_until_leader(&node).await;
+
+    node.propose(text.clone().into_bytes()).await.unwrap();
+    let stored = node.stored_bytes();
+    node.stop().await;
+    let restarted = start(data.path(), "a", true).unwrap();
+    wait_until_leader(&restarted).await;
+    let (_index, answer) = restarted.propose(b"add".to_vec()).await.unwrap();
+    restarted.stop().await;
+
+    assert!(stored * 4 < text.len() as u64, "{stored} of {}", text.len());
+    assert_eq!(answer, b"2");
+}
+
 /// Guards against two processes that write to one data directory.
 #[rstest]
 #[compio::test]
--- a/crates/agree/tests/power_events.rs
+++ b/crates/agree/tests/power_events.rs
@@ -35,7 +35,7 @@
     let mut cluster = Cluster::new(seed, size, Vec::new());
     cluster.tuning.snapshot_threshold_bytes = 300;
     cluster.tuning.trailing_entries = 3;
-    cluster.tuning.snapshot_chunk_bytes = 200;
+    cluster.tuning.snapshot_chunk_bytes = 50;
     for host in 0..size {
         cluster.start(host);
     }
--- a/crates/agree/tests/random.rs
+++ b/crates/agree/tests/random.rs
@@ -30,7 +30,7 @@
         // Small enough that snapshots, and snapshot transfers in several chunks, are frequent.
         cluster.tuning.snapshot_threshold_bytes = 400;
         cluster.tuning.trailing_entries = 3;
-        cluster.tuning.snapshot_chunk_bytes = 300;
+        cluster.tuning.snapshot_chunk_bytes = 75;
         for host in 0..size {
             cluster.start(host);
         }
