--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -191,7 +191,7 @@
         let mut next = 0;
         if status.is_accepted() && self.accept_leader(&request.from, request.term) {
             next = self.accept_chunk(&request);
-            if request.done {
+            if request.done || next == u64::MAX {
                 self.wait_until(|state| {
                     let is_saved =
                         state.durable_snapshot_index >= state.snapshot.index && !state.rewrite_log;
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -364,6 +364,11 @@
             };
             progress.last_contact = progress.last_contact.max(Some(sent));
             let next = usize::try_from(reply.next).unwrap_or(size).min(size);
+            if next == size && progress.identity.as_ref() == Some(&reply.from) {
+                // The peer replies once it has the snapshot on disk. Without this, a peer that gets
+                // one snapshot after the other would never be known to hold anything.
+                progress.match_index = progress.match_index.max(snapshot.index);
+            }
             if next <= offset {
                 // The peer restarted during the transfer, or found the snapshot damaged.
                 restarts += 1;
