Count a readmitted host for a commit only once it knows that it counts

A readmission counts once it is committed, which is knowledge outside the log. The leader counted the readmitted host at once, so that a write was acknowledged with its help while only the leader knew. If the leader lost its disk then, and all others lost power, the rest held the whole log and elected nobody for good: the candidates did not count the readmitted host, which took itself for a learner.

A leader that knows a readmission to be committed appends a second entry for it, a confirmation. A host that has both in its log counts the incarnation, whether or not it knows what is committed, and the readmitted host counts for a commit only up to what it has once it has the confirmation. A new leader confirms again what its log does not confirm.

--- a/crates/agree/src/election.rs
+++ b/crates/agree/src/election.rs
@@ -202,6 +202,7 @@
             }
             state.heartbeat_round += 1;
             state.first_index_of_term = state.append_as_leader(&Payload::Noop);
+            self.confirm_readmissions(&mut state);
         };
         self.state_changed.notify();
         self.progress_changed.notify();
--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -25,7 +25,7 @@
     error::{ProposeError, ReadIndexError, StartError},
     hard::{HardState, IdentityStatus},
     host::HostEnvironment,
-    log::{Log, Payload},
+    log::Payload,
     message::{Identity, ProposeReply},
     recover::recover,
     signal::Signal,
@@ -69,6 +69,9 @@
     /// A readmission in the log excludes the former incarnation from quorums before it is
     /// committed.
     PendingReadmission,
+    /// A readmitted host counts for a commit only once it has the entry that confirms its
+    /// readmission.
+    Confirmation,
     /// Outdated disks are detected by boot number and nonce.
     BootCheck,
     /// Only entries of the leader's current term are committed by counting replicas (Raft §5.4.2).
@@ -342,7 +345,7 @@
             // The commit index covers all earlier terms only once an entry of this term is
             // committed.
             let confirmed = skip
-                || state.quorum_value(round, |peer| peer.acked_round, count_learners)
+                || state.quorum_value(round, |_, peer| peer.acked_round, count_learners)
                     >= Some(round);
             (confirmed && state.commit >= first).then_some(Ok(state.commit))
         });
@@ -592,7 +595,7 @@
     pub(crate) fn quorum_contact(&self, state: &State, now: Instant) -> Option<Instant> {
         let count_learners = self.is_disabled(Mechanism::LearnerExclusion);
         state
-            .quorum_value(Some(now), |peer| peer.last_contact, count_learners)
+            .quorum_value(Some(now), |_, peer| peer.last_contact, count_learners)
             .flatten()
     }
 
@@ -698,8 +701,9 @@
                     answer = self.machine.borrow_mut().apply(entry.index, &command);
                 }
                 Payload::Readmit(name, number) => {
-                    self.state.borrow_mut().readmitted_at = entry.index;
-                    outdated = self.apply_readmission(&name, number).or(outdated);
+                    outdated = self
+                        .apply_readmission(entry.index, &name, number)
+                        .or(outdated);
                 }
                 Payload::Unknown => {
                     self.fail(format!("log entry {} is of an unknown kind; install the version that the other hosts run", entry.index));
@@ -718,6 +722,7 @@
             any_applied = true;
         }
         if any_applied {
+            self.confirm_readmissions(&mut self.state.borrow_mut());
             self.maybe_compact();
             self.state_changed.notify();
             self.progress_changed.notify();
@@ -728,9 +733,14 @@
     }
 
     /// Applies a readmission. Returns this host's identity if a newer incarnation replaced it.
-    fn apply_readmission(&self, name: &str, incarnation: u64) -> Option<Identity> {
+    fn apply_readmission(&self, index: u64, name: &str, incarnation: u64) -> Option<Identity> {
         let mut state = self.state.borrow_mut();
         let former = state.members.insert(name.to_owned(), incarnation);
+        if former == Some(incarnation) {
+            // A confirmation.
+            return None;
+        }
+        state.readmitted_at = index;
         info!(self.options.logger, "host readmitted"; "host" => name, "incarnation" => incarnation);
         let identity = &state.hard.identity;
         let replaced = identity.host == name
@@ -739,6 +749,16 @@
         replaced.then(|| identity.clone())
     }
 
+    /// Appends a confirmation of each readmission that this leader knows to be committed.
+    pub(crate) fn confirm_readmissions(&self, state: &mut State) {
+        if state.role != Role::Leader || self.is_disabled(Mechanism::Confirmation) {
+            return;
+        }
+        for (name, incarnation) in state.unconfirmed_members() {
+            state.append_as_leader(&Payload::Readmit(name, incarnation));
+        }
+    }
+
     /// Takes a snapshot and compacts the log once enough bytes were applied since the last one.
     fn maybe_compact(&self) {
         let mut state = self.state.borrow_mut();
@@ -786,9 +806,7 @@
                     return;
                 }
                 let count_learners = self.is_disabled(Mechanism::LearnerExclusion);
-                let quorum_index = state
-                    .quorum_value(state.durable_index, |peer| peer.match_index, count_learners)
-                    .unwrap_or(0);
+                let quorum_index = state.quorum_index(count_learners);
                 let is_committable = self.is_disabled(Mechanism::CurrentTermCommit)
                     || state.log.term(quorum_index) == Some(state.hard.term);
                 if quorum_index <= state.commit || !is_committable {
@@ -807,14 +825,6 @@
     if random == 0 { 1 } else { random }
 }
 
-/// Readmissions in the log after the index `applied`.
-fn find_readmissions(log: &Log, applied: u64) -> BTreeMap<u64, (HostName, u64)> {
-    let entries =
-        (log.first_index().max(applied + 1)..=log.last_index()).filter_map(|i| log.get(i));
-    let readmissions = entries.filter_map(|entry| Some((entry.index, entry.readmission()?)));
-    readmissions.collect()
-}
-
 /// Recovers the data directory and returns the state after the start.
 fn initial_state<M: StateMachine, E: Environment>(
     options: &Options,
@@ -882,9 +892,9 @@
             bytes,
         };
     }
-    let pending_readmissions = find_readmissions(&recovered.log, encoded.index);
     let now = environment.now();
-    Ok(State {
+    let applied = encoded.index;
+    let mut state = State {
         hard: hard_state,
         caught_up_at: None,
         hard_state_version: 1,
@@ -907,7 +917,8 @@
         snapshot: encoded,
         bytes_since_snapshot: 0,
         members,
-        pending_readmissions,
+        pending_readmissions: BTreeMap::new(),
+        confirmations: BTreeMap::new(),
         disabled: tuning.disabled.clone(),
         role: Role::Follower,
         leader: None,
@@ -923,5 +934,11 @@
         stopping: false,
         transfer: LeadershipTransfer::default(),
         writer_closed: false,
-    })
+    };
+    let first = state.log.first_index().max(applied + 1);
+    let entries = (first..=state.log.last_index()).filter_map(|index| state.log.get(index));
+    for entry in entries.cloned().collect::<Vec<_>>() {
+        state.note_readmission(&entry);
+    }
+    Ok(state)
 }
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -121,8 +121,12 @@
     /// Payload bytes applied since the last snapshot.
     pub bytes_since_snapshot: usize,
     pub members: Members,
-    /// Readmissions in the log that are not applied yet.
+    /// Readmissions and confirmations in the log that are not applied yet.
     pub pending_readmissions: BTreeMap<u64, (HostName, u64)>,
+    /// Incarnation that was confirmed last for each host, and the index of the confirmation. A leader
+    /// confirms a readmission that is committed, by an entry like that of the readmission. Every host
+    /// that has the entry knows that the readmission is committed.
+    pub confirmations: BTreeMap<HostName, (u64, u64)>,
     /// Disabled safety mechanisms, in tests only.
     pub disabled: DisabledMechanisms,
     pub role: Role,
@@ -164,16 +168,76 @@
         self.members.len() / 2 + 1
     }
 
-    /// Whether a host with this incarnation counts in a quorum. It must be in the applied
-    /// membership, and no readmission in the log may replace it: a new incarnation counts only once
-    /// its readmission is committed, but the former one is excluded as soon as that is in the log.
+    /// Whether a host with this incarnation counts in a quorum. A new incarnation counts only once
+    /// its readmission is committed, which its confirmation in the log proves, but the former one is
+    /// excluded as soon as the readmission is in the log.
     pub fn counts_in_quorum(&self, host: &str, incarnation: u64) -> bool {
-        self.members.get(host) == Some(&incarnation)
-            && (self.disabled.contains(&Mechanism::PendingReadmission)
-                || self
-                    .pending_readmissions
-                    .values()
-                    .all(|(name, other)| name != host || *other == incarnation))
+        let applied = self.members.get(host).copied();
+        if self.disabled.contains(&Mechanism::PendingReadmission) {
+            return applied == Some(incarnation);
+        }
+        let (mut counted, mut latest) = (applied, applied);
+        for pending in self.pending_readmissions_of(host) {
+            counted = Some(pending).filter(|_| latest == Some(pending));
+            latest = Some(pending);
+        }
+        counted == Some(incarnation)
+    }
+
+    fn pending_readmissions_of(&self, host: &str) -> impl DoubleEndedIterator<Item = u64> {
+        let pending = self.pending_readmissions.values();
+        pending
+            .filter(move |(name, _)| name == host)
+            .map(|(_, incarnation)| *incarnation)
+    }
+
+    /// Members whose readmission is committed and not confirmed in the log of this host.
+    pub fn unconfirmed_members(&self) -> Vec<(HostName, u64)> {
+        let readmitted = self
+            .members
+            .iter()
+            .filter(|(_, incarnation)| **incarnation != 0);
+        let unconfirmed = readmitted.filter(|(name, incarnation)| {
+            let confirmed = self
+                .confirmations
+                .get(*name)
+                .map(|(confirmed, _)| confirmed);
+            confirmed != Some(*incarnation) && self.counts_in_quorum(name, **incarnation)
+        });
+        unconfirmed
+            .map(|(name, incarnation)| (name.clone(), *incarnation))
+            .collect()
+    }
+
+    /// Highest index that a peer has on disk and that counts for a commit: 0 until a readmitted host
+    /// has the confirmation of its readmission. An entry that is committed with its help is then at no
+    /// host that does not know that it counts.
+    fn counted_match(&self, name: &str, progress: &Progress) -> u64 {
+        let incarnation = progress
+            .identity
+            .as_ref()
+            .map_or(0, |known| known.incarnation);
+        let confirmed = self.confirmations.get(name);
+        let holds_confirmation = confirmed
+            .is_some_and(|(known, at)| *known == incarnation && progress.match_index >= *at);
+        if incarnation == 0 || holds_confirmation {
+            progress.match_index
+        } else {
+            0
+        }
+    }
+
+    /// Highest index that a majority has on disk.
+    pub fn quorum_index(&self, count_learners: bool) -> u64 {
+        let counted = |name: &str, progress: &Progress| {
+            if count_learners || self.disabled.contains(&Mechanism::Confirmation) {
+                progress.match_index
+            } else {
+                self.counted_match(name, progress)
+            }
+        };
+        self.quorum_value(self.durable_index, counted, count_learners)
+            .unwrap_or(0)
     }
 
     /// Whether this host counts in a quorum.
@@ -199,12 +263,24 @@
 
     /// Appends an entry to the log in memory.
     pub fn append(&mut self, entry: Entry) {
-        if let Some(readmission) = entry.readmission() {
-            self.pending_readmissions.insert(entry.index, readmission);
-        }
+        self.note_readmission(&entry);
         self.log.push(entry);
     }
 
+    /// Takes in a readmission or confirmation of the log that is not applied yet.
+    pub fn note_readmission(&mut self, entry: &Entry) {
+        if let Some((name, incarnation)) = entry.readmission() {
+            let applied = self.members.get(&name).copied();
+            let latest = self.pending_readmissions_of(&name).next_back().or(applied);
+            if latest == Some(incarnation) {
+                let confirmation = (incarnation, entry.index);
+                self.confirmations.insert(name.clone(), confirmation);
+            }
+            self.pending_readmissions
+                .insert(entry.index, (name, incarnation));
+        }
+    }
+
     /// Appends an entry of this leader and returns its index.
     pub fn append_as_leader(&mut self, payload: &Payload<'_>) -> u64 {
         let index = self.log.last_index() + 1;
@@ -220,6 +296,7 @@
     pub fn truncate(&mut self, index: u64) {
         self.log.truncate(index);
         self.pending_readmissions.split_off(&(index + 1));
+        self.confirmations.retain(|_, (_, at)| *at <= index);
         self.truncated_to = self.truncated_to.min(index);
         self.durable_index = self.durable_index.min(index);
     }
@@ -229,7 +306,7 @@
     pub fn quorum_value<T: Ord>(
         &self,
         own: T,
-        of: impl Fn(&Progress) -> T,
+        of: impl Fn(&str, &Progress) -> T,
         count_learners: bool,
     ) -> Option<T> {
         let mut values = Vec::new();
@@ -241,7 +318,7 @@
                 count_learners || self.counts_in_quorum(name, identity.incarnation)
             });
             if counts {
-                values.push(of(progress));
+                values.push(of(name, progress));
             }
         }
         values.sort_unstable_by(|a, b| b.cmp(a));
