--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 mod appoint;
 pub mod ask;
+pub mod callers;
 pub mod calls;
 pub mod cancel;
 mod choice;
