Go on when a full disk has room again

Cause: a write that found no room ended the control host for good; each start then wrote the whole log a second time and failed again.

A write that finds no room is tried again every 500 ms, and nothing is acknowledged meanwhile, as on a slow disk. It starts at the same offset and writes all bytes anew, so that a part of it or a failed sync leaves nothing behind. The part of a file that was to replace another is removed. Other errors end the host as before.

--- a/crates/agree/src/environment.rs
+++ b/crates/agree/src/environment.rs
@@ -49,13 +49,15 @@
     /// Appends to a file and syncs it.
     ///
     /// # Errors
-    /// The bytes may or may not be durable; the node stops.
+    /// The disk is full: the next call with at least these bytes replaces what was written of them. Any
+    /// other error: the bytes may or may not be durable; the node stops.
     fn append(&self, file: File, bytes: Vec<u8>) -> impl Future<Output = io::Result<()>>;
 
     /// Replaces a file as a whole, atomically and durably.
     ///
     /// # Errors
-    /// The file has either its old or its new content; the node stops.
+    /// The disk is full: the file has its old content. Any other error: it has either its old or its
+    /// new content; the node stops.
     fn replace(&self, file: File, bytes: Vec<u8>) -> impl Future<Output = io::Result<()>>;
 
     /// Unlocks the files for other processes. Called when the node has stopped.
--- a/crates/agree/src/files.rs
+++ b/crates/agree/src/files.rs
@@ -78,10 +78,14 @@
     }
 }
 
-/// Fault point: the action `return` makes the operation fail as on a disk error.
+/// Fault point: the action `return` makes the operation fail as on a disk error, and `return(full)` as
+/// on a full disk.
 #[cfg(feature = "failpoints")]
 fn fault_point(point: &str) -> io::Result<()> {
-    fail::fail_point!(point, |_| Err(io::Error::other("fault point")));
+    fail::fail_point!(point, |kind| Err(match kind.as_deref() {
+        Some("full") => io::Error::from(ErrorKind::StorageFull),
+        _ => io::Error::other("fault point"),
+    }));
     Ok(())
 }
 
@@ -121,9 +125,11 @@
             (handle, size)
         };
         let length = bytes.len() as u64;
-        Self::write(&mut handle, size, bytes).await?;
-        *self.append_file.borrow_mut() = Some((file, handle, size + length));
-        Ok(())
+        let written = Self::write(&mut handle, size, bytes).await;
+        // After an error the next write starts at the same offset, over what was written of this one.
+        let size = size + if written.is_ok() { length } else { 0 };
+        *self.append_file.borrow_mut() = Some((file, handle, size));
+        written
     }
 
     async fn replace(&self, file: File, bytes: Vec<u8>) -> io::Result<()> {
@@ -144,7 +150,11 @@
             .truncate(true)
             .open(&temporary)
             .await?;
-        Self::write(&mut handle, 0, bytes).await?;
+        if let Err(cause) = Self::write(&mut handle, 0, bytes).await {
+            // Its part may take the last room on a full disk.
+            let _removed = fs::remove_file(&temporary);
+            return Err(cause);
+        }
         handle.close().await?;
         compio::fs::rename(&temporary, &path).await?;
         fault_point("agree::renamed")?;
--- a/crates/agree/src/writer.rs
+++ b/crates/agree/src/writer.rs
@@ -3,9 +3,9 @@
 //! It batches all pending changes, so that one sync covers them all. The state file is written
 //! before the log: a host must not store an entry of a term that is lost in a crash.
 
-use std::{io, rc::Rc};
+use std::{io, rc::Rc, time::Duration};
 
-use slog::crit;
+use slog::{crit, info, warn};
 
 use crate::{
     codec::encode_frame,
@@ -17,6 +17,17 @@
 /// Maximum payload bytes in one write to the log, except for a single larger entry.
 const MAX_WRITE_BYTES: usize = 4 << 20;
 
+/// Pause before a write is tried again on a full disk.
+const FULL_DISK_RETRY: Duration = Duration::from_millis(500);
+
+/// Whether a write failed only because the disk has no room.
+fn is_full(cause: &io::Error) -> bool {
+    matches!(
+        cause.kind(),
+        io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded
+    )
+}
+
 /// Next step of the writer.
 enum WriteJob {
     /// Version of the hard state and the content of its file.
@@ -93,7 +104,7 @@
                 self.state_changed.notify();
                 return;
             }
-            if let Err(cause) = self.perform(next).await {
+            if let Err(cause) = self.perform_with_room(&next).await {
                 self.fail(format!(
                     "cannot write to the data directory: {cause}; the process must be restarted \
                      after the disk is repaired"
@@ -123,39 +134,63 @@
         pending.unwrap_or_else(|| WriteJob::Commit(self.state.borrow().commit))
     }
 
-    async fn perform(&self, job: WriteJob) -> io::Result<()> {
+    /// Performs a write, and again for as long as the disk is full. Nothing is acknowledged meanwhile,
+    /// as on a slow disk.
+    async fn perform_with_room(&self, job: &WriteJob) -> io::Result<()> {
+        let mut was_full = false;
+        loop {
+            match self.perform(job).await {
+                Err(cause) if is_full(&cause) => {
+                    if !was_full {
+                        warn!(self.options.logger, "the data directory has no room; trying again until it has";
+                            "cause" => %cause, "stored_bytes" => self.stored_bytes());
+                    }
+                    was_full = true;
+                    self.environment.sleep(FULL_DISK_RETRY).await;
+                }
+                outcome => {
+                    if was_full {
+                        info!(self.options.logger, "the data directory has room again");
+                    }
+                    return outcome;
+                }
+            }
+        }
+    }
+
+    async fn perform(&self, job: &WriteJob) -> io::Result<()> {
         let disk = self.environment.disk();
         match job {
             WriteJob::State(version, bytes) => {
-                disk.replace(File::State, bytes).await?;
-                self.state.borrow_mut().saved_hard_state_version = version;
+                disk.replace(File::State, bytes.clone()).await?;
+                self.state.borrow_mut().saved_hard_state_version = *version;
             }
             WriteJob::Snapshot(index, bytes) => {
                 let size = bytes.len() as u64;
-                disk.replace(File::Snapshot, bytes).await?;
+                disk.replace(File::Snapshot, bytes.clone()).await?;
                 let mut state = self.state.borrow_mut();
-                state.durable_snapshot_index = index;
+                state.durable_snapshot_index = *index;
                 state.file_bytes.snapshot = size;
             }
             WriteJob::Rewrite(last, commit, bytes) => {
                 let size = bytes.len() as u64;
-                disk.replace(File::Log, bytes).await?;
-                self.record_log_write(last, commit);
+                disk.replace(File::Log, bytes.clone()).await?;
+                self.record_log_write(*last, *commit);
                 self.state.borrow_mut().file_bytes.log = size;
             }
             WriteJob::Append(last, commit, bytes) => {
                 let size = bytes.len() as u64;
-                disk.append(File::Log, bytes).await?;
-                self.record_log_write(last, commit);
+                disk.append(File::Log, bytes.clone()).await?;
+                self.record_log_write(*last, *commit);
                 self.state.borrow_mut().file_bytes.log += size;
             }
             WriteJob::Commit(commit) => {
-                let frame = encode_frame(commit, &[]);
+                let frame = encode_frame(*commit, &[]);
                 let size = frame.len() as u64;
                 disk.append(File::Log, frame).await?;
                 let mut state = self.state.borrow_mut();
                 state.file_bytes.log += size;
-                state.durable_commit = state.durable_commit.max(commit);
+                state.durable_commit = state.durable_commit.max(*commit);
             }
             WriteJob::Close => {}
         }
