Tell the seats only from a current state, and turn to the seeds when all are gone

A control host that still applied what was committed before its start told the seats of that state. An entry process that had just started replaced its seeds by that list, and if all hosts on it had been replaced it had nobody left to ask; the same held for a process that was cut off while all were replaced.

The list of seats has a version. A host tells it only once it is current, and an older list changes nothing. An entry process that hears no recent state from any control host for 5 s turns to its seeds again; until it has a list no lease counts. Callers and hosts of older programs go by the record version as before.

--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -143,8 +143,10 @@
     fn record_caught_up(&self, request: &AppendRequest) {
         let mut state = self.state.borrow_mut();
         let covers_earlier_terms = state.log.term(request.commit) == Some(request.term);
-        if covers_earlier_terms && state.applied >= request.commit {
-            state.caught_up_at.get_or_insert(request.commit);
+        if covers_earlier_terms && state.applied >= request.commit && state.caught_up_at.is_none() {
+            state.caught_up_at = Some(request.commit);
+            drop(state);
+            self.progress_changed.notify();
         }
     }
 
--- a/crates/control/src/gate.rs
+++ b/crates/control/src/gate.rs
@@ -301,10 +301,14 @@
         } else {
             0
         };
+        let seats = request.get_seats_known();
         let has_changes = |host: &Host<L>| {
             let state = host.state.borrow();
             let current = host.directory.borrow().version();
-            state.version > records || state.config.version > config || current > directory
+            state.version > records
+                || state.config.version > config
+                || current > directory
+                || (seats > 0 && tells_seats(host, records, seats))
         };
         let poll = match duration(request.get_patience()) {
             Duration::ZERO => DEFAULT_POLL,
@@ -324,7 +328,7 @@
         fill_watch_reply(
             &self.host,
             results.get().init_reply(),
-            records,
+            (records, seats),
             (config, request.get_telling()?),
             directory,
         )?;
@@ -365,10 +369,21 @@
     }
 }
 
+/// Whether a caller that has records up to `records` and the list of seats `seats`, as in its request,
+/// is told the seats. A host that still applies what was committed before its start may know former
+/// seats only, and a caller would turn to hosts that are gone.
+fn tells_seats<L: Log>(host: &Host<L>, records: Version, seats: u64) -> bool {
+    let seated = host.state.borrow().seated;
+    match seats.checked_sub(1) {
+        Some(known) => seated > known && host.log.has_caught_up(),
+        None => seated > records,
+    }
+}
+
 fn fill_watch_reply<L: Log>(
     host: &Host<L>,
     mut reply: schema::watch_reply::Builder<'_>,
-    records: Version,
+    (records, seats): (Version, u64),
     (config, telling): (Version, schema::Telling),
     directory: Version,
 ) -> Result<(), Error> {
@@ -402,7 +417,8 @@
     for (i, record) in (0..).zip(changed) {
         fill_record(record, list.reborrow().get(i));
     }
-    if state.seated > records {
+    if tells_seats(host, records, seats) {
+        reply.set_seats_version(state.seated);
         fill_seats(&state.seats, |count| reply.reborrow().init_seats(count));
     }
     let current = host.directory.borrow();
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -23,7 +23,7 @@
     gate,
     host::{Host, Identity},
     log::Log,
-    machine::{GroupState, Record},
+    machine::{Command, GroupState, Record},
     permits::NEW_LEADER_DELAY,
     upstream::Postgres,
 };
@@ -114,6 +114,32 @@
     );
 }
 
+/// Guards against entry processes that turn to control hosts that are gone: a host that still applies
+/// what was committed before its start knows former seats only.
+#[compio::test]
+async fn seats_are_told_once_the_host_is_current() {
+    let (host, address, _shared) = serve().await;
+    let client = connect(address).await;
+    let seat = Command::Seat {
+        name: "c0".to_owned(),
+        address: "127.0.0.7:1".to_owned(),
+        base: None,
+    };
+    host.log.propose(seat.encode()).await.unwrap();
+    let mut told = Vec::new();
+
+    for (caught_up, known) in [(false, 1), (true, 1), (true, 2)] {
+        host.log.caught_up.set(caught_up);
+        let mut request = client.watch_request();
+        request.get().init_request().set_seats_known(known);
+        let reply = request.send().promise.await.unwrap();
+        let reply = reply.get().unwrap().get_reply().unwrap();
+        told.push((reply.get_seats_version(), reply.get_seats().unwrap().len()));
+    }
+
+    assert_eq!(told, [(0, 0), (1, 1), (0, 0)]);
+}
+
 /// Guards against a poll that never ends, and against sending what the caller already has.
 #[compio::test]
 async fn watch_without_changes_answers_after_one_second() {
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -389,6 +389,7 @@
     request.set_telling(telling);
     request.set_directory_version(directory);
     request.set_directory_run(run);
+    request.set_seats_known(network.seats_version() + 1);
     request.set_patience(u32::try_from(WATCH_WAIT.as_millis()).unwrap_or(0));
 
     let response = call.send().promise.await?;
@@ -422,7 +423,7 @@
             })
         });
         let addresses = addresses.collect::<Result<Vec<SocketAddr>, capnp::Error>>()?;
-        network.set_control_hosts(&addresses);
+        network.apply_seats(reply.get_seats_version(), &addresses);
     }
     let records = reply
         .get_records()?
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -45,6 +45,8 @@
 /// A control host counts as reachable if it answered within this time, which is three renewal
 /// intervals.
 const REACHABLE_WITHIN: Duration = Duration::from_millis(1_800);
+/// Time without a recent state of any control host after which the seeds are tried again.
+const CONTROL_LOST_AFTER: Duration = Duration::from_secs(5);
 /// A write lease with less time left than this is expiring: two renewals in a row must have failed.
 const LEASE_EXPIRY_WARNING: Duration = Duration::from_millis(500);
 /// A process counts as isolated this long after its write lease ended. Until then a renewal may
@@ -123,6 +125,12 @@
     links: RefCell<Map<SocketAddr, JoinHandle<()>>>,
     /// Whether all control hosts are known, so that a majority of them can be counted.
     control_hosts_known: Cell<bool>,
+    /// Version of the list of control hosts; 0 while there is none.
+    seats_version: Cell<Version>,
+    /// Addresses to find control hosts at, by the newest settings.
+    seeds: RefCell<Vec<SocketAddr>>,
+    /// When a control host last told a state that was not older than [`CONTROL_LOST_AFTER`].
+    last_control: Cell<Instant>,
     /// Number of running entry processes, and the list of those in the own zone.
     pub(crate) near_entries: NearEntries,
     /// Notified when the assignment of groups to entry processes may have changed.
@@ -148,6 +156,7 @@
         let lease = WriteLease::new(settings.control.len());
         let control_hosts_known = !settings.discover;
         let (run, metrics) = (rand::random(), Metrics::new());
+        let seeds = RefCell::new(settings.control.clone());
         Rc::new(Self {
             dialect: Rc::new(dialect),
             settings,
@@ -168,6 +177,9 @@
             members: RefCell::default(),
             links: RefCell::default(),
             control_hosts_known: Cell::new(control_hosts_known),
+            seats_version: Cell::default(),
+            seeds,
+            last_control: Cell::new(Instant::now()),
             near_entries: NearEntries::default(),
             reassignment: Event::new(),
             stopped: Cell::default(),
@@ -191,19 +203,62 @@
             .or_insert_with(|| compio::runtime::spawn(crate::link::run(Rc::clone(self), address)));
     }
 
-    /// Connects to further addresses that may be control hosts. Does nothing once all control hosts
-    /// are known.
-    pub fn add_control_candidates(self: &Rc<Self>, addresses: &[SocketAddr]) {
+    /// Takes in new seeds, and connects to them unless all control hosts are known.
+    pub fn set_seeds(self: &Rc<Self>, addresses: &[SocketAddr]) {
+        *self.seeds.borrow_mut() = addresses.to_vec();
         if !self.control_hosts_known.get() {
-            for &address in addresses {
-                self.start_link(address);
-            }
+            self.link_seeds();
+        }
+    }
+
+    fn link_seeds(self: &Rc<Self>) {
+        for &address in &*self.seeds.borrow() {
+            self.start_link(address);
+        }
+    }
+
+    /// Version of the list of control hosts; 0 while there is none.
+    pub(crate) const fn seats_version(&self) -> Version {
+        self.seats_version.get()
+    }
+
+    /// Takes in a list of control hosts unless it is older than the one known. Version 0 comes from
+    /// hosts that do not tell it.
+    pub(crate) fn apply_seats(self: &Rc<Self>, version: Version, addresses: &[SocketAddr]) {
+        if version == 0 || version > self.seats_version.get() {
+            self.seats_version.set(version);
+            self.set_control_hosts(addresses);
+        }
+    }
+
+    /// Turns to the seeds again once no control host on the list tells a recent state: all of them may
+    /// have been replaced while this process was cut off. Until it gets a list, no lease counts.
+    fn find_control_hosts(self: &Rc<Self>, now: Instant) {
+        let hosts = self.hosts.borrow();
+        let last = hosts
+            .values()
+            .filter(|host| host.state_age < CONTROL_LOST_AFTER)
+            .filter_map(|host| host.last_answer)
+            .max();
+        drop(hosts);
+        let last = last.map_or(self.last_control.get(), |at| {
+            at.max(self.last_control.get())
+        });
+        self.last_control.set(last);
+        let lost = now.saturating_duration_since(last) >= CONTROL_LOST_AFTER;
+        if lost && self.settings.discover && self.control_hosts_known.replace(false) {
+            warn!(
+                self.log,
+                "no control host with a recent state; turning to the seeds"
+            );
+            self.seats_version.set(0);
+            self.link_seeds();
         }
     }
 
     /// Replaces the list of control hosts by `addresses`, which is complete. Lease grants of removed
     /// hosts are revoked.
-    pub(crate) fn set_control_hosts(self: &Rc<Self>, addresses: &[SocketAddr]) {
+    fn set_control_hosts(self: &Rc<Self>, addresses: &[SocketAddr]) {
         for &address in addresses {
             self.start_link(address);
         }
@@ -748,8 +803,9 @@
         group.notify();
     }
 
-    fn maintain(&self, now: Instant) {
+    fn maintain(self: &Rc<Self>, now: Instant) {
         self.check_reachable(now);
+        self.find_control_hosts(now);
         self.directory.borrow_mut().prune(ANNOUNCEMENT_EXPIRY, now);
         self.announcements
             .borrow_mut()
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -65,6 +65,8 @@
     pub sightings: Cell<u32>,
     pub announced: RefCell<Vec<String>>,
     pub renewals: Cell<u32>,
+    /// Control hosts that are told to processes without a list.
+    pub seats: RefCell<Vec<SocketAddr>>,
     /// When a member was first reported as refusing connections.
     pub first_refused: Cell<Option<Instant>>,
     changed: Event,
@@ -218,6 +220,16 @@
         reply.set_config_version(control_state.config_version.get());
         reply.set_directory_version(control_state.directory_version.get());
         reply.set_directory_run(1);
+        let seats = control_state.seats.borrow().clone();
+        if request.get_seats_known() == 1 && !seats.is_empty() {
+            reply.set_seats_version(1);
+            let mut list = reply
+                .reborrow()
+                .init_seats(u32::try_from(seats.len()).unwrap());
+            for (i, address) in (0..).zip(seats) {
+                list.reborrow().get(i).set_address(address.to_string());
+            }
+        }
         if control_state.config_version.get() > known_versions.1 {
             reply.set_document(control_state.document.borrow().as_str());
         }
