--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -825,13 +825,10 @@
     if random == 0 { 1 } else { random }
 }
 
-/// Recovers the data directory and returns the state after the start.
-fn initial_state<M: StateMachine, E: Environment>(
+/// Returns the other hosts, and all hosts as founding members.
+fn founding_members(
     options: &Options,
-    tuning: &Tuning,
-    environment: &E,
-    machine: &Rc<RefCell<M>>,
-) -> Result<State, StartError> {
+) -> Result<(BTreeMap<HostName, Progress>, Members), StartError> {
     let mut peers = BTreeMap::new();
     let mut members = Members::new();
     for (name, _address) in &options.peers {
@@ -848,6 +845,17 @@
             options.name
         )));
     }
+    Ok((peers, members))
+}
+
+/// Recovers the data directory and returns the state after the start.
+fn initial_state<M: StateMachine, E: Environment>(
+    options: &Options,
+    tuning: &Tuning,
+    environment: &E,
+    machine: &Rc<RefCell<M>>,
+) -> Result<State, StartError> {
+    let (peers, mut members) = founding_members(options)?;
     let recovered = recover(environment.disk(), &options.data_dir)?;
     if recovered.torn {
         warn!(
@@ -935,10 +943,6 @@
         transfer: LeadershipTransfer::default(),
         writer_closed: false,
     };
-    let first = state.log.first_index().max(applied + 1);
-    let entries = (first..=state.log.last_index()).filter_map(|index| state.log.get(index));
-    for entry in entries.cloned().collect::<Vec<_>>() {
-        state.note_readmission(&entry);
-    }
+    state.note_readmissions_after(applied);
     Ok(state)
 }
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -267,8 +267,18 @@
         self.log.push(entry);
     }
 
+    /// Takes in the readmissions and confirmations of the log after the index `applied`.
+    pub fn note_readmissions_after(&mut self, applied: u64) {
+        let first = self.log.first_index().max(applied + 1);
+        for index in first..=self.log.last_index() {
+            if let Some(entry) = self.log.get(index).cloned() {
+                self.note_readmission(&entry);
+            }
+        }
+    }
+
     /// Takes in a readmission or confirmation of the log that is not applied yet.
-    pub fn note_readmission(&mut self, entry: &Entry) {
+    fn note_readmission(&mut self, entry: &Entry) {
         if let Some((name, incarnation)) = entry.readmission() {
             let applied = self.members.get(&name).copied();
             let latest = self.pending_readmissions_of(&name).next_back().or(applied);
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -229,6 +229,18 @@
         })
     }
 
+    /// Takes this founding seat: creates the data directory, then stores the seating. A host that was
+    /// interrupted between the two has voted for nothing yet and starts over.
+    ///
+    /// # Errors
+    /// The data directory can't be written.
+    pub fn found(&self, data: &Path) -> io::Result<()> {
+        fs::create_dir_all(data)?;
+        remove_all_but_seating(data)?;
+        agree::format(data, &self.name).map_err(|cause| io::Error::other(cause.to_string()))?;
+        self.store(data)
+    }
+
     /// Reads the seating from a data directory; `None` if there is none.
     ///
     /// # Errors
@@ -272,12 +284,17 @@
     pub fn vacate(data: &Path) -> io::Result<()> {
         fs::create_dir_all(data)?;
         base::files::replace(&data.join(SEATING_FILE), "")?;
-        for entry in fs::read_dir(data)? {
-            let path = entry?.path();
-            if path.file_name().is_some_and(|name| name != SEATING_FILE) {
-                fs::remove_file(path)?;
-            }
+        remove_all_but_seating(data)
+    }
+}
+
+/// Removes all files of a data directory but the seating, durably.
+fn remove_all_but_seating(data: &Path) -> io::Result<()> {
+    for entry in fs::read_dir(data)? {
+        let path = entry?.path();
+        if path.file_name().is_some_and(|name| name != SEATING_FILE) {
+            fs::remove_file(path)?;
         }
-        fs::File::open(data)?.sync_all()
     }
+    fs::File::open(data)?.sync_all()
 }
--- a/crates/control/tests/seats.rs
+++ b/crates/control/tests/seats.rs
@@ -256,6 +256,22 @@
     assert_eq!(Seating::load(&data).unwrap(), None);
 }
 
+/// Guards against a founding host that never starts again because it was ended before it had stored its
+/// seat.
+#[test]
+fn interrupted_founding_starts_over() {
+    let parent = tempfile::tempdir().unwrap();
+    let data = parent.path().join("data");
+    let addresses = ["a:1", "b:1", "c:1"].map(String::from);
+    let seating = Seating::founding(&addresses, "c:1", 1).unwrap();
+    agree::format(&data, &seating.name).unwrap();
+
+    let founded = seating.found(&data);
+
+    assert!(founded.is_ok(), "{founded:?}");
+    assert_eq!(Seating::load(&data).unwrap(), Some(seating));
+}
+
 /// Guards against a host that starts from what a loss of power left of its former seat: a state
 /// without its log, or a log without its state.
 #[rstest]
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -235,18 +235,17 @@
     /// have been replaced while this process was cut off. Until it gets a list, no lease counts.
     fn find_control_hosts(self: &Rc<Self>, now: Instant) {
         let hosts = self.hosts.borrow();
-        let last = hosts
+        let answered = hosts
             .values()
             .filter(|host| host.state_age < CONTROL_LOST_AFTER)
             .filter_map(|host| host.last_answer)
             .max();
         drop(hosts);
-        let last = last.map_or(self.last_control.get(), |at| {
-            at.max(self.last_control.get())
-        });
-        self.last_control.set(last);
-        let lost = now.saturating_duration_since(last) >= CONTROL_LOST_AFTER;
-        if lost && self.settings.discover && self.control_hosts_known.replace(false) {
+        let previous = self.last_control.get();
+        let recent = answered.map_or(previous, |at| at.max(previous));
+        self.last_control.set(recent);
+        let is_silent = now.saturating_duration_since(recent) >= CONTROL_LOST_AFTER;
+        if is_silent && self.settings.discover && self.control_hosts_known.replace(false) {
             warn!(
                 self.log,
                 "no control host with a recent state; turning to the seeds"
