--- a/crates/agree/src/handle.rs
+++ b/crates/agree/src/handle.rs
@@ -194,12 +194,7 @@
         if status.is_accepted() && self.accept_leader(&request.from, request.term) {
             next = self.accept_chunk(&request);
             if request.done || next == u64::MAX {
-                self.wait_until(|state| {
-                    let is_saved =
-                        state.durable_snapshot_index >= state.snapshot.index && !state.rewrite_log;
-                    (is_saved && state.durable_index >= state.snapshot.index).then_some(())
-                })
-                .await;
+                self.snapshot_saved(request.last_index).await;
             }
         }
         self.hard_state_saved().await;
@@ -211,6 +206,18 @@
         }
     }
 
+    /// Waits until the last snapshot is on disk, and with it what this host holds up to `index`: the
+    /// leader counts it. A former leader may know entries to be committed before it has them on disk.
+    async fn snapshot_saved(&self, index: u64) {
+        let held = index.min(self.state.borrow().commit);
+        self.wait_until(|state| {
+            let is_saved =
+                state.durable_snapshot_index >= state.snapshot.index && !state.rewrite_log;
+            (is_saved && state.durable_index >= state.snapshot.index.max(held)).then_some(())
+        })
+        .await;
+    }
+
     /// Stores a chunk, installs the snapshot after the last one, and returns the next offset
     /// wanted. `u64::MAX` means that the snapshot is not needed.
     fn accept_chunk(&self, request: &SnapshotRequest) -> u64 {
