--- a/crates/agree/src/node.rs
+++ b/crates/agree/src/node.rs
@@ -71,7 +71,7 @@
     PendingReadmission,
     /// A readmitted host counts for a commit only once it has the entry that confirms its
     /// readmission.
-    Confirmation,
+    ReadmissionConfirmation,
     /// Outdated disks are detected by boot number and nonce.
     BootCheck,
     /// Only entries of the leader's current term are committed by counting replicas (Raft §5.4.2).
@@ -751,7 +751,7 @@
 
     /// Appends a confirmation of each readmission that this leader knows to be committed.
     pub(crate) fn confirm_readmissions(&self, state: &mut State) {
-        if state.role != Role::Leader || self.is_disabled(Mechanism::Confirmation) {
+        if state.role != Role::Leader || self.is_disabled(Mechanism::ReadmissionConfirmation) {
             return;
         }
         for (name, incarnation) in state.unconfirmed_members() {
@@ -926,7 +926,7 @@
         bytes_since_snapshot: 0,
         members,
         pending_readmissions: BTreeMap::new(),
-        confirmations: BTreeMap::new(),
+        confirmed_readmissions: BTreeMap::new(),
         disabled: tuning.disabled.clone(),
         role: Role::Follower,
         leader: None,
--- a/crates/agree/src/replicate.rs
+++ b/crates/agree/src/replicate.rs
@@ -141,7 +141,7 @@
             return None;
         }
         let next_index = progress.next_index;
-        let needs_snapshot = self.needs_snapshot(state, next_index);
+        let needs_snapshot = self.prepare_snapshot(state, next_index);
         let progress = state.peers.get_mut(peer)?;
         progress.last_sent = Some(self.environment.now());
         progress.sent_round = round;
@@ -162,12 +162,12 @@
         Some(PeerRequest::Append(request, round))
     }
 
-    /// Whether a peer that lacks the entries from `next_index` on is sent a snapshot, which is taken anew
-    /// if a peer that has it would still lack many entries. So what a peer is sent does not grow with
+    /// Decides whether a peer that lacks the entries from `next_index` on is sent a snapshot, and takes a
+    /// new one if a peer that has the last one would still lack many entries. So what a peer is sent does not grow with
     /// the number of entries that it lacks, nor with the pace of new ones.
-    fn needs_snapshot(&self, state: &mut State, next_index: u64) -> bool {
+    fn prepare_snapshot(&self, state: &mut State, next_index: u64) -> bool {
         let is_compacted = state.log.term(next_index - 1).is_none();
-        // An outdated snapshot still tells about how large the next one is.
+        // The size of the last snapshot estimates that of the next one.
         let limit = self.tuning.catch_up_bytes.max(state.snapshot.bytes.len());
         if !is_compacted && !state.log.exceeds(next_index, state.applied, limit) {
             return false;
--- a/crates/agree/src/state.rs
+++ b/crates/agree/src/state.rs
@@ -121,12 +121,12 @@
     /// Payload bytes applied since the last snapshot.
     pub bytes_since_snapshot: usize,
     pub members: Members,
-    /// Readmissions and confirmations in the log that are not applied yet.
+    /// Readmissions and their confirmations in the log that are not applied yet.
     pub pending_readmissions: BTreeMap<u64, (HostName, u64)>,
     /// Incarnation that was confirmed last for each host, and the index of the confirmation. A leader
     /// confirms a readmission that is committed, by an entry like that of the readmission. Every host
     /// that has the entry knows that the readmission is committed.
-    pub confirmations: BTreeMap<HostName, (u64, u64)>,
+    pub confirmed_readmissions: BTreeMap<HostName, (u64, u64)>,
     /// Disabled safety mechanisms, in tests only.
     pub disabled: DisabledMechanisms,
     pub role: Role,
@@ -199,7 +199,7 @@
             .filter(|(_, incarnation)| **incarnation != 0);
         let unconfirmed = readmitted.filter(|(name, incarnation)| {
             let confirmed = self
-                .confirmations
+                .confirmed_readmissions
                 .get(*name)
                 .map(|(confirmed, _)| confirmed);
             confirmed != Some(*incarnation) && self.counts_in_quorum(name, **incarnation)
@@ -210,14 +210,14 @@
     }
 
     /// Highest index that a peer has on disk and that counts for a commit: 0 until a readmitted host
-    /// has the confirmation of its readmission. An entry that is committed with its help is then at no
-    /// host that does not know that it counts.
+    /// has the confirmation of its readmission. Every host that holds an entry committed with its help then
+    /// also holds the confirmation, and can count it in an election.
     fn counted_match(&self, name: &str, progress: &Progress) -> u64 {
         let incarnation = progress
             .identity
             .as_ref()
             .map_or(0, |known| known.incarnation);
-        let confirmed = self.confirmations.get(name);
+        let confirmed = self.confirmed_readmissions.get(name);
         let holds_confirmation = confirmed
             .is_some_and(|(known, at)| *known == incarnation && progress.match_index >= *at);
         if incarnation == 0 || holds_confirmation {
@@ -230,7 +230,7 @@
     /// Highest index that a majority has on disk.
     pub fn quorum_index(&self, count_learners: bool) -> u64 {
         let counted = |name: &str, progress: &Progress| {
-            if count_learners || self.disabled.contains(&Mechanism::Confirmation) {
+            if count_learners || self.disabled.contains(&Mechanism::ReadmissionConfirmation) {
                 progress.match_index
             } else {
                 self.counted_match(name, progress)
@@ -267,7 +267,7 @@
         self.log.push(entry);
     }
 
-    /// Takes in the readmissions and confirmations of the log after the index `applied`.
+    /// Takes in the readmissions and their confirmations of the log after the index `applied`.
     pub fn note_readmissions_after(&mut self, applied: u64) {
         let first = self.log.first_index().max(applied + 1);
         for index in first..=self.log.last_index() {
@@ -284,7 +284,8 @@
             let latest = self.pending_readmissions_of(&name).next_back().or(applied);
             if latest == Some(incarnation) {
                 let confirmation = (incarnation, entry.index);
-                self.confirmations.insert(name.clone(), confirmation);
+                self.confirmed_readmissions
+                    .insert(name.clone(), confirmation);
             }
             self.pending_readmissions
                 .insert(entry.index, (name, incarnation));
@@ -306,7 +307,8 @@
     pub fn truncate(&mut self, index: u64) {
         self.log.truncate(index);
         self.pending_readmissions.split_off(&(index + 1));
-        self.confirmations.retain(|_, (_, at)| *at <= index);
+        self.confirmed_readmissions
+            .retain(|_, (_, at)| *at <= index);
         self.truncated_to = self.truncated_to.min(index);
         self.durable_index = self.durable_index.min(index);
     }
--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -161,7 +161,7 @@
     /// Whether a new host at another address may replace a control host.
     pub allow_replacement: bool,
     /// Log index from which on this host holds its seat; 0 for a founding host.
-    pub seated: u64,
+    pub seat_index: u64,
 }
 
 /// Parsed document of the configuration in force.
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -111,14 +111,14 @@
 
 impl RunningHost {
     /// Opens the data directory and starts the tasks of the host. If a new host at another address may
-    /// replace a control host, `seated` is the log index from which on this one holds its seat.
+    /// replace a control host, `seat_index` is the log index from which on this one holds its seat.
     ///
     /// # Errors
     /// The log can't be opened, or the RPC address can't be bound.
     pub async fn start(
         settings: &Settings,
         databases: Rc<dyn Databases>,
-        seated: Option<u64>,
+        seat_index: Option<u64>,
         logger: slog::Logger,
     ) -> Result<Self, RunError> {
         let state = Rc::new(RefCell::new(State::default()));
@@ -143,8 +143,8 @@
             region: settings.region.clone(),
             host: settings.host,
             peers,
-            allow_replacement: seated.is_some(),
-            seated: seated.unwrap_or_default(),
+            allow_replacement: seat_index.is_some(),
+            seat_index: seat_index.unwrap_or_default(),
         };
         let host = Host::new(start, identity, node, databases, state, logger);
         let tasks = vec![
--- a/crates/control/src/seat.rs
+++ b/crates/control/src/seat.rs
@@ -56,7 +56,7 @@
 /// A state from before this host got its seat names a former holder and tells nothing.
 #[must_use]
 pub fn is_displaced(state: &State, identity: &Identity) -> bool {
-    if state.applied < identity.seated {
+    if state.applied < identity.seat_index {
         return false;
     }
     let own_address = identity
--- a/crates/control/src/tenure.rs
+++ b/crates/control/src/tenure.rs
@@ -102,8 +102,8 @@
         if let Some(holder) = found.filter(|holder| holder.releases(&own_address)) {
             let state = host.state.borrow();
             slog::info!(host.logger, "seat was given to another host"; "seat" => name,
-                "holder" => &holder.address, "applied" => state.applied, "seated" => state.seated,
-                "own_index" => host.identity.seated, "backlog" => host.log.apply_backlog(),
+                "holder" => &holder.address, "applied" => state.applied, "last_seat_change" => state.seated,
+                "seat_index" => host.identity.seat_index, "backlog" => host.log.apply_backlog(),
                 "caught_up" => host.log.has_caught_up());
             return;
         }
--- a/crates/control/tests/common/mod.rs
+++ b/crates/control/tests/common/mod.rs
@@ -574,7 +574,7 @@
             host: IpAddr::V4(Ipv4Addr::LOCALHOST),
             peers: self.addresses.clone(),
             allow_replacement: false,
-            seated: 0,
+            seat_index: 0,
         };
         let databases = Rc::new(RenamingPostgres {
             postgres: Postgres {
--- a/crates/control/tests/gate.rs
+++ b/crates/control/tests/gate.rs
@@ -45,7 +45,7 @@
         host: IpAddr::V4(Ipv4Addr::LOCALHOST),
         peers: vec![("c0".to_owned(), address)],
         allow_replacement: false,
-        seated: 0,
+        seat_index: 0,
     };
     let databases = Rc::new(Postgres {
         host: identity.host,
--- a/crates/control/tests/seats.rs
+++ b/crates/control/tests/seats.rs
@@ -92,7 +92,7 @@
             .map(|(name, host)| (name.to_owned(), address(host)))
             .into(),
         allow_replacement: true,
-        seated: 8,
+        seat_index: 8,
     }
 }
 
