Identify callers by the keys of their organisations

Cause: the configuration's organisations and keys were ignored, so that every caller was served whatever key it sent.

Change: organisations are decoded once in the adapter and kept in the configuration with the digests of their keys. Forwarded sessions carry the digest. Two organisations with one key make a configuration invalid.

Connections are not opened in the organisation's name yet.

--- a/crates/base/src/document.rs
+++ b/crates/base/src/document.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{GroupName, RouteName, ServiceName, Set};
+use crate::{GroupName, RouteName, ServiceName, Set, organisation::Organisation};
 
 /// Whole configuration, written as TOML.
 ///
@@ -28,6 +28,14 @@
     /// Further database names of a service, each with its own consistency, deadlines and priority.
     #[serde(default, rename = "route")]
     pub routes: Vec<Route>,
+    /// Organisations that callers belong to. Without any, callers need no key; with an empty list,
+    /// only public routes are served.
+    #[serde(
+        default,
+        rename = "organisation",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// A database name that leads to a service, with the consistency, deadline and priority of the
@@ -52,6 +60,9 @@
     /// Priority; 0 is the highest.
     #[serde(default)]
     pub priority: u32,
+    /// Whether callers need no key although there are organisations.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
 }
 
 /// Consistency of the reads of a route.
@@ -280,7 +291,41 @@
                 ));
             }
         }
-        self.check_routes()
+        self.check_routes()?;
+        self.check_organisations()
+    }
+
+    fn check_organisations(&self) -> Result<(), InvalidField> {
+        let mut names = Set::default();
+        let mut keys = Set::default();
+        for (i, organisation) in self.organisations.iter().flatten().enumerate() {
+            let field = |name: &str| format!("organisation[{i}].{name}");
+            let name = &organisation.name;
+            if name.is_empty() || name.chars().any(|c| c.is_whitespace() || c.is_control()) {
+                return Err(invalid(
+                    &field("name"),
+                    "is empty or has blanks or control characters, which no database accepts",
+                    "give the organisation a name of one word",
+                ));
+            }
+            if !names.insert(name) {
+                return Err(invalid(
+                    &field("name"),
+                    "is used twice",
+                    "give each organisation its own name",
+                ));
+            }
+            for key in organisation.keys.iter().collect::<Set<_>>() {
+                if !keys.insert(key) {
+                    return Err(invalid(
+                        &field("keys"),
+                        "has a key of another organisation",
+                        "give each organisation its own keys",
+                    ));
+                }
+            }
+        }
+        Ok(())
     }
 
     fn check_routes(&self) -> Result<(), InvalidField> {
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod log;
 pub mod map;
 pub mod net;
+pub mod organisation;
 pub mod patch;
 pub mod position;
 pub mod request;
@@ -31,6 +32,8 @@
 pub type MemberName = String;
 /// Random id of a member's data directory; a member that lost its disk gets a new one.
 pub type StoreId = String;
+/// Name of an organisation.
+pub type OrgName = String;
 /// Name of an availability zone.
 pub type ZoneName = String;
 /// Name of a region.
--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -66,4 +66,10 @@
     pub member: base::MemberName,
     /// Expected store; empty while none is known.
     pub store: base::StoreId,
+    /// User that the connection is opened for: an organisation or [`OWN_USER`]. At another entry
+    /// process it is the digest of the caller's key.
+    pub user: String,
 }
+
+/// User of connections that are opened for no organisation.
+pub const OWN_USER: &str = "goldcrestrail";
--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
-use base::{EntryName, MemberName, StoreId, document::Service};
+use base::{EntryName, MemberName, StoreId, document::Service, organisation::KeyDigest};
 use slog::info;
 
 use crate::{
-    dialect::{Dialect, OpenError, Upstream},
+    dialect::{Dialect, OWN_USER, OpenError, Upstream},
     near::NearEntry,
     network::Network,
 };
@@ -65,7 +65,8 @@
             .forward_target(&service.group, &self.settings.name)
     }
 
-    /// Opens a session on `route` at another entry process, which speaks the protocol of a database.
+    /// Opens a session on `route` at another entry process, which speaks the protocol of a database,
+    /// for a caller that sent `key`.
     ///
     /// # Errors
     /// `None` if the process does not answer, otherwise the reason why it refuses the session.
@@ -73,6 +74,7 @@
         &self,
         near: &NearEntry,
         route: &str,
+        key: Option<&KeyDigest>,
     ) -> Result<D::Client, Option<OpenError>> {
         let stream = base::net::connect(self.settings.host, near.address, FORWARD_TIMEOUT);
         let stream = stream.await.map_err(|_unreachable| None)?;
@@ -80,6 +82,7 @@
             group: route.to_owned(),
             member: MemberName::new(),
             store: StoreId::new(),
+            user: key.map_or_else(|| OWN_USER.to_owned(), ToString::to_string),
         };
         let opening = compio::time::timeout(FORWARD_TIMEOUT, self.dialect.open(stream, &to));
         opening.await.map_err(|_elapsed| None)?.map_err(Some)
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 mod answer;
 mod batch;
 mod cancel;
+mod config;
 pub mod dialect;
 mod dump;
 mod extended;
--- a/crates/entry/src/network.rs
+++ b/crates/entry/src/network.rs
@@ -7,11 +7,7 @@
     time::{Duration, Instant},
 };
 
-use base::{
-    GroupName, Map, MemberName, RouteName, ServiceName, Set, StoreId, Version,
-    document::{Document, Route, Service},
-    patch,
-};
+use base::{GroupName, Map, MemberName, Set, StoreId, Version, document::Service};
 use compio::runtime::JoinHandle;
 use event_listener::Event;
 use route::{Announcement, Directory, Health, Location, WriteLease};
@@ -19,7 +15,8 @@
 
 use crate::{
     cancel::CancelRelay,
-    dialect::{Dialect, Upstream},
+    config::Config,
+    dialect::{Dialect, OWN_USER, Upstream},
     group::{Group, Phase, Record},
     member::Member,
     metrics::Metrics,
@@ -72,18 +69,6 @@
     pub directory_version: (u64, u64),
 }
 
-/// Configuration in force.
-#[derive(Debug, Default)]
-pub(crate) struct Config {
-    version: Version,
-    /// Source text of the document.
-    text: String,
-    pub(crate) entries: u32,
-    pub(crate) services: Map<ServiceName, Rc<Service>>,
-    pub(crate) groups: Map<GroupName, Rc<Service>>,
-    routes: Map<RouteName, Rc<Route>>,
-}
-
 /// A member of a group according to the group record and the announcements.
 struct ExpectedMember {
     name: MemberName,
@@ -356,92 +341,12 @@
         until.is_some_and(|until| now.saturating_duration_since(until) >= ISOLATED_AFTER)
     }
 
-    /// Version of the configuration in force; 0 before the first.
-    #[must_use]
-    pub fn config_version(&self) -> Version {
-        self.config.borrow().version
-    }
-
     /// Version up to which all changes of group records have been applied.
     #[must_use]
     pub fn record_version(&self) -> Version {
         self.known_records.get()
     }
 
-    /// Finds a service of the configuration in force.
-    #[must_use]
-    pub fn find_service(&self, name: &str) -> Option<Rc<Service>> {
-        self.config.borrow().services.get(name).cloned()
-    }
-
-    /// Finds a route of the configuration in force.
-    #[must_use]
-    pub fn find_route(&self, name: &str) -> Option<Rc<Route>> {
-        self.config.borrow().routes.get(name).cloned()
-    }
-
-    /// Applies `change`, a patch from configuration `base` to `version`. Does nothing if the
-    /// configuration is not older than `version`, or if it is not `base`; a `base` of 0 is the empty
-    /// text.
-    pub(crate) fn apply_change(&self, version: Version, base: Version, change: &[u8]) {
-        if version <= self.config_version() {
-            return;
-        }
-        let old = self.config.borrow();
-        let text = match base {
-            0 => patch::apply("", change),
-            base if base == old.version => patch::apply(&old.text, change),
-            // Another control host sent a newer configuration meanwhile. The next watch asks for a
-            // patch that starts from it.
-            _ => return,
-        };
-        drop(old);
-        match text {
-            Ok(text) => self.apply_config(version, &text),
-            Err(cause) => {
-                warn!(self.log, "configuration change can't be applied"; "version" => version,
-                    "base" => base, "cause" => %cause);
-            }
-        }
-    }
-
-    /// Replaces the configuration if `version` is newer.
-    pub fn apply_config(&self, version: Version, text: &str) {
-        if version <= self.config_version() {
-            return;
-        }
-        let document = match Document::parse(text) {
-            Ok(document) => document,
-            Err(cause) => {
-                warn!(self.log, "configuration can't be parsed"; "version" => version, "cause" => %cause);
-                return;
-            }
-        };
-        let services = document.services.into_iter().map(Rc::new);
-        let services: Vec<_> = services.collect();
-        *self.config.borrow_mut() = Config {
-            version,
-            text: text.to_owned(),
-            entries: document.entries.max,
-            services: services
-                .iter()
-                .map(|service| (service.name.clone(), Rc::clone(service)))
-                .collect(),
-            groups: services
-                .iter()
-                .map(|service| (service.group.clone(), Rc::clone(service)))
-                .collect(),
-            routes: document
-                .routes
-                .into_iter()
-                .map(|route| (route.name.clone(), Rc::new(route)))
-                .collect(),
-        };
-        info!(self.log, "configuration in force"; "version" => version);
-        self.assign();
-        self.notify_all_groups();
-    }
-
     /// Applies record changes from a control host, which has sent all changes up to `version`.
     pub fn apply_records(&self, version: Version, records: Vec<Record>) {
         let mut changed = false;
@@ -552,7 +457,7 @@
         }
     }
 
-    fn notify_all_groups(&self) {
+    pub(crate) fn notify_all_groups(&self) {
         for group in self.groups.borrow().values() {
             group.notify();
         }
@@ -775,6 +680,7 @@
             group: group.name.clone(),
             member: name.clone(),
             store: store.clone(),
+            user: OWN_USER.to_owned(),
         };
         let dialect = Rc::clone(&self.dialect);
         let pool = Pool::with_dialect(
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -17,7 +17,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    dialect::{Client, Dialect, OpenError, Upstream},
+    dialect::{Client, Dialect, OWN_USER, OpenError, Upstream},
     fleet::Lease,
     metrics::Metrics,
     postgres::Postgres,
@@ -258,6 +258,7 @@
             group: group.to_owned(),
             member: member.to_owned(),
             store: String::new(),
+            user: OWN_USER.to_owned(),
         };
         Self::with_dialect(Rc::new(Postgres), to, address, from, far, limits, metrics)
     }
--- a/crates/session/src/caller.rs
+++ b/crates/session/src/caller.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 
+use base::organisation::KeyDigest;
+
 use crate::{
     command::Request,
     statement::{Failure, Reply},
@@ -12,6 +14,17 @@
 pub struct Login {
     /// Name of the requested route.
     pub route: String,
+    /// Digest of the key that identifies the caller's organisation, if it sent one.
+    pub key: Option<KeyDigest>,
+}
+
+/// What opened a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Peer {
+    /// A caller, which sends its key.
+    Caller,
+    /// Another entry process, which forwards a session with the digest of its caller's key.
+    Entry,
 }
 
 /// Input received from a caller.
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -10,7 +10,7 @@
     time::{Duration, Instant},
 };
 
-use base::{Map, document::Route};
+use base::{Map, document::Route, organisation::KeyDigest};
 use bstr::BString;
 use compio::time::sleep;
 use entry::{dialect::Dialect, near::NearEntry};
@@ -44,6 +44,8 @@
     shared: Rc<Shared<D>>,
     caller: C,
     route_name: String,
+    /// Digest of the caller's key.
+    key: Option<KeyDigest>,
     /// Entry process that serves the route.
     peer: Rc<NearEntry>,
     /// Connection to the serving process; `None` once it is lost.
@@ -108,18 +110,20 @@
         caller: C,
         shared: &Rc<Shared<D>>,
         route: &Rc<Route>,
+        key: Option<KeyDigest>,
     ) -> Result<Self, C> {
         let network = &shared.network;
         while let Some(service) = network.find_service(&route.service)
             && let Some(peer) = network.forward_target(&service)
         {
-            match network.forward(&peer, &route.name).await {
+            match network.forward(&peer, &route.name, key.as_ref()).await {
                 Ok(client) => {
                     peer.record_answer(Instant::now());
                     return Ok(Self {
                         shared: Rc::clone(shared),
                         caller,
                         route_name: route.name.clone(),
+                        key,
                         peer,
                         client: Some(client),
                         state: TransactionState::Idle,
@@ -187,6 +191,12 @@
             }
             return self.forward(request, start, Duration::ZERO).await;
         };
+        if self.state == TransactionState::Idle
+            && let Err(cause) = self.shared.network.identify(&route, self.key.as_ref())
+        {
+            let failure = Failure::new(Code::UnknownKey, cause.to_string());
+            return Reply::failed(failure, TransactionState::Idle);
+        }
         let limit = Duration::from_millis(route.deadline_ms);
         self.forward(request, start, limit).await
     }
@@ -299,7 +309,7 @@
     if peer.is_unavailable() {
         return false;
     }
-    if let Err(None) = shared.network.forward(peer, PROBE_ROUTE).await {
+    if let Err(None) = shared.network.forward(peer, PROBE_ROUTE, None).await {
         mark_lost(shared, peer);
         return false;
     }
@@ -321,7 +331,10 @@
     compio::runtime::spawn(async move {
         while !peer.is_unlisted() {
             sleep(REPROBE_INTERVAL).await;
-            if !matches!(shared.network.forward(&peer, PROBE_ROUTE).await, Err(None)) {
+            if !matches!(
+                shared.network.forward(&peer, PROBE_ROUTE, None).await,
+                Err(None)
+            ) {
                 peer.record_answer(Instant::now());
                 info!(shared.network.log, "near entry process answers again"; "near" => &peer.name);
                 return;
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -18,7 +18,7 @@
 mod transaction;
 pub mod watch;
 
-pub use caller::{Caller, Input, Login};
+pub use caller::{Caller, Input, Login, Peer};
 pub use command::{Command, Request, StatementKind};
 pub use connection_state::{ConnectionState, PreparedStatement};
 pub use session::Session;
--- a/crates/session/src/request_log.rs
+++ b/crates/session/src/request_log.rs
@@ -16,6 +16,8 @@
 pub struct RequestContext {
     /// Route name.
     pub route: String,
+    /// Name of the caller's organisation; empty where callers need no key.
+    pub organisation: String,
     /// Member that the request was last sent to; empty if it was not sent.
     pub member: String,
     /// Term of the group record; 0 if there is none.
@@ -72,7 +74,8 @@
         }
         let took = now.saturating_duration_since(start).as_millis();
         info!(self.log, "request ended"; "request" => %request.id, "outcome" => outcome,
-            "cause" => cause, "route" => &context.route, "member" => &context.member,
+            "cause" => cause, "route" => &context.route, "organisation" => &context.organisation,
+            "member" => &context.member,
             "term" => context.term, "config" => context.config, "record" => context.record,
             "attempts" => context.attempts, "took_ms" => u64::try_from(took).unwrap_or(u64::MAX));
     }
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -16,7 +16,7 @@
 use slog::{info, warn};
 
 use crate::{
-    caller::Caller,
+    caller::{Caller, Peer},
     session::Session,
     shared::{Phase, Shared},
     statement::StatementClient,
@@ -55,14 +55,24 @@
 pub async fn serve<C: Caller, D: Dialect>(
     listeners: Listeners,
     shared: Rc<Shared<D>>,
-    new_caller: impl Fn(TcpStream) -> C,
+    new_caller: impl Fn(TcpStream, Peer) -> C,
     stop: impl Future<Output = ()>,
     schedule: ShutdownSchedule,
 ) where
     D::Client: StatementClient,
 {
-    let callers = pin!(accept(&listeners.callers, &shared, &new_caller, true));
-    let forwarded = pin!(accept(&listeners.forwarded, &shared, &new_caller, false));
+    let callers = pin!(accept(
+        &listeners.callers,
+        &shared,
+        &new_caller,
+        Peer::Caller
+    ));
+    let forwarded = pin!(accept(
+        &listeners.forwarded,
+        &shared,
+        &new_caller,
+        Peer::Entry
+    ));
     let accepting = select(callers, forwarded);
     let shutdown = pin!(async {
         select(
@@ -135,8 +145,8 @@
 async fn accept<C: Caller, D: Dialect>(
     listener: &TcpListener,
     shared: &Rc<Shared<D>>,
-    new_caller: &impl Fn(TcpStream) -> C,
-    may_forward: bool,
+    new_caller: &impl Fn(TcpStream, Peer) -> C,
+    peer: Peer,
 ) where
     D::Client: StatementClient,
 {
@@ -145,8 +155,8 @@
     loop {
         match listener.accept_with_options(&socket).await {
             Ok((stream, _caller)) => {
-                let session = Session::serve(new_caller(stream), Rc::clone(shared), may_forward);
-                spawn(session).detach();
+                let caller = new_caller(stream, peer);
+                spawn(Session::serve(caller, Rc::clone(shared), peer)).detach();
             }
             Err(cause) => {
                 warn!(shared.network.log, "accept failed"; "cause" => %cause);
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -6,14 +6,14 @@
     time::{Duration, Instant},
 };
 
-use base::{Map, Position};
+use base::{Map, Position, organisation::KeyDigest};
 use bstr::{BStr, BString};
 use compio::time::timeout;
 use entry::{dialect::Dialect, network::Network};
 use futures_util::future::{Either, select};
 
 use crate::{
-    caller::{Caller, Input},
+    caller::{Caller, Input, Peer},
     command::{Command, Request, StatementKind},
     connection_state::{PreparedStatement, SessionVariables},
     forward::ForwardedSession,
@@ -38,6 +38,8 @@
     caller: C,
     /// Name of the route that the caller requested.
     route_name: String,
+    /// Digest of the caller's key.
+    key: Option<KeyDigest>,
     /// Whether the session may move to another entry process that serves the route.
     may_forward: bool,
     pub(crate) variables: SessionVariables,
@@ -95,9 +97,9 @@
 where
     D::Client: StatementClient,
 {
-    /// Serves a caller until it disconnects or the process shuts down. With `may_forward`, the
-    /// session is forwarded to another entry process if that one serves the route.
-    pub async fn serve(mut caller: C, shared: Rc<Shared<D>>, may_forward: bool) {
+    /// Serves a caller until it disconnects or the process shuts down. A session that no entry process
+    /// forwarded here is forwarded to another one if that one serves the route.
+    pub async fn serve(mut caller: C, shared: Rc<Shared<D>>, peer: Peer) {
         let _guard = shared.register_session();
         let Ok(Some(login)) = timeout(LOGIN_TIMEOUT, caller.login()).await else {
             return;
@@ -122,11 +124,17 @@
             let _left = caller.refuse(&failure).await;
             return;
         };
+        if let Err(cause) = shared.network.identify(&route, login.key.as_ref()) {
+            let failure = Failure::new(Code::UnknownKey, cause.to_string());
+            let _left = caller.refuse(&failure).await;
+            return;
+        }
         if caller.accept().await.is_err() {
             return;
         }
+        let may_forward = peer == Peer::Caller;
         if may_forward {
-            caller = match ForwardedSession::open(caller, &shared, &route).await {
+            caller = match ForwardedSession::open(caller, &shared, &route, login.key).await {
                 Ok(session) => return session.run().await,
                 Err(caller) => caller,
             };
@@ -135,6 +143,7 @@
             shared,
             caller,
             route_name: login.route,
+            key: login.key,
             may_forward,
             variables: SessionVariables::new(),
             prepared: Map::default(),
@@ -318,17 +327,26 @@
         let unknown = || Failure::new(Code::NoRoute, self.route_name.as_str());
         let route = network.find_route(&self.route_name).ok_or_else(unknown)?;
         let service = network.find_service(&route.service).ok_or_else(unknown)?;
+        let organisation = network
+            .identify(&route, self.key.as_ref())
+            .map_err(|cause| Failure::new(Code::UnknownKey, cause.to_string()))?;
         let group = network.use_group(&service, Instant::now());
         if let Some(record) = group.current() {
             self.context.term = record.term;
             self.context.record = record.version;
         }
-        Ok(ResolvedRoute {
+        let target = ResolvedRoute {
             route,
             service,
             group,
             shared: Rc::clone(&self.shared),
-        })
+            organisation,
+        };
+        target
+            .owner()
+            .unwrap_or_default()
+            .clone_into(&mut self.context.organisation);
+        Ok(target)
     }
 
     /// Handles a request while the transaction is failed.
@@ -427,6 +445,7 @@
         Code::InDoubt => "in_doubt",
         Code::Malformed => "malformed",
         Code::NoRoute => "no_route",
+        Code::UnknownKey => "unknown_key",
         Code::Other(_) => "other",
     }
 }
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -7,7 +7,11 @@
     time::{Duration, Instant},
 };
 
-use base::{Map, MemberName, Position, Term, document::Route, document::Service};
+use base::{
+    Map, MemberName, Position, Term,
+    document::{Route, Service},
+    organisation::Organisation,
+};
 use entry::{dialect::Dialect, group::Group, member::Member, network::Network, pool::PooledConn};
 use event_listener::Event;
 use futures_util::future::select;
@@ -71,6 +75,15 @@
     pub(crate) service: Rc<Service>,
     pub(crate) group: Rc<Group>,
     pub(crate) shared: Rc<Shared<D>>,
+    /// Organisation of the caller; `None` where callers need no key.
+    pub(crate) organisation: Option<Rc<Organisation>>,
+}
+
+impl<D: Dialect> ResolvedRoute<D> {
+    /// Name of the caller's organisation; `None` where callers need no key.
+    pub(crate) fn owner(&self) -> Option<&str> {
+        self.organisation.as_ref().map(|known| known.name.as_str())
+    }
 }
 
 /// Counts a session as open until the guard is dropped.
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -100,6 +100,8 @@
     Malformed,
     /// The route does not exist.
     NoRoute,
+    /// Not run: the key of the caller belongs to no organisation.
+    UnknownKey,
     /// A code that this version does not know, so the statement may or may not have run.
     Other(BString),
 }
