Open connections in the name of the organisation whose requests they serve

All connections were opened in the deployment's own name, so a database that accounts by organisation counted each statement as not asked for.

A pool now keeps idle connections by owner. A request gets only one of its own owner; if there is none, one is opened while there is room, and else the idle connection of another owner that was unused for longest makes room. Requests are considered in the order of the queue before idle connections are handed out, so that an organisation without connections isn't kept out by those that always have one; a free slot still goes to the first request that can use it. Health checks use any idle connection. Without owners, the pool decides as before.

pool.rs is split by concern.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,6 +40,10 @@
     pub probes: IntCounterVec,
     /// Open connections to members, by member.
     pub connections: IntGaugeVec,
+    /// Connections opened to members, by member.
+    pub opened: IntCounterVec,
+    /// Idle connections closed to make room for another organisation, by member.
+    pub evicted: IntCounterVec,
     /// Connected callers; updated by the registry of sessions.
     pub callers: IntGauge,
 }
@@ -118,6 +122,18 @@
                     &["member"],
                 ),
             ),
+            opened: counter_vec(
+                &registry,
+                "connections_opened_total",
+                "Connections opened to members.",
+                &["member"],
+            ),
+            evicted: counter_vec(
+                &registry,
+                "connections_evicted_total",
+                "Idle connections closed to make room for another organisation.",
+                &["member"],
+            ),
             callers: register(
                 &registry,
                 IntGauge::new(prefixed("callers"), "Connected callers."),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -1,5 +1,10 @@
 //! Connection pool of one member.
 
+mod idle;
+mod limits;
+mod pooled;
+mod state;
+
 use std::{
     cell::RefCell,
     net::{IpAddr, SocketAddr},
@@ -7,18 +12,21 @@
     time::{Duration, Instant},
 };
 
-use base::{Map, MemberName, Set, Term};
-use compio::net::TcpStream;
+use base::{Map, Set, Term};
 use futures_channel::oneshot;
 use prometheus::{IntCounter, IntGauge};
 use rand::RngExt as _;
-use route::{ConnectionShare, Queue, QueueError, limit::AdaptiveLimit};
-use rustix::net::{RecvFlags, Shutdown};
+use route::{ConnectionShare, Queue, QueueError};
 use serde_json::{Value, json};
 
+use self::{
+    idle::{Conn, Idle, Need, Owner},
+    limits::LearnedLimits,
+    state::{HeldConn, Opening, State, WaitingRequest, count},
+};
+pub use self::{limits::Limits, pooled::PooledConn};
 use crate::{
-    dialect::{Client, Dialect, OWN_USER, OpenError, Upstream},
-    fleet::Lease,
+    dialect::{Client as _, Dialect, OWN_USER, OpenError, Upstream},
     metrics::Metrics,
     postgres::Postgres,
 };
@@ -42,9 +50,6 @@
 const PEAK_WINDOW: Duration = Duration::from_millis(500);
 /// Lent connections are closed this long before their permit expires.
 const PERMIT_MARGIN: Duration = Duration::from_millis(200);
-/// A connection that is held for longer no longer counts as a running statement: it belongs to a
-/// transaction, which waits for its caller most of the time.
-const MAX_STATEMENT_TIME: Duration = Duration::from_millis(100);
 /// Wait, with jitter, after a database had no room for a connection. Other processes close idle
 /// connections meanwhile.
 const OVERLOAD_RETRY: Duration = Duration::from_millis(200);
@@ -62,171 +67,8 @@
     Closed,
 }
 
-#[derive(Debug)]
-struct Conn<C> {
-    client: C,
-    stream: TcpStream,
-    prepared: Set<String>,
-    last_used: Instant,
-    last_checked: Instant,
-    counted_bytes: (u64, u64),
-}
-
-impl<C: Client> Conn<C> {
-    /// Whether the peer has neither closed the connection nor sent unsolicited data.
-    fn is_quiet(&self) -> bool {
-        let mut byte = [0_u8; 1];
-        let flags = RecvFlags::PEEK | RecvFlags::DONTWAIT;
-        let result = rustix::net::recv(&self.stream, &mut byte, flags);
-        matches!(result, Err(rustix::io::Errno::AGAIN)) && !self.client.has_bytes()
-    }
-}
-
-#[derive(Debug)]
-struct HeldConn {
-    stream: TcpStream,
-    since: Instant,
-    /// Term in which the member is primary; `None` when the connection serves reads at a replica.
-    primary: Option<Term>,
-}
-
-impl HeldConn {
-    /// Shuts down the socket of a connection in use. Its holder sees a lost connection.
-    fn shut_down(&self) {
-        let _already_closed = rustix::net::shutdown(&self.stream, Shutdown::Both);
-    }
-}
-
-/// Channel to a request that waits for a connection.
-type WaitingRequest<D> = oneshot::Sender<Result<PooledConn<D>, PoolError>>;
-
-#[derive(Debug)]
-struct State<D: Dialect> {
-    idle: Vec<Conn<D::Client>>,
-    held: Map<u64, HeldConn>,
-    pending: u32,
-    queue: Queue<WaitingRequest<D>>,
-    share: ConnectionShare,
-    slots: u32,
-    /// Adaptive limits, for dialects that report overload.
-    learned: Option<LearnedLimits>,
-    draining: bool,
-    failures: u32,
-    retry_at: Option<Instant>,
-    next_id: u64,
-    /// Highest number of connections wanted at the same time, in this and in the last window.
-    peak_demand: (u32, u32),
-    window_start: Instant,
-}
-
-/// Adaptive limits, learned from answers that report overload.
-#[derive(Debug)]
-struct LearnedLimits {
-    connections: AdaptiveLimit,
-    statements: AdaptiveLimit,
-}
-
-/// Initial limit of concurrent statements: twice the slots of one database.
-const INITIAL_STATEMENTS: u32 = 4;
-/// Lower bound of the highest connection limit. A process whose equal share is one connection or
-/// none needs more, because each open transaction holds one.
-const MAX_CONNECTIONS_FLOOR: u32 = 3;
-/// Highest limit of concurrent statements. It bounds the growth while a database is idle.
-const MAX_STATEMENTS: u32 = 64;
-
-impl LearnedLimits {
-    /// Derives the initial limits from the configuration. Each process may have at least one
-    /// connection, and starts with twice its equal share.
-    fn new(limits: Limits) -> Self {
-        let (least, most) = Self::connection_bounds(limits);
-        Self {
-            connections: AdaptiveLimit::new(least * 2, least, most),
-            statements: AdaptiveLimit::new(INITIAL_STATEMENTS, 1, MAX_STATEMENTS),
-        }
-    }
-
-    /// Lowest and highest connection limit: an equal share and twice that. A process that took all
-    /// connections would starve the others and would never see a refusal that lowers its limit.
-    fn connection_bounds(limits: Limits) -> (u32, u32) {
-        let share = limits.connections / limits.entries.max(1);
-        let most = (share * 2)
-            .max(MAX_CONNECTIONS_FLOOR)
-            .min(limits.connections);
-        (share.max(1), most.max(1))
-    }
-}
-
-impl<D: Dialect> State<D> {
-    /// Number of connections up to which new ones are opened and idle ones are kept.
-    fn target(&self, now: Instant) -> u32 {
-        match &self.learned {
-            Some(learned) => learned.connections.get(),
-            None => self.share.target(now),
-        }
-    }
-
-    /// Number of statements that may run concurrently.
-    fn statements(&self, now: Instant) -> u32 {
-        match &self.learned {
-            Some(learned) => learned.statements.get(),
-            None => self.share.slots(self.slots, now),
-        }
-    }
-
-    /// Whether a connection can be handed out now. Drops idle connections that the member closed.
-    fn has_usable_idle(&mut self, now: Instant) -> bool {
-        if !self.has_free_slot(now) {
-            return false;
-        }
-        while self.idle.last().is_some_and(|conn| !conn.is_quiet()) {
-            self.idle.pop();
-        }
-        !self.idle.is_empty()
-    }
-
-    fn update_peak(&mut self) {
-        let wanted = count(self.held.len()) + count(self.queue.len());
-        self.peak_demand.0 = self.peak_demand.0.max(wanted);
-    }
-
-    fn total(&self) -> u32 {
-        count(self.idle.len()) + count(self.held.len()) + self.pending
-    }
-
-    fn running_statements(&self, now: Instant) -> u32 {
-        let running =
-            |held: &&HeldConn| now.saturating_duration_since(held.since) < MAX_STATEMENT_TIME;
-        count(self.held.values().filter(running).count())
-    }
-
-    fn free_slots(&self, now: Instant) -> u32 {
-        self.statements(now)
-            .saturating_sub(self.running_statements(now))
-    }
-
-    /// Whether another statement may start. The running statements are counted only if the number
-    /// of connections in use does not decide it.
-    fn has_free_slot(&self, now: Instant) -> bool {
-        count(self.held.len()) < self.statements(now) || self.free_slots(now) > 0
-    }
-}
-
-fn count(number: usize) -> u32 {
-    u32::try_from(number).unwrap_or(u32::MAX)
-}
-
-/// Configured limits of a pool.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Limits {
-    /// Number of connections that the database accepts.
-    pub connections: u32,
-    /// Highest number of entry processes that share the connections.
-    pub entries: u32,
-    /// Number of statements that the database runs concurrently.
-    pub slots: u32,
-    /// Number of requests that may wait.
-    pub queue: u32,
-}
+/// Channel on which a waiting request gets its connection.
+type GrantSender<D> = oneshot::Sender<Result<PooledConn<D>, PoolError>>;
 
 /// Pool of connections to one member, limited to the share of this process.
 #[derive(Debug)]
@@ -237,6 +79,8 @@
     from: IpAddr,
     state: RefCell<State<D>>,
     open_gauge: IntGauge,
+    opened: IntCounter,
+    evicted: IntCounter,
     /// Counters of bytes sent and received, for a member of another region.
     region_bytes: Option<(IntCounter, IntCounter)>,
     wait_histogram: prometheus::Histogram,
@@ -281,15 +125,17 @@
         let bytes = |direction| metrics.region.with_label_values(&[member, direction]);
         let open = metrics.connections.with_label_values(&[member]);
         let region = far.then(|| (bytes("sent"), bytes("received")));
+        let opened = metrics.opened.with_label_values(&[member]);
+        let evicted = metrics.evicted.with_label_values(&[member]);
         Rc::new(Self {
             dialect,
             upstream: to,
             address,
             from,
             state: RefCell::new(State {
-                idle: Vec::new(),
+                idle: Idle(Vec::new()),
                 held: Map::default(),
-                pending: 0,
+                pending: Map::default(),
                 queue: Queue::new(limits.queue as usize),
                 share: ConnectionShare::new(limits.connections, limits.entries),
                 slots: limits.slots,
@@ -302,6 +148,8 @@
                 window_start: Instant::now(),
             }),
             open_gauge: open,
+            opened,
+            evicted,
             region_bytes: region,
             wait_histogram: metrics.queue.clone(),
         })
@@ -356,21 +204,55 @@
     pub fn is_usable(&self, now: Instant) -> bool {
         let state = self.state.borrow();
         let failing = state.retry_at.is_some_and(|at| now < at);
-        let empty = state.idle.is_empty() && state.held.is_empty();
+        let empty = state.idle.0.is_empty() && state.held.is_empty();
         !(state.draining || failing && empty)
     }
 
-    /// Acquires a connection, waiting in the queue until the deadline.
+    /// Acquires a connection of the deployment itself, waiting in the queue until the deadline.
     ///
     /// # Errors
     /// No connection was handed out, and nothing was sent to the member.
     pub async fn acquire(self: &Rc<Self>, deadline: Instant) -> Result<PooledConn<D>, PoolError> {
+        self.acquire_for(None, deadline).await
+    }
+
+    /// Acquires a connection that was opened for the organisation `owner`, or for the deployment
+    /// itself if it is `None`. It waits in the queue until the deadline.
+    ///
+    /// # Errors
+    /// No connection was handed out, and nothing was sent to the member.
+    pub async fn acquire_for(
+        self: &Rc<Self>,
+        owner: Option<&str>,
+        deadline: Instant,
+    ) -> Result<PooledConn<D>, PoolError> {
+        let need = Need::Owner(owner.map(Rc::from));
+        self.acquire_needed(need, deadline).await
+    }
+
+    /// Acquires a connection of any owner. Only statements of the deployment itself may be sent on
+    /// it. It waits in the queue until the deadline.
+    ///
+    /// # Errors
+    /// No connection was handed out, and nothing was sent to the member.
+    pub async fn acquire_any(
+        self: &Rc<Self>,
+        deadline: Instant,
+    ) -> Result<PooledConn<D>, PoolError> {
+        self.acquire_needed(Need::Any, deadline).await
+    }
+
+    async fn acquire_needed(
+        self: &Rc<Self>,
+        need: Need,
+        deadline: Instant,
+    ) -> Result<PooledConn<D>, PoolError> {
         let now = Instant::now();
-        if let Some(pooled) = self.try_acquire(now) {
+        if let Some(pooled) = self.try_acquire(&need, now) {
             self.wait_histogram.observe(0.0);
             return Ok(pooled);
         }
-        let mut receiver = self.enqueue(deadline, now)?;
+        let mut receiver = self.enqueue(need, deadline, now)?;
         self.dispatch(now);
         if let Ok(Some(granted)) = receiver.try_recv() {
             self.wait_histogram.observe(0.0);
@@ -386,18 +268,20 @@
     }
 
     /// Takes an idle connection if there is one and no request is queued.
-    fn try_acquire(self: &Rc<Self>, now: Instant) -> Option<PooledConn<D>> {
+    fn try_acquire(self: &Rc<Self>, need: &Need, now: Instant) -> Option<PooledConn<D>> {
         let mut state = self.state.borrow_mut();
-        if state.draining || !state.queue.is_empty() || !state.has_usable_idle(now) {
+        let blocked = state.draining || !state.queue.is_empty() || !state.has_free_slot(now);
+        if blocked || !state.idle.has_usable(need) {
             return None;
         }
-        let pooled = self.take_idle(&mut state, now)?;
+        let pooled = self.take_idle(&mut state, need, now)?;
         state.update_peak();
         Some(pooled)
     }
 
     fn enqueue(
         &self,
+        need: Need,
         deadline: Instant,
         now: Instant,
     ) -> Result<oneshot::Receiver<Result<PooledConn<D>, PoolError>>, PoolError> {
@@ -406,7 +290,8 @@
         if state.draining {
             return Err(PoolError::Closed);
         }
-        match state.queue.push(sender, deadline, now) {
+        let request = WaitingRequest { need, sender };
+        match state.queue.push(request, deadline, now) {
             Ok(()) => {}
             Err(QueueError::Full | QueueError::Late) => return Err(PoolError::Full),
         }
@@ -416,6 +301,9 @@
 
     /// Hands idle connections to waiting requests, and opens new ones if there are too few.
     fn dispatch(self: &Rc<Self>, now: Instant) {
+        // Before connections are handed out: a request whose owner has none may need the room of an
+        // idle one that a later request would take.
+        let short = self.open_needed(now);
         loop {
             let mut expired = Vec::new();
             let next = self.next_waiting(now, &mut expired);
@@ -428,29 +316,51 @@
                 pooled.put_back(now);
             }
         }
+        // Connections that the member closed were found and dropped.
         self.open_needed(now);
+        let mut state = self.state.borrow_mut();
+        let total = state.total();
+        if let Some(learned) = state.learned.as_mut().filter(|_| short) {
+            learned.connections.record_accepted(total);
+        }
+        self.open_gauge.set(i64::from(total));
     }
 
     fn next_waiting(
         self: &Rc<Self>,
         now: Instant,
-        expired: &mut Vec<WaitingRequest<D>>,
-    ) -> Option<(WaitingRequest<D>, PooledConn<D>)> {
+        expired: &mut Vec<GrantSender<D>>,
+    ) -> Option<(GrantSender<D>, PooledConn<D>)> {
         let mut state = self.state.borrow_mut();
-        if state.queue.is_empty() || !state.has_usable_idle(now) {
+        if state.queue.is_empty() || state.idle.0.is_empty() || !state.has_free_slot(now) {
             return None;
         }
-        let sender = state.queue.pop(now, |sender| expired.push(sender))?;
-        let pooled = self.take_idle(&mut state, now)?;
-        Some((sender, pooled))
+        let State { queue, idle, .. } = &mut *state;
+        let request = queue.pop_if(
+            now,
+            |request| idle.has_usable(&request.need),
+            |request| expired.push(request.sender),
+        )?;
+        let pooled = self.take_idle(&mut state, &request.need, now)?;
+        Some((request.sender, pooled))
     }
 
-    fn take_idle(self: &Rc<Self>, state: &mut State<D>, now: Instant) -> Option<PooledConn<D>> {
-        let conn = state.idle.pop()?;
+    fn take_idle(
+        self: &Rc<Self>,
+        state: &mut State<D>,
+        need: &Need,
+        now: Instant,
+    ) -> Option<PooledConn<D>> {
+        let conn = state.idle.take(need)?;
+        debug_assert!(
+            need.admits(&conn.owner),
+            "a connection serves only its own organisation"
+        );
         let id = state.next_id;
         state.next_id += 1;
         let held = HeldConn {
             stream: conn.stream.clone(),
+            owner: conn.owner.clone(),
             since: now,
             primary: None,
         };
@@ -466,51 +376,47 @@
         })
     }
 
-    fn open_needed(self: &Rc<Self>, now: Instant) {
-        let mut state = self.state.borrow_mut();
-        if state.draining || state.retry_at.is_some_and(|at| now < at) {
-            return;
-        }
-        if state.queue.is_empty() {
-            self.open_gauge.set(i64::from(state.total()));
-            return;
+    /// Opens the connections that waiting requests lack. Returns whether one lacks a connection
+    /// although the pool is full.
+    fn open_needed(self: &Rc<Self>, now: Instant) -> bool {
+        let Opening {
+            owners,
+            evicted,
+            short,
+        } = self.state.borrow_mut().open_missing(now);
+        self.evicted.inc_by(u64::from(evicted));
+        for owner in owners {
+            compio::runtime::spawn(Rc::clone(self).open_connection(owner)).detach();
         }
-        let ready = count(state.idle.len()) + state.pending;
-        let demand = count(state.queue.len()).min(state.free_slots(now));
-        let space = state.target(now).saturating_sub(state.total());
-        if space == 0 && demand > ready {
-            let total = state.total();
-            if let Some(learned) = &mut state.learned {
-                learned.connections.record_accepted(total);
-            }
-        }
-        for _ in 0..demand.saturating_sub(ready).min(space) {
-            state.pending += 1;
-            compio::runtime::spawn(Rc::clone(self).open_connection()).detach();
-        }
-        self.open_gauge.set(i64::from(state.total()));
+        short
     }
 
-    async fn open_connection(self: Rc<Self>) {
+    async fn open_connection(self: Rc<Self>, owner: Owner) {
+        let mut to = self.upstream.clone();
+        if let Some(owner) = &owner {
+            to.user = owner.to_string();
+        }
         let opened = compio::time::timeout(OPEN_TIMEOUT, async {
             let stream = base::net::connect(self.from, self.address, OPEN_TIMEOUT)
                 .await
                 .map_err(|cause| OpenError::Failed(cause.to_string()))?;
-            let client = self.dialect.open(stream.clone(), &self.upstream).await?;
+            let client = self.dialect.open(stream.clone(), &to).await?;
             Ok::<_, OpenError>((stream, client))
         })
         .await;
         let now = Instant::now();
         {
             let mut state = self.state.borrow_mut();
-            state.pending -= 1;
+            state.remove_pending(&owner);
             if let Ok(Ok((stream, client))) = opened {
                 state.failures = 0;
                 state.retry_at = None;
+                self.opened.inc();
                 if !state.draining {
-                    state.idle.push(Conn {
+                    state.idle.0.push(Conn {
                         client,
                         stream,
+                        owner,
                         prepared: Set::default(),
                         last_used: now,
                         last_checked: now,
@@ -538,8 +444,8 @@
     pub fn refuse_waiting(&self) {
         let mut state = self.state.borrow_mut();
         let mut senders = Vec::new();
-        while let Some(sender) = state.queue.pop_front() {
-            senders.push(sender);
+        while let Some(request) = state.queue.pop_front() {
+            senders.push(request.sender);
         }
         drop(state);
         for sender in senders {
@@ -549,7 +455,7 @@
 
     /// Closes the idle connections, after a failure of the member or of the network path to it.
     pub fn close_idle(&self) {
-        let idle = std::mem::take(&mut self.state.borrow_mut().idle);
+        let idle = std::mem::take(&mut self.state.borrow_mut().idle.0);
         drop(idle);
         self.open_gauge.set(i64::from(self.state.borrow().total()));
     }
@@ -598,7 +504,7 @@
         let mut checking = Vec::new();
         {
             let mut state = self.state.borrow_mut();
-            state.queue.retain(|sender| !sender.is_canceled());
+            state.queue.retain(|request| !request.sender.is_canceled());
             if now.saturating_duration_since(state.window_start) >= PEAK_WINDOW {
                 state.peak_demand = (count(state.held.len()), state.peak_demand.0);
                 state.window_start = now;
@@ -606,7 +512,7 @@
             let base = state.share.base();
             let mut total = state.total();
             let mut retained = Vec::new();
-            for conn in std::mem::take(&mut state.idle) {
+            for conn in std::mem::take(&mut state.idle.0) {
                 let idle = now.saturating_duration_since(conn.last_used);
                 let limit = match &state.learned {
                     Some(_) if total > base.max(1) => EXCESS_IDLE_TIMEOUT,
@@ -623,8 +529,10 @@
                     retained.push(conn);
                 }
             }
-            state.idle = retained;
-            state.pending += count(checking.len());
+            state.idle.0 = retained;
+            for conn in &checking {
+                state.add_pending(&conn.owner);
+            }
             let limit = match &state.learned {
                 // The database itself refuses connections that it has no room for.
                 Some(_) => u32::MAX,
@@ -648,10 +556,10 @@
         let now = Instant::now();
         {
             let mut state = self.state.borrow_mut();
-            state.pending -= 1;
+            state.remove_pending(&conn.owner);
             if matches!(answer, Ok(true)) && !state.draining {
                 conn.last_checked = now;
-                state.idle.insert(0, conn);
+                state.idle.0.insert(0, conn);
             }
         }
         self.dispatch(now);
@@ -662,9 +570,10 @@
     pub fn dump(&self, now: Instant) -> Value {
         let state = self.state.borrow();
         json!({
-            "idle": state.idle.len(),
+            "idle": state.idle.0.len(),
             "held": state.held.len(),
-            "pending": state.pending,
+            "pending": state.pending.values().sum::<u32>(),
+            "owners": state.owners(),
             "waiting": state.queue.len(),
             "target": state.target(now),
             "limit": state.share.limit(now, PERMIT_MARGIN),
@@ -683,148 +592,3 @@
         }
     }
 }
-
-/// A connection that is held for one request or transaction.
-///
-/// Dropping it closes the connection, unless [`PooledConn::client`] was never called.
-#[derive(Debug)]
-pub struct PooledConn<D: Dialect = Postgres> {
-    pool: Rc<Pool<D>>,
-    id: u64,
-    conn: Option<Conn<D::Client>>,
-    primary: Option<Term>,
-    was_used: bool,
-    acquired_at: Instant,
-    /// Whether it serves a transaction, which waits for its caller most of the time.
-    in_transaction: bool,
-}
-
-impl<D: Dialect> PooledConn<D> {
-    /// Marks the connection as used by a transaction, whose duration does not count towards the mean
-    /// duration of statements.
-    pub const fn mark_transaction(&mut self) {
-        self.in_transaction = true;
-    }
-
-    /// Records that the member is used as primary of `term`.
-    pub(crate) fn set_primary(&mut self, term: Term) {
-        self.primary = Some(term);
-        let mut state = self.pool.state.borrow_mut();
-        if let Some(held) = state.held.get_mut(&self.id) {
-            held.primary = Some(term);
-        }
-    }
-
-    /// Returns the connection to the pool, or closes it, without serving the queue.
-    fn put_back(&mut self, now: Instant) {
-        let Some(mut conn) = self.conn.take() else {
-            return;
-        };
-        self.pool.count_bytes(&mut conn);
-        let mut state = self.pool.state.borrow_mut();
-        state.held.remove(&self.id);
-        let has_room = state.learned.is_some() || state.total() < state.target(now);
-        if has_room && !state.draining && !conn.client.has_bytes() {
-            conn.last_used = now;
-            state.idle.push(conn);
-        }
-    }
-}
-
-impl<D: Dialect> PooledConn<D> {
-    /// Name of the member.
-    #[must_use]
-    pub fn member(&self) -> &MemberName {
-        &self.pool.upstream.member
-    }
-
-    /// Term in which the member is primary, or `None` for a replica.
-    #[must_use]
-    pub const fn primary(&self) -> Option<Term> {
-        self.primary
-    }
-
-    /// Protocol client of the connection.
-    ///
-    /// # Panics
-    /// Never: a pooled connection is present until it is released.
-    pub fn client(&mut self) -> &mut D::Client {
-        self.was_used = true;
-        &mut self.conn().client
-    }
-
-    fn conn(&mut self) -> &mut Conn<D::Client> {
-        self.conn
-            .as_mut()
-            .expect("a pooled connection is present until it is released")
-    }
-
-    /// Records that the database had no capacity for a statement.
-    pub fn record_overload(&self, now: Instant) {
-        if let Some(learned) = &mut self.pool.state.borrow_mut().learned {
-            learned.statements.record_rejected(now);
-        }
-    }
-
-    /// Returns the connection to the pool. It must be idle, without an open transaction or unread
-    /// data.
-    pub fn release(mut self) {
-        let now = Instant::now();
-        {
-            let mut state = self.pool.state.borrow_mut();
-            let used = state.running_statements(now);
-            if let Some(learned) = &mut state.learned {
-                learned.statements.record_accepted(used);
-            }
-        }
-        let held_for = now.saturating_duration_since(self.acquired_at);
-        self.put_back(now);
-        if !self.in_transaction {
-            self.pool
-                .state
-                .borrow_mut()
-                .queue
-                .record_service_time(held_for);
-        }
-        self.pool.dispatch(now);
-    }
-}
-
-impl Lease for PooledConn {
-    fn member(&self) -> &MemberName {
-        self.member()
-    }
-
-    fn primary(&self) -> Option<Term> {
-        self.primary()
-    }
-
-    fn client(&mut self) -> &mut wire::Client {
-        self.client()
-    }
-
-    fn prepared(&mut self) -> &mut Set<String> {
-        &mut self.conn().prepared
-    }
-
-    fn release(self) {
-        self.release();
-    }
-}
-
-impl<D: Dialect> Drop for PooledConn<D> {
-    fn drop(&mut self) {
-        if self.conn.is_none() {
-            return;
-        }
-        let now = Instant::now();
-        if !self.was_used {
-            self.put_back(now);
-        }
-        if let Some(mut conn) = self.conn.take() {
-            self.pool.count_bytes(&mut conn);
-            self.pool.state.borrow_mut().held.remove(&self.id);
-        }
-        self.pool.dispatch(now);
-    }
-}
--- a/crates/entry/src/postgres.rs
+++ b/crates/entry/src/postgres.rs
@@ -12,8 +12,6 @@
     probe,
 };
 
-/// User of pooled connections.
-const USER: &str = "goldcrestrail";
 /// Parameters of pooled connections.
 ///
 /// A transaction on a broken connection holds its locks until the database ends it, and all others
@@ -33,7 +31,7 @@
     const REPORTS_OVERLOAD: bool = false;
 
     async fn open(&self, stream: TcpStream, to: &Upstream) -> Result<wire::Client, OpenError> {
-        wire::Client::open_with(stream, USER, &to.group, &SESSION_DEFAULTS)
+        wire::Client::open_with(stream, &to.user, &to.group, &SESSION_DEFAULTS)
             .await
             .map_err(|cause| OpenError::Failed(cause.to_string()))
     }
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -302,6 +302,8 @@
     pub max_open: Cell<u32>,
     pub status_queries: Cell<u32>,
     pub queries: Cell<u32>,
+    /// User of the connection and text of each query.
+    pub log: RefCell<Vec<(String, String)>>,
     /// Whether connections close after their next query.
     pub close_after_query: Cell<bool>,
     /// Duration of a query in milliseconds.
@@ -327,6 +329,7 @@
             max_open: Cell::new(0),
             status_queries: Cell::new(0),
             queries: Cell::new(0),
+            log: RefCell::default(),
             close_after_query: Cell::new(false),
             query_ms: Cell::new(0),
             sends_unsolicited: Cell::new(false),
@@ -378,7 +381,9 @@
             self.open.update(|open| open + 1);
             self.max_open.set(self.max_open.get().max(self.open.get()));
         }
-        let result = self.serve(number, reader, writer).await;
+        let result = self
+            .serve(number, &parameters["user"], reader, writer)
+            .await;
         if data {
             self.open.update(|open| open - 1);
         }
@@ -388,6 +393,7 @@
     async fn serve(
         &self,
         number: u32,
+        user: &str,
         reader: &mut Reader,
         writer: &mut Writer,
     ) -> Result<(), wire::WireError> {
@@ -400,6 +406,9 @@
                 self.write_status(writer);
             } else if frame.tag == b'Q' {
                 self.queries.update(|count| count + 1);
+                let text = String::from_utf8_lossy(&frame.body);
+                let text = text.trim_end_matches('\0').to_owned();
+                self.log.borrow_mut().push((user.to_owned(), text));
                 sleep(self.query_ms.get()).await;
                 writer.parts(b'C', b"OK\0");
             }
--- a/crates/route/src/queue.rs
+++ b/crates/route/src/queue.rs
@@ -83,13 +83,45 @@
     /// Removes and returns the first request that can still finish before its deadline. Requests
     /// before it that can't are passed to `on_expired`. The last request in the queue is returned
     /// unless its deadline has passed.
-    pub fn pop(&mut self, now: Instant, mut on_expired: impl FnMut(T)) -> Option<T> {
-        while let Some(first) = self.waiting.pop_front() {
-            let last = self.waiting.is_empty();
-            if now >= first.deadline
-                || (!last && now + self.service_time * REQUIRED_SERVICE_TIMES > first.deadline)
+    pub fn pop(&mut self, now: Instant, on_expired: impl FnMut(T)) -> Option<T> {
+        self.pop_if(now, |_| true, on_expired)
+    }
+
+    /// Like [`Queue::pop`], but passes over requests that `usable` is false for. They keep their
+    /// places.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use route::Queue;
+    ///
+    /// let now = Instant::now();
+    /// let mut queue = Queue::new(10);
+    /// for item in 1..=3 {
+    ///     queue.push(item, now + Duration::from_secs(1), now)?;
+    /// }
+    /// assert_eq!(queue.pop_if(now, |item| item % 2 == 0, drop), Some(2));
+    /// assert_eq!(queue.pop(now, drop), Some(1));
+    /// # Ok::<(), route::QueueError>(())
+    /// ```
+    pub fn pop_if(
+        &mut self,
+        now: Instant,
+        mut usable: impl FnMut(&T) -> bool,
+        mut on_expired: impl FnMut(T),
+    ) -> Option<T> {
+        let mut index = 0;
+        while let Some(request) = self.waiting.get(index) {
+            let last = self.waiting.len() == 1;
+            if now >= request.deadline
+                || (!last && now + self.service_time * REQUIRED_SERVICE_TIMES > request.deadline)
             {
-                on_expired(first.item);
+                if let Some(request) = self.waiting.remove(index) {
+                    on_expired(request.item);
+                }
+                continue;
+            }
+            if !usable(&request.item) {
+                index += 1;
                 continue;
             }
             if let Some(previous) = self.last_pop.replace(now) {
@@ -105,12 +137,19 @@
                 // The time until the next request arrives does not measure the capacity.
                 self.last_pop = None;
             }
-            return Some(first.item);
+            return self.waiting.remove(index).map(|request| request.item);
+        }
+        if self.waiting.is_empty() {
+            self.last_pop = None;
         }
-        self.last_pop = None;
         None
     }
 
+    /// Returns the queued requests in their order.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.waiting.iter().map(|request| &request.item)
+    }
+
     /// Removes and returns the first request regardless of its deadline, to send it elsewhere.
     pub fn pop_front(&mut self) -> Option<T> {
         self.waiting.pop_front().map(|request| request.item)
--- a/crates/route/tests/queue.rs
+++ b/crates/route/tests/queue.rs
@@ -31,6 +31,31 @@
     assert_eq!(order, ["a", "b", "c", "a", "b", "c"]);
 }
 
+/// A request that is passed over keeps its place, and its deadline applies meanwhile.
+#[test]
+fn passed_over() {
+    let now = Instant::now();
+    let mut queue = Queue::new(10);
+    for (item, wait) in [
+        ("late", 10),
+        ("first", 100),
+        ("second", 100),
+        ("third", 100),
+    ] {
+        queue.push(item, now + millis(wait), now).unwrap();
+    }
+    let mut late = Vec::new();
+
+    let usable = queue.pop_if(
+        now + millis(10),
+        |item| *item == "second",
+        |item| late.push(item),
+    );
+
+    assert_eq!((usable, late), (Some("second"), vec!["late"]));
+    assert_eq!(queue.iter().collect::<Vec<_>>(), [&"first", &"third"]);
+}
+
 /// A full queue refuses requests at once.
 #[test]
 fn full() {
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -152,7 +152,7 @@
         let shared = &self.shared;
         let mut connection = match shared
             .network
-            .acquire_primary(&target.service, deadline)
+            .acquire_primary(&target.service, target.owner(), deadline)
             .await
         {
             Ok(connection) => connection,
@@ -267,7 +267,7 @@
                 best.map(|(.., member)| member)
             });
             if let Some(member) = replica {
-                match member.pool.acquire(deadline).await {
+                match member.pool.acquire_for(target.owner(), deadline).await {
                     Ok(connection) => {
                         return Ok(ReadConnection {
                             connection,
@@ -284,7 +284,9 @@
                 }
             }
             if network.primary(&target.group, now).is_ok() {
-                let connection = network.acquire_primary(&target.service, deadline).await;
+                let connection = network
+                    .acquire_primary(&target.service, target.owner(), deadline)
+                    .await;
                 return match connection {
                     Ok(connection) => Ok(ReadConnection {
                         connection,
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -236,7 +236,7 @@
                 let connection = self
                     .shared
                     .network
-                    .acquire_primary(&target.service, deadline)
+                    .acquire_primary(&target.service, target.owner(), deadline)
                     .await;
                 ReadConnection {
                     connection: connection.map_err(|refusal| refusal_failure(&refusal))?,
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -177,7 +177,7 @@
         return ProbeOutcome::NoResponse;
     }
     let deadline = Instant::now() + PROBE_TIMEOUT;
-    let mut connection = match member.pool.acquire(deadline).await {
+    let mut connection = match member.pool.acquire_any(deadline).await {
         Ok(connection) => connection,
         Err(PoolError::Full | PoolError::Deadline | PoolError::Closed) => {
             return ProbeOutcome::NoResponse;
