Give each organisation a home among the processes that serve a group

The home is the serving process that ranks highest for group and organisation; the others follow in rank when it is lost, which moves only its own organisations. Sessions without an organisation are forwarded as before.

Tests: even spread (160 to 256 of 208 for each of three processes), moves after a loss, choice of the target.

--- a/crates/entry/src/forward.rs
+++ b/crates/entry/src/forward.rs
@@ -58,11 +58,12 @@
         self.reassignment.listen()
     }
 
-    /// Entry process to which sessions of a service are forwarded; `None` when this one serves them.
+    /// Entry process to which the sessions of a service are forwarded for the organisation `owner`,
+    /// or for callers without one; `None` when this one serves them.
     #[must_use]
-    pub fn forward_target(&self, service: &Service) -> Option<Rc<NearEntry>> {
+    pub fn forward_target(&self, service: &Service, owner: Option<&str>) -> Option<Rc<NearEntry>> {
         self.near_entries
-            .forward_target(&service.group, &self.settings.name)
+            .forward_target(&service.group, &self.settings.name, owner)
     }
 
     /// Opens a session on `route` at another entry process, which speaks the protocol of a database,
--- a/crates/entry/src/near.rs
+++ b/crates/entry/src/near.rs
@@ -169,23 +169,35 @@
 
     /// Process to which the process `own` forwards the sessions of a group; `None` when it serves
     /// them itself, also because all processes that rank before it are unavailable.
-    pub fn forward_target(&self, group: &str, own: &str) -> Option<Rc<NearEntry>> {
+    ///
+    /// Sessions of an organisation `owner` go to its home among the processes that serve the group,
+    /// also from another of them.
+    pub fn forward_target(
+        &self,
+        group: &str,
+        own: &str,
+        owner: Option<&str>,
+    ) -> Option<Rc<NearEntry>> {
         let count = *self.serving.borrow().get(group)?;
         let ranked = self.ranked.borrow();
         let ranked = ranked.get(group)?;
-        let serving = &ranked[..count.min(ranked.len())];
-        if serving.iter().any(|host| host == own) {
-            return None;
-        }
-        // Each process starts at a different place of the list, which spreads the sessions equally.
-        let start = ranked
-            .iter()
-            .position(|host| host == own)
-            .unwrap_or_default();
-        let first = start.checked_rem(serving.len()).unwrap_or_default();
-        let order = serving[first..].iter().chain(&serving[..first]);
+        let (serving, others) = ranked.split_at(count.min(ranked.len()));
+        let order = match owner {
+            Some(owner) => affinity::home_order(serving, group, owner),
+            None if serving.iter().any(|host| host == own) => return None,
+            None => {
+                // Each process starts at a different place of the list, which spreads the sessions
+                // equally.
+                let start = ranked
+                    .iter()
+                    .position(|host| host == own)
+                    .unwrap_or_default();
+                let first = start.checked_rem(serving.len()).unwrap_or_default();
+                serving[first..].iter().chain(&serving[..first]).collect()
+            }
+        };
         let known = self.known.borrow();
-        for name in order.chain(&ranked[serving.len()..]) {
+        for name in order.into_iter().chain(others) {
             if name == own {
                 return None;
             }
--- a/crates/entry/tests/near.rs
+++ b/crates/entry/tests/near.rs
@@ -1,6 +1,10 @@
 //! Assignment of groups to the entry processes of a zone, and the choice of forwarding targets.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Instant,
+};
 
 use base::document::{Document, Service};
 use entry::near::NearEntries;
@@ -52,7 +56,7 @@
     near_entries.assign(services(16).iter());
 
     assert!(near_entries.is_complete());
-    assert!(near_entries.forward_target("g0", "e0").is_none());
+    assert!(near_entries.forward_target("g0", "e0", None).is_none());
     assert_eq!(
         (
             near_entries.serves("g0", "e0"),
@@ -82,7 +86,7 @@
 
     for name in hosts(10).keys() {
         let chosen = near_entries
-            .forward_target("g3", name)
+            .forward_target("g3", name, None)
             .map(|near| near.name.clone());
         assert_eq!(chosen, (*name != server).then(|| server.clone()));
     }
@@ -96,15 +100,15 @@
     let near_entries = near_entries();
     let server = serving(&near_entries, "g3");
     let own = hosts(10).into_keys().find(|name| *name != server).unwrap();
-    let chosen = near_entries.forward_target("g3", &own).unwrap();
+    let chosen = near_entries.forward_target("g3", &own, None).unwrap();
 
     chosen.mark_unresponsive();
     let skipped = near_entries
-        .forward_target("g3", &own)
+        .forward_target("g3", &own, None)
         .map(|near| near.name.clone());
     chosen.record_answer(Instant::now());
     let after = near_entries
-        .forward_target("g3", &own)
+        .forward_target("g3", &own, None)
         .map(|near| near.name.clone());
 
     assert_ne!(skipped, Some(server.clone()));
@@ -120,7 +124,7 @@
     let own = hosts(10).into_keys().find(|name| *name != server).unwrap();
 
     let mut tried = 0;
-    while let Some(near) = near_entries.forward_target("g3", &own) {
+    while let Some(near) = near_entries.forward_target("g3", &own, None) {
         near.mark_unresponsive();
         tried += 1;
     }
@@ -134,7 +138,7 @@
     let near_entries = near_entries();
     let server = serving(&near_entries, "g3");
     let own = hosts(10).into_keys().find(|name| *name != server).unwrap();
-    let near = near_entries.forward_target("g3", &own).unwrap();
+    let near = near_entries.forward_target("g3", &own, None).unwrap();
     let mut list = hosts(10);
     list.remove(&server);
 
@@ -143,7 +147,38 @@
 
     assert!(near.is_unlisted() && near.is_unavailable());
     let chosen = near_entries
-        .forward_target("g3", &own)
+        .forward_target("g3", &own, None)
         .map(|near| near.name.clone());
     assert_ne!(chosen, Some(server));
 }
+
+/// Guards against sessions of one organisation that are spread over all processes that serve the
+/// group, each of which then opens connections in its name; and against a lost home.
+#[test]
+fn sessions_of_an_organisation_go_to_its_home() {
+    let near_entries = NearEntries::default();
+    near_entries.set_counts(ENTRIES, ZONES);
+    near_entries.set_list(7, &hosts(10));
+    near_entries.assign(services(74).iter());
+    let served_by = |own: &str| {
+        let target = near_entries.forward_target("g3", own, Some("acme"));
+        target.map_or_else(|| own.to_owned(), |near| near.name.clone())
+    };
+    let other = hosts(10).into_keys().find(|name| served_by(name) != *name);
+    let home = near_entries
+        .forward_target("g3", &other.unwrap(), Some("acme"))
+        .unwrap();
+
+    let before: BTreeSet<_> = hosts(10).keys().map(|own| served_by(own)).collect();
+    home.mark_unresponsive();
+    let others = hosts(10).into_keys().filter(|name| *name != home.name);
+    let after: BTreeSet<_> = others.map(|own| served_by(&own)).collect();
+
+    assert_eq!(before, BTreeSet::from([home.name.clone()]));
+    assert_eq!(after.len(), 1);
+    assert!(
+        after
+            .iter()
+            .all(|name| near_entries.serves("g3", name) == Some(true))
+    );
+}
--- a/crates/route/src/affinity.rs
+++ b/crates/route/src/affinity.rs
@@ -3,8 +3,12 @@
 //! Used by deployments with more entry processes than connections to a database, or with so many
 //! entry processes that health checks of every database by each of them would cost more than the
 //! requests.
+//!
+//! Where connections are opened in the names of organisations, each of the processes that serve a
+//! group is the home of a part of them. Many organisations share few connections there, and a
+//! process that served all of them would rarely have an idle one of the right name.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use base::{EntryName, GroupName, Map};
 
@@ -102,3 +106,23 @@
     };
     groups.keys().map(|g| (g.clone(), order(&g))).collect()
 }
+
+/// Orders the entry processes that serve a group by preference for the requests of the organisation
+/// `owner`. The first is its home; the others replace it in this order. The loss of a process moves
+/// only the organisations that it is the home of.
+///
+/// ```
+/// use route::affinity::home_order;
+///
+/// let serving = ["e1", "e2", "e3"].map(String::from);
+/// let order = home_order(&serving, "orders", "acme");
+/// let rest: Vec<_> = serving.iter().filter(|name| *name != order[0]).cloned().collect();
+/// assert_eq!(home_order(&rest, "orders", "acme"), order[1..]);
+/// ```
+#[must_use]
+pub fn home_order<'a>(serving: &'a [EntryName], group: &str, owner: &str) -> Vec<&'a EntryName> {
+    let key = format!("{group}/{owner}");
+    let mut order: Vec<_> = serving.iter().collect();
+    order.sort_by_cached_key(|name| (Reverse(rank(&key, name)), *name));
+    order
+}
--- a/crates/route/tests/affinity.rs
+++ b/crates/route/tests/affinity.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use route::affinity::{assign, entries_per_zone};
+use route::affinity::{assign, entries_per_zone, home_order};
 use rstest::rstest;
 
 fn entries(count: usize) -> Vec<String> {
@@ -93,3 +93,41 @@
 
     assert!(ranked.values().all(Vec::is_empty));
 }
+
+/// Guards against a process that is the home of most organisations, and thus short of connections.
+#[test]
+fn organisations_are_spread_evenly() {
+    let serving = entries(3);
+    let mut homes: BTreeMap<&str, usize> = BTreeMap::new();
+
+    for group in 0..8 {
+        for owner in 0..78 {
+            let order = home_order(&serving, &format!("g{group}"), &format!("org-{owner}"));
+            *homes.entry(order[0]).or_default() += 1;
+        }
+    }
+
+    // An equal share is 208.
+    assert_eq!(homes.len(), 3);
+    assert!(
+        homes.values().all(|count| (160..=256).contains(count)),
+        "{homes:?}"
+    );
+}
+
+/// Guards against organisations that move, and open their connections anew, although their home is
+/// not lost.
+#[test]
+fn loss_of_a_process_moves_only_its_organisations() {
+    let all = entries(3);
+
+    for owner in (0..78).map(|number| format!("org-{number}")) {
+        let before = home_order(&all, "g1", &owner);
+        for lost in &all {
+            let rest: Vec<_> = all.iter().filter(|name| *name != lost).cloned().collect();
+            let after = home_order(&rest, "g1", &owner);
+            let expected = before.iter().find(|name| **name != lost);
+            assert_eq!(after.first(), expected);
+        }
+    }
+}
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -113,8 +113,11 @@
         key: Option<KeyDigest>,
     ) -> Result<Self, C> {
         let network = &shared.network;
+        // A key that is not valid is refused by the process that serves the session.
+        let organisation = network.identify(route, key.as_ref()).ok().flatten();
+        let owner = organisation.as_ref().map(|known| known.name.as_str());
         while let Some(service) = network.find_service(&route.service)
-            && let Some(peer) = network.forward_target(&service)
+            && let Some(peer) = network.forward_target(&service, owner)
         {
             match network.forward(&peer, &route.name, key.as_ref()).await {
                 Ok(client) => {
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -214,12 +214,15 @@
         loop {
             let reassigned = network.reassigned();
             let route = network.find_route(&self.route_name);
-            let service = route.and_then(|route| network.find_service(&route.service));
-            if let Some(service) = service
-                && self.may_forward
-                && network.forward_target(&service).is_some()
+            if self.may_forward
+                && let Some(route) = route
+                && let Some(service) = network.find_service(&route.service)
             {
-                return;
+                let organisation = network.identify(&route, self.key.as_ref()).ok().flatten();
+                let owner = organisation.as_ref().map(|known| known.name.as_str());
+                if network.forward_target(&service, owner).is_some() {
+                    return;
+                }
             }
             reassigned.await;
         }
