Refuse keys that were taken away in open transactions and after waits

Change: each statement of a transaction and its commit check that the key still belongs to the organisation that began it, also after the wait for a connection; otherwise the transaction is rolled back and answered ABORTED. Single statements are checked again before they are sent. With keys.strict, operations that need a key are refused once no control host was heard with a current configuration for keys.bound_ms; the decisions are in the crate identity. Refusals count in goldcrestrail_refused_keys_total.

--- a/crates/control/src/host.rs
+++ b/crates/control/src/host.rs
@@ -811,30 +811,8 @@
         }
     }
 
-    /// Returns the whole state for `/dump`.
-    #[must_use]
-    pub fn dump(&self, now: Instant) -> Value {
-        let state = self.state.borrow();
-        json!({
-            "name": self.identity.name,
-            "zone": self.identity.zone,
-            "run": self.run,
-            "leader": self.leads(),
-            "log": self.log.dump(),
-            "config": state.config,
-            "history": state.history,
-            "records": state.records,
-            "record_version": state.version,
-            "fenced": state.fenced,
-            "applied": state.applied,
-            "acks": self.acks_json(),
-            "members": self.members_json(now),
-            "entries": self.entries_json(now),
-            "timings": *self.timings.borrow(),
-        })
-    }
-
-    fn acks_json(&self) -> Value {
+    /// Returns the bounds of acknowledged writes for `/dump`.
+    pub(crate) fn acks_json(&self) -> Value {
         let acks = self.acks.borrow();
         let acks = acks.iter().map(|(group, known)| {
             let AckBounds { term, least, most } = known.bounds;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod departure;
 pub mod directory;
 pub mod documents;
+mod dump;
 pub mod failover;
 pub mod form;
 pub mod gate;
--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -1,6 +1,6 @@
 //! Configuration in force at an entry process.
 
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 
 use base::{
     GroupName, Map, RouteName, ServiceName, Version,
@@ -8,7 +8,7 @@
     organisation::{KeyDigest, Organisation},
     patch,
 };
-use identity::{Identities, UnknownKey};
+use identity::{Identities, Refused};
 use slog::{info, warn};
 
 use crate::{dialect::Dialect, network::Network};
@@ -24,6 +24,8 @@
     pub(crate) groups: Map<GroupName, Rc<Service>>,
     routes: Map<RouteName, Rc<Route>>,
     identities: Identities,
+    /// When the configuration was last known to be current, by [`base::clock`].
+    current_at: Option<Instant>,
 }
 
 impl<D: Dialect> Network<D> {
@@ -84,6 +86,7 @@
         };
         let services = document.services.into_iter().map(Rc::new);
         let services: Vec<_> = services.collect();
+        let current_at = self.config.borrow().current_at;
         *self.config.borrow_mut() = Config {
             version,
             text: text.to_owned(),
@@ -102,22 +105,64 @@
                 .map(|route| (route.name.clone(), Rc::new(route)))
                 .collect(),
             identities: Identities::new(document.organisations),
+            current_at,
         };
         info!(self.log, "configuration in force"; "version" => version);
         self.assign();
         self.notify_all_groups();
     }
 
+    /// Records that no newer configuration was in force at `at` by [`base::clock`].
+    pub(crate) fn record_current(&self, at: Option<Instant>) {
+        let mut config = self.config.borrow_mut();
+        config.current_at = config.current_at.max(at);
+    }
+
     /// Identifies the organisation of a caller that sent `key`; `None` where callers need no key.
+    /// `now` is by [`base::clock`].
     ///
     /// # Errors
-    /// The key belongs to no organisation of the configuration in force.
+    /// The key belongs to no organisation of the configuration in force, or can't be checked.
     pub fn identify(
         &self,
         route: &Route,
         key: Option<&KeyDigest>,
-    ) -> Result<Option<Rc<Organisation>>, UnknownKey> {
-        self.config.borrow().identities.identify(route.public, key)
+        now: Instant,
+    ) -> Result<Option<Rc<Organisation>>, Refused> {
+        let config = self.config.borrow();
+        let current = self.settings.keys.validity().holds(config.current_at, now);
+        let known = config.identities.admit(route.public, key, current);
+        known.inspect_err(|cause| self.count_refused_key(*cause))
+    }
+
+    /// Checks that an operation which started for the organisation `owner` may go on; `None` stands
+    /// for a caller that needed no key. `now` is by [`base::clock`].
+    ///
+    /// # Errors
+    /// The key no longer belongs to that organisation, or can't be checked.
+    pub fn confirm_owner(
+        &self,
+        route: &Route,
+        key: Option<&KeyDigest>,
+        owner: Option<&str>,
+        now: Instant,
+    ) -> Result<(), Refused> {
+        let config = self.config.borrow();
+        let current = self.settings.keys.validity().holds(config.current_at, now);
+        let in_force = config.routes.get(&route.name);
+        let public = in_force.map_or(route.public, |route| route.public);
+        let confirmed = config.identities.confirm(public, key, current, owner);
+        confirmed.inspect_err(|cause| self.count_refused_key(*cause))
+    }
+
+    fn count_refused_key(&self, cause: Refused) {
+        let reason = match cause {
+            Refused::UnknownKey => "unknown",
+            Refused::Outdated => "outdated",
+            Refused::Moved => "moved",
+        };
+        let counter = &self.metrics.refused_keys;
+        counter.with_label_values(&[reason]).inc();
     }
 
     /// Finds an organisation of the configuration in force.
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -390,8 +390,11 @@
     request.set_directory_version(directory);
     request.set_directory_run(run);
     request.set_seats_known(network.seats_version() + 1);
-    request.set_patience(u32::try_from(WATCH_WAIT.as_millis()).unwrap_or(0));
+    let patience = network.settings.keys.max_watch().min(WATCH_WAIT);
+    request.set_patience(u32::try_from(patience.as_millis()).unwrap_or(0));
 
+    // The time of the answer would be too late after this process was frozen.
+    let asked = base::clock::now();
     let response = call.send().promise.await?;
     let reply = response.get()?.get_reply()?;
     let now = Instant::now();
@@ -437,6 +440,10 @@
     } else if reply.has_document() {
         network.apply_config(config, reply.get_document()?.to_str()?);
     }
+    if config <= network.config_version() {
+        let age = Duration::from_millis(reply.get_age().into());
+        network.record_current(asked.checked_sub(age));
+    }
     network.check_reachable(now);
     Ok(config)
 }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,6 +22,9 @@
     pub writes: IntCounter,
     /// Refusals by SQLSTATE.
     pub refusals: IntCounterVec,
+    /// Logins and operations refused because of the caller's key, by reason: `unknown`, `moved` or
+    /// `outdated`.
+    pub refused_keys: IntCounterVec,
     /// Time that requests waited for a connection.
     pub queue: Histogram,
     /// Time that reads waited for a member that is fresh enough.
@@ -72,6 +75,12 @@
                 "Refusals by SQLSTATE.",
                 &["sqlstate"],
             ),
+            refused_keys: counter_vec(
+                &registry,
+                "refused_keys_total",
+                "Logins and operations refused because of the caller's key, by reason.",
+                &["reason"],
+            ),
             queue: histogram(
                 &registry,
                 "queue_seconds",
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,8 +1,12 @@
 //! Settings of an entry process.
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use base::{EntryName, Map, RegionName, Set, ZoneName, settings::Check};
+use identity::Validity;
 use serde::Deserialize;
 
 /// Settings file of an entry process.
@@ -69,7 +73,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Keys {
-    /// Whether keys count only while a control host with a recent state was reached within
+    /// Whether keys count only while a control host with a recent state was heard within
     /// `bound_ms`. Otherwise a process that is cut off keeps the keys that it knows.
     pub strict: bool,
     /// Time within which a key that was taken away stops working, in milliseconds.
@@ -85,6 +89,46 @@
     }
 }
 
+impl Keys {
+    /// Shortest `bound_ms` of strict keys. Control hosts must be able to answer several times within
+    /// it.
+    const MIN_BOUND_MS: u64 = 1_000;
+
+    /// For how long keys count while no control host is heard.
+    #[must_use]
+    pub const fn validity(&self) -> Validity {
+        if self.strict {
+            Validity::Within(Duration::from_millis(self.bound_ms))
+        } else {
+            Validity::Unbounded
+        }
+    }
+
+    /// Longest time that a control host may take to answer although nothing changed, so that
+    /// [`Self::validity`] holds as long as it is reachable.
+    #[must_use]
+    pub const fn max_watch(&self) -> Duration {
+        match self.validity() {
+            Validity::Unbounded => Duration::MAX,
+            Validity::Within(_) => Duration::from_millis(self.bound_ms / 4),
+        }
+    }
+
+    /// Checks the values. The cause of an invalid one is one sentence, and so is the fix.
+    ///
+    /// # Errors
+    /// Keys are strict, and the bound is too short.
+    pub const fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        if self.strict && self.bound_ms < Self::MIN_BOUND_MS {
+            return Err((
+                "keys.bound_ms is too short for strict keys",
+                "set it to 1000 or more, or set keys.strict = false",
+            ));
+        }
+        Ok(())
+    }
+}
+
 /// Enforcement of the organisations' rate limits: in any span of length `window_s`, an organisation
 /// runs at most `(rate * window_s + burst) * (1 + overage) + slack` operations.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
@@ -203,7 +247,7 @@
                 "set method = \"password\" or remove [auth.users]",
             );
         }
-        if let Err((cause, fix)) = self.rates.check() {
+        if let Err((cause, fix)) = self.keys.check().and_then(|()| self.rates.check()) {
             return invalid(cause, fix);
         }
         let is_digest = |hex: &String| {
--- a/crates/identity/src/lib.rs
+++ b/crates/identity/src/lib.rs
@@ -1,5 +1,7 @@
 //! Decides which organisation a caller belongs to, by the key that it sent.
 
+mod admission;
+
 use std::{fmt, rc::Rc};
 
 use base::{
@@ -7,6 +9,8 @@
     organisation::{KeyDigest, Organisation},
 };
 
+pub use admission::{Refused, Validity};
+
 /// Organisations of one configuration.
 #[derive(Debug, Default)]
 pub struct Identities {
@@ -73,13 +77,19 @@
         public: bool,
         key: Option<&KeyDigest>,
     ) -> Result<Option<Rc<Organisation>>, UnknownKey> {
-        if public || self.organisations.is_none() {
+        if !self.needs_key(public) {
             return Ok(None);
         }
         let known = key.and_then(|key| self.keys.get(key));
         known.cloned().map(Some).ok_or(UnknownKey)
     }
 
+    /// Whether callers of a route need a key.
+    #[must_use]
+    pub const fn needs_key(&self, public: bool) -> bool {
+        !public && self.organisations.is_some()
+    }
+
     /// Finds an organisation by name.
     #[must_use]
     pub fn find(&self, name: &str) -> Option<Rc<Organisation>> {
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -192,10 +192,12 @@
             return self.forward(request, start, Duration::ZERO).await;
         };
         if self.state == TransactionState::Idle
-            && let Err(cause) = self.shared.network.identify(&route, self.key.as_ref())
+            && let Err(cause) =
+                self.shared
+                    .network
+                    .identify(&route, self.key.as_ref(), base::clock::now())
         {
-            let failure = Failure::new(Code::UnknownKey, cause.to_string());
-            return Reply::failed(failure, TransactionState::Idle);
+            return Reply::failed(cause.into(), TransactionState::Idle);
         }
         let limit = Duration::from_millis(route.deadline_ms);
         self.forward(request, start, limit).await
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -124,9 +124,9 @@
             let _left = caller.refuse(&failure).await;
             return;
         };
-        if let Err(cause) = shared.network.identify(&route, login.key.as_ref()) {
-            let failure = Failure::new(Code::UnknownKey, cause.to_string());
-            let _left = caller.refuse(&failure).await;
+        let (key, now) = (login.key.as_ref(), base::clock::now());
+        if let Err(cause) = shared.network.identify(&route, key, now) {
+            let _left = caller.refuse(&cause.into()).await;
             return;
         }
         if caller.accept().await.is_err() {
@@ -327,9 +327,7 @@
         let unknown = || Failure::new(Code::NoRoute, self.route_name.as_str());
         let route = network.find_route(&self.route_name).ok_or_else(unknown)?;
         let service = network.find_service(&route.service).ok_or_else(unknown)?;
-        let organisation = network
-            .identify(&route, self.key.as_ref())
-            .map_err(|cause| Failure::new(Code::UnknownKey, cause.to_string()))?;
+        let organisation = network.identify(&route, self.key.as_ref(), base::clock::now())?;
         let group = network.use_group(&service, Instant::now());
         if let Some(record) = group.current() {
             self.context.term = record.term;
@@ -341,6 +339,7 @@
             group,
             shared: Rc::clone(&self.shared),
             organisation,
+            key: self.key,
         };
         target
             .owner()
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -10,11 +10,12 @@
 use base::{
     Map, MemberName, Position, Term,
     document::{Route, Service},
-    organisation::Organisation,
+    organisation::{KeyDigest, Organisation},
 };
 use entry::{dialect::Dialect, group::Group, member::Member, network::Network, pool::PooledConn};
 use event_listener::Event;
 use futures_util::future::select;
+use identity::Refused;
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
 use route::load::MemberLoad;
@@ -77,6 +78,8 @@
     pub(crate) shared: Rc<Shared<D>>,
     /// Organisation of the caller; `None` where callers need no key.
     pub(crate) organisation: Option<Rc<Organisation>>,
+    /// Digest of the caller's key.
+    pub(crate) key: Option<KeyDigest>,
 }
 
 impl<D: Dialect> ResolvedRoute<D> {
@@ -84,6 +87,13 @@
     pub(crate) fn owner(&self) -> Option<&str> {
         self.organisation.as_ref().map(|known| known.name.as_str())
     }
+
+    /// Checks that the caller's key still belongs to its organisation. It may have been taken away
+    /// while the operation waited.
+    pub(crate) fn confirm_owner(&self) -> Result<(), Refused> {
+        let (network, now) = (&self.shared.network, base::clock::now());
+        network.confirm_owner(&self.route, self.key.as_ref(), self.owner(), now)
+    }
 }
 
 /// Counts a session as open until the guard is dropped.
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -41,6 +41,8 @@
     Done(Reply),
     /// The attempt failed and may be repeated.
     Retry(Failure),
+    /// The attempt was not made, and must not be repeated.
+    Refused(Failure),
 }
 
 impl<C: Caller, D: Dialect> Session<C, D>
@@ -66,6 +68,11 @@
             match attempt {
                 Attempt::Done(reply) => return reply,
                 Attempt::Retry(failure) => last_failure = failure,
+                // An earlier attempt that ran must not be reported as not run.
+                Attempt::Refused(_) if !last_failure.code.not_run() => break,
+                Attempt::Refused(failure) => {
+                    return Reply::failed(failure, TransactionState::Idle);
+                }
             }
         }
         Reply::failed(last_failure, TransactionState::Idle)
@@ -94,6 +101,10 @@
             mut connection,
             min_position,
         } = acquired;
+        if let Err(cause) = target.confirm_owner() {
+            connection.release();
+            return Attempt::Refused(cause.into());
+        }
         let primary = connection.primary();
         self.context.member.clone_from(connection.member());
         let sent = base::clock::now();
@@ -163,6 +174,10 @@
                 ));
             }
         };
+        if let Err(cause) = target.confirm_owner() {
+            connection.release();
+            return Attempt::Refused(cause.into());
+        }
         let term = connection.primary().unwrap_or_default();
         self.context.member.clone_from(connection.member());
         let sent = SentCommit::now(target);
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -3,6 +3,7 @@
 use base::{Position, Term};
 use bstr::{BStr, BString};
 use entry::dialect::Client;
+use identity::Refused;
 
 use crate::{command::StatementKind, connection_state::ConnectionState};
 
@@ -122,6 +123,16 @@
     }
 }
 
+impl From<Refused> for Failure {
+    fn from(cause: Refused) -> Self {
+        let code = match cause {
+            Refused::UnknownKey => Code::UnknownKey,
+            Refused::Outdated | Refused::Moved => Code::Busy,
+        };
+        Self::new(code, cause.to_string())
+    }
+}
+
 /// Error of a failed statement.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Failure {
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -149,7 +149,7 @@
         if transaction.read_only && pending.kind == StatementKind::Write {
             return self.fail(Failure::new(Code::ReadOnly, "the transaction only reads"));
         }
-        let mut connection = match self.pinned_connection(&target, deadline).await {
+        let mut connection = match self.confirmed_connection(&target, deadline).await {
             Ok(connection) => connection,
             Err(failure) => return self.fail(failure),
         };
@@ -210,6 +210,26 @@
         }
     }
 
+    /// Takes the connection of the transaction for the next statement, unless the caller's key no
+    /// longer belongs to the organisation that began the transaction.
+    async fn confirmed_connection(
+        &mut self,
+        target: &Rc<ResolvedRoute<D>>,
+        deadline: Instant,
+    ) -> Result<PooledConn<D>, Failure> {
+        // A caller that is refused needs no connection, and may lose its key while it waits for one.
+        confirm_owner(target)?;
+        let connection = self.pinned_connection(target, deadline).await?;
+        let Err(failure) = confirm_owner(target) else {
+            return Ok(connection);
+        };
+        if let Some(transaction) = &mut self.transaction {
+            // The rollback needs it.
+            transaction.connection = Some(connection);
+        }
+        Err(failure)
+    }
+
     /// Takes the connection of the transaction; if it has none yet, acquires one and begins the
     /// transaction on it.
     async fn pinned_connection(
@@ -247,6 +267,10 @@
                 mut connection,
                 min_position,
             } = acquired;
+            if let Err(failure) = confirm_owner(target) {
+                connection.release();
+                return Err(failure);
+            }
             let begin = Statement::Begin {
                 id: id.as_ref(),
                 min_position,
@@ -288,8 +312,8 @@
         let target = Rc::clone(&transaction.target);
         let wrote = transaction.wrote;
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
-        let pinned = self.pinned_connection(&target, deadline).await;
-        let reply = match pinned {
+        let confirmed = self.confirmed_connection(&target, deadline).await;
+        let reply = match confirmed {
             Ok(connection) => {
                 self.commit_on(connection, &target, request, wrote, deadline)
                     .await
@@ -348,6 +372,12 @@
     }
 }
 
+/// Checks that the caller's key still belongs to the organisation that began the transaction.
+fn confirm_owner<D: Dialect>(target: &ResolvedRoute<D>) -> Result<(), Failure> {
+    let confirmed = target.confirm_owner();
+    confirmed.map_err(|cause| Failure::new(Code::Aborted, cause.to_string()))
+}
+
 /// Failure of a commit that was sent and got no response.
 fn unanswered_commit(wrote: bool, cause: &str) -> Failure {
     let code = match wrote {
