Ask callers of the PostgreSQL protocol for the keys of organisations

Cause: the engine for the PostgreSQL protocol let every caller in, whatever organisations the configuration holds.

Change: where the configuration has organisations, the key is the caller's password. Leasing moved out of request.rs and the settings of a session out of session.rs. Requests run as the proxy's own user at the databases still.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -112,6 +112,12 @@
         self.notify_all_groups();
     }
 
+    /// Whether callers that use a service by its own name need a key.
+    #[must_use]
+    pub fn asks_for_keys(&self) -> bool {
+        self.config.borrow().identities.needs_key(false)
+    }
+
     /// Records that no newer configuration was in force at `at` by [`base::clock`].
     pub(crate) fn record_current(&self, at: Option<Instant>) {
         let mut config = self.config.borrow_mut();
@@ -119,38 +125,43 @@
     }
 
     /// Identifies the organisation of a caller that sent `key`; `None` where callers need no key.
-    /// `now` is by [`base::clock`].
+    /// Without a `route` the caller uses a service by its own name, which is not public. `now` is by
+    /// [`base::clock`].
     ///
     /// # Errors
     /// The key belongs to no organisation of the configuration in force, or can't be checked.
     pub fn identify(
         &self,
-        route: &Route,
+        route: Option<&Route>,
         key: Option<&KeyDigest>,
         now: Instant,
     ) -> Result<Option<Rc<Organisation>>, Refused> {
         let config = self.config.borrow();
+        let public = route.is_some_and(|route| route.public);
         let current = self.settings.keys.validity().holds(config.current_at, now);
-        let known = config.identities.admit(route.public, key, current);
+        let known = config.identities.admit(public, key, current);
         known.inspect_err(|cause| self.count_refused_key(*cause))
     }
 
     /// Checks that an operation which started for the organisation `owner` may go on; `None` stands
-    /// for a caller that needed no key. `now` is by [`base::clock`].
+    /// for a caller that needed no key. `route` and `now` are as in [`Self::identify`].
     ///
     /// # Errors
     /// The key no longer belongs to that organisation, or can't be checked.
     pub fn confirm_owner(
         &self,
-        route: &Route,
+        route: Option<&Route>,
         key: Option<&KeyDigest>,
         owner: Option<&str>,
         now: Instant,
     ) -> Result<(), Refused> {
         let config = self.config.borrow();
         let current = self.settings.keys.validity().holds(config.current_at, now);
-        let in_force = config.routes.get(&route.name);
-        let public = in_force.map_or(route.public, |route| route.public);
+        let in_force = route.map(|route| {
+            let in_force = config.routes.get(&route.name);
+            in_force.map_or(route, |route| &**route)
+        });
+        let public = in_force.is_some_and(|route| route.public);
         let confirmed = config.identities.confirm(public, key, current, owner);
         confirmed.inspect_err(|cause| self.count_refused_key(*cause))
     }
--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -6,7 +6,12 @@
     time::{Duration, Instant},
 };
 
-use base::{MemberName, Position, Term, document::Service};
+use base::{
+    MemberName, Position, Term,
+    document::Service,
+    organisation::{KeyDigest, Organisation},
+};
+use identity::Refused;
 
 use crate::refusal::Refusal;
 
@@ -53,6 +58,21 @@
     /// Finds a service of the configuration in force.
     fn service(&self, name: &str) -> Option<Rc<Service>>;
 
+    /// Whether callers need the key of an organisation.
+    fn needs_key(&self) -> bool;
+
+    /// Identifies the organisation of a caller that sent `key`; `None` where callers need no key.
+    ///
+    /// # Errors
+    /// The key is missing or unknown, or can't be checked.
+    fn identify(&self, key: Option<&KeyDigest>) -> Result<Option<Rc<Organisation>>, Refused>;
+
+    /// Checks that the caller that sent `key` still belongs to the organisation `owner`.
+    ///
+    /// # Errors
+    /// It does not, or its key can't be checked.
+    fn confirm_owner(&self, key: Option<&KeyDigest>, owner: Option<&str>) -> Result<(), Refused>;
+
     /// Acquires a connection to a member that is fresh enough for a read, preferably a replica.
     ///
     /// Returns the position that the session's token must cover from now on: the requested token,
--- a/crates/entry/src/login.rs
+++ b/crates/entry/src/login.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::{Map, document::digest};
+use base::{Map, document::digest, organisation::KeyDigest};
 use compio::{BufResult, io::AsyncWriteExt, net::TcpStream};
 use subtle::ConstantTimeEq;
 use wire::{Cursor, InitialMessage, Reader, WireError, Writer, reply};
@@ -12,7 +12,8 @@
     options::Auth,
     parameters::{self, ApplicationName, Parameters},
     refusal::Refusal,
-    session::{Session, SessionSettings},
+    session::Session,
+    session_settings::SessionSettings,
     shared::Shared,
 };
 
@@ -22,6 +23,7 @@
 const MAX_ENCRYPTION_REQUESTS: usize = 2;
 /// Prefix of startup parameters that request protocol options, none of which is supported.
 const PROTOCOL_OPTION_PREFIX: &str = "_pq_.";
+const KEY_HINT: &str = "give a key of your organisation as the password";
 /// Parameters that drivers expect at login, with values that are the same for every database.
 const REPORTED_PARAMETERS: &[(&str, &str)] = &[
     ("server_version", "16.0"),
@@ -153,9 +155,20 @@
             "give a user name",
         ));
     };
-    if let Auth::Password(users) = &shared.options.auth {
-        check_password(users, user, reader, writer).await?;
-    }
+    let key = if shared.fleet.needs_key() {
+        let key = KeyDigest::of(read_password(reader, writer).await?.as_bytes());
+        if let Err(cause) = shared.fleet.identify(Some(&key)) {
+            let refusal = Refusal::Key(cause);
+            return Err(LoginError(refusal.sqlstate(), cause.to_string(), KEY_HINT));
+        }
+        Some(key)
+    } else {
+        if let Auth::Password(users) = &shared.options.auth {
+            let password = read_password(reader, writer).await?;
+            check_password(users, user, &password)?;
+        }
+        None
+    };
     let database = startup.get("database").unwrap_or(user);
     let Some(service) = shared.fleet.service(database) else {
         let refusal = Refusal::UnknownService(database.clone());
@@ -168,6 +181,7 @@
     let mut settings = SessionSettings {
         service: service.name.as_str().into(),
         message_bytes: service.limits.message_bytes as usize,
+        key,
         parameters: Parameters::default(),
         user: user.as_str().into(),
         application_name: ApplicationName::default(),
@@ -244,19 +258,23 @@
     }
 }
 
-async fn check_password(
-    users: &Map<String, String>,
-    user: &str,
-    reader: &mut Reader,
-    writer: &mut Writer,
-) -> Result<(), LoginError> {
+/// Asks for a password in clear text.
+async fn read_password(reader: &mut Reader, writer: &mut Writer) -> Result<String, LoginError> {
     writer.parts(b'R', &3_i32.to_be_bytes());
     writer.flush().await?;
     let frame = reader.next().await?.ok_or(WireError::ConnectionClosed)?;
     if frame.tag != b'p' {
         return Err(WireError::Malformed("a password was expected").into());
     }
-    let given_digest = digest(Cursor::new(&frame.body).text()?);
+    Ok(Cursor::new(&frame.body).text()?.to_owned())
+}
+
+fn check_password(
+    users: &Map<String, String>,
+    user: &str,
+    password: &str,
+) -> Result<(), LoginError> {
+    let given_digest = digest(password);
     // The comparison takes as long for an unknown user, so that timing doesn't reveal user names.
     let stored_digest = users.get(user).map_or("", String::as_str);
     let padded = format!("{stored_digest:0<64}");
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 
+use identity::Refused;
+
 /// Why a request was not run, or not acknowledged.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Refusal {
@@ -19,6 +21,9 @@
     QueueFull,
     /// The service with this name is unknown, or there is no configuration yet.
     UnknownService(String),
+    /// The caller's key is unknown, can't be checked, or belongs to another organisation than at the
+    /// start of the transaction.
+    Key(Refused),
     /// The request may have run; the text gives the cause.
     OutcomeUnknown(String),
     /// The key was used before: the first outcome was a failure, or it belongs to another
@@ -42,6 +47,8 @@
             Self::Rule(_) => "ZN005",
             Self::QueueFull => "ZN006",
             Self::UnknownService(_) => "ZN007",
+            Self::Key(Refused::UnknownKey) => "28P01",
+            Self::Key(Refused::Outdated | Refused::Moved) => "ZN008",
             Self::OutcomeUnknown(_) => "ZU001",
             Self::KeyUsed(_) => "ZF001",
         }
@@ -66,6 +73,7 @@
             Self::UnknownService(name) => {
                 write!(f, "not run: no service {name} in the configuration")
             }
+            Self::Key(cause) => write!(f, "not run: {cause}"),
             Self::OutcomeUnknown(cause) => write!(f, "unknown: the request may have run: {cause}"),
             Self::KeyUsed(cause) => write!(f, "run and failed before: {cause}"),
         }
@@ -73,3 +81,9 @@
 }
 
 impl std::error::Error for Refusal {}
+
+impl From<Refused> for Refusal {
+    fn from(cause: Refused) -> Self {
+        Self::Key(cause)
+    }
+}
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -17,7 +17,7 @@
 use crate::{
     answer::{Answer, Delivery, ExchangeError, Forwarder, flush_by, position},
     batch::Batch,
-    fleet::{Fleet, Lease, ReadRequirement},
+    fleet::{Fleet, Lease},
     keyed::run_queries,
     refusal::Refusal,
     registry::{self, CancelTarget},
@@ -232,6 +232,7 @@
         info: &RequestInfo,
     ) -> Result<bool, RequestError> {
         let service = self.service()?;
+        self.check_key()?;
         let limit = self
             .settings
             .parameters
@@ -372,43 +373,6 @@
         true
     }
 
-    /// Leases a connection that may run the request.
-    pub(crate) async fn lease(
-        &mut self,
-        service: &Service,
-        primary: bool,
-        deadline: Instant,
-    ) -> Result<F::Lease, RequestError> {
-        let cancelled = || {
-            let text = "not run: cancelled while it waited for a connection";
-            RequestError::Error("57014", text.to_owned())
-        };
-        let slot = &self.registration.slot;
-        if primary {
-            let acquiring = self.shared.fleet.write(service, deadline);
-            let lease = slot
-                .unless_cancelled(acquiring)
-                .await
-                .ok_or_else(cancelled)?;
-            return Ok(lease?);
-        }
-        let parameters = &self.settings.parameters;
-        let max_age_limit = Duration::from_millis(service.freshness.max_age_ms);
-        let requirement = ReadRequirement {
-            token: parameters.token,
-            max_age: parameters.max_age.map(|age| age.min(max_age_limit)),
-            since: self.started_at,
-            deadline,
-        };
-        let acquiring = self.shared.fleet.read(service, requirement);
-        let outcome = slot.unless_cancelled(acquiring).await;
-        let (lease, token) = outcome.ok_or_else(cancelled)??;
-        if token.is_some() {
-            self.settings.parameters.token = token;
-        }
-        Ok(lease)
-    }
-
     /// Applies the parameters of this session to a connection, unless they are in effect there
     /// already.
     pub(crate) async fn apply_settings(
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -5,7 +5,13 @@
     time::{Duration, Instant},
 };
 
-use base::{MemberName, Position, Set, Term, Version, document::Service, fault::disabled};
+use base::{
+    MemberName, Position, Set, Term, Version,
+    document::Service,
+    fault::disabled,
+    organisation::{KeyDigest, Organisation},
+};
+use identity::Refused;
 use rand::RngExt as _;
 use route::{
     AckBounds, Health, Location,
@@ -33,6 +39,18 @@
         self.find_service(name)
     }
 
+    fn needs_key(&self) -> bool {
+        self.asks_for_keys()
+    }
+
+    fn identify(&self, key: Option<&KeyDigest>) -> Result<Option<Rc<Organisation>>, Refused> {
+        Self::identify(self, None, key, base::clock::now())
+    }
+
+    fn confirm_owner(&self, key: Option<&KeyDigest>, owner: Option<&str>) -> Result<(), Refused> {
+        Self::confirm_owner(self, None, key, owner, base::clock::now())
+    }
+
     async fn read(
         &self,
         service: &Service,
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -7,6 +7,7 @@
     time::{Duration, Instant},
 };
 
+use base::organisation::Organisation;
 use bytes::BytesMut;
 use compio::time::{sleep, timeout, timeout_at};
 use futures_util::future::{Either, FusedFuture, FutureExt, select};
@@ -17,10 +18,11 @@
     answer::flush_by,
     batch::encode_message,
     fleet::{Fleet, Lease},
-    parameters::{self, APPLICATION_NAME, ApplicationName, Parameters},
+    parameters::{self, APPLICATION_NAME},
     record::{Replay, TransactionRecord},
     registry::Registration,
     request::{Request, RequestInfo},
+    session_settings::SessionSettings,
     shared::Shared,
     statements::Names,
 };
@@ -29,53 +31,6 @@
 /// Three fit into the time after which the upstream ends an idle transaction.
 pub(crate) const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_500);
 
-/// Settings of a session, established at login.
-#[derive(Debug)]
-pub struct SessionSettings {
-    /// Service that the caller is connected to.
-    pub service: Box<str>,
-    /// Largest message that the caller may send, in bytes.
-    pub message_bytes: usize,
-    /// User that the caller logged in as.
-    pub user: Box<str>,
-    /// Value of `application_name`.
-    pub application_name: ApplicationName,
-    /// Parameters of the proxy itself, `goldcrestrail.*`.
-    pub parameters: Parameters,
-    /// Other parameters by name, each with the `SET` statement for a pooled connection.
-    pub set_statements: Vec<(String, String)>,
-    /// All of `set_statements` as one script. A connection must have run it before it runs a
-    /// request.
-    pub set_script: String,
-}
-
-impl SessionSettings {
-    /// Records parameters that were set, each with its statement, or `None` for a reset to the
-    /// default.
-    pub fn update_set_statements(&mut self, set_statements: &[(String, Option<String>)]) {
-        for (name, statement) in set_statements {
-            if name == "all" {
-                self.set_statements.clear();
-                self.application_name.set(None);
-                // The token is kept: without it the caller might not read its own writes.
-                self.parameters = Parameters {
-                    token: self.parameters.token,
-                    ..Parameters::default()
-                };
-            }
-            self.set_statements.retain(|(existing, _)| existing != name);
-            if let Some(statement) = statement {
-                self.set_statements.push((name.clone(), statement.clone()));
-            }
-        }
-        self.set_script.clear();
-        for (i, (_, statement)) in self.set_statements.iter().enumerate() {
-            self.set_script.push_str(if i == 0 { "" } else { "; " });
-            self.set_script.push_str(statement);
-        }
-    }
-}
-
 /// An open transaction, pinned to its connection.
 #[derive(Debug)]
 pub struct OpenTransaction<L> {
@@ -125,6 +80,9 @@
 /// A caller's session.
 pub struct Session<F: Fleet> {
     pub(crate) settings: SessionSettings,
+    /// Organisation that the current request or transaction runs for; `None` where callers need no
+    /// key.
+    pub(crate) owner: Option<Rc<Organisation>>,
     pub(crate) reader: Reader,
     pub(crate) writer: Writer,
     pub(crate) registration: Registration,
@@ -157,6 +115,7 @@
     ) -> Self {
         Self {
             settings,
+            owner: None,
             reader,
             writer,
             registration,
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -11,12 +11,14 @@
 use base::{
     MemberName, Position, Set, Term,
     document::{Document, Service},
+    organisation::{KeyDigest, Organisation},
 };
 use compio::{net::TcpStream, time::sleep};
 use entry::{
     fleet::{Fleet, Lease, ReadRequirement},
     refusal::Refusal,
 };
+use identity::{Identities, Refused};
 use wire::Client;
 
 use super::upstream::{Store, Upstream};
@@ -34,6 +36,8 @@
 
 pub struct FakeFleet {
     pub service: RefCell<Rc<Service>>,
+    /// Organisations in force; none at first.
+    pub identities: RefCell<Identities>,
     pub store: Rc<Store>,
     pub primary: Rc<Upstream>,
     pub replica: Rc<Upstream>,
@@ -106,6 +110,7 @@
         let replica = Upstream::start(&store, true).await;
         Self {
             service: RefCell::new(Rc::new(document.services[0].clone())),
+            identities: RefCell::default(),
             store,
             primary,
             replica,
@@ -196,6 +201,19 @@
         (name == "orders").then(|| Rc::clone(&self.service.borrow()))
     }
 
+    fn needs_key(&self) -> bool {
+        self.identities.borrow().needs_key(false)
+    }
+
+    fn identify(&self, key: Option<&KeyDigest>) -> Result<Option<Rc<Organisation>>, Refused> {
+        self.identities.borrow().admit(false, key, true)
+    }
+
+    fn confirm_owner(&self, key: Option<&KeyDigest>, owner: Option<&str>) -> Result<(), Refused> {
+        let identities = self.identities.borrow();
+        identities.confirm(false, key, true, owner)
+    }
+
     async fn read(
         &self,
         _service: &Service,
--- a/crates/entry/tests/common/mod.rs
+++ b/crates/entry/tests/common/mod.rs
@@ -59,6 +59,19 @@
     /// Logs a caller in with additional startup parameters; returns the frames received if it is
     /// refused.
     pub async fn caller_with(&self, parameters: &[(&str, &str)]) -> Result<Caller, Vec<Frame>> {
+        self.log_in(parameters, None).await
+    }
+
+    /// Logs a caller in with a password; returns the frames received if it is refused.
+    pub async fn caller_with_password(&self, password: &str) -> Result<Caller, Vec<Frame>> {
+        self.log_in(&[], Some(password)).await
+    }
+
+    async fn log_in(
+        &self,
+        parameters: &[(&str, &str)],
+        password: Option<&str>,
+    ) -> Result<Caller, Vec<Frame>> {
         let write = self.stream().await;
         let read = write.clone();
         let mut client = Client {
@@ -79,6 +92,10 @@
         let length = i32::try_from(body.len() + 4).unwrap();
         client.writer.bytes(&length.to_be_bytes());
         client.writer.bytes(&body);
+        if let Some(password) = password {
+            let body = format!("{password}\0");
+            client.writer.parts(b'p', body.as_bytes());
+        }
         client.writer.flush().await.unwrap();
         let mut frames = Vec::new();
         while let Ok(Some(frame)) = client.reader.next().await {
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -195,7 +195,7 @@
             && let Err(cause) =
                 self.shared
                     .network
-                    .identify(&route, self.key.as_ref(), base::clock::now())
+                    .identify(Some(&route), self.key.as_ref(), base::clock::now())
         {
             return Reply::failed(cause.into(), TransactionState::Idle);
         }
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -125,7 +125,7 @@
             return;
         };
         let (key, now) = (login.key.as_ref(), base::clock::now());
-        if let Err(cause) = shared.network.identify(&route, key, now) {
+        if let Err(cause) = shared.network.identify(Some(&route), key, now) {
             let _left = caller.refuse(&cause.into()).await;
             return;
         }
@@ -327,7 +327,7 @@
         let unknown = || Failure::new(Code::NoRoute, self.route_name.as_str());
         let route = network.find_route(&self.route_name).ok_or_else(unknown)?;
         let service = network.find_service(&route.service).ok_or_else(unknown)?;
-        let organisation = network.identify(&route, self.key.as_ref(), base::clock::now())?;
+        let organisation = network.identify(Some(&route), self.key.as_ref(), base::clock::now())?;
         let group = network.use_group(&service, Instant::now());
         if let Some(record) = group.current() {
             self.context.term = record.term;
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -92,7 +92,7 @@
     /// while the operation waited.
     pub(crate) fn confirm_owner(&self) -> Result<(), Refused> {
         let (network, now) = (&self.shared.network, base::clock::now());
-        network.confirm_owner(&self.route, self.key.as_ref(), self.owner(), now)
+        network.confirm_owner(Some(&self.route), self.key.as_ref(), self.owner(), now)
     }
 }
 
