--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -39,6 +39,8 @@
         configure(&harness, &[("acme", "k1")]);
 
         let refused = harness.caller_with_password(key).await.err().unwrap();
+        let mut known = harness.caller_with_password("k1").await.unwrap();
+        let served = known.query("SELECT 1").await;
 
         let error = refused.last().unwrap();
         assert_eq!(error.sqlstate(), Some("28P01"));
@@ -48,7 +50,7 @@
                 .unwrap()
                 .contains("belongs to no organisation")
         );
-        assert!(harness.caller_with_password("k1").await.is_ok());
+        assert_eq!(served.rows(), ["1"]);
     });
 }
 
