--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -59,6 +59,8 @@
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
         let mut tried = Set::default();
         let mut last_failure = Failure::new(Code::Busy, "no database could take it in time");
+        // Failure of an attempt that may have run.
+        let mut ran = None;
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let attempt = match pending.kind {
@@ -67,11 +69,15 @@
             };
             match attempt {
                 Attempt::Done(reply) => return reply,
-                Attempt::Retry(failure) => last_failure = failure,
-                // An earlier attempt that ran must not be reported as not run.
-                Attempt::Refused(_) if !last_failure.code.not_run() => break,
+                Attempt::Retry(failure) => {
+                    if !failure.code.not_run() {
+                        ran = Some(failure.clone());
+                    }
+                    last_failure = failure;
+                }
+                // A refusal would tell that the statement has not run.
                 Attempt::Refused(failure) => {
-                    return Reply::failed(failure, TransactionState::Idle);
+                    return Reply::failed(ran.unwrap_or(failure), TransactionState::Idle);
                 }
             }
         }
