--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -116,6 +116,14 @@
 
     /// Checks the values. The cause of an invalid one is one sentence, and so is the fix.
     ///
+    /// ```
+    /// use entry::settings::Keys;
+    ///
+    /// assert!(Keys { strict: true, bound_ms: 5_000 }.check().is_ok());
+    /// assert!(Keys { strict: true, bound_ms: 0 }.check().is_err());
+    /// assert!(Keys { strict: false, bound_ms: 0 }.check().is_ok());
+    /// ```
+    ///
     /// # Errors
     /// Keys are strict, and the bound is too short.
     pub const fn check(&self) -> Result<(), (&'static str, &'static str)> {
