--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -41,6 +41,8 @@
     Done(Reply),
     /// The attempt failed and may be repeated.
     Retry(Failure),
+    /// The attempt was not made, and must not be repeated.
+    Refused(Failure),
 }
 
 impl<C: Caller, D: Dialect> Session<C, D>
@@ -57,6 +59,8 @@
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
         let mut tried = Set::default();
         let mut last_failure = Failure::new(Code::Busy, "no database could take it in time");
+        // Failure of an attempt that may have run.
+        let mut ran = None;
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let attempt = match pending.kind {
@@ -65,7 +69,16 @@
             };
             match attempt {
                 Attempt::Done(reply) => return reply,
-                Attempt::Retry(failure) => last_failure = failure,
+                Attempt::Retry(failure) => {
+                    if !failure.code.not_run() {
+                        ran = Some(failure.clone());
+                    }
+                    last_failure = failure;
+                }
+                // A refusal would tell that the statement has not run.
+                Attempt::Refused(failure) => {
+                    return Reply::failed(ran.unwrap_or(failure), TransactionState::Idle);
+                }
             }
         }
         Reply::failed(last_failure, TransactionState::Idle)
@@ -94,6 +107,10 @@
             mut connection,
             min_position,
         } = acquired;
+        if let Err(cause) = target.confirm_owner() {
+            connection.release();
+            return Attempt::Refused(cause.into());
+        }
         let primary = connection.primary();
         self.context.member.clone_from(connection.member());
         let sent = base::clock::now();
@@ -163,6 +180,10 @@
                 ));
             }
         };
+        if let Err(cause) = target.confirm_owner() {
+            connection.release();
+            return Attempt::Refused(cause.into());
+        }
         let term = connection.primary().unwrap_or_default();
         self.context.member.clone_from(connection.member());
         let sent = SentCommit::now(target);
