--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -259,6 +259,8 @@
                 one.set_slots(announced.slots);
                 one.set_leaving(announced.leaving);
                 one.set_age(*age);
+                one.set_sequence(announced.sequence);
+                one.set_born(announced.born);
             }
         }
         Ok(())
@@ -461,6 +463,8 @@
             connections: 4,
             slots: 4,
             leaving: false,
+            sequence: 0,
+            born: 0,
         }
     }
 }
