@@ -26750,61 +28388,130 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 114] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(106, 179, 230, 19, 200, 56, 172, 132),
-                ::capnp::word(28, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(62, 125, 63, 248, 197, 121, 105, 128),
+                ::capnp::word(28, 0, 0, 0, 1, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 106, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 87, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
                 ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 67, 111, 110, 116),
-                ::capnp::word(114, 111, 108, 46, 99, 97, 110, 99),
-                ::capnp::word(101, 108, 36, 80, 97, 114, 97, 109),
-                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(114, 111, 108, 46, 108, 101, 110, 100),
+                ::capnp::word(82, 97, 116, 101, 115, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 34, 0, 0, 0),
+                ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(157, 0, 0, 0, 34, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(112, 105, 100, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(161, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(169, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(164, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(176, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(115, 101, 99, 114, 101, 116, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(173, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(5, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(177, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(172, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(101, 110, 116, 114, 121, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 117, 110, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 113, 117, 101, 110, 99, 101),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 100, 101, 114, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(102, 117, 108, 108, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 115, 107, 115, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(126, 32, 166, 127, 111, 242, 212, 163),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <i32 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <i32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    5 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::rate_ask::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -26823,14 +28530,14 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
-            pub(crate) const TYPE_ID: u64 = 0x84ac_38c8_13e6_b36a;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 0, 4, 3, 1, 2];
+            pub(crate) const TYPE_ID: u64 = 0x8069_79c5_f83f_7d3e;
         }
     }
 
-    pub mod cancel_results {
+    pub mod lend_rates_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned {
@@ -26929,7 +28636,7 @@
             }
         }
 
-        impl Reader<'_> {
+        impl<'a> Reader<'a> {
             pub fn reborrow(&self) -> Reader<'_> {
                 Self { ..*self }
             }
@@ -26938,8 +28645,23 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_reached(self) -> u32 {
-                self.reader.get_data_field::<u32>(0)
+            pub fn get_term(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_grants(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::goldcrestrail_capnp::rate_grant::Owned>,
+            > {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_grants(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
@@ -26950,7 +28672,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 1,
-                    pointers: 0,
+                    pointers: 1,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -27038,12 +28760,52 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_reached(self) -> u32 {
-                self.builder.get_data_field::<u32>(0)
+            pub fn get_term(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn set_reached(&mut self, value: u32) {
-                self.builder.set_data_field::<u32>(0, value);
+            pub fn set_term(&mut self, value: u64) {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_grants(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::rate_grant::Owned>,
+            > {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_grants(
+                &mut self,
+                value: ::capnp::struct_list::Reader<
+                    '_,
+                    crate::goldcrestrail_capnp::rate_grant::Owned,
+                >,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(0),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_grants(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::goldcrestrail_capnp::rate_grant::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(0),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_grants(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -27059,45 +28821,65 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 53] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(161, 45, 139, 149, 212, 86, 92, 243),
+                ::capnp::word(162, 66, 4, 73, 234, 133, 85, 161),
                 ::capnp::word(28, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
                 ::capnp::word(116, 114, 97, 105, 108, 46, 99, 97),
                 ::capnp::word(112, 110, 112, 58, 67, 111, 110, 116),
-                ::capnp::word(114, 111, 108, 46, 99, 97, 110, 99),
-                ::capnp::word(101, 108, 36, 82, 101, 115, 117, 108),
-                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(114, 111, 108, 46, 108, 101, 110, 100),
+                ::capnp::word(82, 97, 116, 101, 115, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(114, 101, 97, 99, 104, 101, 100, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(68, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(116, 101, 114, 109, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 115, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(103, 57, 84, 38, 96, 77, 170, 186),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::struct_list::Owned<crate::goldcrestrail_capnp::rate_grant::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -27116,10 +28898,10 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xf35c_56d4_958b_2da1;
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xa155_85ea_4904_42a2;
         }
     }
 }
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -5,6 +5,7 @@
 //! gives every request a final reply before its deadline. The traits [`Caller`] and
 //! [`StatementClient`] abstract the protocols to callers and databases.
 
+mod admission;
 pub mod caller;
 pub mod command;
 pub mod connection_state;
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -7,6 +7,7 @@
     dialect::Dialect,
     member::Member,
     pool::{PoolError, PooledConn},
+    rates::Operation,
     refusal::Refusal,
 };
 use route::AckBounds;
@@ -55,13 +56,24 @@
         start: Instant,
     ) -> Reply {
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
+        let mut operation = match target.admit(deadline).await {
+            Ok(operation) => operation,
+            Err(failure) => return Reply::failed(failure, TransactionState::Idle),
+        };
         let mut tried = Set::default();
         let mut last_failure = Failure::new(Code::Busy, "no database could take it in time");
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let attempt = match pending.kind {
-                StatementKind::Read => self.try_read(target, pending, &mut tried, deadline).await,
-                StatementKind::Write => self.try_write(target, pending, deadline).await,
+                StatementKind::Read => {
+                    let (tried, operation) = (&mut tried, &mut operation);
+                    self.try_read(target, pending, tried, operation, deadline)
+                        .await
+                }
+                StatementKind::Write => {
+                    self.try_write(target, pending, &mut operation, deadline)
+                        .await
+                }
             };
             match attempt {
                 Attempt::Done(reply) => return reply,
@@ -76,6 +88,7 @@
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
         tried: &mut Set<MemberName>,
+        operation: &mut Operation<D>,
         deadline: Instant,
     ) -> Attempt {
         let acquired = match self.acquire_for_read(target, tried, deadline).await {
@@ -96,6 +109,13 @@
         } = acquired;
         let primary = connection.primary();
         self.context.member.clone_from(connection.member());
+        if let Err(refusal) = operation.count() {
+            connection.release();
+            return Attempt::Done(Reply::failed(
+                refusal_failure(&refusal),
+                TransactionState::Idle,
+            ));
+        }
         let sent = base::clock::now();
         let shared = &self.shared;
         let result = shared
@@ -111,6 +131,7 @@
             Ok(response) => response,
             Err(error) => {
                 tried.insert(connection.member().clone());
+                operation.note_run();
                 return Attempt::Retry(unanswered_failure(&error, StatementKind::Read));
             }
         };
@@ -127,6 +148,7 @@
             }
             // A read has no side effects, so it is retried on another database.
             Err(failure) if failure.code == Code::Failed && tried.insert(name) => {
+                operation.note_run();
                 return Attempt::Retry(failure.clone());
             }
             Err(failure) => {
@@ -136,6 +158,7 @@
         if let Some(term) = primary {
             // A former primary may have returned stale data.
             if let Err(cause) = target.confirm_term(term, deadline).await {
+                operation.note_run();
                 return Attempt::Retry(Failure::new(Code::Busy, cause));
             }
             target.record_position(sent, response.position);
@@ -147,6 +170,7 @@
         &mut self,
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
+        operation: &mut Operation<D>,
         deadline: Instant,
     ) -> Attempt {
         let shared = &self.shared;
@@ -165,6 +189,13 @@
         };
         let term = connection.primary().unwrap_or_default();
         self.context.member.clone_from(connection.member());
+        if let Err(refusal) = operation.count() {
+            connection.release();
+            return Attempt::Done(Reply::failed(
+                refusal_failure(&refusal),
+                TransactionState::Idle,
+            ));
+        }
         let sent = SentCommit::now(target);
         let result = shared
             .run(
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -225,6 +225,7 @@
         }
         let (id, text) = (transaction.request_id.clone(), transaction.begin.clone());
         let read_only = transaction.read_only;
+        let mut operation = target.admit(deadline).await?;
         let replica_allowed = read_only && target.route.reads != ReadConsistency::Latest;
         let mut tried = Set::default();
         let mut error = Failure::new(Code::Busy, "no database could take it in time");
@@ -247,6 +248,10 @@
                 mut connection,
                 min_position,
             } = acquired;
+            if let Err(refusal) = operation.count() {
+                connection.release();
+                return Err(refusal_failure(&refusal));
+            }
             let begin = Statement::Begin {
                 id: id.as_ref(),
                 min_position,
