--- a/crates/entry/src/rates.rs
+++ b/crates/entry/src/rates.rs
@@ -194,14 +194,16 @@
             .map(|organisation| (org_id(&organisation.name), organisation.name.clone()))
             .collect();
         let holder = self.rates.holder.borrow();
-        let shares = holder.shares().map(|(org, share, tokens)| {
-            json!({
-                "organisation": names.get(&org),
-                "rate": f64::from(share.rate) / 1e3,
-                "depth": f64::from(share.depth) / 1e3,
-                "tokens": f64::from(tokens) / 1e3,
-            })
-        });
+        let shares = holder
+            .shares(base::clock::now())
+            .map(|(org, share, tokens)| {
+                json!({
+                    "organisation": names.get(&org),
+                    "rate": f64::from(share.rate) / 1e3,
+                    "depth": f64::from(share.depth) / 1e3,
+                    "tokens": f64::from(tokens) / 1e3,
+                })
+            });
         shares.collect()
     }
 }
--- a/crates/rate/src/bucket.rs
+++ b/crates/rate/src/bucket.rs
@@ -144,6 +144,10 @@
         self.reserved > 0
     }
 
+    pub(crate) fn is_in_force(&self, now: Instant) -> bool {
+        now < self.until && !self.share.is_zero()
+    }
+
     /// Adds operations that may run until `until`.
     pub(crate) fn add_instant(&mut self, operations: u32, until: Instant) {
         self.instant = self.instant.saturating_add(operations);
--- a/crates/rate/src/holder.rs
+++ b/crates/rate/src/holder.rs
@@ -143,10 +143,11 @@
         self.len() == 0
     }
 
-    /// Shares held, with the tokens in their buckets.
-    pub fn shares(&self) -> impl Iterator<Item = (OrgId, Share, u32)> {
+    /// Shares in force at `now`, with the tokens that their buckets last held.
+    pub fn shares(&self, now: Instant) -> impl Iterator<Item = (OrgId, Share, u32)> {
         let buckets = self.buckets.iter();
-        buckets.map(|(org, bucket)| (*org, bucket.share, bucket.tokens()))
+        let in_force = buckets.filter(move |(_, bucket)| bucket.is_in_force(now));
+        in_force.map(|(org, bucket)| (*org, bucket.share, bucket.tokens()))
     }
 
     /// Composes the next call, which is sent at `now`. The answers to earlier calls are void. It names
--- a/crates/rate/tests/common/mod.rs
+++ b/crates/rate/tests/common/mod.rs
@@ -4,7 +4,10 @@
 
 use base::{organisation::RateLimit, rates::Rates};
 use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
-use rate::{Admission, Answer, Call, DEPOSED_WITHIN, Holder, HolderId, Ledger, OrgId, capacity};
+use rate::{
+    Admission, Answer, Call, DEPOSED_WITHIN, Holder, HolderId, Ledger, OrgId, Share, capacity,
+    lendable,
+};
 
 /// Resolution of the time of these tests.
 pub const STEP: Duration = Duration::from_millis(20);
@@ -255,14 +258,33 @@
         worst
     }
 
-    fn bound(&self, start: Instant, end: Instant, rates: &Rates) -> f64 {
+    /// Sum of the shares in force, and the bound on it.
+    pub fn lent(&self) -> (Share, Share) {
+        let processes = self.processes.iter();
+        let shares = processes.flat_map(|process| process.holder.shares(self.now));
+        let sum = shares.fold(Share::default(), |sum, (_, share, _)| Share {
+            rate: sum.rate + share.rate,
+            depth: sum.depth + share.depth,
+        });
+        let limits = self.limits_since(self.now, self.now);
+        let bounds = limits.map(|limit| lendable(capacity(limit, &Rates::default())));
+        (sum, bounds.fold(Share::default(), Share::max))
+    }
+
+    /// Limits in force between a term before `start` and `end`.
+    fn limits_since(&self, start: Instant, end: Instant) -> impl Iterator<Item = RateLimit> {
         let since = start.checked_sub(rate::TAKEOVER).unwrap_or(self.start);
-        let window = Duration::from_secs_f64(rates.window_s);
         let ends = self.limits.iter().skip(1).map(|(at, _)| Some(*at));
         let spans = self.limits.iter().zip(ends.chain([None]));
         let in_force =
-            spans.filter(|((from, _), to)| *from < end && to.is_none_or(|to| to > since));
-        let allowed = in_force.map(|((_, limit), _)| limit.allowed_in(window));
+            spans.filter(move |((from, _), to)| *from <= end && to.is_none_or(|to| to > since));
+        in_force.map(|((_, limit), _)| *limit)
+    }
+
+    fn bound(&self, start: Instant, end: Instant, rates: &Rates) -> f64 {
+        let window = Duration::from_secs_f64(rates.window_s);
+        let limits = self.limits_since(start, end);
+        let allowed = limits.map(|limit| limit.allowed_in(window));
         let allowed = allowed.fold(0.0, f64::max);
         allowed * (1.0 + rates.overage) + f64::from(rates.slack)
     }
--- a/crates/rate/tests/limits.rs
+++ b/crates/rate/tests/limits.rs
@@ -26,6 +26,8 @@
             expected -= 1.0;
         }
         world.step();
+        let (lent, bound) = world.lent();
+        assert_eq!(lent.max(bound), bound, "more is lent than the limit allows");
     }
 }
 
@@ -179,7 +181,7 @@
     fn no_window_exceeds_the_limit(
         seed: u64,
         processes in 2_usize..9,
-        limits in [(1_u32..60, 1_u32..60), (1_u32..60, 1_u32..60)],
+        limits in [(1_u32..300, 1_u32..300), (1_u32..300, 1_u32..300)],
         load in 0.3..8.0,
         loss in 0.0..0.4,
         delay in 1_u64..400,
