--- a/crates/rate/tests/common/mod.rs
+++ b/crates/rate/tests/common/mod.rs
@@ -17,6 +17,8 @@
 const CALL_GAP: Duration = Duration::from_millis(60);
 /// Time after which a process gives up a call without an answer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time that a message is under way.
+const LONGEST_DELAY: Duration = Duration::from_secs(8);
 pub const ORG: OrgId = 7;
 
 #[derive(Default)]
@@ -157,6 +159,10 @@
         let now = self.now;
         self.leaders
             .retain(|leader| leader.until.is_none_or(|until| now < until));
+        for process in &mut self.processes {
+            process.frozen_until = process.frozen_until.filter(|until| now < *until);
+        }
+        // A process that thaws gets the answers that came meanwhile before it does anything else.
         let (due, later) =
             std::mem::take(&mut self.under_way)
                 .into_iter()
@@ -203,17 +209,22 @@
         if self.processes[process].cut_off || self.random.random_bool(self.loss) {
             return;
         }
-        let delay = self.delay.mul_f64(self.random.random_range(0.1..2.0));
+        let held_up = self.random.random_bool(self.loss / 10.0);
+        let longest = if held_up {
+            LONGEST_DELAY
+        } else {
+            self.delay * 2
+        };
+        let delay = longest.mul_f64(self.random.random_range(0.05..1.0));
         self.under_way.push((self.now + delay, process, message));
     }
 
     fn run_process(&mut self, index: usize) {
         let now = self.now;
         let process = &mut self.processes[index];
-        if process.frozen_until.is_some_and(|until| now < until) {
+        if process.frozen_until.is_some() {
             return;
         }
-        process.frozen_until = None;
         let before = process.waiting.len();
         process
             .waiting
