Count a share as taken over only once its holder extended it by an answer of the new leader

A call that was under way for seconds could claim a share that had ended and that the former leader had lent to others meanwhile: the property test showed it with held-up messages.

--- a/crates/control/src/rates.rs
+++ b/crates/control/src/rates.rs
@@ -90,6 +90,7 @@
         returned: ask.get_returned(),
         demand: ask.get_demand(),
         waiting: ask.get_waiting(),
+        acknowledged: ask.get_acknowledged(),
     });
     Ok(Call {
         sequence: params.get_sequence(),
--- a/crates/entry/src/rates.rs
+++ b/crates/entry/src/rates.rs
@@ -277,6 +277,7 @@
         builder.set_returned(ask.returned);
         builder.set_demand(ask.demand);
         builder.set_waiting(ask.waiting);
+        builder.set_acknowledged(ask.acknowledged);
     }
 }
 
--- a/crates/proto/schema/goldcrestrail.capnp
+++ b/crates/proto/schema/goldcrestrail.capnp
@@ -415,6 +415,8 @@
   demand @5 :UInt32;
   # Operations that wait for the answer.
   waiting @6 :UInt32;
+  # The leader whose answer was applied last was the last to extend this share.
+  acknowledged @7 :Bool;
 }
 
 struct RateGrant {
--- a/crates/proto/src/goldcrestrail_capnp.rs
+++ b/crates/proto/src/goldcrestrail_capnp.rs
@@ -23669,6 +23669,10 @@
         pub fn get_waiting(self) -> u32 {
             self.reader.get_data_field::<u32>(7)
         }
+        #[inline]
+        pub fn get_acknowledged(self) -> bool {
+            self.reader.get_bool_field(256)
+        }
     }
 
     pub struct Builder<'a> {
@@ -23677,7 +23681,7 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
+                data: 5,
                 pointers: 0,
             };
     }
@@ -23816,6 +23820,14 @@
         pub fn set_waiting(&mut self, value: u32) {
             self.builder.set_data_field::<u32>(7, value);
         }
+        #[inline]
+        pub fn get_acknowledged(self) -> bool {
+            self.builder.get_bool_field(256)
+        }
+        #[inline]
+        pub fn set_acknowledged(&mut self, value: bool) {
+            self.builder.set_bool_field(256, value);
+        }
     }
 
     pub struct Pipeline {
@@ -23830,17 +23842,17 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 124] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 140] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(126, 32, 166, 127, 111, 242, 212, 163),
-            ::capnp::word(20, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 1, 0, 5, 0),
             ::capnp::word(53, 122, 233, 194, 240, 166, 177, 212),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 199, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(103, 111, 108, 100, 99, 114, 101, 115),
@@ -23848,56 +23860,63 @@
             ::capnp::word(112, 110, 112, 58, 82, 97, 116, 101),
             ::capnp::word(65, 115, 107, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(32, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 0, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(209, 0, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(217, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(221, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(225, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(233, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 1, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(241, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(240, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(111, 114, 103, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -23955,6 +23974,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 107, 110, 111, 119, 108, 101),
+            ::capnp::word(100, 103, 101, 100, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -23965,6 +23993,7 @@
                 4 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                7 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -23983,9 +24012,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[5, 2, 0, 1, 4, 3, 6];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[7, 5, 2, 0, 1, 4, 3, 6];
         pub(crate) const TYPE_ID: u64 = 0xa3d4_f26f_7fa6_207e;
     }
 }
--- a/crates/rate/src/account.rs
+++ b/crates/rate/src/account.rs
@@ -24,6 +24,8 @@
     lent: Share,
     until: Instant,
     demand: Milli,
+    /// Whether the share was lent or extended by this ledger while it was in force.
+    confirmed: bool,
 }
 
 impl Loan {
@@ -37,7 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Account {
     limit: Share,
-    /// Sum of the shares that were claimed from this ledger; more may not be lent before `full_from`.
+    /// Sum of the shares of former leaders that this ledger took over; more may not be lent before `full_from`.
     claimed: Share,
     /// From then on, all shares of former leaders have ended.
     full_from: Instant,
@@ -81,8 +83,9 @@
         self.limit = limit;
     }
 
-    pub(crate) fn holds(&self, holder: &HolderId) -> bool {
-        self.loans.contains_key(holder)
+    /// Whether a holder has a share, and whether that is confirmed.
+    pub(crate) fn holds(&self, holder: &HolderId) -> Option<bool> {
+        self.loans.get(holder).map(|loan| loan.confirmed)
     }
 
     /// Sum of all shares that may be in use.
@@ -148,23 +151,29 @@
         acknowledged: bool,
     ) -> Grant {
         self.update(now);
-        let known = self.loans.get(holder).map(Loan::bound).unwrap_or_default();
+        let loan = self.loans.get(holder).copied();
+        let known = loan.as_ref().map(Loan::bound).unwrap_or_default();
         let held = if acknowledged {
             ask.held
         } else {
             // A former leader that still answers may lend to others what it takes from this holder.
             ask.held.max(known)
         };
-        self.claimed = self.claimed.plus(held.minus(known));
+        let mut confirmed = loan.map_or(ask.held.is_zero(), |loan| loan.confirmed);
+        if loan.is_some() && acknowledged && !confirmed {
+            self.claimed = self.claimed.plus(held);
+            confirmed = true;
+        }
         self.pool += f64::from(ask.returned);
         let loan = Loan {
             held,
             lent: held,
             until: now + TERM + DEPOSED_WITHIN,
             demand: ask.demand,
+            confirmed,
         };
         self.loans.insert(holder.clone(), loan);
-        let share = self.share(now, holder, ask);
+        let share = self.share(now, holder, ask, confirmed);
         if let Some(loan) = self.loans.get_mut(holder) {
             loan.lent = share;
             if loan.bound().is_zero() && ask.demand == 0 {
@@ -194,7 +203,12 @@
     }
 
     /// Share of a holder by its part of the demand.
-    fn share(&self, now: Instant, holder: &HolderId, ask: &Ask) -> Share {
+    fn share(&self, now: Instant, holder: &HolderId, ask: &Ask, confirmed: bool) -> Share {
+        if now < self.full_from && !confirmed {
+            // A share that a former leader lent is extended before it counts as claimed.
+            return ask.held;
+        }
+        let whole = lendable(self.limit);
         let budget = self.share_budget(now);
         let others = self.loans.iter().filter(|(other, _)| *other != holder);
         let others: Vec<_> = others.map(|(_, loan)| loan).collect();
@@ -209,12 +223,12 @@
         let more = |loan: &&&Loan| loan.demand.cmp(&ask.demand) == Ordering::Greater;
         let ahead = others.iter().filter(more).count();
         let asking = others.iter().filter(|loan| loan.demand > 0).count() + 1;
-        if ask.demand == 0 || operations(ahead + 1) > budget.depth {
+        if ask.demand == 0 || operations(ahead + 1) > whole.depth {
             return Share::default();
         }
         // Enough for the operations between two calls.
         let useful = ask.demand.saturating_mul(3);
-        let further = part.of(budget.depth.saturating_sub(operations(asking)));
+        let further = part.of(whole.depth.saturating_sub(operations(asking)));
         let depth = OPERATION.saturating_add(further.min(useful));
         let depth = if is_near(depth, ask.held.depth) {
             ask.held.depth
@@ -228,7 +242,7 @@
         if depth < RATE_DEPTH {
             return Share { rate: 0, depth };
         }
-        let rate = part.of(budget.rate).min(ask.demand.saturating_mul(2));
+        let rate = part.of(whole.rate).min(ask.demand.saturating_mul(2));
         let rate = if is_near(rate, ask.held.rate) {
             ask.held.rate
         } else {
--- a/crates/rate/src/bucket.rs
+++ b/crates/rate/src/bucket.rs
@@ -21,6 +21,8 @@
     filled: Instant,
     /// End of the share.
     until: Instant,
+    /// Term of the leader that extended the share last.
+    pub(crate) leader: u64,
     /// Number of admitted operations that were not sent yet.
     reserved: u32,
     /// Operations asked for per second.
@@ -44,6 +46,7 @@
             tokens: 0.0,
             filled: now,
             until: now,
+            leader: 0,
             reserved: 0,
             demand: 0.0,
             averaged: now,
@@ -154,8 +157,9 @@
         self.instant_until = until;
     }
 
-    /// Extends the share until `until`.
-    pub(crate) fn extend(&mut self, until: Instant) {
+    /// Extends the share until `until` by an answer of `leader`.
+    pub(crate) fn extend(&mut self, until: Instant, leader: u64) {
+        self.leader = leader;
         self.until = self.until.max(until);
     }
 
--- a/crates/rate/src/holder.rs
+++ b/crates/rate/src/holder.rs
@@ -178,6 +178,7 @@
                     returned,
                     demand,
                     waiting,
+                    acknowledged: bucket.leader == self.leader,
                 });
             }
             kept || bucket.is_reserved()
@@ -217,7 +218,7 @@
             if bucket.share != held || now >= until {
                 continue;
             }
-            bucket.extend(until);
+            bucket.extend(until, answer.term);
             let grant = answer.grants.iter().find(|grant| grant.org == org);
             if let Some(grant) = grant {
                 self.reduced |= grant.share.max(held) != grant.share;
--- a/crates/rate/src/ledger.rs
+++ b/crates/rate/src/ledger.rs
@@ -101,12 +101,15 @@
         let acknowledged = call.leader == self.term;
         let named: Set<_> = call.asks.iter().map(|ask| ask.org).collect();
         for (&org, account) in &mut self.accounts {
-            if call.full && account.holds(holder) && !named.contains(&org) {
+            if let Some(confirmed) = account.holds(holder)
+                && call.full
+                && !named.contains(&org)
+            {
                 let ask = Ask {
                     org,
                     ..Ask::default()
                 };
-                account.lend(now, holder, &ask, acknowledged);
+                account.lend(now, holder, &ask, acknowledged && confirmed);
             }
         }
         let grants = call.asks.iter().map(|ask| {
@@ -116,7 +119,9 @@
                 exhausted: true,
                 ..Grant::default()
             };
-            let grant = account.map_or(none, |a| a.lend(now, holder, ask, acknowledged));
+            let grant = account.map_or(none, |a| {
+                a.lend(now, holder, ask, acknowledged && ask.acknowledged)
+            });
             (grant, ask)
         });
         let is_change = |(grant, ask): &(Grant, &Ask)| {
--- a/crates/rate/src/lib.rs
+++ b/crates/rate/src/lib.rs
@@ -19,9 +19,10 @@
 //! start empty. This holds for any number of changes within a window.
 //!
 //! A former leader may still answer for [`DEPOSED_WITHIN`]. So a ledger lends a share whose term ended
-//! to others only that much later, and a holder drops an answer that arrives after its share ended. A
-//! share that is reduced without an order of this ledger may have been lent on by a former leader; it
-//! counts in full until the holder applied an answer of this one.
+//! to others only that much later, and a holder drops an answer that arrives after its share ended. So
+//! a share that a holder extended by an answer of this ledger was not lent to others; only then it
+//! counts as taken over. A share that was reduced without an order of this ledger may have been lent on
+//! by a former leader; it counts in full until the holder applied an answer of this one.
 
 mod account;
 mod bucket;
--- a/crates/rate/src/message.rs
+++ b/crates/rate/src/message.rs
@@ -30,6 +30,8 @@
     pub demand: Milli,
     /// Number of operations that wait for the answer.
     pub waiting: u32,
+    /// Whether the leader whose answer the holder applied last was the last to extend this share.
+    pub acknowledged: bool,
 }
 
 /// Answer of the ledger.
