--- a/crates/rate/src/account.rs
+++ b/crates/rate/src/account.rs
@@ -204,16 +204,16 @@
 
     /// Share of a holder by its part of the demand.
     fn share(&self, now: Instant, holder: &HolderId, ask: &Ask, confirmed: bool) -> Share {
-        if now < self.full_from && !confirmed {
-            // A share that a former leader lent is extended before it counts as claimed.
-            return ask.held;
-        }
         let whole = lendable(self.limit);
-        let budget = self.share_budget(now);
         let others = self.loans.iter().filter(|(other, _)| *other != holder);
         let others: Vec<_> = others.map(|(_, loan)| loan).collect();
         let lent = others.iter().map(|loan| loan.bound());
-        let free = budget.minus(lent.fold(Share::default(), Share::plus));
+        let lent = lent.fold(Share::default(), Share::plus);
+        if now < self.full_from && !confirmed {
+            // A share that a former leader lent is extended before it counts as claimed.
+            return ask.held.min(whole.minus(lent));
+        }
+        let free = self.share_budget(now).minus(lent);
         let demand: u64 = others.iter().map(|loan| u64::from(loan.demand)).sum();
         let part = Part {
             own: u64::from(ask.demand),
