--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -41,6 +41,11 @@
     pub control_calls: IntCounterVec,
     /// Status probes, by result.
     pub probes: IntCounterVec,
+    /// Operations refused because of a rate limit, by cause: `limit` is reached, `no_share` was had in
+    /// time, or the operation was sent too `late` for its share.
+    pub rate_refusals: IntCounterVec,
+    /// Number of organisations of whose rate limit this process holds a share.
+    pub rate_shares: IntGauge,
     /// Open connections to members, by member.
     pub connections: IntGaugeVec,
     /// Connections opened to members, by member.
@@ -124,6 +129,13 @@
                 &["method", "result"],
             ),
             probes: counter_vec(&registry, "probes_total", "Status probes.", &["result"]),
+            rate_refusals: counter_vec(
+                &registry,
+                "rate_refusals_total",
+                "Operations refused because of a rate limit, by cause.",
+                &["cause"],
+            ),
+            rate_shares: gauge(&registry, "rate_shares", "Rate limits with a held share."),
             connections: register(
                 &registry,
                 IntGaugeVec::new(
@@ -143,10 +155,7 @@
                 "Idle connections closed to make room for another organisation.",
                 &["member"],
             ),
-            callers: register(
-                &registry,
-                IntGauge::new(prefixed("callers"), "Connected callers."),
-            ),
+            callers: gauge(&registry, "callers", "Connected callers."),
             registry,
         }
     }
@@ -173,6 +182,10 @@
     metric
 }
 
+fn gauge(registry: &Registry, short: &str, help: &str) -> IntGauge {
+    register(registry, IntGauge::new(prefixed(short), help))
+}
+
 fn counter_vec(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(
         registry,
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 
+use base::OrgName;
 use identity::Refused;
 
 /// Why a request was not run, or not acknowledged.
@@ -24,6 +25,8 @@
     /// The caller's key is unknown, can't be checked, or belongs to another organisation than at the
     /// start of the transaction.
     Key(Refused),
+    /// The organisation with this name reached its rate limit.
+    RateLimit(OrgName),
     /// The request may have run; the text gives the cause.
     OutcomeUnknown(String),
     /// The key was used before: the first outcome was a failure, or it belongs to another
@@ -49,6 +52,7 @@
             Self::UnknownService(_) => "ZN007",
             Self::Key(Refused::UnknownKey) => "28P01",
             Self::Key(Refused::Outdated | Refused::Moved) => "ZN008",
+            Self::RateLimit(_) => "ZN009",
             Self::OutcomeUnknown(_) => "ZU001",
             Self::KeyUsed(_) => "ZF001",
         }
@@ -74,6 +78,12 @@
                 write!(f, "not run: no service {name} in the configuration")
             }
             Self::Key(cause) => write!(f, "not run: {cause}"),
+            Self::RateLimit(name) => {
+                write!(
+                    f,
+                    "not run: the rate limit of organisation {name} is reached"
+                )
+            }
             Self::OutcomeUnknown(cause) => write!(f, "unknown: the request may have run: {cause}"),
             Self::KeyUsed(cause) => write!(f, "run and failed before: {cause}"),
         }
