Place reads by shares where settings price leaving the zone

Each read went to the database with the least expected response time, by all processes alike, and the wait for a connection wasn't counted. With [place] in the settings, a process draws the database by shares, which move by a bounded step towards the databases of least cost: expected time, queue and price of the distance. Without it reads go where they went.

--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -7,6 +7,7 @@
 
 use base::{EntryName, Map, RegionName, Set, ZoneName, settings::Check};
 use identity::Validity;
+use place::Prices;
 use serde::Deserialize;
 
 /// Settings file of an entry process.
@@ -64,6 +65,10 @@
     /// Validity of the keys of organisations while no control host is reachable.
     #[serde(default)]
     pub keys: Keys,
+    /// Price of leaving the zone. With it, reads are placed by shares; without it, each goes to the
+    /// database with the least expected response time.
+    #[serde(default)]
+    pub place: Option<Prices>,
 }
 
 /// Validity of the keys of organisations while no control host is reachable.
@@ -207,7 +212,8 @@
                 "set method = \"password\" or remove [auth.users]",
             );
         }
-        if let Err((cause, fix)) = self.keys.check() {
+        let place = self.place.map_or(Ok(()), |prices| prices.check());
+        if let Err((cause, fix)) = self.keys.check().and(place) {
             return invalid(cause, fix);
         }
         let is_digest = |hex: &String| {
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod command;
 pub mod connection_state;
 pub mod forward;
+mod places;
 pub mod request_log;
 pub mod serve;
 mod session;
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -16,12 +16,14 @@
 use event_listener::Event;
 use futures_util::future::select;
 use identity::Refused;
+use place::{Candidate, queue_time};
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
 use route::load::MemberLoad;
 
 use crate::{
     connection_state::{PreparedStatement, SessionVariables},
+    places::Places,
     request_log::RequestLog,
     statement::{Code, ConnectionError, Failure, Response, Statement, StatementClient},
 };
@@ -47,6 +49,8 @@
     pub request_seconds: Histogram,
     /// Location of this process.
     location: route::Location,
+    /// Placement of reads.
+    pub(crate) places: Places,
     /// Load that this process puts on each member.
     loads: RefCell<Map<MemberName, MemberLoad>>,
     /// Number of open sessions.
@@ -128,6 +132,7 @@
         Rc::new(Self {
             request_log: RequestLog::new(network.log.clone()),
             location: network.place(),
+            places: Places::new(registry, network.log.clone()),
             network,
             requests,
             request_seconds,
@@ -202,6 +207,53 @@
         load.expected_response_time(proximity, slots, now)
     }
 
+    /// Member that serves a read on this route, and whether it may lag; `None` if there are none.
+    /// `rated` holds the members that could, each with whether it may lag.
+    pub(crate) fn choose_member(
+        &self,
+        target: &ResolvedRoute<D>,
+        rated: Vec<(bool, Rc<Member<D>>)>,
+        now: Instant,
+    ) -> Option<(bool, Rc<Member<D>>)> {
+        let slots = target.service.slots;
+        let expected = |member: &Member<D>| self.expected_latency(member, slots, now);
+        let Some(prices) = &self.network.settings.place else {
+            let rated = rated.into_iter();
+            return rated.min_by_key(|(lags, member)| (*lags, expected(member)));
+        };
+        let candidates: Vec<_> = rated
+            .iter()
+            .map(|(lags, member)| Candidate {
+                name: &member.name,
+                proximity: self.location.proximity(&member.place),
+                expected: expected(member) + self.queue_time(member, slots, now),
+                lags: *lags,
+            })
+            .collect();
+        let (group, draw) = (&target.group.name, rand::rng().random());
+        let chosen = self.places.choose(group, &candidates, prices, now, draw);
+        chosen.and_then(|index| rated.into_iter().nth(index))
+    }
+
+    /// Expected time until a connection to a member is free.
+    fn queue_time(&self, member: &Member<D>, slots: u32, now: Instant) -> Duration {
+        let waiting = member.pool.waiting();
+        if waiting == 0 {
+            return Duration::ZERO;
+        }
+        let loads = self.loads.borrow();
+        let running = loads.get(&member.name).map_or(0, MemberLoad::running);
+        drop(loads);
+        queue_time(self.expected_latency(member, slots, now), waiting, running)
+    }
+
+    /// Counts a read that got a connection to a member.
+    pub(crate) fn count_read(&self, member: &str) {
+        if let Some(member) = self.network.member(member) {
+            self.places.count(self.location.proximity(&member.place));
+        }
+    }
+
     /// Applies the session variables to the connection and runs one statement on it.
     pub(crate) async fn run(
         &self,
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -306,21 +306,17 @@
                 let skip = |name: &MemberName| tried.contains(name) || full.contains(name);
                 let replicas = network.replicas(&target.group, now).into_iter();
                 let untried = replicas.filter(|member| !skip(&member.name));
-                let rated = untried.map(|member| {
-                    let expected = self
-                        .shared
-                        .expected_latency(&member, target.service.slots, now);
-                    (is_behind(&member, min_position, now), expected, member)
-                });
-                let best = rated.min_by_key(|(lags, expected, _)| (*lags, *expected));
+                let rated = untried.map(|member| (is_behind(&member, min_position, now), member));
+                let best = self.shared.choose_member(target, rated.collect(), now);
                 // A lagging replica is used only if there is no primary.
                 let best =
-                    best.filter(|(lags, ..)| !lags || network.primary(&target.group, now).is_err());
-                best.map(|(.., member)| member)
+                    best.filter(|(lags, _)| !lags || network.primary(&target.group, now).is_err());
+                best.map(|(_, member)| member)
             });
             if let Some(member) = replica {
                 match member.pool.acquire_for(target.owner(), deadline).await {
                     Ok(connection) => {
+                        self.shared.count_read(connection.member());
                         return Ok(ReadConnection {
                             connection,
                             min_position,
@@ -340,10 +336,13 @@
                     .acquire_primary(&target.service, target.owner(), deadline)
                     .await;
                 return match connection {
-                    Ok(connection) => Ok(ReadConnection {
-                        connection,
-                        min_position: None,
-                    }),
+                    Ok(connection) => {
+                        self.shared.count_read(connection.member());
+                        Ok(ReadConnection {
+                            connection,
+                            min_position: None,
+                        })
+                    }
                     Err(refusal) => Err(refusal_failure(&refusal)),
                 };
             }
