Play uneven load on the placement of reads; probe and return by bounded steps

A database without recent answers drew a share by its guessed time alone, so that reads left the zone in calm.

--- a/crates/place/src/placement.rs
+++ b/crates/place/src/placement.rs
@@ -14,6 +14,12 @@
 const MAX_RATE: f64 = 2.0;
 /// Difference from the mean cost, as a part of it, below which shares stay as they are.
 const TOLERANCE: f64 = 0.1;
+/// Largest part of the reads that probe a database without recent answers. It falls with the square
+/// of what the database would gain, since the expected time is only a guess.
+const PROBES: f64 = 1.0 / 8.0;
+/// Least loss that is assumed for a distant database that doesn't pay, or has no recent answers, so
+/// that reads are back in the zone some seconds after the reason to leave it has gone.
+const RETURN_LOSS: f64 = 0.25;
 /// Part of the reads above which a process counts as leaving its zone.
 const LEAVING: f64 = 0.1;
 /// Part of the reads below which it no longer does.
@@ -28,6 +34,8 @@
     pub proximity: Proximity,
     /// Expected time until an answer arrives.
     pub expected: Duration,
+    /// Whether the expected time rests on recent answers.
+    pub measured: bool,
     /// Whether its data may be too old for the read.
     pub lags: bool,
 }
@@ -47,7 +55,9 @@
 ///
 /// Each read draws a database by its share. Shares move towards databases whose answers cost less
 /// than the mean, in proportion to the difference, until the costs are equal or the dearer database
-/// gets nothing. The cost of an answer is its expected time and the price of its distance.
+/// gets nothing. The cost of an answer is its expected time and the price of its distance. The share of
+/// a distant database without recent answers shrinks; a small part of the reads probes it if that may
+/// pay.
 #[derive(Debug, Clone, Default)]
 pub struct Placement {
     shares: Map<MemberName, f64>,
@@ -82,7 +92,7 @@
     /// use route::Proximity::{SameRegion, SameZone};
     ///
     /// let candidate = |name, proximity, ms| Candidate {
-    ///     name, proximity, expected: Duration::from_millis(ms), lags: false,
+    ///     name, proximity, expected: Duration::from_millis(ms), measured: true, lags: false,
     /// };
     /// let near_and_far = [candidate("far", SameRegion, 9), candidate("near", SameZone, 10)];
     /// let mut placement = Placement::default();
@@ -105,15 +115,14 @@
             (candidate.expected + prices.at(candidate.proximity)).as_secs_f64()
         };
         let costs: Vec<f64> = usable.iter().map(cost).collect();
+        let measured: Vec<bool> = usable
+            .iter()
+            .map(|index| candidates[*index].measured)
+            .collect();
         let shares = self.normalised(candidates, &usable, &costs)?;
-        let shares = self.shift(shares, &costs, now);
-        let mut rest = draw;
-        let drawn = shares.iter().position(|share| {
-            rest -= share;
-            rest < 0.0
-        });
-        // Rounding may leave a draw just below 1 without a database.
-        let drawn = drawn.or_else(|| shares.iter().rposition(|share| *share > 0.0))?;
+        let gains = gains(&shares, &costs);
+        let shares = self.shift(shares, &drifts(candidates, &usable, &gains), now);
+        let drawn = draw_index(&with_probes(&shares, &gains, &measured), draw)?;
         let total: f64 = usable
             .iter()
             .map(|index| self.share(candidates[*index].name))
@@ -175,21 +184,14 @@
         Some(shares.iter().map(|share| share / total).collect())
     }
 
-    /// Moves shares towards the candidates that cost less than the mean, by a bounded step.
-    fn shift(&mut self, mut shares: Vec<f64>, costs: &[f64], now: Instant) -> Vec<f64> {
+    /// Moves shares towards the candidates with a gain, by a bounded step.
+    fn shift(&mut self, mut shares: Vec<f64>, gains: &[f64], now: Instant) -> Vec<f64> {
         let since = self.moved_at.replace(now);
         let elapsed = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         let step = (MAX_RATE * elapsed.as_secs_f64()).min(MAX_STEP);
-        let mean: f64 = shares
-            .iter()
-            .zip(costs)
-            .map(|(share, cost)| share * cost)
-            .sum();
-        let part = |cost: f64| ((mean - cost) / mean.max(f64::EPSILON)).clamp(-1.0, 1.0);
-        for (share, cost) in shares.iter_mut().zip(costs) {
-            let part = part(*cost);
-            if part.abs() > TOLERANCE {
-                *share = (*share + step * part).max(0.0);
+        for (share, gain) in shares.iter_mut().zip(gains) {
+            if gain.abs() >= TOLERANCE {
+                *share = (*share + step * gain).max(0.0);
             }
         }
         let total: f64 = shares.iter().sum();
@@ -205,3 +207,58 @@
         (std::mem::replace(&mut self.leaving, leaving) != leaving).then_some(leaving)
     }
 }
+
+/// What a read gains at each candidate over the mean, as a part of the mean cost.
+fn gains(shares: &[f64], costs: &[f64]) -> Vec<f64> {
+    let mean: f64 = shares
+        .iter()
+        .zip(costs)
+        .map(|(share, cost)| share * cost)
+        .sum();
+    let gain = |cost: &f64| ((mean - cost) / mean.max(f64::EPSILON)).clamp(-1.0, 1.0);
+    costs.iter().map(gain).collect()
+}
+
+/// Gains by which shares move. At the least distance, the share of a candidate without recent answers
+/// stays. Beyond it, every share shrinks that doesn't pay, however little it loses: otherwise reads
+/// would stay outside the zone after the reason has gone.
+fn drifts(candidates: &[Candidate<'_>], usable: &[usize], gains: &[f64]) -> Vec<f64> {
+    let usable = usable.iter().map(|index| &candidates[*index]);
+    let nearest = usable.clone().map(|candidate| candidate.proximity).min();
+    let drift = |(candidate, gain): (&Candidate<'_>, &f64)| match (
+        Some(candidate.proximity) == nearest,
+        candidate.measured,
+    ) {
+        (true, false) => 0.0,
+        (false, false) => -RETURN_LOSS,
+        (false, true) if *gain < 0.0 => gain.min(-RETURN_LOSS),
+        (_, true) => *gain,
+    };
+    usable.zip(gains).map(drift).collect()
+}
+
+/// Shares, with probes of the candidates that may gain and have no recent answers.
+fn with_probes(shares: &[f64], gains: &[f64], measured: &[bool]) -> Vec<f64> {
+    let probe = |(gain, measured): (&f64, &bool)| {
+        if *measured || *gain <= TOLERANCE {
+            0.0
+        } else {
+            PROBES * gain * gain
+        }
+    };
+    let probes: Vec<f64> = gains.iter().zip(measured).map(probe).collect();
+    let rest = 1.0 - probes.iter().sum::<f64>().min(1.0);
+    let all = shares.iter().zip(&probes);
+    all.map(|(share, probe)| share * rest + probe).collect()
+}
+
+/// Index whose weight covers `draw`, of at least 0 and below 1. Weights add up to 1.
+fn draw_index(weights: &[f64], draw: f64) -> Option<usize> {
+    let mut rest = draw;
+    let drawn = weights.iter().position(|weight| {
+        rest -= weight;
+        rest < 0.0
+    });
+    // Rounding may leave a draw just below 1 without an index.
+    drawn.or_else(|| weights.iter().rposition(|weight| *weight > 0.0))
+}
--- a/crates/route/src/load.rs
+++ b/crates/route/src/load.rs
@@ -48,7 +48,9 @@
         self.measured_at = Some(now);
     }
 
-    fn is_recent(&self, now: Instant) -> bool {
+    /// Whether an answer arrived recently enough for the average to count.
+    #[must_use]
+    pub fn is_recent(&self, now: Instant) -> bool {
         self.measured_at
             .is_some_and(|at| now.saturating_duration_since(at) < AVERAGE_TTL)
     }
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -202,8 +202,7 @@
         now: Instant,
     ) -> Duration {
         let proximity = self.location.proximity(&member.place);
-        let loads = self.loads.borrow();
-        let load = loads.get(&member.name).copied().unwrap_or_default();
+        let load = self.load(&member.name);
         load.expected_response_time(proximity, slots, now)
     }
 
@@ -227,6 +226,7 @@
                 name: &member.name,
                 proximity: self.location.proximity(&member.place),
                 expected: expected(member) + self.queue_time(member, slots, now),
+                measured: self.load(&member.name).is_recent(now),
                 lags: *lags,
             })
             .collect();
@@ -241,9 +241,7 @@
         if waiting == 0 {
             return Duration::ZERO;
         }
-        let loads = self.loads.borrow();
-        let running = loads.get(&member.name).map_or(0, MemberLoad::running);
-        drop(loads);
+        let running = self.load(&member.name).running();
         queue_time(self.expected_latency(member, slots, now), waiting, running)
     }
 
@@ -284,6 +282,11 @@
         result
     }
 
+    fn load(&self, member: &str) -> MemberLoad {
+        let loads = self.loads.borrow();
+        loads.get(member).copied().unwrap_or_default()
+    }
+
     fn update_load(&self, member: &str, change: impl FnOnce(&mut MemberLoad)) {
         let mut loads = self.loads.borrow_mut();
         if let Some(load) = loads.get_mut(member) {
