--- a/crates/place/src/placement.rs
+++ b/crates/place/src/placement.rs
@@ -123,14 +123,7 @@
         let gains = gains(&shares, &costs);
         let shares = self.shift(shares, &drifts(candidates, &usable, &gains), now);
         let drawn = draw_index(&with_probes(&shares, &gains, &measured), draw)?;
-        let total: f64 = usable
-            .iter()
-            .map(|index| self.share(candidates[*index].name))
-            .sum();
-        let scale = if total > 0.0 { total } else { 1.0 };
-        for (index, share) in usable.iter().zip(&shares) {
-            self.set_share(candidates[*index].name, share * scale);
-        }
+        self.store(candidates, &usable, &shares);
         let outside = |index: usize| candidates[index].proximity != Proximity::SameZone;
         let has_nearby = usable.iter().any(|index| !outside(*index));
         let away = usable.iter().zip(&shares);
@@ -152,11 +145,21 @@
         self.shares.get(name).copied().unwrap_or_default()
     }
 
-    fn set_share(&mut self, name: &str, share: f64) {
-        if let Some(known) = self.shares.get_mut(name) {
-            *known = share;
-        } else {
-            self.shares.insert(name.to_owned(), share);
+    /// Stores the shares of the usable candidates. Together they keep what they had, so that those of
+    /// databases that are away for now stay as they are.
+    fn store(&mut self, candidates: &[Candidate<'_>], usable: &[usize], shares: &[f64]) {
+        let known = usable
+            .iter()
+            .map(|index| self.share(candidates[*index].name));
+        let total: f64 = known.sum();
+        let scale = if total > f64::EPSILON { total } else { 1.0 };
+        for (index, share) in usable.iter().zip(shares) {
+            let name = candidates[*index].name;
+            if let Some(known) = self.shares.get_mut(name) {
+                *known = share * scale;
+            } else {
+                self.shares.insert(name.to_owned(), share * scale);
+            }
         }
     }
 
@@ -185,20 +188,24 @@
     }
 
     /// Moves shares towards the candidates with a gain, by a bounded step.
-    fn shift(&mut self, mut shares: Vec<f64>, gains: &[f64], now: Instant) -> Vec<f64> {
+    fn shift(&mut self, shares: Vec<f64>, gains: &[f64], now: Instant) -> Vec<f64> {
         let since = self.moved_at.replace(now);
         let elapsed = since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since));
         let step = (MAX_RATE * elapsed.as_secs_f64()).min(MAX_STEP);
-        for (share, gain) in shares.iter_mut().zip(gains) {
+        let moved = shares.iter().zip(gains).map(|(share, gain)| {
             if gain.abs() >= TOLERANCE {
-                *share = (*share + step * gain).max(0.0);
+                (share + step * gain).max(0.0)
+            } else {
+                *share
             }
+        });
+        let moved: Vec<f64> = moved.collect();
+        let total: f64 = moved.iter().sum();
+        // All of many small shares may shrink to nothing at once.
+        if total <= f64::EPSILON {
+            return shares;
         }
-        let total: f64 = shares.iter().sum();
-        for share in &mut shares {
-            *share /= total;
-        }
-        shares
+        moved.iter().map(|share| share / total).collect()
     }
 
     /// Records that the part `away` of the reads leaves the zone, and returns a change.
--- a/crates/place/tests/load.rs
+++ b/crates/place/tests/load.rs
@@ -10,8 +10,8 @@
 use place::Prices;
 use rstest::rstest;
 
-/// Latency objective of reads, which the slowest kinds of callers have.
-const OBJECTIVE: Duration = Duration::from_millis(1_000);
+/// Shortest latency objective of callers with uneven demand.
+const OBJECTIVE: Duration = Duration::from_secs(1);
 /// Part of the reads that callers need within the objective.
 const NEEDED: f64 = 0.95;
 
