Run requests of the PostgreSQL protocol in the name of their organisation

Change: Fleet passes the organisation to the pools and admits each operation within its rate limit before it is sent; beyond it ZN009, not run. A statement of the platform's protocol that may have run before is no longer answered as not run when its next attempt is refused by the rate limit.

--- a/crates/entry/src/fleet.rs
+++ b/crates/entry/src/fleet.rs
@@ -48,12 +48,23 @@
     fn release(self);
 }
 
+/// Admission of one operation within the rate limit of its organisation.
+pub trait Admitted {
+    /// Counts the operation. Must be called right before it is sent to a database.
+    ///
+    /// # Errors
+    /// The operation must not be sent: it waited too long since it was admitted.
+    fn count(&mut self) -> Result<(), Refusal>;
+}
+
 /// The services, members and connections that this process knows.
 ///
 /// Every wait ends at the deadline of the request, with a refusal that states the reason.
 pub trait Fleet: 'static {
     /// Type of the pooled connections.
     type Lease: Lease;
+    /// Type of the admissions.
+    type Operation: Admitted;
 
     /// Finds a service of the configuration in force.
     fn service(&self, name: &str) -> Option<Rc<Service>>;
@@ -73,7 +84,19 @@
     /// It does not, or its key can't be checked.
     fn confirm_owner(&self, key: Option<&KeyDigest>, owner: Option<&str>) -> Result<(), Refused>;
 
-    /// Acquires a connection to a member that is fresh enough for a read, preferably a replica.
+    /// Admits an operation of the caller's organisation; `None` stands for a caller that needs no key.
+    /// An operation is a statement outside transactions or a transaction.
+    ///
+    /// # Errors
+    /// The rate limit of the organisation is reached; nothing has run.
+    async fn admit(
+        self: &Rc<Self>,
+        organisation: Option<&Organisation>,
+        deadline: Instant,
+    ) -> Result<Self::Operation, Refusal>;
+
+    /// Acquires a connection of the organisation `owner` to a member that is fresh enough for a read,
+    /// preferably a replica. `None` stands for a caller that needs no key.
     ///
     /// Returns the position that the session's token must cover from now on: the requested token,
     /// or the barrier that was read for the session.
@@ -83,14 +106,20 @@
     async fn read(
         &self,
         service: &Service,
+        owner: Option<&str>,
         need: ReadRequirement,
     ) -> Result<(Self::Lease, Option<Position>), Refusal>;
 
-    /// Acquires a connection to the primary in force.
+    /// Acquires a connection of the organisation `owner` to the primary in force.
     ///
     /// # Errors
     /// A refusal that is "not run".
-    async fn write(&self, service: &Service, deadline: Instant) -> Result<Self::Lease, Refusal>;
+    async fn write(
+        &self,
+        service: &Service,
+        owner: Option<&str>,
+        deadline: Instant,
+    ) -> Result<Self::Lease, Refusal>;
 
     /// Waits until a position that the primary of `term` reported is confirmed by enough members
     /// and the write lease is valid after that. Required before a write is acknowledged and before
--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -5,7 +5,7 @@
 use base::document::Service;
 
 use crate::{
-    fleet::{Fleet, Lease, ReadRequirement},
+    fleet::{Admitted as _, Fleet, Lease, ReadRequirement},
     refusal::Refusal,
     request::RequestError,
     session::{Session, State},
@@ -38,16 +38,19 @@
         Ok(self.shared.fleet.confirm_owner(key, owner)?)
     }
 
-    /// Leases a connection that may run the request, unless the caller's key was taken away while it
-    /// waited.
+    /// Leases a connection that may run the request, within the rate limit of the caller's
+    /// organisation, and unless its key was taken away while it waited.
     pub(crate) async fn lease(
         &mut self,
         service: &Service,
         primary: bool,
         deadline: Instant,
     ) -> Result<F::Lease, RequestError> {
+        let organisation = self.owner.as_deref();
+        let mut operation = self.shared.fleet.admit(organisation, deadline).await?;
         let lease = self.acquire(service, primary, deadline).await?;
-        if let Err(cause) = self.confirm_owner() {
+        let confirmed = self.confirm_owner();
+        if let Err(cause) = confirmed.and_then(|()| operation.count()) {
             lease.release();
             return Err(cause.into());
         }
@@ -65,8 +68,9 @@
             RequestError::Error("57014", text.to_owned())
         };
         let slot = &self.registration.slot;
+        let owner = self.owner.as_ref().map(|known| known.name.as_str());
         if primary {
-            let acquiring = self.shared.fleet.write(service, deadline);
+            let acquiring = self.shared.fleet.write(service, owner, deadline);
             let lease = slot
                 .unless_cancelled(acquiring)
                 .await
@@ -81,7 +85,7 @@
             since: self.started_at,
             deadline,
         };
-        let acquiring = self.shared.fleet.read(service, requirement);
+        let acquiring = self.shared.fleet.read(service, owner, requirement);
         let outcome = slot.unless_cancelled(acquiring).await;
         let (lease, token) = outcome.ok_or_else(cancelled)??;
         if token.is_some() {
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -20,11 +20,13 @@
 
 use crate::{
     dialect::Dialect,
-    fleet::{Fleet, ReadRequirement},
+    fleet::{Admitted, Fleet, ReadRequirement},
     group::{Group, ProbeTarget, Record},
     member::Member,
     network::Network,
     pool::{PoolError, PooledConn},
+    postgres::Postgres,
+    rates::Operation,
     refusal::Refusal,
 };
 
@@ -34,6 +36,7 @@
 
 impl Fleet for Network {
     type Lease = PooledConn;
+    type Operation = Operation<Postgres>;
 
     fn service(&self, name: &str) -> Option<Rc<Service>> {
         self.find_service(name)
@@ -51,12 +54,22 @@
         Self::confirm_owner(self, None, key, owner, base::clock::now())
     }
 
+    async fn admit(
+        self: &Rc<Self>,
+        organisation: Option<&Organisation>,
+        deadline: Instant,
+    ) -> Result<Operation<Postgres>, Refusal> {
+        let admitted = Self::admit(self, organisation, deadline).await;
+        self.count_refusal(admitted)
+    }
+
     async fn read(
         &self,
         service: &Service,
+        owner: Option<&str>,
         need: ReadRequirement,
     ) -> Result<(PooledConn, Option<Position>), Refusal> {
-        let result = self.route_read(service, need).await;
+        let result = self.route_read(service, owner, need).await;
         if let Ok((lease, _)) = &result {
             let kind = match crate::fleet::Lease::primary(lease) {
                 Some(_) => "primary",
@@ -67,8 +80,13 @@
         self.count_refusal(result)
     }
 
-    async fn write(&self, service: &Service, deadline: Instant) -> Result<PooledConn, Refusal> {
-        let result = self.route_write(service, None, deadline).await;
+    async fn write(
+        &self,
+        service: &Service,
+        owner: Option<&str>,
+        deadline: Instant,
+    ) -> Result<PooledConn, Refusal> {
+        let result = self.route_write(service, owner, deadline).await;
         if result.is_ok() {
             self.metrics.writes.inc();
         }
@@ -105,6 +123,12 @@
     }
 }
 
+impl<D: Dialect> Admitted for Operation<D> {
+    fn count(&mut self) -> Result<(), Refusal> {
+        Self::count(self)
+    }
+}
+
 impl<D: Dialect> Network<D> {
     fn count_refusal<T>(&self, result: Result<T, Refusal>) -> Result<T, Refusal> {
         if let Err(refusal) = &result {
@@ -125,6 +149,7 @@
     async fn route_read(
         &self,
         service: &Service,
+        owner: Option<&str>,
         need: ReadRequirement,
     ) -> Result<(PooledConn<D>, Option<Position>), Refusal> {
         let start = Instant::now();
@@ -189,7 +214,7 @@
                 continue;
             };
             self.metrics.freshness.observe(waited.as_secs_f64());
-            match member.pool.acquire(need.deadline).await {
+            match member.pool.acquire_for(owner, need.deadline).await {
                 Ok(mut lease) => {
                     if let Some(term) = term {
                         if !self.is_in_force(&group, term) {
--- a/crates/entry/tests/common/fleet.rs
+++ b/crates/entry/tests/common/fleet.rs
@@ -15,7 +15,7 @@
 };
 use compio::{net::TcpStream, time::sleep};
 use entry::{
-    fleet::{Fleet, Lease, ReadRequirement},
+    fleet::{Admitted, Fleet, Lease, ReadRequirement},
     refusal::Refusal,
 };
 use identity::{Identities, Refused};
@@ -48,6 +48,10 @@
     pub confirm: Cell<Confirm>,
     pub confirmed: RefCell<Vec<Position>>,
     pub read_requirements: RefCell<Vec<ReadRequirement>>,
+    /// Organisations that connections were acquired for.
+    pub owners: RefCell<Vec<Option<String>>>,
+    /// Number of operations that the rate limits still admit.
+    pub admitted: Rc<Cell<u32>>,
     /// Cancel requests relayed to other entry processes.
     pub relayed_cancels: RefCell<Vec<(i32, i32)>>,
     /// Whether requests wait for a connection.
@@ -119,6 +123,8 @@
             confirm: Cell::new(Confirm::Yes),
             confirmed: RefCell::default(),
             read_requirements: RefCell::default(),
+            owners: RefCell::default(),
+            admitted: Rc::new(Cell::new(u32::MAX)),
             relayed_cancels: RefCell::default(),
             hold_connections: Cell::new(false),
             was_held: Cell::new(false),
@@ -142,6 +148,10 @@
             .map_or(0, |(_, prepared)| prepared.len())
     }
 
+    fn record_owner(&self, owner: Option<&str>) {
+        self.owners.borrow_mut().push(owner.map(str::to_owned));
+    }
+
     /// Tells the process to stop.
     pub fn stop(&self) {
         self.stop.set(true);
@@ -194,8 +204,32 @@
     }
 }
 
+/// Admission that lowers the number of operations when it is counted.
+pub struct FakeOperation(Rc<Cell<u32>>);
+
+impl Admitted for FakeOperation {
+    fn count(&mut self) -> Result<(), Refusal> {
+        self.0.set(self.0.get() - 1);
+        Ok(())
+    }
+}
+
 impl Fleet for FakeFleet {
     type Lease = FakeLease;
+    type Operation = FakeOperation;
+
+    async fn admit(
+        self: &Rc<Self>,
+        organisation: Option<&Organisation>,
+        _deadline: Instant,
+    ) -> Result<FakeOperation, Refusal> {
+        match organisation {
+            Some(organisation) if self.admitted.get() == 0 => {
+                Err(Refusal::RateLimit(organisation.name.clone()))
+            }
+            _ => Ok(FakeOperation(Rc::clone(&self.admitted))),
+        }
+    }
 
     fn service(&self, name: &str) -> Option<Rc<Service>> {
         (name == "orders").then(|| Rc::clone(&self.service.borrow()))
@@ -217,14 +251,22 @@
     async fn read(
         &self,
         _service: &Service,
+        owner: Option<&str>,
         need: ReadRequirement,
     ) -> Result<(FakeLease, Option<Position>), Refusal> {
+        self.record_owner(owner);
         self.read_requirements.borrow_mut().push(need);
         let lease = self.lease(!self.replica_reads.get()).await?;
         Ok((lease, need.token.or(Some(Position::new(1, 0)))))
     }
 
-    async fn write(&self, _service: &Service, _deadline: Instant) -> Result<FakeLease, Refusal> {
+    async fn write(
+        &self,
+        _service: &Service,
+        owner: Option<&str>,
+        _deadline: Instant,
+    ) -> Result<FakeLease, Refusal> {
+        self.record_owner(owner);
         self.lease(true).await
     }
 
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -560,7 +560,9 @@
 
     pub async fn write(&self, millis: u64) -> Result<PooledConn, Refusal> {
         let service = self.network.service("orders").unwrap();
-        self.network.write(&service, deadline_in(millis)).await
+        self.network
+            .write(&service, None, deadline_in(millis))
+            .await
     }
 
     pub async fn read(
@@ -576,7 +578,7 @@
             since: base::clock::now(),
             deadline: deadline_in(millis),
         };
-        self.network.read(&service, need).await
+        self.network.read(&service, None, need).await
     }
 
     pub async fn confirm(&self, position: Position, millis: u64) -> Result<(), Refusal> {
--- a/crates/entry/tests/keys.rs
+++ b/crates/entry/tests/keys.rs
@@ -133,3 +133,42 @@
         assert_eq!(harness.fleet.dropped.get(), 0);
     });
 }
+
+/// Guards against a request that runs on a connection of another organisation or of the deployment
+/// itself.
+#[test]
+fn connections_are_acquired_for_the_organisation_of_the_caller() {
+    run(async {
+        let harness = Harness::new().await;
+        let mut caller = with_key(&harness).await;
+
+        caller.query("SELECT 1").await;
+        caller.query("BEGIN").await;
+        caller.query("INSERT INTO t VALUES (1)").await;
+        caller.query("COMMIT").await;
+
+        let owners = harness.fleet.owners.borrow();
+        assert_eq!(*owners, [Some("acme".to_owned()), Some("acme".to_owned())]);
+    });
+}
+
+/// Guards against operations beyond the rate limit of an organisation that run, and against a
+/// statement of an admitted transaction that counts again.
+#[test]
+fn operations_beyond_the_rate_limit_do_not_run() {
+    run(async {
+        let harness = Harness::new().await;
+        let mut caller = with_key(&harness).await;
+        harness.fleet.admitted.set(1);
+
+        caller.query("BEGIN").await;
+        let first = caller.query("SELECT 1").await;
+        let second = caller.query("SELECT 1").await;
+        caller.query("COMMIT").await;
+        let beyond = caller.query("SELECT 1").await;
+
+        assert_eq!([first.rows(), second.rows()], [["1"], ["1"]]);
+        assert_eq!(beyond.sqlstate(), "ZN009");
+        assert_eq!(harness.fleet.owners.borrow().len(), 1);
+    });
+}
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -128,10 +128,7 @@
         self.context.member.clone_from(connection.member());
         if let Err(refusal) = operation.count() {
             connection.release();
-            return Attempt::Done(Reply::failed(
-                refusal_failure(&refusal),
-                TransactionState::Idle,
-            ));
+            return Attempt::Refused(refusal_failure(&refusal));
         }
         let sent = base::clock::now();
         let shared = &self.shared;
@@ -212,10 +209,7 @@
         self.context.member.clone_from(connection.member());
         if let Err(refusal) = operation.count() {
             connection.release();
-            return Attempt::Done(Reply::failed(
-                refusal_failure(&refusal),
-                TransactionState::Idle,
-            ));
+            return Attempt::Refused(refusal_failure(&refusal));
         }
         let sent = SentCommit::now(target);
         let result = shared
