Count instant tokens against the depth that is lent

Shares could take the depth of tokens that operations had got but not used yet, so that tokens added up to more than the capacity for 0.6 s.

--- a/crates/rate/src/account.rs
+++ b/crates/rate/src/account.rs
@@ -39,7 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct Account {
     limit: Share,
-    /// Sum of the shares of former leaders that this ledger took over; more may not be lent before `full_from`.
+    /// Sum of the shares of former leaders that this ledger took over; more may not be lent before
+    /// `full_from`.
     claimed: Share,
     /// From then on, all shares of former leaders have ended.
     full_from: Instant,
@@ -137,8 +138,13 @@
     /// Removes tokens beyond the depth that is not lent.
     fn limit_pool(&mut self, now: Instant) {
         let free = self.budget(now).minus(self.lent()).depth;
-        let instants: Milli = self.instants.iter().map(|(_, tokens)| *tokens).sum();
-        self.pool = self.pool.min(f64::from(free.saturating_sub(instants)));
+        let free = free.saturating_sub(self.outstanding());
+        self.pool = self.pool.min(f64::from(free));
+    }
+
+    /// Instant tokens that may still be used.
+    fn outstanding(&self) -> Milli {
+        self.instants.iter().map(|(_, tokens)| *tokens).sum()
     }
 
     /// Records what a holder has and decides on its share. `acknowledged`: the holder applied an answer
@@ -213,7 +219,12 @@
             // A share that a former leader lent is extended before it counts as claimed.
             return ask.held.min(whole.minus(lent));
         }
-        let free = self.share_budget(now).minus(lent);
+        let instants = Share {
+            rate: 0,
+            depth: self.outstanding(),
+        };
+        let free = self.budget(now).minus(lent).minus(instants);
+        let free = free.min(self.share_budget(now).minus(lent));
         let demand: u64 = others.iter().map(|loan| u64::from(loan.demand)).sum();
         let part = Part {
             own: u64::from(ask.demand),
