End a process that does not stop within a limit after SIGTERM

Cause: signals are read in the event loop alone, and its thread masked them. Any other call that blocks the loop had the same effect.

base::signals::limit_stop ends the process from a thread of its own, some seconds after the longest graceful stop. The control daemon receives its signals as the others do, by a handler instead of a mask.

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -1,10 +1,17 @@
 //! Asynchronous handling of Unix signals.
 
-use std::{io, os::unix::net::UnixStream as StdStream};
+use std::{
+    io::{self, Read},
+    os::unix::net::UnixStream as StdStream,
+    thread,
+    time::Duration,
+};
 
 use compio::{BufResult, io::AsyncRead, net::UnixStream};
 pub use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 
+use crate::exit::Exit;
+
 /// Unix signals, delivered as bytes on a socket pair that the async runtime can poll.
 #[derive(Debug)]
 pub struct Signals {
@@ -17,11 +24,8 @@
     /// # Errors
     /// The socket pair can't be created, or a handler can't be installed.
     pub fn new(signals: &[i32]) -> io::Result<Self> {
-        let (read, write) = StdStream::pair()?;
+        let read = receiver(signals)?;
         read.set_nonblocking(true)?;
-        for signal in signals {
-            signal_hook::low_level::pipe::register(*signal, write.try_clone()?)?;
-        }
         Ok(Self {
             stream: UnixStream::from_std(read)?,
         })
@@ -36,3 +40,42 @@
         }
     }
 }
+
+/// Ends the process with [`Exit::Failed`] when it still runs `limit` after the first of `signals`.
+///
+/// The limit holds even when the event loop is blocked and handles no signal. `limit` must exceed the
+/// duration of a graceful stop.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// use base::signals::{SIGTERM, limit_stop};
+///
+/// limit_stop(&[SIGTERM], Duration::from_secs(10)).unwrap();
+/// ```
+///
+/// # Errors
+/// A handler can't be installed, or the thread that watches the limit can't be started.
+pub fn limit_stop(signals: &[i32], limit: Duration) -> io::Result<()> {
+    let mut read = receiver(signals)?;
+    let watch = move || {
+        if read.read_exact(&mut [0]).is_ok() {
+            thread::sleep(limit);
+            eprintln!("the process did not stop within {limit:?} of a signal; it ends now");
+            std::process::exit(Exit::Failed.code().into());
+        }
+    };
+    thread::Builder::new()
+        .name("stop-limit".to_owned())
+        .spawn(watch)?;
+    Ok(())
+}
+
+/// Installs handlers for `signals` and returns the socket that receives a byte for each of them.
+fn receiver(signals: &[i32]) -> io::Result<StdStream> {
+    let (read, write) = StdStream::pair()?;
+    for signal in signals {
+        signal_hook::low_level::pipe::register(*signal, write.try_clone()?)?;
+    }
+    Ok(read)
+}
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -53,15 +53,15 @@
         }
     };
     runtime.block_on(async {
-        // Block the signals first: the logger starts a thread that must inherit the signal mask, or
-        // SIGTERM would be delivered to that thread and end the process.
-        let mut stop = Box::pin(run::wait_for_signal());
-        if futures_util::poll!(&mut stop).is_ready() {
-            eprintln!("control: signals can't be received");
-            return Exit::Failed;
-        }
+        let mut signals = match run::stop_signals() {
+            Ok(signals) => signals,
+            Err(cause) => {
+                eprintln!("control: signals can't be received: {cause}");
+                return Exit::Failed;
+            }
+        };
         let logger = base::log::logger("control", &settings.name);
-        match run::run(settings, logger.clone(), stop).await {
+        match run::run(settings, logger.clone(), signals.next()).await {
             Ok(exit) => exit,
             Err(cause) => {
                 slog::crit!(logger, "the control host can't start"; "cause" => %cause);
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -9,7 +9,10 @@
 };
 
 use agree::{Node, Options, StartError};
-use base::{Exit, HostName, http};
+use base::{
+    Exit, HostName, http,
+    signals::{SIGINT, SIGTERM, Signals, limit_stop},
+};
 use compio::{
     net::TcpListener,
     runtime::{JoinHandle, spawn},
@@ -32,6 +35,8 @@
 const READY_MAX_AGE: Duration = Duration::from_secs(3);
 /// Time limit for pending changes to finish when the host stops.
 const SHUTDOWN_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest duration of a stop. A host whose event loop is blocked is ended after it.
+pub const STOP_LIMIT: Duration = Duration::from_secs(15);
 /// Interval at which a stopping host checks for pending changes, and a running host checks for a
 /// failure of the log.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -43,8 +48,6 @@
     Log(StartError),
     /// An address can't be bound.
     Bind(&'static str, SocketAddr, io::Error),
-    /// Signals can't be received.
-    Signal(io::Error),
 }
 
 impl fmt::Display for RunError {
@@ -56,7 +59,6 @@
                 "{key} = {address} can't be bound: {cause}; stop the process that uses it or \
                  change {key}"
             ),
-            Self::Signal(cause) => write!(f, "signals can't be received: {cause}"),
         }
     }
 }
@@ -66,11 +68,11 @@
 /// Runs the daemon until `stop` completes.
 ///
 /// # Errors
-/// The daemon can't start, or `stop` fails.
+/// The daemon can't start.
 pub async fn run(
     settings: Settings,
     logger: slog::Logger,
-    stop: impl Future<Output = io::Result<()>>,
+    stop: impl Future<Output = ()>,
 ) -> Result<Exit, RunError> {
     let databases = Rc::new(Postgres {
         host: settings.host,
@@ -83,7 +85,7 @@
         "http" => %settings.http);
 
     match select(Box::pin(stop), Box::pin(running.failure())).await {
-        Either::Left((stopped, _)) => stopped.map_err(RunError::Signal)?,
+        Either::Left(((), _)) => {}
         Either::Right((cause, _)) => {
             slog::error!(logger, "the replicated log failed"; "cause" => cause);
             return Ok(Exit::Failed);
@@ -192,20 +194,14 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT. The first poll adds both to the signal mask of this thread, which
-/// threads started later inherit.
+/// Receives SIGTERM and SIGINT. After the first of them the process ends within [`STOP_LIMIT`].
 ///
 /// # Errors
 /// Signals can't be received.
-pub async fn wait_for_signal() -> io::Result<()> {
-    /// Signal number as POSIX defines it.
-    const SIGINT: i32 = 2;
-    const SIGTERM: i32 = 15;
-    let term = Box::pin(compio::signal::unix::signal(SIGTERM));
-    let int = Box::pin(compio::signal::unix::signal(SIGINT));
-    match select(term, int).await {
-        Either::Left((result, _)) | Either::Right((result, _)) => result,
-    }
+pub fn stop_signals() -> io::Result<Signals> {
+    let signals = [SIGTERM, SIGINT];
+    limit_stop(&signals, STOP_LIMIT)?;
+    Signals::new(&signals)
 }
 
 async fn serve_http<L: Log>(host: Rc<Host<L>>, listener: TcpListener, operators: Vec<Operator>) {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,7 +6,7 @@
     Exit,
     http::Report,
     settings,
-    signals::{SIGINT, SIGTERM, Signals},
+    signals::{SIGINT, SIGTERM, Signals, limit_stop},
 };
 use futures_util::{FutureExt as _, pin_mut, select};
 use slog::{error, info};
@@ -20,6 +20,8 @@
 
 /// Longest duration of a graceful stop. Requests still running after that are aborted.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Longest duration of a stop. A process whose event loop is blocked is ended after it.
+const STOP_LIMIT: Duration = STOP_TIMEOUT.saturating_add(Duration::from_secs(3));
 
 /// Runs the process with the settings in `file` until it stops.
 #[must_use]
@@ -51,6 +53,7 @@
 
 async fn serve(network: &Rc<Network>) -> io::Result<()> {
     let settings = &network.settings;
+    limit_stop(&[SIGTERM, SIGINT], STOP_LIMIT)?;
     let mut signals = Signals::new(&[SIGTERM, SIGINT])?;
     let listener = compio::net::TcpListener::bind(settings.address)
         .await
