Order announcements by their numbers in entry processes, too

Control hosts order announcements of a database by its start and their numbers; entry processes ordered them by the age that the control host tells, which counts from when the message was written. A host that was frozen or cut off passes on an older announcement as if it were new, and the stop was undone. Entry processes now read and relay both numbers, and order by them.

A control host that got a late copy of a member's last announcement from another host counted the member as lost although it had heard it since.

Tests late_report_undoes_no_stop (earlier, earlier_start, uncounted), stop_counts_whatever_its_age, next_number_alone_is_no_change and late_copy_of_an_announcement_loses_no_member failed before.

--- a/crates/control/src/directory.rs
+++ b/crates/control/src/directory.rs
@@ -122,8 +122,7 @@
     ///
     /// A repeated announcement is not a change, so it is not sent to the watchers.
     pub fn announce(&mut self, now: Instant, age: Duration, announcement: Announcement) -> bool {
-        let at = now.checked_sub(age).unwrap_or(now);
-        let lost = age >= LOST_AFTER;
+        let mut at = now.checked_sub(age).unwrap_or(now);
         let name = announcement.member.clone();
         if let Some(received) = self.members.get_mut(&name) {
             if announcement.precedes(&received.announcement) {
@@ -133,7 +132,9 @@
             if announcement.sequence == 0 && at <= received.received_at {
                 return false;
             }
-            received.received_at = received.received_at.max(at);
+            at = at.max(received.received_at);
+            received.received_at = at;
+            let lost = now.duration_since(at) >= LOST_AFTER;
             if received.announcement.has_same_content(&announcement) && received.is_lost == lost {
                 received.announcement.sequence = announcement.sequence;
                 return false;
@@ -151,7 +152,7 @@
             announcement,
             received_at: at,
             version,
-            is_lost: lost,
+            is_lost: now.duration_since(at) >= LOST_AFTER,
         };
         self.members.insert(name, received);
         true
--- a/crates/control/src/session.rs
+++ b/crates/control/src/session.rs
@@ -78,6 +78,8 @@
             connections: announcement.connections,
             slots: announcement.slots,
             leaving: announcement.leaving,
+            sequence: announcement.sequence,
+            born: announcement.born,
             ..Announcement::default()
         };
         (announcement, age)
@@ -136,6 +138,8 @@
             connections: a.get_connections(),
             slots: a.get_slots(),
             leaving: a.get_leaving(),
+            sequence: a.get_sequence(),
+            born: a.get_born(),
         };
         Ok((a.get_number(), announcement, millis(a.get_age())))
     });
--- a/crates/control/tests/arrivals.rs
+++ b/crates/control/tests/arrivals.rs
@@ -57,3 +57,17 @@
     let later = start + LOST_AFTER + LOST_AFTER / 2;
     assert_eq!(directory.present_members(later, "g").len(), 1);
 }
+
+/// Guards against a member that counts as lost because another host passes its last announcement on
+/// late.
+#[test]
+fn late_copy_of_an_announcement_loses_no_member() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.announce(start, Duration::ZERO, announcement(5, 1, false));
+
+    let now = start + LOST_AFTER / 2;
+    directory.announce(now, LOST_AFTER, announcement(5, 1, false));
+
+    assert_eq!(directory.present_members(now, "g").len(), 1);
+}
--- a/crates/entry/src/link.rs
+++ b/crates/entry/src/link.rs
@@ -458,6 +458,8 @@
         connections: reader.get_connections(),
         slots: reader.get_slots(),
         leaving: reader.get_leaving(),
+        sequence: reader.get_sequence(),
+        born: reader.get_born(),
     }))
 }
 
--- a/crates/entry/src/report.rs
+++ b/crates/entry/src/report.rs
@@ -113,6 +113,8 @@
             item.set_connections(announcement.connections);
             item.set_slots(announcement.slots);
             item.set_leaving(announcement.leaving);
+            item.set_sequence(announcement.sequence);
+            item.set_born(announcement.born);
             item.set_age(as_millis_u32(*age));
         }
     }
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -452,6 +452,8 @@
             connections: 4,
             slots: 4,
             leaving: false,
+            sequence: 0,
+            born: 0,
         }
     }
 }
--- a/crates/route/src/directory.rs
+++ b/crates/route/src/directory.rs
@@ -34,6 +34,29 @@
     pub slots: u32,
     /// Whether the member is about to stop.
     pub leaving: bool,
+    /// Number of the announcement since the member started; 0 if the member does not count.
+    #[serde(default)]
+    pub sequence: u64,
+    /// Start time of the member by its own clock, in milliseconds since the epoch; 0 if unknown.
+    #[serde(default)]
+    pub born: u64,
+}
+
+impl Announcement {
+    /// Whether `self` was sent before `other` by the same member. Always `false` for a member that
+    /// does not count its announcements.
+    fn precedes(&self, other: &Self) -> bool {
+        (self.born, self.sequence) < (other.born, other.sequence)
+    }
+
+    /// Whether both announcements are equal apart from their numbers.
+    fn has_same_content(&self, other: &Self) -> bool {
+        let other = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == other
+    }
 }
 
 /// Latest report of a control host about a member.
@@ -115,12 +138,13 @@
                 host_reports: Map::default(),
             }
         });
-        if sent_at >= known.sent_at {
-            changed |= known.announcement != announcement;
+        let recent = sent_at >= known.sent_at && !announcement.precedes(&known.announcement);
+        if recent || known.announcement.precedes(&announcement) {
+            changed |= !known.announcement.has_same_content(&announcement);
             let leaving = announcement.leaving;
             known.leaving_since = leaving.then(|| known.leaving_since.unwrap_or(sent_at));
             known.announcement = announcement;
-            known.sent_at = sent_at;
+            known.sent_at = known.sent_at.max(sent_at);
         }
         (known, changed)
     }
--- a/crates/route/tests/members.rs
+++ b/crates/route/tests/members.rs
@@ -17,6 +17,8 @@
         connections: 16,
         slots: 2,
         leaving: false,
+        sequence: 0,
+        born: 0,
     }
 }
 
@@ -134,6 +136,59 @@
     assert!(directory.is_usable("a", after(start, 1)));
 }
 
+fn counted(born: u64, sequence: u64, leaving: bool) -> Announcement {
+    Announcement {
+        leaving,
+        sequence,
+        born,
+        ..member("a")
+    }
+}
+
+/// Guards against a stop that is undone by an earlier announcement, or one of an earlier start, which a
+/// control host passes on late as if it were new.
+#[rstest]
+#[case::earlier(counted(5, 2, false), false)]
+#[case::earlier_start(counted(4, 9, false), false)]
+#[case::uncounted(counted(0, 0, false), false)]
+#[case::later(counted(5, 4, false), true)]
+#[case::later_start(counted(6, 1, false), true)]
+fn late_report_undoes_no_stop(#[case] late: Announcement, #[case] usable: bool) {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.set_host_reachable("k1", true, start);
+    directory.record_host_report("k1", counted(5, 3, true), Duration::ZERO, start);
+
+    let later = after(start, 6_000);
+    directory.record_host_report("k2", late, Duration::ZERO, later);
+
+    assert_eq!(directory.is_usable("a", later), usable);
+}
+
+/// Guards against a stop that is ignored because the host that passes it on says that it is older than
+/// the announcement before it.
+#[test]
+fn stop_counts_whatever_its_age() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.set_host_reachable("k1", true, start);
+    directory.record_host_report("k1", counted(5, 2, false), Duration::ZERO, start);
+
+    directory.record_host_report("k2", counted(5, 3, true), Duration::from_secs(2), start);
+
+    assert!(!directory.is_usable("a", start));
+}
+
+/// Guards against a change of the members for each repeated announcement.
+#[test]
+fn next_number_alone_is_no_change() {
+    let start = Instant::now();
+    let mut directory = Directory::default();
+    directory.record_announcement(counted(5, 2, false), start);
+
+    assert!(!directory.record_announcement(counted(5, 3, false), after(start, 1_000)));
+}
+
 /// The observers of every group are in all zones, and the loss of one entry process moves only the
 /// groups that it observed.
 #[rstest]
--- a/crates/route/tests/report.rs
+++ b/crates/route/tests/report.rs
@@ -21,6 +21,8 @@
         connections: 16,
         slots: 2,
         leaving,
+        sequence: 0,
+        born: 0,
     }
 }
 
