Test that entry processes read the numbers of announcements

late_announcement_of_a_control_host_undoes_no_stop fails when the numbers are not read from the answer of the control host. The fake control host sends them.

--- a/crates/entry/tests/announce.rs
+++ b/crates/entry/tests/announce.rs
@@ -6,6 +6,7 @@
 
 use entry::{announce, settings::Settings};
 use fakes::{Deployment, run, wait_until};
+use route::Announcement;
 use rstest::rstest;
 
 const GOOD: &str = r#"{"member":"wien-1","group":"valuation-1","store":"s",
@@ -53,6 +54,31 @@
     });
 }
 
+/// Guards against a stop that is undone because the numbers of announcements are lost on the way from
+/// a control host.
+#[test]
+fn late_announcement_of_a_control_host_undoes_no_stop() {
+    run(async {
+        let deployment = Deployment::ready().await;
+        let counted = |member: usize, sequence, leaving| Announcement {
+            leaving,
+            sequence,
+            born: 5,
+            ..deployment.upstreams[member].announcement()
+        };
+        let is_usable =
+            |member: &str| deployment.network.dump()["members"][member]["usable"] == true;
+        deployment.control_state.put_member(counted(1, 3, true), 0);
+        wait_until("the stop is known", || !is_usable("b")).await;
+
+        deployment.control_state.put_member(counted(1, 2, false), 0);
+        deployment.control_state.put_member(counted(2, 3, true), 0);
+        wait_until("the next report is known", || !is_usable("c")).await;
+
+        assert!(!is_usable("b"));
+    });
+}
+
 /// Guards against renewals that repeat observations which the control host already has.
 #[test]
 fn renewals_do_not_repeat_sightings() {
--- a/crates/entry/tests/fakes/mod.rs
+++ b/crates/entry/tests/fakes/mod.rs
@@ -259,6 +259,8 @@
                 one.set_slots(announced.slots);
                 one.set_leaving(announced.leaving);
                 one.set_age(*age);
+                one.set_sequence(announced.sequence);
+                one.set_born(announced.born);
             }
         }
         Ok(())
