Lose no signal when the wait for it is dropped

A control host of the platform waits for its seat and for SIGTERM at once. If the byte of the signal was read in the same turn of the event loop in which the seat was given, the wait was dropped together with the byte, and the process ran on.

A flag that the handler sets tells now whether a signal arrived; the byte only wakes the event loop. The stand-in uses the same type instead of a copy.

signal_outlives_a_dropped_wait failed before (no signal within 2 s).

--- a/crates/base/src/signals.rs
+++ b/crates/base/src/signals.rs
@@ -3,6 +3,10 @@
 use std::{
     io::{self, Read},
     os::unix::net::UnixStream as StdStream,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -12,10 +16,12 @@
 
 use crate::exit::Exit;
 
-/// Unix signals, delivered as bytes on a socket pair that the async runtime can poll.
+/// Unix signals. Bytes on a socket pair, which the async runtime can poll, wake the event loop.
 #[derive(Debug)]
 pub struct Signals {
     stream: UnixStream,
+    /// Whether a signal arrived that [`Signals::next`] has not returned.
+    arrived: Arc<AtomicBool>,
 }
 
 impl Signals {
@@ -24,19 +30,30 @@
     /// # Errors
     /// The socket pair can't be created, or a handler can't be installed.
     pub fn new(signals: &[i32]) -> io::Result<Self> {
+        let arrived = Arc::new(AtomicBool::new(false));
+        // Handlers run in the order of their registration: the flag is set before the event loop wakes.
+        for signal in signals {
+            signal_hook::flag::register(*signal, Arc::clone(&arrived))?;
+        }
         let read = receiver(signals)?;
         read.set_nonblocking(true)?;
         Ok(Self {
+            arrived,
             stream: UnixStream::from_std(read)?,
         })
     }
 
-    /// Waits for the next signal.
+    /// Waits for the next signal. Signals that arrive before the wait is polled again count once; none
+    /// is lost when the wait is dropped.
     pub async fn next(&mut self) {
-        let BufResult(result, _) = self.stream.read([0_u8; 1]).await;
-        if result.is_err() {
-            // No signal arrives after this error, so the process runs until it is killed.
-            std::future::pending::<()>().await;
+        // The byte alone is no proof: a dropped wait may have read it.
+        while !self.arrived.swap(false, Ordering::SeqCst) {
+            let BufResult(result, _) = self.stream.read([0_u8; 1]).await;
+            if result.is_err() {
+                // No signal wakes the event loop after this error, so the process runs until its
+                // stop limit ends it, or it is killed.
+                std::future::pending::<()>().await;
+            }
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -23,7 +23,6 @@
 mod response;
 mod session;
 pub mod settings;
-mod signal;
 mod slots;
 pub mod sql_error;
 mod store;
@@ -32,15 +31,21 @@
 mod types;
 pub mod value;
 
-use std::path::Path;
+use std::{path::Path, time::Duration};
 
-use base::Exit;
+use base::{
+    Exit,
+    signals::{SIGINT, SIGTERM, Signals, limit_stop},
+};
 use slog::error;
 
 pub use daemon::{Daemon, StartError};
 pub use settings::Settings;
 pub use sql_error::SqlError;
 
+/// Longest duration of a stop. A process whose event loop is blocked is ended after it.
+const STOP_LIMIT: Duration = Duration::from_secs(30);
+
 /// Runs a member with the settings in a file until SIGTERM or SIGINT.
 #[must_use]
 pub fn run(path: &Path) -> Exit {
@@ -60,7 +65,9 @@
         }
     };
     runtime.block_on(async {
-        let mut signals = match signal::Signals::new() {
+        let numbers = [SIGTERM, SIGINT];
+        let signals = limit_stop(&numbers, STOP_LIMIT).and_then(|()| Signals::new(&numbers));
+        let mut signals = match signals {
             Ok(signals) => signals,
             Err(cause) => {
                 error!(log, "cannot install signal handlers"; "cause" => %cause);
