Serve waiting requests in the order of what their callers need

Requests of a pool were served first in, first out: in a burst all of them waited for as long as the objective allows, and then all were late. The priority of a route was used by no decision.

The new crate `order` replaces route::queue. Requests that can still be answered within their objective go first, then higher priorities, then organisations take turns, then the earliest objective. Priorities rise with the wait, but not for an organisation that has had its turn in the current round. Hopeless requests are refused when the next one is served; a full queue refuses the last in the order. Requests with only a deadline (PostgreSQL engine) stay first in, first out.

With turns, the test of a burst of one owner showed 6 replaced connections (bound: 4), as owners took each other's only connection in turn. A pool now replaces connections of owners with several first, and keeps a recently used only one while such a connection is about to become idle.

route/tests/queue.rs moves with the queue; only the arguments of push and iter changed.

Passed: tests of order, route, session and platform; entry: all up to memory, then owners, pool, read, session, write, failures.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -40,6 +40,9 @@
     pub probes: IntCounterVec,
     /// Open connections to members, by member.
     pub connections: IntGaugeVec,
+    /// Requests that a pool refused, by cause: `full`, `late` on arrival, `displaced` by a request
+    /// that goes before it, or `expired` in the queue.
+    pub refused: IntCounterVec,
     /// Connections opened to members, by member.
     pub opened: IntCounterVec,
     /// Idle connections closed to make room for another organisation, by member.
@@ -122,6 +125,12 @@
                     &["member"],
                 ),
             ),
+            refused: counter_vec(
+                &registry,
+                "pool_refusals_total",
+                "Requests that a pool refused, by cause.",
+                &["cause"],
+            ),
             opened: counter_vec(
                 &registry,
                 "connections_opened_total",
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -4,6 +4,7 @@
 mod limits;
 mod pooled;
 mod state;
+mod upkeep;
 
 use std::{
     cell::RefCell,
@@ -14,9 +15,10 @@
 
 use base::{Map, Set, Term};
 use futures_channel::oneshot;
-use prometheus::{IntCounter, IntGauge};
+use order::{Queue, QueueError, Terms};
+use prometheus::{IntCounter, IntCounterVec, IntGauge};
 use rand::RngExt as _;
-use route::{ConnectionShare, Queue, QueueError};
+use route::ConnectionShare;
 use serde_json::{Value, json};
 
 use self::{
@@ -33,21 +35,6 @@
 
 /// Timeout for opening a connection and for the answer to a health check.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
-/// Idle time after which a connection is checked.
-const CHECK_AFTER: Duration = Duration::from_secs(5);
-/// Idle time after which a connection of the base share is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
-/// Like [`IDLE_TIMEOUT`], for databases that report overload. It is short because such a database
-/// still counts the former connections for some seconds after a power failure of a host, and new
-/// ones must fit beside them.
-const LEARNED_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Like [`LEARNED_IDLE_TIMEOUT`], for connections beyond an equal share, for which other processes
-/// may be waiting.
-const EXCESS_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle time after which a lent connection is closed, so that other processes can have it.
-const LENT_IDLE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Length of the windows in which the peak demand is measured.
-const PEAK_WINDOW: Duration = Duration::from_millis(500);
 /// Lent connections are closed this long before their permit expires.
 const PERMIT_MARGIN: Duration = Duration::from_millis(200);
 /// Wait, with jitter, after a database had no room for a connection. Other processes close idle
@@ -79,6 +66,7 @@
     from: IpAddr,
     state: RefCell<State<D>>,
     open_gauge: IntGauge,
+    refused: IntCounterVec,
     opened: IntCounter,
     evicted: IntCounter,
     /// Counters of bytes sent and received, for a member of another region.
@@ -148,6 +136,7 @@
                 window_start: Instant::now(),
             }),
             open_gauge: open,
+            refused: metrics.refused.clone(),
             opened,
             evicted,
             region_bytes: region,
@@ -226,8 +215,19 @@
         owner: Option<&str>,
         deadline: Instant,
     ) -> Result<PooledConn<D>, PoolError> {
-        let need = Need::Owner(owner.map(Rc::from));
-        self.acquire_needed(need, deadline).await
+        let owner = owner.map(Rc::from);
+        let terms = Terms::until(deadline);
+        self.acquire_under(Terms { owner, ..terms }).await
+    }
+
+    /// Acquires a connection that was opened for the owner in `terms`. It waits in the queue, in the
+    /// order that `terms` ask for, until their deadline.
+    ///
+    /// # Errors
+    /// No connection was handed out, and nothing was sent to the member.
+    pub async fn acquire_under(self: &Rc<Self>, terms: Terms) -> Result<PooledConn<D>, PoolError> {
+        self.acquire_needed(Need::Owner(terms.owner.clone()), terms)
+            .await
     }
 
     /// Acquires a connection of any owner. Only statements of the deployment itself may be sent on
@@ -239,20 +239,21 @@
         self: &Rc<Self>,
         deadline: Instant,
     ) -> Result<PooledConn<D>, PoolError> {
-        self.acquire_needed(Need::Any, deadline).await
+        self.acquire_needed(Need::Any, Terms::until(deadline)).await
     }
 
     async fn acquire_needed(
         self: &Rc<Self>,
         need: Need,
-        deadline: Instant,
+        terms: Terms,
     ) -> Result<PooledConn<D>, PoolError> {
         let now = Instant::now();
         if let Some(pooled) = self.try_acquire(&need, now) {
             self.wait_histogram.observe(0.0);
             return Ok(pooled);
         }
-        let mut receiver = self.enqueue(need, deadline, now)?;
+        let deadline = terms.deadline;
+        let mut receiver = self.enqueue(need, terms, now)?;
         self.dispatch(now);
         if let Ok(Some(granted)) = receiver.try_recv() {
             self.wait_histogram.observe(0.0);
@@ -282,7 +283,7 @@
     fn enqueue(
         &self,
         need: Need,
-        deadline: Instant,
+        terms: Terms,
         now: Instant,
     ) -> Result<oneshot::Receiver<Result<PooledConn<D>, PoolError>>, PoolError> {
         let (sender, receiver) = oneshot::channel();
@@ -291,9 +292,16 @@
             return Err(PoolError::Closed);
         }
         let request = WaitingRequest { need, sender };
-        match state.queue.push(request, deadline, now) {
-            Ok(()) => {}
-            Err(QueueError::Full | QueueError::Late) => return Err(PoolError::Full),
+        let displaced = state.queue.push(request, terms, now).map_err(|cause| {
+            self.count_refused(match cause {
+                QueueError::Full => "full",
+                QueueError::Late => "late",
+            });
+            PoolError::Full
+        })?;
+        if let Some(request) = displaced {
+            self.count_refused("displaced");
+            let _receiver_gave_up = request.sender.send(Err(PoolError::Full));
         }
         state.update_peak();
         Ok(receiver)
@@ -308,6 +316,7 @@
             let mut expired = Vec::new();
             let next = self.next_waiting(now, &mut expired);
             for sender in expired {
+                self.count_refused("expired");
                 let _receiver_gave_up = sender.send(Err(PoolError::Deadline));
             }
             let Some((sender, pooled)) = next else { break };
@@ -443,10 +452,8 @@
     /// Fails all waiting requests with [`PoolError::Closed`], so that they are routed again.
     pub fn refuse_waiting(&self) {
         let mut state = self.state.borrow_mut();
-        let mut senders = Vec::new();
-        while let Some(request) = state.queue.pop_front() {
-            senders.push(request.sender);
-        }
+        let waiting = state.queue.drain();
+        let senders: Vec<_> = waiting.map(|request| request.sender).collect();
         drop(state);
         for sender in senders {
             let _receiver_gave_up = sender.send(Err(PoolError::Closed));
@@ -497,74 +504,6 @@
         }
     }
 
-    /// Performs the periodic work: closes connections that were idle for too long or exceed the
-    /// share, checks idle connections, and removes requests that gave up.
-    pub fn maintain(self: &Rc<Self>, now: Instant) {
-        let mut closing = Vec::new();
-        let mut checking = Vec::new();
-        {
-            let mut state = self.state.borrow_mut();
-            state.queue.retain(|request| !request.sender.is_canceled());
-            if now.saturating_duration_since(state.window_start) >= PEAK_WINDOW {
-                state.peak_demand = (count(state.held.len()), state.peak_demand.0);
-                state.window_start = now;
-            }
-            let base = state.share.base();
-            let mut total = state.total();
-            let mut retained = Vec::new();
-            for conn in std::mem::take(&mut state.idle.0) {
-                let idle = now.saturating_duration_since(conn.last_used);
-                let limit = match &state.learned {
-                    Some(_) if total > base.max(1) => EXCESS_IDLE_TIMEOUT,
-                    Some(_) => LEARNED_IDLE_TIMEOUT,
-                    None if total > base => LENT_IDLE_TIMEOUT,
-                    None => IDLE_TIMEOUT,
-                };
-                if idle >= limit || total > state.target(now) {
-                    total -= 1;
-                    closing.push(conn);
-                } else if idle >= CHECK_AFTER && now - conn.last_checked >= CHECK_AFTER {
-                    checking.push(conn);
-                } else {
-                    retained.push(conn);
-                }
-            }
-            state.idle.0 = retained;
-            for conn in &checking {
-                state.add_pending(&conn.owner);
-            }
-            let limit = match &state.learned {
-                // The database itself refuses connections that it has no room for.
-                Some(_) => u32::MAX,
-                None => state.share.limit(now, PERMIT_MARGIN),
-            };
-            let over = total.saturating_sub(limit);
-            for held in state.held.values().take(over as usize) {
-                held.shut_down();
-            }
-        }
-        drop(closing);
-        for conn in checking {
-            compio::runtime::spawn(Rc::clone(self).check(conn)).detach();
-        }
-        self.dispatch(now);
-    }
-
-    /// Checks an idle connection with an empty exchange, which uses no slot.
-    async fn check(self: Rc<Self>, mut conn: Conn<D::Client>) {
-        let answer = compio::time::timeout(OPEN_TIMEOUT, conn.client.check()).await;
-        let now = Instant::now();
-        {
-            let mut state = self.state.borrow_mut();
-            state.remove_pending(&conn.owner);
-            if matches!(answer, Ok(true)) && !state.draining {
-                conn.last_checked = now;
-                state.idle.0.insert(0, conn);
-            }
-        }
-        self.dispatch(now);
-    }
-
     /// Returns the state of the pool for the dump.
     #[must_use]
     pub fn dump(&self, now: Instant) -> Value {
@@ -575,6 +514,7 @@
             "pending": state.pending.values().sum::<u32>(),
             "owners": state.owners(),
             "waiting": state.queue.len(),
+            "waiting_by_priority": state.queue.priorities(),
             "target": state.target(now),
             "limit": state.share.limit(now, PERMIT_MARGIN),
             "slots": state.statements(now),
@@ -583,6 +523,10 @@
         })
     }
 
+    fn count_refused(&self, cause: &str) {
+        self.refused.with_label_values(&[cause]).inc();
+    }
+
     fn count_bytes(&self, conn: &mut Conn<D::Client>) {
         if let Some((sent, received)) = &self.region_bytes {
             let totals = conn.client.traffic();
--- a/crates/entry/src/pool/state.rs
+++ b/crates/entry/src/pool/state.rs
@@ -4,7 +4,8 @@
 
 use base::{Map, Term};
 use compio::net::TcpStream;
-use route::{ConnectionShare, Queue};
+use order::Queue;
+use route::ConnectionShare;
 use rustix::net::Shutdown;
 
 use super::{
@@ -156,9 +157,13 @@
         if self.queue.is_empty() || self.draining || self.retry_at.is_some_and(|at| now < at) {
             return opening;
         }
+        let slots = self.free_slots(now);
+        if slots == 0 {
+            return opening;
+        }
         let target = self.target(now);
         let full = self.total() >= target;
-        let first = self.queue.iter().take(self.free_slots(now) as usize);
+        let first = self.queue.iter(now).take(slots as usize);
         let needs: Vec<Need> = first.map(|request| request.need.clone()).collect();
         let mut idle: Map<Owner, u32> = Map::default();
         for conn in &self.idle.0 {
@@ -182,34 +187,43 @@
         opening
     }
 
-    /// Closes an idle connection of another owner than `owner`, of those counted in `unclaimed`;
-    /// those of owners without waiting requests go first.
+    /// Closes an idle connection of another owner than `owner`, of those counted in `unclaimed`:
+    /// those of owners with several go first, and then those of owners without waiting requests.
+    /// The only connection of an owner that used it recently is kept if a connection of an owner
+    /// with several is about to become idle; its owner would otherwise take that of the next one,
+    /// and so on.
     fn evict_for(
         &mut self,
         owner: &Owner,
         unclaimed: &mut Map<Owner, u32>,
         now: Instant,
     ) -> Option<()> {
-        let part = LEAST_PART.max(self.target(now) / 2);
-        let unused_for = if self.owned_by(owner) >= part {
-            EVICT_AFTER
-        } else {
-            Duration::ZERO
+        let has_several = |other: &Owner| other != owner && self.owned_by(other) > 1;
+        let several: Vec<_> = unclaimed
+            .keys()
+            .filter(|other| has_several(other))
+            .cloned()
+            .collect();
+        let is_running = |held: &HeldConn| {
+            now.saturating_duration_since(held.since) < MAX_STATEMENT_TIME
+                && has_several(&held.owner)
         };
-        let unused = |conn: &Conn<_>| now.saturating_duration_since(conn.last_used) >= unused_for;
+        let returns_soon =
+            self.held.values().any(is_running) || self.pending.keys().any(has_several);
+        let has_part = self.owned_by(owner) >= LEAST_PART.max(self.target(now) / 2);
         let Self { idle, queue, .. } = self;
-        let free = |conn: &Conn<_>| {
+        let replaceable = |conn: &Conn<_>| {
             let other = &conn.owner;
-            other != owner && unclaimed.get(other).is_some_and(|n| *n > 0) && unused(conn)
-        };
-        let waits = |conn: &Conn<_>| {
-            queue
-                .iter()
-                .any(|request| *request.need.owner() == conn.owner)
+            let keep = has_part || returns_soon && !several.contains(other);
+            let recent = now.saturating_duration_since(conn.last_used) < EVICT_AFTER;
+            let free = unclaimed.get(other).is_some_and(|number| *number > 0);
+            other != owner && free && !(keep && recent)
         };
+        let waits = |other: &Owner| queue.iter(now).any(|request| request.need.owner() == other);
         let victim = idle
-            .take_oldest(|conn| free(conn) && !waits(conn))
-            .or_else(|| idle.take_oldest(free))?;
+            .take_oldest(|conn| replaceable(conn) && several.contains(&conn.owner))
+            .or_else(|| idle.take_oldest(|conn| replaceable(conn) && !waits(&conn.owner)))
+            .or_else(|| idle.take_oldest(replaceable))?;
         unclaimed.get_mut(&victim.owner).map(|number| *number -= 1)
     }
 
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -6,6 +6,7 @@
 };
 
 use base::{MemberName, Position, Set, Term, Version, document::Service, fault::disabled};
+use order::Terms;
 use rand::RngExt as _;
 use route::{
     AckBounds, Health, Location,
@@ -50,7 +51,7 @@
     }
 
     async fn write(&self, service: &Service, deadline: Instant) -> Result<PooledConn, Refusal> {
-        let result = self.route_write(service, None, deadline).await;
+        let result = self.route_write(service, &Terms::until(deadline)).await;
         if result.is_ok() {
             self.metrics.writes.inc();
         }
@@ -287,31 +288,30 @@
         }
     }
 
-    /// Acquires a connection to the primary in force that was opened for the organisation `owner`,
-    /// or for the deployment itself if it is `None`. It waits until the deadline.
+    /// Acquires a connection to the primary in force that was opened for the owner in `terms`. It
+    /// waits until their deadline.
     ///
     /// # Errors
     /// A refusal that is "not run".
     pub async fn acquire_primary(
         &self,
         service: &Service,
-        owner: Option<&str>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<PooledConn<D>, Refusal> {
         if self.is_isolated(base::clock::now()) {
             // Another entry process may be able to serve the request; waiting here can't help.
             return self.count_refusal(Err(Refusal::NoPrimary));
         }
-        let result = self.route_write(service, owner, deadline).await;
+        let result = self.route_write(service, terms).await;
         self.count_refusal(result)
     }
 
     async fn route_write(
         &self,
         service: &Service,
-        owner: Option<&str>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<PooledConn<D>, Refusal> {
+        let deadline = terms.deadline;
         let start = Instant::now();
         self.check_service(service)?;
         let group = self.use_group(service, start);
@@ -331,7 +331,7 @@
                 let _changed = compio::time::timeout_at(slice, changed).await;
                 continue;
             };
-            match member.pool.acquire_for(owner, deadline).await {
+            match member.pool.acquire_under(terms.clone()).await {
                 Ok(mut lease) => {
                     // The record or the write lease may have changed while the request was queued.
                     if self.is_in_force(&group, record.term) {
--- a/crates/route/tests/queue.rs
+++ b/crates/order/tests/queue.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use route::{Queue, QueueError};
+use order::{Queue, QueueError, Terms};
 use rstest::rstest;
 
 fn millis(n: u64) -> Duration {
@@ -20,13 +20,17 @@
     let now = Instant::now();
     let mut queue = Queue::new(10);
     for caller in ["a", "b", "c"] {
-        queue.push(caller, now + millis(100), now).unwrap();
+        queue
+            .push(caller, Terms::until(now + millis(100)), now)
+            .unwrap();
     }
     let mut order = Vec::new();
     for _ in 0..6 {
         let caller = queue.pop(now, |_| {}).unwrap();
         order.push(caller);
-        queue.push(caller, now + millis(100), now).unwrap();
+        queue
+            .push(caller, Terms::until(now + millis(100)), now)
+            .unwrap();
     }
     assert_eq!(order, ["a", "b", "c", "a", "b", "c"]);
 }
@@ -42,7 +46,9 @@
         ("second", 100),
         ("third", 100),
     ] {
-        queue.push(item, now + millis(wait), now).unwrap();
+        queue
+            .push(item, Terms::until(now + millis(wait)), now)
+            .unwrap();
     }
     let mut late = Vec::new();
 
@@ -53,7 +59,7 @@
     );
 
     assert_eq!((usable, late), (Some("second"), vec!["late"]));
-    assert_eq!(queue.iter().collect::<Vec<_>>(), [&"first", &"third"]);
+    assert_eq!(queue.iter(now).collect::<Vec<_>>(), [&"first", &"third"]);
 }
 
 /// A full queue refuses requests at once.
@@ -61,9 +67,9 @@
 fn full() {
     let now = Instant::now();
     let mut queue = Queue::new(2);
-    queue.push(1, now + millis(100), now).unwrap();
-    queue.push(2, now + millis(100), now).unwrap();
-    let third = queue.push(3, now + millis(100), now);
+    queue.push(1, Terms::until(now + millis(100)), now).unwrap();
+    queue.push(2, Terms::until(now + millis(100)), now).unwrap();
+    let third = queue.push(3, Terms::until(now + millis(100)), now);
     assert_eq!(third, Err(QueueError::Full));
 }
 
@@ -72,8 +78,8 @@
 fn deadline_in_queue() {
     let now = Instant::now();
     let mut queue = Queue::new(10);
-    queue.push(1, now + millis(10), now).unwrap();
-    queue.push(2, now + millis(100), now).unwrap();
+    queue.push(1, Terms::until(now + millis(10)), now).unwrap();
+    queue.push(2, Terms::until(now + millis(100)), now).unwrap();
     let mut late = Vec::new();
     let served = queue.pop(now + millis(10), |item| late.push(item));
     assert_eq!((served, late), (Some(2), vec![1]));
@@ -86,16 +92,23 @@
     let start = Instant::now();
     let mut queue = Queue::new(100);
     for i in 0..20 {
-        queue.push(i, start + millis(10_000), start).unwrap();
+        queue
+            .push(i, Terms::until(start + millis(10_000)), start)
+            .unwrap();
     }
     for n in 0..10 {
         queue.pop(start + millis(n * 20), |_| {});
     }
     let now = start + millis(200);
-    assert_eq!(queue.push(90, now + millis(50), now), Err(QueueError::Late));
-    queue.push(91, now + millis(1_000), now).unwrap();
+    assert_eq!(
+        queue.push(90, Terms::until(now + millis(50)), now),
+        Err(QueueError::Late)
+    );
+    queue
+        .push(91, Terms::until(now + millis(1_000)), now)
+        .unwrap();
     while queue.pop(now, |_| {}).is_some() {}
-    queue.push(92, now + millis(50), now).unwrap();
+    queue.push(92, Terms::until(now + millis(50)), now).unwrap();
 }
 
 /// A request must not start so late that a statement of average length ends at its deadline: half of
@@ -105,8 +118,12 @@
     let now = Instant::now();
     let mut queue = Queue::new(10);
     queue.record_service_time(millis(10));
-    queue.push("late", now + millis(30), now).unwrap();
-    queue.push("next", now + millis(100), now).unwrap();
+    queue
+        .push("late", Terms::until(now + millis(30)), now)
+        .unwrap();
+    queue
+        .push("next", Terms::until(now + millis(100)), now)
+        .unwrap();
     let mut late = Vec::new();
     let served = queue.pop(now + millis(15), |item| late.push(item));
     assert_eq!((served, late), (Some("next"), vec!["late"]));
@@ -136,7 +153,7 @@
             }
         }
         let until = arrival + deadline;
-        if queue.push(until, until, arrival).is_ok()
+        if queue.push(until, Terms::until(until), arrival).is_ok()
             && busy.len() < 2
             && let Some(until) = queue.pop(arrival, |_| {})
         {
@@ -171,7 +188,7 @@
     queue.record_service_time(Duration::from_millis(10));
     let deadline = start + Duration::from_secs(10);
     for i in 0..20 {
-        queue.push(i, deadline, start).unwrap();
+        queue.push(i, Terms::until(deadline), start).unwrap();
     }
     queue.pop(start, drop);
 
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -1,5 +1,5 @@
-//! Routing decisions without I/O: freshness, confirmation, write leases, connection shares, queues,
-//! failure detection and the directory of members.
+//! Routing decisions without I/O: freshness, confirmation, write leases, connection shares, failure
+//! detection and the directory of members.
 //!
 //! Functions whose result depends on time take the time as an argument.
 
@@ -15,7 +15,6 @@
 pub mod load;
 pub mod observers;
 pub mod process_id;
-pub mod queue;
 pub mod report;
 pub mod share;
 pub mod status;
@@ -27,6 +26,5 @@
 pub use directory::{Announcement, Directory};
 pub use freshness::{Location, PositionSamples, Proximity};
 pub use lease::WriteLease;
-pub use queue::{Queue, QueueError};
 pub use share::ConnectionShare;
 pub use status::{SHOW_STATUS, Status};
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -15,6 +15,7 @@
 use entry::{dialect::Dialect, group::Group, member::Member, network::Network, pool::PooledConn};
 use event_listener::Event;
 use futures_util::future::select;
+use order::Terms;
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
 use route::load::MemberLoad;
@@ -84,6 +85,18 @@
     pub(crate) fn owner(&self) -> Option<&str> {
         self.organisation.as_ref().map(|known| known.name.as_str())
     }
+
+    /// Terms of a request of an operation that started at `start`.
+    pub(crate) fn terms(&self, start: Instant, deadline: Instant) -> Terms {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let organisation = self.organisation.as_ref();
+        Terms {
+            owner: self.owner().map(Rc::from),
+            priority: self.route.priority + organisation.map_or(0, |known| known.priority),
+            objective: Some((start + objective, objective)),
+            deadline,
+        }
+    }
 }
 
 /// Counts a session as open until the guard is dropped.
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -9,6 +9,7 @@
     pool::{PoolError, PooledConn},
     refusal::Refusal,
 };
+use order::Terms;
 use route::AckBounds;
 
 use crate::{
@@ -55,13 +56,14 @@
         start: Instant,
     ) -> Reply {
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
+        let terms = target.terms(start, deadline);
         let mut tried = Set::default();
         let mut last_failure = Failure::new(Code::Busy, "no database could take it in time");
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let attempt = match pending.kind {
-                StatementKind::Read => self.try_read(target, pending, &mut tried, deadline).await,
-                StatementKind::Write => self.try_write(target, pending, deadline).await,
+                StatementKind::Read => self.try_read(target, pending, &mut tried, &terms).await,
+                StatementKind::Write => self.try_write(target, pending, &terms).await,
             };
             match attempt {
                 Attempt::Done(reply) => return reply,
@@ -76,9 +78,10 @@
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
         tried: &mut Set<MemberName>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Attempt {
-        let acquired = match self.acquire_for_read(target, tried, deadline).await {
+        let deadline = terms.deadline;
+        let acquired = match self.acquire_for_read(target, tried, terms).await {
             Ok(acquired) => acquired,
             Err(failure) if tried.is_empty() => {
                 return Attempt::Done(Reply::failed(failure, TransactionState::Idle));
@@ -147,14 +150,11 @@
         &mut self,
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Attempt {
+        let deadline = terms.deadline;
         let shared = &self.shared;
-        let mut connection = match shared
-            .network
-            .acquire_primary(&target.service, target.owner(), deadline)
-            .await
-        {
+        let mut connection = match shared.network.acquire_primary(&target.service, terms).await {
             Ok(connection) => connection,
             Err(refusal) => {
                 return Attempt::Done(Reply::failed(
@@ -236,8 +236,9 @@
         &self,
         target: &ResolvedRoute<D>,
         tried: &Set<MemberName>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<ReadConnection<D>, Failure> {
+        let deadline = terms.deadline;
         let network = &self.shared.network;
         let mut full = Set::default();
         loop {
@@ -267,7 +268,7 @@
                 best.map(|(.., member)| member)
             });
             if let Some(member) = replica {
-                match member.pool.acquire_for(target.owner(), deadline).await {
+                match member.pool.acquire_under(terms.clone()).await {
                     Ok(connection) => {
                         return Ok(ReadConnection {
                             connection,
@@ -284,9 +285,7 @@
                 }
             }
             if network.primary(&target.group, now).is_ok() {
-                let connection = network
-                    .acquire_primary(&target.service, target.owner(), deadline)
-                    .await;
+                let connection = network.acquire_primary(&target.service, terms).await;
                 return match connection {
                     Ok(connection) => Ok(ReadConnection {
                         connection,
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -149,7 +149,7 @@
         if transaction.read_only && pending.kind == StatementKind::Write {
             return self.fail(Failure::new(Code::ReadOnly, "the transaction only reads"));
         }
-        let mut connection = match self.pinned_connection(&target, deadline).await {
+        let mut connection = match self.pinned_connection(&target, start, deadline).await {
             Ok(connection) => connection,
             Err(failure) => return self.fail(failure),
         };
@@ -215,8 +215,10 @@
     async fn pinned_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
+        start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
+        let terms = target.terms(start, deadline);
         let Some(transaction) = &mut self.transaction else {
             return Err(Failure::new(Code::Malformed, "there is no transaction"));
         };
@@ -231,12 +233,12 @@
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let acquired = if replica_allowed {
-                self.acquire_for_read(target, &tried, deadline).await?
+                self.acquire_for_read(target, &tried, &terms).await?
             } else {
                 let connection = self
                     .shared
                     .network
-                    .acquire_primary(&target.service, target.owner(), deadline)
+                    .acquire_primary(&target.service, &terms)
                     .await;
                 ReadConnection {
                     connection: connection.map_err(|refusal| refusal_failure(&refusal))?,
@@ -288,7 +290,7 @@
         let target = Rc::clone(&transaction.target);
         let wrote = transaction.wrote;
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
-        let pinned = self.pinned_connection(&target, deadline).await;
+        let pinned = self.pinned_connection(&target, start, deadline).await;
         let reply = match pinned {
             Ok(connection) => {
                 self.commit_on(connection, &target, request, wrote, deadline)
