--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -22,6 +22,9 @@
     pub writes: IntCounter,
     /// Refusals by SQLSTATE.
     pub refusals: IntCounterVec,
+    /// Logins and operations refused because of the caller's key, by reason: `unknown`, `moved` or
+    /// `outdated`.
+    pub refused_keys: IntCounterVec,
     /// Time that requests waited for a connection.
     pub queue: Histogram,
     /// Time that reads waited for a member that is fresh enough.
@@ -38,6 +41,11 @@
     pub control_calls: IntCounterVec,
     /// Status probes, by result.
     pub probes: IntCounterVec,
+    /// Operations refused because of a rate limit, by cause: `limit` is reached, `no_share` was had in
+    /// time, or the operation was sent too `late` for its share.
+    pub rate_refusals: IntCounterVec,
+    /// Number of organisations of whose rate limit this process holds a share.
+    pub rate_shares: IntGauge,
     /// Open connections to members, by member.
     pub connections: IntGaugeVec,
     /// Requests that a pool refused, by cause: `full`, `late` on arrival, `displaced` by a request
@@ -66,12 +74,10 @@
                 "Reads by kind of member.",
                 &["kind"],
             ),
-            writes: register(
+            writes: counter(
                 &registry,
-                IntCounter::new(
-                    prefixed("writes_total"),
-                    "Connections handed out for writes.",
-                ),
+                "writes_total",
+                "Connections handed out for writes.",
             ),
             refusals: counter_vec(
                 &registry,
@@ -79,6 +85,12 @@
                 "Refusals by SQLSTATE.",
                 &["sqlstate"],
             ),
+            refused_keys: counter_vec(
+                &registry,
+                "refused_keys_total",
+                "Logins and operations refused because of the caller's key, by reason.",
+                &["reason"],
+            ),
             queue: histogram(
                 &registry,
                 "queue_seconds",
@@ -118,6 +130,13 @@
                 &["method", "result"],
             ),
             probes: counter_vec(&registry, "probes_total", "Status probes.", &["result"]),
+            rate_refusals: counter_vec(
+                &registry,
+                "rate_refusals_total",
+                "Operations refused because of a rate limit, by cause.",
+                &["cause"],
+            ),
+            rate_shares: gauge(&registry, "rate_shares", "Rate limits with a held share."),
             connections: register(
                 &registry,
                 IntGaugeVec::new(
@@ -143,10 +162,7 @@
                 "Idle connections closed to make room for another organisation.",
                 &["member"],
             ),
-            callers: register(
-                &registry,
-                IntGauge::new(prefixed("callers"), "Connected callers."),
-            ),
+            callers: gauge(&registry, "callers", "Connected callers."),
             registry,
         }
     }
@@ -173,6 +189,14 @@
     metric
 }
 
+fn gauge(registry: &Registry, short: &str, help: &str) -> IntGauge {
+    register(registry, IntGauge::new(prefixed(short), help))
+}
+
+fn counter(registry: &Registry, short: &str, help: &str) -> IntCounter {
+    register(registry, IntCounter::new(prefixed(short), help))
+}
+
 fn counter_vec(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(
         registry,
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -1,8 +1,12 @@
 //! Settings of an entry process.
 
-use std::net::{IpAddr, SocketAddr};
+use std::{
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use base::{EntryName, Map, RegionName, Set, ZoneName, settings::Check};
+use identity::Validity;
 use serde::Deserialize;
 
 /// Settings file of an entry process.
@@ -60,16 +64,13 @@
     /// Validity of the keys of organisations while no control host is reachable.
     #[serde(default)]
     pub keys: Keys,
-    /// Enforcement of the organisations' rate limits.
-    #[serde(default)]
-    pub rates: Rates,
 }
 
 /// Validity of the keys of organisations while no control host is reachable.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Keys {
-    /// Whether keys count only while a control host with a recent state was reached within
+    /// Whether keys count only while a control host with a recent state was heard within
     /// `bound_ms`. Otherwise a process that is cut off keeps the keys that it knows.
     pub strict: bool,
     /// Time within which a key that was taken away stops working, in milliseconds.
@@ -85,45 +86,48 @@
     }
 }
 
-/// Enforcement of the organisations' rate limits: in any span of length `window_s`, an organisation
-/// runs at most `(rate * window_s + burst) * (1 + overage) + slack` operations.
-#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Rates {
-    /// Length of the span, in seconds.
-    pub window_s: f64,
-    /// Part of the limit by which it may be exceeded.
-    pub overage: f64,
-    /// Number of operations by which the limit may be exceeded.
-    pub slack: u32,
-}
+impl Keys {
+    /// Shortest `bound_ms` of strict keys. Control hosts must be able to answer several times within
+    /// it.
+    const MIN_BOUND_MS: u64 = 1_000;
 
-impl Default for Rates {
-    fn default() -> Self {
-        Self {
-            window_s: 5.0,
-            overage: 0.1,
-            slack: 20,
+    /// For how long keys count while no control host is heard.
+    #[must_use]
+    pub const fn validity(&self) -> Validity {
+        if self.strict {
+            Validity::Within(Duration::from_millis(self.bound_ms))
+        } else {
+            Validity::Unbounded
+        }
+    }
+
+    /// Longest time that a control host may take to answer although nothing changed, so that
+    /// [`Self::validity`] holds as long as it is reachable.
+    #[must_use]
+    pub const fn max_watch(&self) -> Duration {
+        match self.validity() {
+            Validity::Unbounded => Duration::MAX,
+            Validity::Within(_) => Duration::from_millis(self.bound_ms / 4),
         }
     }
-}
 
-impl Rates {
     /// Checks the values. The cause of an invalid one is one sentence, and so is the fix.
     ///
+    /// ```
+    /// use entry::settings::Keys;
+    ///
+    /// assert!(Keys { strict: true, bound_ms: 5_000 }.check().is_ok());
+    /// assert!(Keys { strict: true, bound_ms: 0 }.check().is_err());
+    /// assert!(Keys { strict: false, bound_ms: 0 }.check().is_ok());
+    /// ```
+    ///
     /// # Errors
-    /// A value is negative, not finite, or zero where a length is needed.
-    pub fn check(&self) -> Result<(), (&'static str, &'static str)> {
-        if !(self.window_s.is_finite() && self.window_s > 0.0) {
-            return Err((
-                "rates.window_s is no length of time",
-                "set it in seconds, for example 5",
-            ));
-        }
-        if !(self.overage.is_finite() && self.overage >= 0.0) {
+    /// Keys are strict, and the bound is too short.
+    pub const fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        if self.strict && self.bound_ms < Self::MIN_BOUND_MS {
             return Err((
-                "rates.overage is not a part of the limit",
-                "set it to 0 or more, for example 0.1",
+                "keys.bound_ms is too short for strict keys",
+                "set it to 1000 or more, or set keys.strict = false",
             ));
         }
         Ok(())
@@ -203,7 +207,7 @@
                 "set method = \"password\" or remove [auth.users]",
             );
         }
-        if let Err((cause, fix)) = self.rates.check() {
+        if let Err((cause, fix)) = self.keys.check() {
             return invalid(cause, fix);
         }
         let is_digest = |hex: &String| {
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -114,7 +114,10 @@
     ) -> Result<Self, C> {
         let network = &shared.network;
         // A key that is not valid is refused by the process that serves the session.
-        let organisation = network.identify(route, key.as_ref()).ok().flatten();
+        let organisation = network
+            .identify(Some(route), key.as_ref(), base::clock::now())
+            .ok()
+            .flatten();
         let owner = organisation.as_ref().map(|known| known.name.as_str());
         while let Some(service) = network.find_service(&route.service)
             && let Some(peer) = network.forward_target(&service, owner)
@@ -195,10 +198,12 @@
             return self.forward(request, start, Duration::ZERO).await;
         };
         if self.state == TransactionState::Idle
-            && let Err(cause) = self.shared.network.identify(&route, self.key.as_ref())
+            && let Err(cause) =
+                self.shared
+                    .network
+                    .identify(Some(&route), self.key.as_ref(), base::clock::now())
         {
-            let failure = Failure::new(Code::UnknownKey, cause.to_string());
-            return Reply::failed(failure, TransactionState::Idle);
+            return Reply::failed(cause.into(), TransactionState::Idle);
         }
         let limit = Duration::from_millis(route.deadline_ms);
         self.forward(request, start, limit).await
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -7,6 +7,7 @@
     dialect::Dialect,
     member::Member,
     pool::{PoolError, PooledConn},
+    rates::Operation,
     refusal::Refusal,
 };
 use order::Terms;
@@ -42,6 +43,8 @@
     Done(Reply),
     /// The attempt failed and may be repeated.
     Retry(Failure),
+    /// The attempt was not made, and must not be repeated.
+    Refused(Failure),
 }
 
 impl<C: Caller, D: Dialect> Session<C, D>
@@ -57,17 +60,39 @@
     ) -> Reply {
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
         let terms = target.terms(start, deadline);
+        let mut operation = match target.admit(deadline).await {
+            Ok(operation) => operation,
+            Err(failure) => return Reply::failed(failure, TransactionState::Idle),
+        };
         let mut tried = Set::default();
         let mut last_failure = Failure::new(Code::Busy, "no database could take it in time");
+        // Failure of an attempt that may have run.
+        let mut ran = None;
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let attempt = match pending.kind {
-                StatementKind::Read => self.try_read(target, pending, &mut tried, &terms).await,
-                StatementKind::Write => self.try_write(target, pending, &terms).await,
+                StatementKind::Read => {
+                    let (tried, operation) = (&mut tried, &mut operation);
+                    self.try_read(target, pending, tried, operation, &terms)
+                        .await
+                }
+                StatementKind::Write => {
+                    self.try_write(target, pending, &mut operation, &terms)
+                        .await
+                }
             };
             match attempt {
                 Attempt::Done(reply) => return reply,
-                Attempt::Retry(failure) => last_failure = failure,
+                Attempt::Retry(failure) => {
+                    if !failure.code.not_run() {
+                        ran = Some(failure.clone());
+                    }
+                    last_failure = failure;
+                }
+                // A refusal would tell that the statement has not run.
+                Attempt::Refused(failure) => {
+                    return Reply::failed(ran.unwrap_or(failure), TransactionState::Idle);
+                }
             }
         }
         Reply::failed(last_failure, TransactionState::Idle)
@@ -78,6 +103,7 @@
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
         tried: &mut Set<MemberName>,
+        operation: &mut Operation<D>,
         terms: &Terms,
     ) -> Attempt {
         let deadline = terms.deadline;
@@ -97,8 +123,19 @@
             mut connection,
             min_position,
         } = acquired;
+        if let Err(cause) = target.confirm_owner() {
+            connection.release();
+            return Attempt::Refused(cause.into());
+        }
         let primary = connection.primary();
         self.context.member.clone_from(connection.member());
+        if let Err(refusal) = operation.count() {
+            connection.release();
+            return Attempt::Done(Reply::failed(
+                refusal_failure(&refusal),
+                TransactionState::Idle,
+            ));
+        }
         let sent = base::clock::now();
         let shared = &self.shared;
         let result = shared
@@ -114,6 +151,7 @@
             Ok(response) => response,
             Err(error) => {
                 tried.insert(connection.member().clone());
+                operation.note_run();
                 return Attempt::Retry(unanswered_failure(&error, StatementKind::Read));
             }
         };
@@ -130,6 +168,7 @@
             }
             // A read has no side effects, so it is retried on another database.
             Err(failure) if failure.code == Code::Failed && tried.insert(name) => {
+                operation.note_run();
                 return Attempt::Retry(failure.clone());
             }
             Err(failure) => {
@@ -139,6 +178,7 @@
         if let Some(term) = primary {
             // A former primary may have returned stale data.
             if let Err(cause) = target.confirm_term(term, deadline).await {
+                operation.note_run();
                 return Attempt::Retry(Failure::new(Code::Busy, cause));
             }
             target.record_position(sent, response.position);
@@ -150,6 +190,7 @@
         &mut self,
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
+        operation: &mut Operation<D>,
         terms: &Terms,
     ) -> Attempt {
         let deadline = terms.deadline;
@@ -163,8 +204,19 @@
                 ));
             }
         };
+        if let Err(cause) = target.confirm_owner() {
+            connection.release();
+            return Attempt::Refused(cause.into());
+        }
         let term = connection.primary().unwrap_or_default();
         self.context.member.clone_from(connection.member());
+        if let Err(refusal) = operation.count() {
+            connection.release();
+            return Attempt::Done(Reply::failed(
+                refusal_failure(&refusal),
+                TransactionState::Idle,
+            ));
+        }
         let sent = SentCommit::now(target);
         let result = shared
             .run(
