--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -12,6 +12,7 @@
     organisation::{KeyDigest, Organisation},
 };
 use identity::Refused;
+use order::Terms;
 use rand::RngExt as _;
 use route::{
     AckBounds, Health, Location,
@@ -86,7 +87,9 @@
         owner: Option<&str>,
         deadline: Instant,
     ) -> Result<PooledConn, Refusal> {
-        let result = self.route_write(service, owner, deadline).await;
+        let owner = owner.map(Rc::from);
+        let terms = Terms::until(deadline);
+        let result = self.route_write(service, &Terms { owner, ..terms }).await;
         if result.is_ok() {
             self.metrics.writes.inc();
         }
@@ -330,31 +333,30 @@
         }
     }
 
-    /// Acquires a connection to the primary in force that was opened for the organisation `owner`,
-    /// or for the deployment itself if it is `None`. It waits until the deadline.
+    /// Acquires a connection to the primary in force that was opened for the owner in `terms`. It
+    /// waits until their deadline.
     ///
     /// # Errors
     /// A refusal that is "not run".
     pub async fn acquire_primary(
         &self,
         service: &Service,
-        owner: Option<&str>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<PooledConn<D>, Refusal> {
         if self.is_isolated(base::clock::now()) {
             // Another entry process may be able to serve the request; waiting here can't help.
             return self.count_refusal(Err(Refusal::NoPrimary));
         }
-        let result = self.route_write(service, owner, deadline).await;
+        let result = self.route_write(service, terms).await;
         self.count_refusal(result)
     }
 
     async fn route_write(
         &self,
         service: &Service,
-        owner: Option<&str>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<PooledConn<D>, Refusal> {
+        let deadline = terms.deadline;
         let start = Instant::now();
         self.check_service(service)?;
         let group = self.use_group(service, start);
@@ -374,7 +376,7 @@
                 let _changed = compio::time::timeout_at(slice, changed).await;
                 continue;
             };
-            match member.pool.acquire_for(owner, deadline).await {
+            match member.pool.acquire_under(terms.clone()).await {
                 Ok(mut lease) => {
                     // The record or the write lease may have changed while the request was queued.
                     if self.is_in_force(&group, record.term) {
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -16,6 +16,7 @@
 use event_listener::Event;
 use futures_util::future::select;
 use identity::Refused;
+use order::Terms;
 use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
 use route::load::MemberLoad;
@@ -88,6 +89,18 @@
         self.organisation.as_ref().map(|known| known.name.as_str())
     }
 
+    /// Terms of a request of an operation that started at `start`.
+    pub(crate) fn terms(&self, start: Instant, deadline: Instant) -> Terms {
+        let objective = Duration::from_millis(self.route.objective_ms);
+        let organisation = self.organisation.as_ref();
+        Terms {
+            owner: self.owner().map(Rc::from),
+            priority: self.route.priority + organisation.map_or(0, |known| known.priority),
+            objective: Some((start + objective, objective)),
+            deadline,
+        }
+    }
+
     /// Checks that the caller's key still belongs to its organisation. It may have been taken away
     /// while the operation waited.
     pub(crate) fn confirm_owner(&self) -> Result<(), Refused> {
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -10,6 +10,7 @@
     rates::Operation,
     refusal::Refusal,
 };
+use order::Terms;
 use route::AckBounds;
 
 use crate::{
@@ -58,6 +59,7 @@
         start: Instant,
     ) -> Reply {
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
+        let terms = target.terms(start, deadline);
         let mut operation = match target.admit(deadline).await {
             Ok(operation) => operation,
             Err(failure) => return Reply::failed(failure, TransactionState::Idle),
@@ -71,11 +73,11 @@
             let attempt = match pending.kind {
                 StatementKind::Read => {
                     let (tried, operation) = (&mut tried, &mut operation);
-                    self.try_read(target, pending, tried, operation, deadline)
+                    self.try_read(target, pending, tried, operation, &terms)
                         .await
                 }
                 StatementKind::Write => {
-                    self.try_write(target, pending, &mut operation, deadline)
+                    self.try_write(target, pending, &mut operation, &terms)
                         .await
                 }
             };
@@ -102,9 +104,10 @@
         pending: &PendingStatement<'_>,
         tried: &mut Set<MemberName>,
         operation: &mut Operation<D>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Attempt {
-        let acquired = match self.acquire_for_read(target, tried, deadline).await {
+        let deadline = terms.deadline;
+        let acquired = match self.acquire_for_read(target, tried, terms).await {
             Ok(acquired) => acquired,
             Err(failure) if tried.is_empty() => {
                 return Attempt::Done(Reply::failed(failure, TransactionState::Idle));
@@ -185,14 +188,11 @@
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
         operation: &mut Operation<D>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Attempt {
+        let deadline = terms.deadline;
         let shared = &self.shared;
-        let mut connection = match shared
-            .network
-            .acquire_primary(&target.service, target.owner(), deadline)
-            .await
-        {
+        let mut connection = match shared.network.acquire_primary(&target.service, terms).await {
             Ok(connection) => connection,
             Err(refusal) => {
                 return Attempt::Done(Reply::failed(
@@ -282,8 +282,9 @@
         &self,
         target: &ResolvedRoute<D>,
         tried: &Set<MemberName>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<ReadConnection<D>, Failure> {
+        let deadline = terms.deadline;
         let network = &self.shared.network;
         let mut full = Set::default();
         loop {
@@ -313,7 +314,7 @@
                 best.map(|(.., member)| member)
             });
             if let Some(member) = replica {
-                match member.pool.acquire_for(target.owner(), deadline).await {
+                match member.pool.acquire_under(terms.clone()).await {
                     Ok(connection) => {
                         return Ok(ReadConnection {
                             connection,
@@ -330,9 +331,7 @@
                 }
             }
             if network.primary(&target.group, now).is_ok() {
-                let connection = network
-                    .acquire_primary(&target.service, target.owner(), deadline)
-                    .await;
+                let connection = network.acquire_primary(&target.service, terms).await;
                 return match connection {
                     Ok(connection) => Ok(ReadConnection {
                         connection,
