--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -48,6 +48,9 @@
     pub rate_shares: IntGauge,
     /// Open connections to members, by member.
     pub connections: IntGaugeVec,
+    /// Requests that a pool refused, by cause: `full`, `late` on arrival, `displaced` by a request
+    /// that goes before it, or `expired` in the queue.
+    pub refused: IntCounterVec,
     /// Connections opened to members, by member.
     pub opened: IntCounterVec,
     /// Idle connections closed to make room for another organisation, by member.
@@ -71,12 +74,10 @@
                 "Reads by kind of member.",
                 &["kind"],
             ),
-            writes: register(
+            writes: counter(
                 &registry,
-                IntCounter::new(
-                    prefixed("writes_total"),
-                    "Connections handed out for writes.",
-                ),
+                "writes_total",
+                "Connections handed out for writes.",
             ),
             refusals: counter_vec(
                 &registry,
@@ -143,6 +144,12 @@
                     &["member"],
                 ),
             ),
+            refused: counter_vec(
+                &registry,
+                "pool_refusals_total",
+                "Requests that a pool refused, by cause.",
+                &["cause"],
+            ),
             opened: counter_vec(
                 &registry,
                 "connections_opened_total",
@@ -186,6 +193,10 @@
     register(registry, IntGauge::new(prefixed(short), help))
 }
 
+fn counter(registry: &Registry, short: &str, help: &str) -> IntCounter {
+    register(registry, IntCounter::new(prefixed(short), help))
+}
+
 fn counter_vec(registry: &Registry, short: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     register(
         registry,
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -12,6 +12,7 @@
     organisation::{KeyDigest, Organisation},
 };
 use identity::Refused;
+use order::Terms;
 use rand::RngExt as _;
 use route::{
     AckBounds, Health, Location,
@@ -20,11 +21,13 @@
 
 use crate::{
     dialect::Dialect,
-    fleet::{Fleet, ReadRequirement},
+    fleet::{Admitted, Fleet, ReadRequirement},
     group::{Group, ProbeTarget, Record},
     member::Member,
     network::Network,
     pool::{PoolError, PooledConn},
+    postgres::Postgres,
+    rates::Operation,
     refusal::Refusal,
 };
 
@@ -34,6 +37,7 @@
 
 impl Fleet for Network {
     type Lease = PooledConn;
+    type Operation = Operation<Postgres>;
 
     fn service(&self, name: &str) -> Option<Rc<Service>> {
         self.find_service(name)
@@ -51,12 +55,22 @@
         Self::confirm_owner(self, None, key, owner, base::clock::now())
     }
 
+    async fn admit(
+        self: &Rc<Self>,
+        organisation: Option<&Organisation>,
+        deadline: Instant,
+    ) -> Result<Operation<Postgres>, Refusal> {
+        let admitted = Self::admit(self, organisation, deadline).await;
+        self.count_refusal(admitted)
+    }
+
     async fn read(
         &self,
         service: &Service,
+        owner: Option<&str>,
         need: ReadRequirement,
     ) -> Result<(PooledConn, Option<Position>), Refusal> {
-        let result = self.route_read(service, need).await;
+        let result = self.route_read(service, owner, need).await;
         if let Ok((lease, _)) = &result {
             let kind = match crate::fleet::Lease::primary(lease) {
                 Some(_) => "primary",
@@ -67,8 +81,15 @@
         self.count_refusal(result)
     }
 
-    async fn write(&self, service: &Service, deadline: Instant) -> Result<PooledConn, Refusal> {
-        let result = self.route_write(service, None, deadline).await;
+    async fn write(
+        &self,
+        service: &Service,
+        owner: Option<&str>,
+        deadline: Instant,
+    ) -> Result<PooledConn, Refusal> {
+        let owner = owner.map(Rc::from);
+        let terms = Terms::until(deadline);
+        let result = self.route_write(service, &Terms { owner, ..terms }).await;
         if result.is_ok() {
             self.metrics.writes.inc();
         }
@@ -105,6 +126,12 @@
     }
 }
 
+impl<D: Dialect> Admitted for Operation<D> {
+    fn count(&mut self) -> Result<(), Refusal> {
+        Self::count(self)
+    }
+}
+
 impl<D: Dialect> Network<D> {
     fn count_refusal<T>(&self, result: Result<T, Refusal>) -> Result<T, Refusal> {
         if let Err(refusal) = &result {
@@ -125,6 +152,7 @@
     async fn route_read(
         &self,
         service: &Service,
+        owner: Option<&str>,
         need: ReadRequirement,
     ) -> Result<(PooledConn<D>, Option<Position>), Refusal> {
         let start = Instant::now();
@@ -189,7 +217,7 @@
                 continue;
             };
             self.metrics.freshness.observe(waited.as_secs_f64());
-            match member.pool.acquire(need.deadline).await {
+            match member.pool.acquire_for(owner, need.deadline).await {
                 Ok(mut lease) => {
                     if let Some(term) = term {
                         if !self.is_in_force(&group, term) {
@@ -305,31 +333,30 @@
         }
     }
 
-    /// Acquires a connection to the primary in force that was opened for the organisation `owner`,
-    /// or for the deployment itself if it is `None`. It waits until the deadline.
+    /// Acquires a connection to the primary in force that was opened for the owner in `terms`. It
+    /// waits until their deadline.
     ///
     /// # Errors
     /// A refusal that is "not run".
     pub async fn acquire_primary(
         &self,
         service: &Service,
-        owner: Option<&str>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<PooledConn<D>, Refusal> {
         if self.is_isolated(base::clock::now()) {
             // Another entry process may be able to serve the request; waiting here can't help.
             return self.count_refusal(Err(Refusal::NoPrimary));
         }
-        let result = self.route_write(service, owner, deadline).await;
+        let result = self.route_write(service, terms).await;
         self.count_refusal(result)
     }
 
     async fn route_write(
         &self,
         service: &Service,
-        owner: Option<&str>,
-        deadline: Instant,
+        terms: &Terms,
     ) -> Result<PooledConn<D>, Refusal> {
+        let deadline = terms.deadline;
         let start = Instant::now();
         self.check_service(service)?;
         let group = self.use_group(service, start);
@@ -349,7 +376,7 @@
                 let _changed = compio::time::timeout_at(slice, changed).await;
                 continue;
             };
-            match member.pool.acquire_for(owner, deadline).await {
+            match member.pool.acquire_under(terms.clone()).await {
                 Ok(mut lease) => {
                     // The record or the write lease may have changed while the request was queued.
                     if self.is_in_force(&group, record.term) {
