--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -32,6 +32,13 @@
     /// Administration settings.
     #[serde(default)]
     pub admin: Admin,
+    /// Memory of the host, in MB. Without it, the memory that the operating system reports.
+    #[serde(default)]
+    pub memory_mb: Option<u32>,
+    /// Number of file descriptors that the process may have open. Without it, the limit of the
+    /// operating system.
+    #[serde(default)]
+    pub descriptors: Option<u32>,
 }
 
 /// Name and address of a control host.
