Bound memory and descriptors under clients that don't behave

Cause: a process read and kept whatever its connections sent, and took as many connections as came.

`base::meter` carries that out; wire::Reader reserves before it reads a large message, wire::Writer reports progress, sessions of both protocols count what they keep, and pooled connections keep digests of long values. Callers leave descriptors; HTTP clients beyond the limit of an address displace the one whose request is incomplete for the longest. A caller on the PostgreSQL protocol must take each 64 KiB of a streamed answer within 3 s.

--- a/crates/base/src/document.rs
+++ b/crates/base/src/document.rs
@@ -448,7 +448,17 @@
 /// ```
 #[must_use]
 pub fn digest(text: &str) -> String {
-    Sha256::digest(text.as_bytes())
+    digest_bytes(text.as_bytes())
+}
+
+/// SHA-256 of bytes in lower-case hexadecimal.
+///
+/// ```
+/// assert!(base::document::digest_bytes(b"").starts_with("e3b0c44298fc1c14"));
+/// ```
+#[must_use]
+pub fn digest_bytes(bytes: &[u8]) -> String {
+    Sha256::digest(bytes)
         .iter()
         .fold(String::new(), |mut hex, byte| {
             let _infallible = write!(hex, "{byte:02x}");
--- a/crates/base/src/http.rs
+++ b/crates/base/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP endpoints of every process: `/metrics`, `/dump` and `/ready`.
 
-use std::{io, net::SocketAddr, rc::Rc};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Instant};
 
 use axum::{
     Router,
@@ -13,6 +13,12 @@
 use send_wrapper::SendWrapper;
 use serde_json::Value;
 
+use crate::{
+    http_clients::{Activity, ClientState, Clients},
+    http1::Connection,
+    meter::Meter,
+};
+
 /// Data behind the `/metrics`, `/dump` and `/ready` endpoints of a process.
 #[derive(Clone)]
 pub struct Report {
@@ -90,9 +96,30 @@
 ///
 /// # Errors
 /// The address can't be bound, or the listener fails.
-pub async fn serve(address: SocketAddr, router: Router) -> io::Result<()> {
+pub async fn serve(address: SocketAddr, router: Router, limits: Limits) -> io::Result<()> {
     let listener = TcpListener::bind(address).await?;
-    serve_on(listener, router).await
+    serve_limited(listener, router, limits).await
+}
+
+/// Limits on the clients of an address.
+#[derive(Debug, Clone)]
+pub struct Limits {
+    /// Number of connections. A further one closes that whose request is incomplete for the longest.
+    pub clients: usize,
+    /// Size of a request body, in bytes.
+    pub body_bytes: usize,
+    /// Budget in which bodies beyond the floor of a connection count.
+    pub meter: Option<Rc<Meter>>,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            clients: 1_000,
+            body_bytes: 4 << 20,
+            meter: None,
+        }
+    }
 }
 
 /// Serves `router` on a bound listener until the process ends.
@@ -100,11 +127,41 @@
 /// # Errors
 /// Currently none; the return type allows for a listener that fails permanently.
 pub async fn serve_on(listener: TcpListener, router: Router) -> io::Result<()> {
+    serve_limited(listener, router, Limits::default()).await
+}
+
+/// As [`serve_on`], with limits on the clients.
+///
+/// # Errors
+/// As [`serve_on`].
+pub async fn serve_limited(
+    listener: TcpListener,
+    router: Router,
+    limits: Limits,
+) -> io::Result<()> {
+    let mut clients = Clients::new(limits.clients);
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
-                compio::runtime::spawn(crate::http1::serve_connection(stream, router.clone()))
-                    .detach();
+                let (has_room, closed) = clients.make_room();
+                if let Some(meter) = limits.meter.as_ref().filter(|_| closed || !has_room) {
+                    meter.record_excess();
+                }
+                if !has_room {
+                    continue;
+                }
+                let state = ClientState::new(Cell::new(Activity::Waiting(Instant::now())));
+                let connection = Connection {
+                    account: limits
+                        .meter
+                        .as_ref()
+                        .map(|meter| meter.account(stream.clone())),
+                    stream,
+                    body_bytes: limits.body_bytes,
+                    state: Rc::clone(&state),
+                };
+                let task = compio::runtime::spawn(connection.serve(router.clone()));
+                clients.add(state, task);
             }
             Err(cause) if cause.kind() == io::ErrorKind::ConnectionAborted => {}
             // Without free file descriptors `accept` fails immediately. Other connections may
--- a/crates/base/src/http1.rs
+++ b/crates/base/src/http1.rs
@@ -4,7 +4,11 @@
 //! memory of every connection, even after both ends have closed it. Upstreams open one connection
 //! per second.
 
-use std::{io, time::Duration};
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use axum::{
     Router,
@@ -17,12 +21,18 @@
     net::TcpStream,
     time::timeout,
 };
+use memory::FLOOR_BYTES;
 use tower_service::Service as _;
 
+use crate::{
+    http_clients::{Activity, ClientState},
+    meter::Account,
+};
+
 /// Maximum size of the request line and headers, in bytes.
 const MAX_HEAD_BYTES: usize = 16 << 10;
-/// Maximum size of a request body, in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
+/// Copies of a request body that exist at the same time: as received, and as parsed.
+const COPIES: usize = 2;
 /// Maximum size of a response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 256 << 20;
 /// Maximum number of request headers.
@@ -46,45 +56,98 @@
     Rejected(StatusCode),
 }
 
-/// Serves the requests of one connection sequentially.
-pub async fn serve_connection(mut stream: TcpStream, router: Router) {
-    let mut buffer = Vec::new();
-    loop {
-        let received = match timeout(REQUEST_TIMEOUT, receive(&mut stream, &mut buffer)).await {
-            Ok(Ok(received)) => received,
-            Ok(Err(ReceiveError::Rejected(status))) => {
-                let mut response = Response::new(Body::empty());
-                *response.status_mut() = status;
-                let _closed_anyway = send(&mut stream, response, false, false).await;
+/// A connection of a client.
+pub(crate) struct Connection {
+    pub(crate) stream: TcpStream,
+    /// Account in which large bodies count.
+    pub(crate) account: Option<Rc<Account>>,
+    /// Maximum size of a request body, in bytes.
+    pub(crate) body_bytes: usize,
+    pub(crate) state: ClientState,
+}
+
+impl Connection {
+    /// Serves the requests of the connection sequentially.
+    pub(crate) async fn serve(mut self, router: Router) {
+        self.serve_requests(router).await;
+        self.state.set(Activity::Ended);
+    }
+
+    async fn serve_requests(&mut self, router: Router) {
+        let mut buffer = Vec::new();
+        loop {
+            self.state.set(Activity::Waiting(Instant::now()));
+            let received = match timeout(REQUEST_TIMEOUT, receive(self, &mut buffer)).await {
+                Ok(Ok(received)) => received,
+                Ok(Err(ReceiveError::Rejected(status))) => {
+                    let mut response = Response::new(Body::empty());
+                    *response.status_mut() = status;
+                    let _closed_anyway = send(&mut self.stream, response, false, false).await;
+                    return;
+                }
+                Ok(Err(ReceiveError::Closed)) | Err(_) => return,
+            };
+            self.state.set(Activity::Served);
+            let is_head = received.request.method() == Method::HEAD;
+            let mut router = router.clone();
+            let response = match router.call(received.request).await {
+                Ok(response) => response,
+                Err(never) => match never {},
+            };
+            if let Some(account) = &self.account {
+                account.release();
+            }
+            // A client that doesn't read may be closed in favour of another.
+            self.state.set(Activity::Waiting(Instant::now()));
+            let sent = send(&mut self.stream, response, received.keep_alive, is_head).await;
+            if sent.is_err() || !received.keep_alive {
                 return;
             }
-            Ok(Err(ReceiveError::Closed)) | Err(_) => return,
-        };
-        let is_head = received.request.method() == Method::HEAD;
-        let mut router = router.clone();
-        let response = match router.call(received.request).await {
-            Ok(response) => response,
-            Err(never) => match never {},
+        }
+    }
+
+    /// Waits for memory for a body that does not fit into the floor of the connection.
+    async fn reserve(&self, bytes: usize) -> Result<(), ReceiveError> {
+        if bytes > self.body_bytes {
+            return Err(ReceiveError::Rejected(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        let Some(account) = self.account.as_ref().filter(|_| bytes > FLOOR_BYTES) else {
+            return Ok(());
         };
-        if send(&mut stream, response, received.keep_alive, is_head)
-            .await
-            .is_err()
-            || !received.keep_alive
-        {
-            return;
+        if account.reserve(COPIES * bytes).await {
+            Ok(())
+        } else {
+            Err(ReceiveError::Rejected(StatusCode::PAYLOAD_TOO_LARGE))
+        }
+    }
+
+    async fn fill(&mut self, buffer: &mut Vec<u8>) -> Result<(), ReceiveError> {
+        let BufResult(count, chunk) = self.stream.read(Vec::with_capacity(READ_BYTES)).await;
+        match count {
+            Ok(0) | Err(_) => Err(ReceiveError::Closed),
+            Ok(count) => {
+                buffer.extend_from_slice(&chunk);
+                if let Some(account) = self.account.as_ref().filter(|_| buffer.len() > FLOOR_BYTES)
+                {
+                    account.record_moved(count);
+                }
+                Ok(())
+            }
         }
     }
 }
 
 async fn receive(
-    stream: &mut TcpStream,
+    connection: &mut Connection,
     buffer: &mut Vec<u8>,
 ) -> Result<ReceivedRequest, ReceiveError> {
     loop {
         if let Some((head, length)) = parse(buffer)? {
             let body = head.body_length()?;
+            connection.reserve(body).await?;
+            buffer.reserve_exact((length + body).saturating_sub(buffer.len()));
             while buffer.len() < length + body {
-                fill(stream, buffer).await?;
+                connection.fill(buffer).await?;
             }
             let rest = buffer.split_off(length + body);
             let body = Bytes::from(buffer.split_off(length));
@@ -96,18 +159,7 @@
                 StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             ));
         }
-        fill(stream, buffer).await?;
-    }
-}
-
-async fn fill(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> Result<(), ReceiveError> {
-    let BufResult(count, chunk) = stream.read(Vec::with_capacity(READ_BYTES)).await;
-    match count {
-        Ok(0) | Err(_) => Err(ReceiveError::Closed),
-        Ok(_) => {
-            buffer.extend_from_slice(&chunk);
-            Ok(())
-        }
+        connection.fill(buffer).await?;
     }
 }
 
@@ -165,9 +217,6 @@
         let length = length.to_str().ok().and_then(|length| length.parse().ok());
         match length {
             None => Err(ReceiveError::Rejected(StatusCode::BAD_REQUEST)),
-            Some(length) if length > MAX_BODY_BYTES => {
-                Err(ReceiveError::Rejected(StatusCode::PAYLOAD_TOO_LARGE))
-            }
             Some(length) => Ok(length),
         }
     }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -9,7 +9,7 @@
 };
 
 use agree::{Node, Options, StartError};
-use base::{Exit, HostName, http};
+use base::{Exit, HostName, http, meter::Meter};
 use compio::{
     net::TcpListener,
     runtime::{JoinHandle, spawn},
@@ -78,7 +78,14 @@
     let running = RunningHost::start(&settings, databases, None, logger.clone()).await?;
     let http = bind("http", settings.http).await?;
     let host = Rc::clone(&running.host);
-    let web = spawn(serve_http(Rc::clone(&host), http, settings.admin.operators));
+    let meter = Meter::of_host(settings.memory_mb, settings.descriptors);
+    let limits = http::Limits {
+        clients: meter.limits.databases,
+        meter: Some(meter),
+        ..http::Limits::default()
+    };
+    let operators = settings.admin.operators;
+    let web = spawn(serve_http(Rc::clone(&host), http, operators, limits));
     slog::info!(logger, "control host started"; "address" => %settings.address,
         "http" => %settings.http);
 
@@ -208,14 +215,19 @@
     }
 }
 
-async fn serve_http<L: Log>(host: Rc<Host<L>>, listener: TcpListener, operators: Vec<Operator>) {
+async fn serve_http<L: Log>(
+    host: Rc<Host<L>>,
+    listener: TcpListener,
+    operators: Vec<Operator>,
+    limits: http::Limits,
+) {
     let admin = Rc::new(Admin {
         host: Rc::clone(&host),
         operators,
         sessions: RefCell::default(),
     });
     let router = router(&admin);
-    if let Err(cause) = base::http::serve_on(listener, router).await {
+    if let Err(cause) = base::http::serve_limited(listener, router, limits).await {
         slog::error!(host.logger, "the HTTP server failed"; "cause" => %cause);
     }
 }
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -7,7 +7,7 @@
 };
 
 use base::Position;
-use compio::time::{Elapsed, timeout, timeout_at};
+use compio::time::{Elapsed, timeout_at};
 use wire::{Client, Frame, Received, WireError, Writer};
 
 use crate::{
@@ -156,6 +156,9 @@
     }
 }
 
+/// Time in which a caller must take 64 KiB of an answer while its request occupies a connection.
+const STEP_LIMIT: Duration = Duration::from_secs(3);
+
 /// Forwards the answer to one request, without its `ReadyForQuery`.
 pub(crate) struct Forwarder<'a> {
     /// Writer to the caller.
@@ -226,9 +229,9 @@
                 Delivery::Streamed if self.writer.pending_len() >= STREAM_BYTES => {
                     answer.written = true;
                     self.written = true;
-                    match timeout(self.stall, self.writer.flush()).await {
-                        Ok(Ok(())) => {}
-                        _ => return Err(ExchangeError::Caller),
+                    let limit = self.stall.min(STEP_LIMIT);
+                    if self.writer.flush_in_steps(limit).await.is_err() {
+                        return Err(ExchangeError::Caller);
                     }
                 }
                 _ => {}
--- a/crates/entry/src/login.rs
+++ b/crates/entry/src/login.rs
@@ -63,13 +63,16 @@
 
 /// Logs a caller in, or tells it why the login was refused.
 pub async fn login<F: Fleet>(mut stream: TcpStream, shared: &Rc<Shared<F>>) -> Login<F> {
+    let meter = shared.options.meter.as_ref();
+    let account = meter.map(|meter| meter.account(stream.clone()));
     for _ in 0..=MAX_ENCRYPTION_REQUESTS {
         let (read, write) = (stream.clone(), stream.clone());
-        let mut reader = Reader::new(read, MAX_LOGIN_BYTES);
+        let mut reader = Reader::new(read, MAX_LOGIN_BYTES).with_account(account.clone());
         let opening = reader.initial_message().await;
         if !matches!(opening, Ok(Some(InitialMessage::Ssl | InitialMessage::Gss))) {
             drop(stream);
-            return handle_opening(opening, reader, Writer::new(write), shared).await;
+            let writer = Writer::new(write).with_account(account);
+            return handle_opening(opening, reader, writer, shared).await;
         }
         // Bytes after the request would be meant for an encrypted stream.
         if reader.has_bytes() {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::Map;
+use base::{Map, meter::Meter};
 use slog::Logger;
 
 use crate::registry::Registry;
@@ -37,6 +37,8 @@
     pub registry: Rc<Registry>,
     /// Log of events.
     pub log: Logger,
+    /// Memory budget of the process.
+    pub meter: Option<Rc<Meter>>,
 }
 
 impl Options {
@@ -52,6 +54,7 @@
             drain_delay: Duration::from_secs(1),
             registry: Rc::default(),
             log,
+            meter: None,
         }
     }
 }
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -4,7 +4,8 @@
 
 use base::{
     Exit,
-    http::Report,
+    http::{Limits, Report},
+    meter::Meter,
     settings,
     signals::{SIGINT, SIGTERM, Signals},
 };
@@ -21,6 +22,9 @@
 /// Longest duration of a graceful stop. Requests still running after that are aborted.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Size of an announcement, in bytes.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
 /// Runs the process with the settings in `file` until it stops.
 #[must_use]
 pub fn run(file: &Path) -> Exit {
@@ -62,11 +66,21 @@
         ready: Rc::new(move || ready.is_ready(base::clock::now())),
     };
     let router = base::http::routes(report).merge(announce::routes(Rc::clone(network)));
-    let http = base::http::serve(settings.http, router).fuse();
+    let meter = Meter::of_host(settings.memory_mb, settings.descriptors);
+    let limits = Limits {
+        clients: meter.limits.clients,
+        body_bytes: MAX_BODY_BYTES,
+        meter: Some(Rc::clone(&meter)),
+    };
+    let http = base::http::serve(settings.http, router, limits).fuse();
     network.start();
     info!(network.log, "process started"; "address" => %settings.address, "http" => %settings.http);
     let mut options = Options::new(auth(settings), network.log.clone());
     options.registry = Rc::clone(&network.registry);
+    // Leaves descriptors for logins that are refused.
+    let callers = meter.limits.callers;
+    options.max_callers = options.max_callers.min(callers - callers / 16);
+    options.meter = Some(meter);
     let callers = listener::serve(listener, Rc::clone(network), options).fuse();
     let stop = async {
         {
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -50,6 +50,12 @@
 }
 
 impl SessionSettings {
+    /// Size of the parameters, in bytes: each is kept by itself and in the script.
+    #[must_use]
+    pub const fn kept_bytes(&self) -> usize {
+        2 * self.set_script.len()
+    }
+
     /// Records parameters that were set, each with its statement, or `None` for a reset to the
     /// default.
     pub fn update_set_statements(&mut self, set_statements: &[(String, Option<String>)]) {
@@ -203,9 +209,26 @@
             if Box::pin(self.run_action(action)).await.is_err() {
                 return;
             }
+            if !self.count_kept() {
+                let cause = "no memory for further statements and parameters of sessions";
+                let _closing = self.fatal("53200", cause).await;
+                return;
+            }
         }
     }
 
+    /// Counts the memory of prepared statements and parameters; false if there is none for them. Frees
+    /// that of the last request.
+    fn count_kept(&mut self) -> bool {
+        if self.batched.is_empty() && self.names.portals.is_empty() {
+            self.reader.release();
+        }
+        let Some(account) = self.reader.account() else {
+            return true;
+        };
+        account.keep_total(self.names.text_bytes() + self.settings.kept_bytes())
+    }
+
     /// Waits for the next message; returns `None` when the session has ended.
     async fn next_message(
         &mut self,
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -15,9 +15,9 @@
 /// Number of requests with an idempotency key between two deletions of expired keys. A deletion
 /// reads the whole table, because the column with the times has no index.
 const PURGE_INTERVAL: u32 = 500;
-/// Connections beyond the limit of callers, for cancel requests and for logins that are refused
-/// with an error message.
-const SPARE_CONNECTIONS: usize = 1_000;
+/// Connections beyond the limit of callers, as the divisor of that limit, for cancel requests and for
+/// logins that are refused with an error message.
+const SPARE_DIVISOR: usize = 20;
 /// Highest number of retries in the budget. It is that high because a failover makes all requests
 /// in progress retry at the same time.
 const RETRY_BURST: u32 = 100;
@@ -73,7 +73,8 @@
     /// requests count as well.
     pub fn admit_connection(&self) -> Option<ConnectionGuard> {
         let count = self.connected.get() + 1;
-        (count <= self.options.max_callers + SPARE_CONNECTIONS).then(|| {
+        let max_callers = self.options.max_callers;
+        (count <= max_callers + max_callers.div_ceil(SPARE_DIVISOR)).then(|| {
             self.connected.set(count);
             ConnectionGuard(Rc::clone(&self.connected))
         })
--- a/crates/entry/src/statements.rs
+++ b/crates/entry/src/statements.rs
@@ -99,6 +99,12 @@
             || self.text_bytes + bytes > MAX_TEXT_BYTES.max(bytes)
     }
 
+    /// Size of the statements' names and texts, in bytes.
+    #[must_use]
+    pub const fn text_bytes(&self) -> usize {
+        self.text_bytes
+    }
+
     /// Adds a pending change of the running batch.
     pub fn add_pending(&mut self, change: NameChange) {
         self.pending.push(change);
@@ -113,13 +119,14 @@
     pub fn apply(&mut self, change: NameChange) {
         let replaced = match change {
             NameChange::Add(name, prepared) => {
-                self.text_bytes += prepared.text.len();
-                self.statements.insert(name, prepared)
+                let length = name.len();
+                self.text_bytes += length + prepared.text.len();
+                (length, self.statements.insert(name, prepared))
             }
-            NameChange::Remove(name) => self.statements.remove(&name),
+            NameChange::Remove(name) => (name.len(), self.statements.remove(&name)),
         };
-        if let Some(replaced) = replaced {
-            self.text_bytes -= replaced.text.len();
+        if let (length, Some(replaced)) = replaced {
+            self.text_bytes -= length + replaced.text.len();
         }
     }
 
--- a/crates/lab/tests/crowds.rs
+++ b/crates/lab/tests/crowds.rs
@@ -78,9 +78,9 @@
         let entry = deployment.site.entries()[0];
         let name = deployment.site.process_name(entry);
         let file = folder.path().join(format!("run/{name}.toml"));
-        let text = fs::read_to_string(&file).unwrap();
+        let settings = fs::read_to_string(&file).unwrap();
         let limits = format!("memory_mb = {MEMORY_MB}\ndescriptors = {DESCRIPTORS}\n");
-        fs::write(&file, limits + &text).unwrap();
+        fs::write(&file, limits + &settings).unwrap();
         deployment.process(entry).restart().unwrap();
         deployment.wait_ready(entry).unwrap();
         assert!(is_answered(|| serves(entry.address())));
--- a/crates/session/src/caller.rs
+++ b/crates/session/src/caller.rs
@@ -50,4 +50,10 @@
     fn next(&mut self) -> impl Future<Output = Input>;
     /// Replies to the last request.
     fn reply(&mut self, reply: &Reply) -> impl Future<Output = io::Result<()>>;
+    /// Takes `bytes` for what the session keeps until it ends; false if there is no memory for them.
+    fn keep(&self, _bytes: usize) -> bool {
+        true
+    }
+    /// Returns bytes taken with [`Self::keep`].
+    fn forget(&self, _bytes: usize) {}
 }
--- a/crates/session/src/connection_state.rs
+++ b/crates/session/src/connection_state.rs
@@ -1,9 +1,9 @@
 //! Session variables and prepared statements of a pooled connection.
 
-use std::{collections::BTreeMap, fmt::Write as _};
+use std::{borrow::Cow, collections::BTreeMap, fmt::Write as _};
 
-use base::Set;
-use bstr::BString;
+use base::{Set, document::digest_bytes};
+use bstr::{BStr, BString};
 
 use crate::{command::StatementKind, statement::Statement};
 
@@ -13,6 +13,21 @@
 /// Prepared statements that a connection keeps; when there are more, all are dropped by a reset.
 const MAX_PREPARED: usize = 256;
 
+/// Longest text that a connection keeps as it is, in bytes. Of a longer one it keeps the digest: all
+/// pooled connections together would keep many copies.
+const MAX_KEPT_BYTES: usize = 256;
+
+/// The text, or a shorter one in its place that differs from those of all other texts.
+fn shortened(text: &BString) -> Cow<'_, BStr> {
+    if text.len() <= MAX_KEPT_BYTES {
+        return Cow::Borrowed(BStr::new(text));
+    }
+    // The blanks make it longer than any text that is kept as it is.
+    let mut digest = digest_bytes(text);
+    digest.push_str(&" ".repeat(MAX_KEPT_BYTES));
+    Cow::Owned(digest.into())
+}
+
 /// A prepared statement.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct PreparedStatement {
@@ -27,8 +42,8 @@
 impl PreparedStatement {
     /// Creates a prepared statement.
     ///
-    /// The name encodes the kind and the whole template, so different statements have different
-    /// names.
+    /// The name encodes the kind and the whole template, or the digest of a long template, so
+    /// different statements have different names.
     ///
     /// ```
     /// use session::{PreparedStatement, StatementKind};
@@ -42,7 +57,15 @@
             StatementKind::Read => "r",
             StatementKind::Write => "w",
         });
-        for byte in template.iter().copied() {
+        let text: &[u8] = if template.len() > MAX_KEPT_BYTES {
+            // An escaped byte is never followed by this.
+            name.push_str("__");
+            name.push_str(&digest_bytes(&template));
+            b""
+        } else {
+            &template
+        };
+        for byte in text.iter().copied() {
             if byte.is_ascii_lowercase() || byte.is_ascii_digit() {
                 name.push(char::from(byte));
             } else {
@@ -80,17 +103,16 @@
         prepared: Option<&'a PreparedStatement>,
     ) -> Vec<Statement<'a>> {
         let mut statements = Vec::new();
-        let has_extra = self
-            .variables
-            .keys()
-            .any(|name| !variables.contains_key(name));
+        let is_known = |name: &&BString| self.variables.contains_key(&*shortened(name));
+        let has_extra = variables.keys().filter(is_known).count() < self.variables.len();
         let is_full = prepared.is_none() && self.prepared.len() >= MAX_PREPARED;
         let reset = has_extra || is_full || self.invalidated;
         if reset {
             statements.push(Statement::Reset);
         }
         for (name, value) in variables {
-            if reset || self.variables.get(name) != Some(value) {
+            let known = self.variables.get(&*shortened(name));
+            if reset || known.is_none_or(|known| BStr::new(known) != &*shortened(value)) {
                 statements.push(Statement::Set {
                     name: name.as_ref(),
                     value: value.as_ref(),
@@ -114,8 +136,9 @@
         match statement {
             Statement::Reset => *self = Self::default(),
             Statement::Set { name, value } => {
-                self.variables
-                    .insert((*name).to_owned(), (*value).to_owned());
+                let (name, value) = ((*name).to_owned(), (*value).to_owned());
+                let value = shortened(&value).into_owned();
+                self.variables.insert(shortened(&name).into_owned(), value);
             }
             Statement::Prepare { name, .. } => {
                 self.prepared.insert((*name).to_owned());
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -225,8 +225,10 @@
         if let Command::Prepare { name, kind, .. } = &request.command
             && response.outcome.is_ok()
             && self.prepared_kinds.len() < MAX_NAMES
+            && self.caller.keep(name.len())
+            && self.prepared_kinds.insert(name.clone(), *kind).is_some()
         {
-            self.prepared_kinds.insert(name.clone(), *kind);
+            self.caller.forget(name.len());
         }
     }
 
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use base::{log::LineLimit, meter::Meter};
 use compio::{
     net::{SocketOpts, TcpListener, TcpStream},
     runtime::spawn,
@@ -30,6 +31,9 @@
 /// Interval of the check whether all sessions have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Log lines per second about refused connections.
+const MAX_REFUSAL_LINES: u32 = 1;
+
 /// Schedule of a graceful shutdown, as durations since it was requested.
 #[derive(Debug, Clone, Copy)]
 pub struct ShutdownSchedule {
@@ -49,6 +53,8 @@
     pub callers: TcpListener,
     /// Sessions that other entry processes forward.
     pub forwarded: TcpListener,
+    /// Budget of the process, which limits the number of connections.
+    pub meter: Rc<Meter>,
 }
 
 /// Serves callers until `stop` completes, then shuts down gracefully as `schedule` says.
@@ -63,12 +69,14 @@
 {
     let callers = pin!(accept(
         &listeners.callers,
+        &listeners.meter,
         &shared,
         &new_caller,
         Peer::Caller
     ));
     let forwarded = pin!(accept(
         &listeners.forwarded,
+        &listeners.meter,
         &shared,
         &new_caller,
         Peer::Entry
@@ -144,6 +152,7 @@
 
 async fn accept<C: Caller, D: Dialect>(
     listener: &TcpListener,
+    meter: &Meter,
     shared: &Rc<Shared<D>>,
     new_caller: &impl Fn(TcpStream, Peer) -> C,
     peer: Peer,
@@ -152,11 +161,23 @@
 {
     // Keepalive probes detect callers whose host is gone, which ends their sessions.
     let socket = SocketOpts::new().nodelay(true).keepalive(true);
+    let refusals = LineLimit::new(MAX_REFUSAL_LINES);
     loop {
         match listener.accept_with_options(&socket).await {
             Ok((stream, _caller)) => {
+                // The other descriptors are kept for databases, control hosts and operators.
+                if shared.session_count() >= meter.limits.callers {
+                    meter.record_excess();
+                    if refusals.admit(Instant::now()) {
+                        warn!(shared.network.log, "connection refused";
+                            "cause" => "too many sessions", "sessions" => shared.session_count(),
+                            "left_out" => refusals.take_skipped());
+                    }
+                    continue;
+                }
                 let caller = new_caller(stream, peer);
-                spawn(Session::serve(caller, Rc::clone(shared), peer)).detach();
+                let guard = shared.register_session();
+                spawn(Session::serve(caller, Rc::clone(shared), peer, guard)).detach();
             }
             Err(cause) => {
                 warn!(shared.network.log, "accept failed"; "cause" => %cause);
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -18,7 +18,7 @@
     connection_state::{PreparedStatement, SessionVariables},
     forward::ForwardedSession,
     request_log::RequestContext,
-    shared::{Phase, ResolvedRoute, Shared},
+    shared::{Phase, ResolvedRoute, SessionGuard, Shared},
     statement::{Code, Failure, Reply, Statement, StatementClient, TransactionState},
     transaction::Transaction,
 };
@@ -99,8 +99,7 @@
 {
     /// Serves a caller until it disconnects or the process shuts down. A session that no entry process
     /// forwarded here is forwarded to another one if that one serves the route.
-    pub async fn serve(mut caller: C, shared: Rc<Shared<D>>, peer: Peer) {
-        let _guard = shared.register_session();
+    pub async fn serve(mut caller: C, shared: Rc<Shared<D>>, peer: Peer, _guard: SessionGuard<D>) {
         let Ok(Some(login)) = timeout(LOGIN_TIMEOUT, caller.login()).await else {
             return;
         };
@@ -250,7 +249,12 @@
                 if self.variables.len() >= MAX_NAMES {
                     return self.malformed("too many values are set");
                 }
-                self.variables.insert(name.clone(), value.clone());
+                if !self.caller.keep(name.len() + value.len()) {
+                    return self.fail(too_much_kept());
+                }
+                if let Some(old) = self.variables.insert(name.clone(), value.clone()) {
+                    self.caller.forget(name.len() + old.len());
+                }
                 Reply::done(self.state())
             }
             Command::Prepare {
@@ -261,12 +265,19 @@
                 if self.prepared.len() >= MAX_NAMES {
                     return self.malformed("too many names are prepared");
                 }
+                if !self.caller.keep(name.len() + template.len()) {
+                    return self.fail(too_much_kept());
+                }
                 let prepared = Rc::new(PreparedStatement::new(*kind, template.clone()));
-                self.prepared.insert(name.clone(), prepared);
+                if let Some(old) = self.prepared.insert(name.clone(), prepared) {
+                    self.caller.forget(name.len() + old.template.len());
+                }
                 Reply::done(self.state())
             }
             Command::Deallocate { name } => {
-                self.prepared.remove(name);
+                if let Some(old) = self.prepared.remove(name) {
+                    self.caller.forget(name.len() + old.template.len());
+                }
                 Reply::done(self.state())
             }
             Command::Malformed => self.malformed("the text is no statement"),
@@ -411,6 +422,12 @@
     }
 }
 
+/// Failure of a request to keep more than there is memory for.
+pub(crate) fn too_much_kept() -> Failure {
+    let cause = "no memory for further values of sessions; set fewer or smaller ones";
+    Failure::new(Code::Busy, cause)
+}
+
 /// Reply to a request while the transaction is failed, when only its end is valid. `unreported` is
 /// the cause of the failure if the caller was not told yet.
 pub(crate) fn reply_in_failed_transaction(command: &Command, unreported: Option<String>) -> Reply {
--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -1,10 +1,12 @@
 //! Reading messages from a stream.
 
-use std::{future::poll_fn, task::Poll};
+use std::{future::poll_fn, rc::Rc, task::Poll};
 
+use base::meter::Account;
 use bytes::{Buf, Bytes, BytesMut};
 use compio::{buf::BufResult, io::AsyncReadExt, net::TcpStream};
 
+use memory::FLOOR_BYTES;
 use rustix::{
     io::Errno,
     net::{RecvFlags, recv},
@@ -23,6 +25,9 @@
 const MAX_INITIAL_BYTES: usize = 10_000;
 /// Size of the type byte and length field before a body.
 const HEADER_BYTES: usize = 5;
+/// Copies of a message that exist at the same time: as received, as parsed, as encoded for the other
+/// side, and in the buffer of its writer.
+const COPIES: usize = 4;
 /// Terminator of a line.
 const LINE_END: &[u8] = b"\r\n";
 
@@ -48,6 +53,9 @@
     limit: usize,
     busy: bool,
     received: u64,
+    account: Option<Rc<Account>>,
+    /// Size of the messages returned since the last [`Reader::release`], in bytes.
+    consumed: usize,
 }
 
 impl Reader {
@@ -60,9 +68,64 @@
             limit,
             busy: false,
             received: 0,
+            account: None,
+            consumed: 0,
         }
     }
 
+    /// Counts messages beyond the floor of a connection in its account.
+    #[must_use]
+    pub fn with_account(mut self, account: Option<Rc<Account>>) -> Self {
+        self.account = account;
+        self
+    }
+
+    /// Frees the memory counted for the messages returned so far.
+    pub fn release(&mut self) {
+        if std::mem::take(&mut self.consumed) > 0
+            && let Some(account) = &self.account
+        {
+            account.release();
+        }
+    }
+
+    /// Removes the next `length` bytes from the buffer.
+    fn take(&mut self, length: usize) -> Bytes {
+        let message = self.buffer.split_to(length);
+        self.consumed += length;
+        if length > FLOOR_BYTES {
+            // The rest must not keep the allocation of a large message.
+            self.buffer = BytesMut::from(&*self.buffer);
+            if let Some(account) = &self.account {
+                account.set_on_client(false);
+            }
+        }
+        message.freeze()
+    }
+
+    /// Waits for memory for a message of up to `expected` bytes if it doesn't fit into the floor.
+    async fn reserve(&mut self, expected: usize) -> Result<(), WireError> {
+        let held = self.consumed + self.buffer.len();
+        let Some(account) = self.account.as_ref().filter(|_| held > FLOOR_BYTES) else {
+            return Ok(());
+        };
+        let expected = self.consumed + expected.max(self.buffer.len());
+        account.set_on_client(true);
+        if !account.reserve(COPIES * expected).await {
+            return Err(WireError::TooLarge {
+                length: expected,
+                limit: self.limit,
+            });
+        }
+        Ok(())
+    }
+
+    /// Account of the connection.
+    #[must_use]
+    pub const fn account(&self) -> Option<&Rc<Account>> {
+        self.account.as_ref()
+    }
+
     /// Sets the maximum size of a message, in bytes.
     pub fn set_limit(&mut self, limit: usize) {
         self.limit = limit;
@@ -98,7 +161,7 @@
             return Ok(None);
         }
         self.buffer.advance(HEADER_BYTES);
-        let body = self.buffer.split_to(length - 4).freeze();
+        let body = self.take(length - 4);
         Ok(Some(Frame { tag, body }))
     }
 
@@ -112,7 +175,7 @@
             if let Some(frame) = self.buffered()? {
                 return Ok(Some(frame));
             }
-            if !self.fill().await? {
+            if !self.fill(self.stated_bytes()).await? {
                 return if self.buffer.is_empty() {
                     Ok(None)
                 } else {
@@ -133,9 +196,9 @@
         loop {
             let mut pairs = self.buffer[searched..].windows(LINE_END.len());
             if let Some(end) = pairs.position(|pair| pair == LINE_END) {
-                let line = self.buffer.split_to(searched + end);
+                let line = self.take(searched + end);
                 self.buffer.advance(LINE_END.len());
-                return Ok(Some(line.freeze()));
+                return Ok(Some(line));
             }
             if self.buffer.len() > self.limit {
                 return Err(WireError::TooLarge {
@@ -145,7 +208,7 @@
             }
             // The last byte may be a CR whose LF has not arrived yet.
             searched = self.buffer.len().saturating_sub(1);
-            if !self.fill().await? {
+            if !self.fill(self.limit).await? {
                 return if self.buffer.is_empty() {
                     Ok(None)
                 } else {
@@ -185,7 +248,7 @@
                     return InitialMessage::parse(&body).map(Some);
                 }
             }
-            if !self.fill().await? {
+            if !self.fill(MAX_INITIAL_BYTES).await? {
                 return if self.buffer.is_empty() {
                     Ok(None)
                 } else {
@@ -216,7 +279,27 @@
         self.received
     }
 
-    async fn fill(&mut self) -> Result<bool, WireError> {
+    /// Length of the frame at the start of the buffer, in bytes; 0 while it is unknown.
+    fn stated_bytes(&self) -> usize {
+        let length = self.buffer.get(1..HEADER_BYTES);
+        let length = length.and_then(|bytes| bytes.try_into().ok());
+        length.map_or(0, |length| u32::from_be_bytes(length) as usize)
+    }
+
+    /// Reads more of a message of up to `expected` bytes.
+    async fn fill(&mut self, expected: usize) -> Result<bool, WireError> {
+        self.reserve(expected).await?;
+        let before = self.received;
+        let more = self.read_some().await?;
+        if self.buffer.len() > FLOOR_BYTES
+            && let Some(account) = &self.account
+        {
+            account.record_moved(usize::try_from(self.received - before).unwrap_or(usize::MAX));
+        }
+        Ok(more)
+    }
+
+    async fn read_some(&mut self) -> Result<bool, WireError> {
         match self.receive_now().await? {
             Received::Bytes => Ok(true),
             Received::End => Ok(false),
--- a/crates/wire/src/writer.rs
+++ b/crates/wire/src/writer.rs
@@ -1,7 +1,10 @@
 //! Writing messages to a stream.
 
+use std::{io, rc::Rc, time::Duration};
+
+use base::meter::Account;
 use bytes::{Buf, BytesMut};
-use compio::{buf::BufResult, io::AsyncWriteExt, net::TcpStream};
+use compio::{buf::BufResult, io::AsyncWriteExt, net::TcpStream, time::timeout};
 use pgwire::messages::Message;
 
 use rustix::{
@@ -14,12 +17,16 @@
 /// Maximum buffer capacity kept between flushes, in bytes; a larger buffer is freed.
 const MAX_KEPT_BYTES: usize = 1 << 10;
 
+/// Most bytes written at a time, so that the progress of a large write is known.
+const STEP_BYTES: usize = 64 << 10;
+
 /// Buffers messages and writes them together.
 #[derive(Debug)]
 pub struct Writer {
     stream: TcpStream,
     buffer: BytesMut,
     sent: u64,
+    account: Option<Rc<Account>>,
 }
 
 impl Writer {
@@ -30,9 +37,17 @@
             stream,
             buffer: BytesMut::new(),
             sent: 0,
+            account: None,
         }
     }
 
+    /// Counts the progress of large writes in the account of the connection.
+    #[must_use]
+    pub fn with_account(mut self, account: Option<Rc<Account>>) -> Self {
+        self.account = account;
+        self
+    }
+
     /// Adds a message.
     ///
     /// # Errors
@@ -92,6 +107,7 @@
         if self.send_now()? {
             return Ok(());
         }
+        self.write_steps(None).await?;
         let buffer = std::mem::take(&mut self.buffer);
         let BufResult(result, mut buffer) = self.stream.write_all(buffer).await;
         result?;
@@ -103,6 +119,47 @@
         Ok(())
     }
 
+    /// As [`Writer::flush`], for a peer that must take each 64 KiB within `limit`.
+    ///
+    /// # Errors
+    /// The transport failed, or the peer was too slow; the buffered bytes are lost.
+    pub async fn flush_in_steps(&mut self, limit: Duration) -> Result<(), WireError> {
+        if self.send_now()? {
+            return Ok(());
+        }
+        self.write_steps(Some(limit)).await?;
+        let rest = timeout(limit, self.flush()).await;
+        rest.map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
+    }
+
+    /// Writes all buffered bytes but at most [`STEP_BYTES`], each step within `limit`.
+    async fn write_steps(&mut self, limit: Option<Duration>) -> Result<(), WireError> {
+        if self.buffer.len() <= STEP_BYTES {
+            return Ok(());
+        }
+        if let Some(account) = &self.account {
+            account.set_on_client(true);
+        }
+        while self.buffer.len() > STEP_BYTES {
+            let step = self.buffer.split_to(STEP_BYTES);
+            let writing = self.stream.write_all(step);
+            match limit {
+                Some(limit) => {
+                    let written = timeout(limit, writing).await;
+                    written
+                        .map_err(|_elapsed| io::Error::from(io::ErrorKind::TimedOut))?
+                        .0?;
+                }
+                None => writing.await.0?,
+            }
+            self.sent += STEP_BYTES as u64;
+            if let Some(account) = &self.account {
+                account.record_moved(STEP_BYTES);
+            }
+        }
+        Ok(())
+    }
+
     /// Writes as many buffered bytes as the send buffer of the socket accepts without blocking, and
     /// returns whether that was all of them.
     ///
