--- a/crates/entry/src/session_settings.rs
+++ b/crates/entry/src/session_settings.rs
@@ -27,6 +27,12 @@
 }
 
 impl SessionSettings {
+    /// Size of the parameters, in bytes: each is kept by itself and in the script.
+    #[must_use]
+    pub const fn kept_bytes(&self) -> usize {
+        2 * self.set_script.len()
+    }
+
     /// Records parameters that were set, each with its statement, or `None` for a reset to the
     /// default.
     pub fn update_set_statements(&mut self, set_statements: &[(String, Option<String>)]) {
