--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -162,7 +162,24 @@
             if Box::pin(self.run_action(action)).await.is_err() {
                 return;
             }
+            if !self.count_kept() {
+                let cause = "no memory for further statements and parameters of sessions";
+                let _closing = self.fatal("53200", cause).await;
+                return;
+            }
+        }
+    }
+
+    /// Counts the memory of prepared statements and parameters; false if there is none for them. Frees
+    /// that of the last request.
+    fn count_kept(&mut self) -> bool {
+        if self.batched.is_empty() && self.names.portals.is_empty() {
+            self.reader.release();
         }
+        let Some(account) = self.reader.account() else {
+            return true;
+        };
+        account.keep_total(self.names.text_bytes() + self.settings.kept_bytes())
     }
 
     /// Waits for the next message; returns `None` when the session has ended.
