--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-2/cases ] && [ -x target/release/platform ] || exit 2
-exec target/review-2/cases foreign-beat "$here"
+exec target/review-2/cases foreign-heartbeat "$here"
--- a/review/standins-2/begin.rs
+++ b/review/standins-2/begin.rs
@@ -42,7 +42,7 @@
         memory.map_or(0, |(_, most)| most)
     };
     report("before the crowd");
-    let bytes = if case.trouble { ID_BYTES } else { 16 };
+    let bytes = if case.disrupted { ID_BYTES } else { 16 };
     let callers = deployment.callers(1);
     case.record.add(&format!(
         "{SESSIONS} sessions send QUERY id BEGIN with an id of {bytes} bytes"
--- a/review/standins-2/database.rs
+++ b/review/standins-2/database.rs
@@ -28,7 +28,7 @@
 const COPY_INTERVAL: Duration = Duration::from_millis(50);
 /// Time in which a replica that holds nothing copies the log, once the primary is there.
 const FIRST_COPY: Duration = Duration::from_millis(1_000);
-/// Time for which a former primary that reaches the new one goes on.
+/// Time after a promotion at which the former primary becomes a replica.
 const STEP_DOWN_AFTER: Duration = Duration::from_secs(1);
 
 /// A committed write.
@@ -73,10 +73,10 @@
     born: u64,
     connections: u32,
     up: bool,
-    /// Whether it receives nothing.
-    deaf: bool,
+    /// Whether its replication is paused: it receives nothing.
+    paused: bool,
     /// When it was started last.
-    since: Instant,
+    started: Instant,
     /// Streams of its connections, which a crash ends.
     streams: Vec<TcpStream>,
 }
@@ -98,7 +98,8 @@
     /// Of this many `SET`s, one fails; 0 for none.
     failing_sets: u32,
     /// Database where they fail.
-    grey: String,
+    failing_database: String,
+    /// Number of `SET`s that this database got.
     sets: u32,
 }
 
@@ -142,8 +143,8 @@
             born: unix_ms(),
             connections: 0,
             up: true,
-            deaf: false,
-            since: Instant::now(),
+            paused: false,
+            started: Instant::now(),
             streams: Vec::new(),
         });
         drop(state);
@@ -212,10 +213,10 @@
     }
 
     /// Lets a replica receive nothing, or everything again.
-    pub fn set_deaf(&self, id: &str, deaf: bool) {
-        self.change(id, |database| database.deaf = deaf);
+    pub fn pause_replication(&self, id: &str, paused: bool) {
+        self.change(id, |database| database.paused = paused);
         let position = self.position(id);
-        let what = if deaf {
+        let what = if paused {
             "receives nothing from now on"
         } else {
             "receives again"
@@ -235,7 +236,7 @@
             .unwrap_or(0);
         self.change(id, |database| {
             (database.up, database.born, database.sequence) = (true, unix_ms(), 0);
-            database.since = Instant::now();
+            database.started = Instant::now();
             if !database.primary {
                 (database.term, database.log) = (0, Vec::new());
             }
@@ -244,7 +245,7 @@
         let position = self.position(id);
         self.record
             .add(&format!("{id} is back, with its log up to {position}"));
-        self.beat(id, control, 0);
+        self.send_heartbeat(id, control, 0);
     }
 
     /// Lets replicas that lack a part of the log copy it from the primary, until the process ends.
@@ -260,16 +261,16 @@
                     .databases
                     .iter()
                     .find(|d| d.primary && d.up && d.term == newest);
-                let Some((term, log, since)) = primary.map(|d| (d.term, d.log.clone(), d.since))
+                let Some((term, log, since)) = primary.map(|d| (d.term, d.log.clone(), d.started))
                 else {
                     continue;
                 };
                 for replica in state
                     .databases
                     .iter_mut()
-                    .filter(|d| d.up && !d.primary && !d.deaf)
+                    .filter(|d| d.up && !d.primary && !d.paused)
                 {
-                    if replica.log.is_empty() && now < since.max(replica.since) + FIRST_COPY {
+                    if replica.log.is_empty() && now < since.max(replica.started) + FIRST_COPY {
                         continue;
                     }
                     if replica.term != term || replica.log.len() < log.len() {
@@ -298,14 +299,14 @@
         thread::spawn(move || {
             for round in 0_usize.. {
                 for id in group.ids() {
-                    group.beat(&id, &control, round);
+                    group.send_heartbeat(&id, &control, round);
                 }
                 thread::sleep(HEARTBEAT);
             }
         });
     }
 
-    fn beat(&self, id: &str, control: &[SocketAddr], round: usize) {
+    fn send_heartbeat(&self, id: &str, control: &[SocketAddr], round: usize) {
         for attempt in 0..control.len() {
             let body = {
                 let mut state = self.lock();
@@ -347,7 +348,7 @@
         self.change(&id, |database| database.draining = true);
         self.record
             .add(&format!("{id} announces that it is draining"));
-        self.beat(&id, control, 0);
+        self.send_heartbeat(&id, control, 0);
     }
 
     pub fn ids(&self) -> Vec<String> {
@@ -394,7 +395,7 @@
     pub fn fail_sets(&self, of: u32) {
         let primary = self.primary();
         let mut state = self.lock();
-        (state.failing_sets, state.grey) = (of, primary);
+        (state.failing_sets, state.failing_database) = (of, primary);
     }
 
     /// Lets `id` lead the next term with what it has received.
@@ -415,7 +416,7 @@
         for database in state
             .databases
             .iter_mut()
-            .filter(|d| !d.primary && d.up && !d.deaf)
+            .filter(|d| !d.primary && d.up && !d.paused)
         {
             (database.term, database.log) = (term, log.clone());
         }
@@ -571,7 +572,10 @@
         let words: Vec<_> = statement.splitn(3, ' ').collect();
         let is_primary = {
             let state = self.lock();
-            state.databases.iter().any(|d| d.id == id && d.primary)
+            state
+                .databases
+                .iter()
+                .any(|d| d.id == id && d.primary && d.up)
         };
         if !after.is_empty() && !self.has_applied(id, is_primary, after) {
             return error("LAGGING");
@@ -584,7 +588,7 @@
                 format!("COMPLETE {signature}\r\n")
             }
             ["FETCH", item] => {
-                self.note_run(id, session, request, text);
+                self.record_run(id, session, request, text);
                 let row = self.value(id, is_primary, item);
                 let row = row.map_or(String::new(), |value| format!("ROW {value}\r\n"));
                 format!("{row}COMPLETE {signature}\r\n")
@@ -594,7 +598,7 @@
                 error("READONLY")
             }
             ["STORE", item, data] => {
-                self.note_run(id, session, request, text);
+                self.record_run(id, session, request, text);
                 let write = (request.to_owned(), item.to_owned(), data.to_owned());
                 match &mut session.writes {
                     Some(writes) => writes.push(write),
@@ -621,14 +625,14 @@
 
     fn next_set_fails(&self, id: &str) -> bool {
         let mut state = self.lock();
-        if state.failing_sets == 0 || state.grey != id {
+        if state.failing_sets == 0 || state.failing_database != id {
             return false;
         }
         state.sets += 1;
         state.sets % state.failing_sets == 0
     }
 
-    fn note_run(&self, id: &str, session: &Session, request: &str, text: &str) {
+    fn record_run(&self, id: &str, session: &Session, request: &str, text: &str) {
         self.record.add(&format!("{id} runs {request} {text:.60}"));
         self.lock().runs.push(Run {
             id: request.to_owned(),
@@ -659,7 +663,7 @@
         let term = primary.term;
         let mut received = false;
         let copies = |d: &&mut Database| {
-            d.up && !d.deaf && !d.primary && d.term == term && d.log.len() as u64 + 1 == number
+            d.up && !d.paused && !d.primary && d.term == term && d.log.len() as u64 + 1 == number
         };
         for replica in state.databases.iter_mut().filter(copies) {
             replica.log.push(commit.clone());
--- a/review/standins-2/deployment.rs
+++ b/review/standins-2/deployment.rs
@@ -182,7 +182,7 @@
                 let callers = self.callers(number);
                 ready.is_ok_and(|(status, _)| status == 200)
                     && Client::connect(callers, route).is_some_and(|mut client| {
-                        let answer = client.execute("warm", "STORE warm 1");
+                        let answer = client.execute("probe", "STORE probe 1");
                         answer.is_some_and(|answer| answer.outcome.starts_with("COMPLETE"))
                     })
             })
@@ -226,7 +226,7 @@
     }
 
     /// Lines with `text` in the logs of the control hosts.
-    pub fn lines(&self, text: &str) -> Vec<String> {
+    pub fn log_lines(&self, text: &str) -> Vec<String> {
         let logs = (2..=4).map(|host| self.folder.join(format!("control-{host}.log")));
         let logs = logs.filter_map(|file| fs::read_to_string(file).ok());
         let lines = logs.flat_map(|log| log.lines().map(str::to_owned).collect::<Vec<_>>());
--- a/review/standins-2/grey.rs
+++ b/review/standins-2/failed_set.rs
@@ -28,7 +28,7 @@
     if !deployment.configure(1, SERVICE, &routes) || !deployment.serves(ROUTE) {
         return failed("no service");
     }
-    if case.trouble {
+    if case.disrupted {
         group.fail_sets(FAILING);
     }
     let callers = deployment.callers(1);
--- a/review/standins-2/foreign_beat.rs
+++ b/review/standins-2/foreign_heartbeat.rs
@@ -32,7 +32,7 @@
     let Some(address) = group.address_of(&primary) else {
         return failed("no primary");
     };
-    let id = if case.trouble {
+    let id = if case.disrupted {
         format!("{primary}%0D%0AQUERY%20foreign1%20STORE%20k9%20foreign")
     } else {
         "i-00ff00ff".to_owned()
@@ -54,19 +54,19 @@
     case.record
         .add(&format!("the client asks for k9 and gets {answer:?}"));
 
-    let sent = ["warm", "own1"];
+    let sent = ["probe", "own1"];
     let runs = group.runs();
     let unasked = runs
         .iter()
         .filter(|run| !sent.contains(&run.id.as_str()))
         .count();
     let commits = group.commits();
-    let foreign = commits
+    let unasked_commits = commits
         .iter()
         .filter(|c| c.ids.iter().any(|id| !sent.contains(&id.as_str())));
     case.record.add(&format!(
         "statements that no client sent: {unasked} run, {} committed",
-        foreign.count()
+        unasked_commits.count()
     ));
     if unasked > 0 {
         Verdict::Broken
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -9,8 +9,8 @@
 mod net;
 
 mod begin;
-mod foreign_beat;
-mod grey;
+mod failed_set;
+mod foreign_heartbeat;
 mod outages;
 mod stop;
 
@@ -26,7 +26,7 @@
     pub network: Network,
     pub record: Arc<Record>,
     /// Whether the disruption is played.
-    pub trouble: bool,
+    pub disrupted: bool,
     pub limit: Duration,
 }
 
@@ -54,14 +54,14 @@
     let case = Case {
         network: Network::pick(),
         record: Arc::clone(&record),
-        trouble: std::env::var("TROUBLE").as_deref() != Ok("0"),
+        disrupted: std::env::var("TROUBLE").as_deref() != Ok("0"),
         limit: CASE_LIMIT,
     };
-    record.add(&format!("case {name}, trouble {}", case.trouble));
+    record.add(&format!("case {name}, disrupted {}", case.disrupted));
     let verdict = match name.as_str() {
         "begin" => begin::run(&case),
-        "foreign-beat" => foreign_beat::run(&case),
-        "grey" => grey::run(&case),
+        "failed-set" => failed_set::run(&case),
+        "foreign-heartbeat" => foreign_heartbeat::run(&case),
         "outages" => outages::run(&case),
         "stop" => stop::run(&case),
         _ => Verdict::Failed("there is no such case".to_owned()),
--- a/review/standins-2/net.rs
+++ b/review/standins-2/net.rs
@@ -29,6 +29,7 @@
     pub fn pick() -> Self {
         let seed = unix_ms() ^ (u64::from(std::process::id()) << 20);
         for attempt in 0..200_u64 {
+            // Multiplicative hashing spreads similar seeds over the networks.
             let mixed = seed
                 .wrapping_add(attempt)
                 .wrapping_mul(0x9E37_79B9_7F4A_7C15);
--- a/review/standins-2/outages.rs
+++ b/review/standins-2/outages.rs
@@ -20,26 +20,26 @@
 
 const SERVICE: &str = "huvo11a";
 const ROUTE: &str = "lepu270";
-/// Outage of the primary and one replica, while the other replica receives nothing. All times are in
-/// milliseconds since the first outage.
+/// Outage of the primary and one replica, while the replication of the other replica is paused. All
+/// times are in milliseconds since the first pause.
 struct Outage {
-    /// When the other replica stops receiving, and receives again.
-    deaf: (u64, u64),
+    /// When the replication of the other replica is paused, and resumed.
+    paused: (u64, u64),
     down_at: u64,
     primary_up_at: u64,
     replica_up_at: u64,
 }
 
-/// Lengths: deaf for 6.5 s, the replica down for 4 s, the primary for 5 s and then 7 s.
+/// Lengths: replication paused for 6.5 s, the replica down for 4 s, the primary for 5 s and then 7 s.
 const OUTAGES: [Outage; 2] = [
     Outage {
-        deaf: (0, 6_500),
+        paused: (0, 6_500),
         down_at: 1_000,
         primary_up_at: 6_000,
         replica_up_at: 5_000,
     },
     Outage {
-        deaf: (8_000, 14_500),
+        paused: (8_000, 14_500),
         down_at: 10_000,
         primary_up_at: 17_000,
         replica_up_at: 14_000,
@@ -76,7 +76,7 @@
         .collect();
     let count = || acknowledged.lock().map_or(0, |ids| ids.len());
     thread::sleep(Duration::from_secs(3));
-    if case.trouble {
+    if case.disrupted {
         // With OUTAGES=1, only the second outage is played.
         let only_second = std::env::var("OUTAGES").as_deref() == Ok("1");
         let outages = if only_second {
@@ -118,7 +118,7 @@
         ));
         broken |= !lost.is_empty();
     }
-    for line in deployment.lines("without writes that may have been acknowledged") {
+    for line in deployment.log_lines("without writes that may have been acknowledged") {
         case.record.add(&format!("log: {line}"));
     }
     if broken {
@@ -137,8 +137,14 @@
     };
     let mut steps: Vec<(u64, Box<dyn Fn() + '_>)> = Vec::new();
     for outage in outages {
-        steps.push((outage.deaf.0, Box::new(|| group.set_deaf(&other, true))));
-        steps.push((outage.deaf.1, Box::new(|| group.set_deaf(&other, false))));
+        steps.push((
+            outage.paused.0,
+            Box::new(|| group.pause_replication(&other, true)),
+        ));
+        steps.push((
+            outage.paused.1,
+            Box::new(|| group.pause_replication(&other, false)),
+        ));
         steps.push((
             outage.down_at,
             Box::new(|| group.crash(&[&primary, &replica])),
--- a/review/standins-2/stop.rs
+++ b/review/standins-2/stop.rs
@@ -17,7 +17,8 @@
 const TIMEOUT_MS: u64 = 4_500;
 /// `LostSlackMs`.
 const LOST_SLACK: Duration = Duration::from_millis(200);
-/// When the sessions at the stopping host send their writes, after SIGTERM.
+/// When the sessions at the stopping host send their writes, counted from SIGTERM; without the
+/// disruption, from the same step.
 const SEND_AT: Duration = Duration::from_millis(1_700);
 const SESSIONS: usize = 8;
 
@@ -65,7 +66,7 @@
         Some(())
     });
     thread::sleep(Duration::from_millis(1_000));
-    if case.trouble {
+    if case.disrupted {
         group.add(case.network, 4, false);
         thread::sleep(Duration::from_millis(500));
         group.drain_primary(&deployment.controls());
@@ -88,7 +89,7 @@
                     let took = sent.elapsed();
                     let outcome = answer.as_ref().map(|answer| answer.outcome.as_str());
                     record.add(&format!(
-                        "{id} sent {:?} after SIGTERM -> {outcome:?} after {took:?}",
+                        "{id} sent {:?} after the stop -> {outcome:?} after {took:?}",
                         sent - terminated
                     ));
                     let timed_out = took >= Duration::from_millis(TIMEOUT_MS);
