Refuse announced names that are not one word

Callers read values that no caller had written: an announcement of another program whose id holds CR LF made the primary run and commit a statement, again and again.

Cause: the id went into the login line `CONNECT group user id` as it came. Announcements were checked for the length of their names only, on the users' platform and on /v1/announce; the configuration checks more.

Change: base::name::is_word is the one rule, asked where a name enters. Other names are answered 400 and name no database.

--- a/crates/base/src/document.rs
+++ b/crates/base/src/document.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::{GroupName, RouteName, ServiceName, Set, organisation::Organisation};
+use crate::{GroupName, RouteName, ServiceName, Set, name::is_word, organisation::Organisation};
 
 /// Whole configuration, written as TOML.
 ///
@@ -301,7 +301,7 @@
         for (i, organisation) in self.organisations.iter().flatten().enumerate() {
             let field = |name: &str| format!("organisation[{i}].{name}");
             let name = &organisation.name;
-            if name.is_empty() || name.chars().any(|c| c.is_whitespace() || c.is_control()) {
+            if !is_word(name, usize::MAX) {
                 return Err(invalid(
                     &field("name"),
                     "is empty or has blanks or control characters, which no database accepts",
--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod log;
 pub mod map;
 pub mod meter;
+pub mod name;
 pub mod net;
 pub mod organisation;
 pub mod patch;
--- a/crates/entry/src/announce.rs
+++ b/crates/entry/src/announce.rs
@@ -9,12 +9,16 @@
     response::{IntoResponse, Response},
     routing::post,
 };
+use base::name::is_word;
 use route::Announcement;
 use send_wrapper::SendWrapper;
 use serde_json::json;
 
 use crate::network::Network;
 
+/// Longest name in an announcement, in bytes.
+const MAX_NAME_BYTES: usize = 63;
+
 /// Returns the route `POST /v1/announce`.
 pub fn routes(network: Rc<Network>) -> Router {
     let network = SendWrapper::new(network);
@@ -55,13 +59,26 @@
         ("region", &announcement.region),
     ];
     for (field, value) in names {
-        if value.is_empty() || value.len() > 63 {
+        if value.is_empty() || value.len() > MAX_NAME_BYTES {
             return Err((
-                format!("{field} is not 1 to 63 characters long"),
+                format!("{field} is not 1 to {MAX_NAME_BYTES} bytes long"),
                 format!("send a shorter {field}"),
             ));
         }
     }
+    let words = [
+        ("member", &announcement.member),
+        ("group", &announcement.group),
+        ("store", &announcement.store),
+    ];
+    for (field, value) in words {
+        if !is_word(value, MAX_NAME_BYTES) {
+            return Err((
+                format!("{field} has blanks or control characters"),
+                format!("send a {field} of one word"),
+            ));
+        }
+    }
     if announcement.address.port() == 0 || announcement.address.ip().is_unspecified() {
         return Err((
             format!("address {} can't be connected to", announcement.address),
