Write the buffered log lines when a process ends

Operators could not see what a planned stop cut: "closing remaining sessions" and "process stopped" were missing from the logs.

Cause: a thread writes the lines, and nothing waited for it at the end. Tasks that hold the logger are not dropped with the runtime.

Change: the logger comes with a guard that writes what is left when it is dropped, for 200 ms at most, since nobody may read standard output.

--- a/crates/base/src/log.rs
+++ b/crates/base/src/log.rs
@@ -2,7 +2,9 @@
 
 use std::{
     cell::Cell,
-    sync::Mutex,
+    fmt,
+    sync::{Mutex, mpsc},
+    thread,
     time::{Duration, Instant},
 };
 
@@ -12,15 +14,42 @@
 /// counted.
 const QUEUE_LINES: usize = 4_096;
 
+/// Longest wait for a slow standard output when a process ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Creates the logger of a process; every line contains the names of the program and the process.
-pub fn logger(program: &'static str, name: &str) -> Logger {
+/// Lines that are still buffered when the returned [`Flush`] is dropped are written then.
+pub fn logger(program: &'static str, name: &str) -> (Logger, Flush) {
     let json = slog_json::Json::default(std::io::stdout());
-    let drain = slog_async::Async::new(Mutex::new(json).fuse())
+    let (drain, guard) = slog_async::Async::new(Mutex::new(json).fuse())
         .chan_size(QUEUE_LINES)
-        .build()
-        .fuse();
-    let drain = drain.filter_level(slog::Level::Info).fuse();
-    Logger::root(drain, o!("program" => program, "name" => name.to_owned()))
+        .build_with_guard();
+    let drain = drain.fuse().filter_level(slog::Level::Info).fuse();
+    let logger = Logger::root(drain, o!("program" => program, "name" => name.to_owned()));
+    (logger, Flush(Some(guard)))
+}
+
+/// Writes the buffered lines when dropped.
+#[must_use = "without it, the last lines of a process are lost"]
+pub struct Flush(Option<slog_async::AsyncGuard>);
+
+impl fmt::Debug for Flush {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Flush").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Flush {
+    fn drop(&mut self) {
+        let Some(guard) = self.0.take() else { return };
+        // Dropping the guard waits for standard output, which nobody may read.
+        let (done, written) = mpsc::channel();
+        thread::spawn(move || {
+            drop(guard);
+            let _gave_up = done.send(());
+        });
+        let _late = written.recv_timeout(FLUSH_TIMEOUT);
+    }
 }
 
 /// Creates a logger that discards everything, for tests.
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -60,7 +60,7 @@
                 return Exit::Failed;
             }
         };
-        let logger = base::log::logger("control", &settings.name);
+        let (logger, _flush) = base::log::logger("control", &settings.name);
         match run::run(settings, logger.clone(), signals.next()).await {
             Ok(exit) => exit,
             Err(cause) => {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -44,7 +44,7 @@
             return Exit::Failed;
         }
     };
-    let log = base::log::logger("entry", &settings.name);
+    let (log, _flush) = base::log::logger("entry", &settings.name);
     let network = Network::new(settings, log);
     match runtime.block_on(serve(&network)) {
         Ok(()) => Exit::Done,
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -52,11 +52,12 @@
     let settings: Settings = match base::settings::load(path) {
         Ok(settings) => settings,
         Err(cause) => {
-            error!(base::log::logger("standin", ""), "invalid settings"; "cause" => %cause);
+            let (log, _flush) = base::log::logger("standin", "");
+            error!(log, "invalid settings"; "cause" => %cause);
             return Exit::Usage;
         }
     };
-    let log = base::log::logger("standin", &settings.member);
+    let (log, _flush) = base::log::logger("standin", &settings.member);
     let runtime = match compio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(cause) => {
