End every wait of a request in a planned stop with a true reply

Callers saw their connection end without an answer 3.8 s after a write, though no database had it and no time limit was reached.

Cause: sessions asked about the stop only between two requests. Inside a request, waits ended by the request's deadline, which may lie behind the end of the process.

The log of the stopped host shows 8 sessions at "closing remaining sessions", 5.5 s after the signal: the process ended by its own schedule, with requests in progress.

Change: Shared::until_phase ends waits by phase. From half of the grace period, what no database has yet is refused as not run, also in a transaction, also what was sent ahead and read whole. Half a second before the exit, what a database or another entry process has not answered is reported as in doubt, aborted or failed. A stopping process is no longer taken for lost by those that forward to it.

No further round trips.

--- a/crates/entry/src/near.rs
+++ b/crates/entry/src/near.rs
@@ -66,6 +66,12 @@
         self.unlisted.get()
     }
 
+    /// Whether it failed to answer and has not answered since.
+    #[must_use]
+    pub const fn is_unresponsive(&self) -> bool {
+        self.unresponsive.get()
+    }
+
     /// Whether sessions must not be forwarded to it.
     #[must_use]
     pub const fn is_unavailable(&self) -> bool {
--- a/crates/session/src/caller.rs
+++ b/crates/session/src/caller.rs
@@ -48,6 +48,8 @@
     fn readable(&self) -> impl Future<Output = ()>;
     /// Waits for the next message.
     fn next(&mut self) -> impl Future<Output = Input>;
+    /// Next message that was received in full, without waiting; `None` if there is none.
+    fn next_buffered(&mut self) -> Option<Input>;
     /// Replies to the last request.
     fn reply(&mut self, reply: &Reply) -> impl Future<Output = io::Result<()>>;
     /// Takes `bytes` for what the session keeps until it ends; false if there is no memory for them.
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -21,8 +21,8 @@
     caller::{Caller, Input},
     command::{Command, Request, StatementKind},
     request_log::RequestContext,
-    session::{MAX_NAMES, outcome_label, reply_in_failed_transaction},
-    shared::{Phase, Shared},
+    session::{MAX_NAMES, next_received, outcome_label, reply_in_failed_transaction},
+    shared::{Phase, STOPPING, Shared, stopping_failure},
     single::into_reply,
     statement::{Code, Failure, Reply, Response, Statement, StatementClient, TransactionState},
 };
@@ -153,9 +153,12 @@
     pub(crate) async fn run(mut self) {
         while self.client.is_some() || self.state != TransactionState::Idle {
             if !self.wait().await {
-                return;
+                break;
             }
-            let Input::Request(request) = self.caller.next().await else {
+            let next = self.caller.next();
+            let next = self.shared.until_phase(Phase::AbortingTransactions, next);
+            let Some(input) = next.await else { break };
+            let Input::Request(request) = input else {
                 return;
             };
             let start = Instant::now();
@@ -165,13 +168,36 @@
                 return;
             }
         }
+        if self.shared.refuses_requests() {
+            self.refuse_received().await;
+        }
+    }
+
+    /// Refuses the requests that were received and that the shutdown lets no more run. The serving
+    /// process rolls back the transaction when its connection closes.
+    async fn refuse_received(&mut self) {
+        self.client = None;
+        let mut unreported = (self.state == TransactionState::Open).then(|| STOPPING.to_owned());
+        let mut input = next_received(&mut self.caller).await;
+        while let Some(Input::Request(request)) = input {
+            let reply = if self.state == TransactionState::Idle {
+                Reply::failed(stopping_failure(), TransactionState::Idle)
+            } else {
+                reply_in_failed_transaction(&request.command, unreported.take())
+            };
+            self.state = reply.state;
+            if self.caller.reply(&reply).await.is_err() {
+                return;
+            }
+            input = self.caller.next_buffered();
+        }
     }
 
     /// Waits for a request; returns false if the session should close.
     async fn wait(&self) -> bool {
-        if self.shared.phase() >= Phase::AbortingTransactions {
+        if self.shared.refuses_requests() {
             // Without this check, a caller that sends requests without a pause would keep the
-            // session open, and its last request would be cut off when the process exits.
+            // session open.
             return false;
         }
         let input = pin!(self.caller.readable());
@@ -214,7 +240,9 @@
             return reply_in_failed_transaction(&request.command, None);
         };
         let deadline = start + limit + RESPONSE_MARGIN;
-        match exchange(client, &self.shared, &self.peer, request, deadline).await {
+        let exchange = exchange(client, &self.shared, &self.peer, request, deadline);
+        let exchanged = self.shared.until_phase(Phase::Ending, exchange).await;
+        match exchanged.unwrap_or_else(|| Err(STOPPING.to_owned())) {
             Ok(response) => {
                 self.record_prepared(request, &response);
                 self.shared.requests.with_label_values(&["forwarded"]).inc();
@@ -311,12 +339,13 @@
     }
 }
 
-/// Probes a process, unless it is already known to be lost.
+/// Probes a process, unless it is already known to be lost. One that is stopping still answers its
+/// requests.
 async fn is_alive<D: Dialect>(shared: &Rc<Shared<D>>, peer: &Rc<NearEntry>) -> bool
 where
     D::Client: StatementClient,
 {
-    if peer.is_unavailable() {
+    if peer.is_unresponsive() {
         return false;
     }
     if let Err(None) = shared.network.forward(peer, PROBE_ROUTE, None).await {
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -40,8 +40,10 @@
     /// When idle sessions are closed. By then load balancers must have noticed that the process is
     /// not ready, so that no new callers arrive.
     pub close_idle: Duration,
-    /// When open transactions are aborted.
+    /// When open transactions are aborted, and requests that no database has yet are refused.
     pub abort_transactions: Duration,
+    /// When requests that a database has not answered get their final reply.
+    pub end_requests: Duration,
     /// When the shutdown ends, even if sessions are still open.
     pub exit: Duration,
 }
@@ -124,7 +126,7 @@
     }
 }
 
-/// Closes idle sessions, then aborts transactions; returns when no session is left or at the end of
+/// Closes idle sessions, then aborts transactions, then ends all requests; returns when no session is left or at the end of
 /// the schedule.
 async fn shut_down<D: Dialect>(shared: &Shared<D>, schedule: ShutdownSchedule)
 where
@@ -144,6 +146,9 @@
         sleep_until(start + schedule.abort_transactions).await;
         info!(log, "aborting transactions"; "sessions" => shared.session_count());
         shared.set_phase(Phase::AbortingTransactions);
+        sleep_until(start + schedule.end_requests).await;
+        info!(log, "ending requests"; "sessions" => shared.session_count());
+        shared.set_phase(Phase::Ending);
         sleep_until(start + schedule.exit).await;
         warn!(log, "closing remaining sessions"; "sessions" => shared.session_count());
     };
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -18,7 +18,7 @@
     connection_state::{PreparedStatement, SessionVariables},
     forward::ForwardedSession,
     request_log::RequestContext,
-    shared::{Phase, ResolvedRoute, SessionGuard, Shared},
+    shared::{Phase, ResolvedRoute, STOPPING, SessionGuard, Shared, stopping_failure},
     statement::{Code, Failure, Reply, Statement, StatementClient, TransactionState},
     transaction::Transaction,
 };
@@ -28,6 +28,8 @@
 const LOGIN_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Interval of the check for the first configuration.
 const CONFIG_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time to read a message that has arrived, before its session closes.
+const RECEIVE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Most session variables and most prepared statements of one session. They are held in memory.
 pub(crate) const MAX_NAMES: usize = 1_000;
 
@@ -165,26 +167,62 @@
                 }
                 Wake::Close => break,
             }
-            let Input::Request(request) = self.caller.next().await else {
-                break;
+            let next = self.caller.next();
+            let next = self.shared.until_phase(Phase::AbortingTransactions, next);
+            let Some(input) = next.await else { break };
+            let Input::Request(request) = input else {
+                return self.leave();
             };
             let start = Instant::now();
             let reply = self.handle(&request, start).await;
             self.record_outcome(&request, &reply, start);
             if self.caller.reply(&reply).await.is_err() {
-                break;
+                return self.leave();
             }
         }
+        if self.shared.refuses_requests() {
+            self.refuse_received().await;
+        }
+        self.leave();
+    }
+
+    /// Rolls back the transaction of a caller that left.
+    fn leave(&mut self) {
         if let Some(mut transaction) = self.transaction.take() {
             transaction.abort("its caller left");
         }
     }
 
+    /// Refuses the requests that were received and that the shutdown lets no more run.
+    async fn refuse_received(&mut self) {
+        if let Some(transaction) = &mut self.transaction {
+            transaction.abort(STOPPING);
+        }
+        let mut input = next_received(&mut self.caller).await;
+        while let Some(Input::Request(request)) = input {
+            let start = Instant::now();
+            self.context = RequestContext {
+                route: self.route_name.clone(),
+                ..RequestContext::default()
+            };
+            let reply = if self.transaction.is_some() {
+                self.handle_in_failed_transaction(&request)
+            } else {
+                Reply::failed(stopping_failure(), TransactionState::Idle)
+            };
+            self.record_outcome(&request, &reply, start);
+            if self.caller.reply(&reply).await.is_err() {
+                return;
+            }
+            input = self.caller.next_buffered();
+        }
+    }
+
     /// Waits for input, for the session to close, or for the idle limit of a transaction.
     async fn wait(&self) -> Wake {
-        if self.shared.phase() >= Phase::AbortingTransactions {
+        if self.shared.refuses_requests() {
             // Without this check, a caller that sends requests without a pause would keep the
-            // session open, and its last request would be cut off when the process exits.
+            // session open.
             return Wake::Close;
         }
         let input = pin!(self.caller.readable());
@@ -427,6 +465,14 @@
     }
 }
 
+/// First message of a caller that may have arrived but was not waited for.
+pub(crate) async fn next_received<C: Caller>(caller: &mut C) -> Option<Input> {
+    match caller.next_buffered() {
+        Some(input) => Some(input),
+        None => timeout(RECEIVE_TIMEOUT, caller.next()).await.ok(),
+    }
+}
+
 /// Failure of a request to keep more than there is memory for.
 pub(crate) fn too_much_kept() -> Failure {
     let cause = "no memory for further values of sessions; set fewer or smaller ones";
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -14,7 +14,7 @@
 };
 use entry::{dialect::Dialect, group::Group, member::Member, network::Network, pool::PooledConn};
 use event_listener::Event;
-use futures_util::future::select;
+use futures_util::future::{Either, select};
 use identity::Refused;
 use order::Terms;
 use place::{Candidate, queue_time};
@@ -70,8 +70,19 @@
     Isolated,
     /// The process shuts down: sessions without a transaction are closed.
     ClosingIdle,
-    /// Late in the shutdown: open transactions are aborted too.
+    /// Late in the shutdown: open transactions are aborted too, and requests that no database has yet
+    /// are refused.
     AbortingTransactions,
+    /// At the end of the shutdown: requests that a database has not answered get their final reply.
+    Ending,
+}
+
+/// Cause reported for a request whose wait the shutdown ended.
+pub(crate) const STOPPING: &str = "this process is stopping";
+
+/// Failure of a request that the shutdown ended before it was sent to a database.
+pub(crate) fn stopping_failure() -> Failure {
+    Failure::new(Code::Busy, STOPPING)
 }
 
 /// A route with its service and group, resolved from the configuration in force.
@@ -191,6 +202,39 @@
         }
     }
 
+    /// Runs `work` until the shutdown has reached `phase`; `None` if that was first. `work` must be
+    /// safe to drop.
+    pub(crate) async fn until_phase<T>(
+        &self,
+        phase: Phase,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        if self.phase() >= phase {
+            return None;
+        }
+        match select(pin!(work), pin!(self.wait_for_phase(phase))).await {
+            Either::Left((done, _)) => Some(done),
+            Either::Right(((), _)) => None,
+        }
+    }
+
+    /// Runs `work`, which sends nothing to a database, until the shutdown refuses requests.
+    ///
+    /// # Errors
+    /// The shutdown ended the wait, so that the request has not run.
+    pub(crate) async fn until_refused<T>(
+        &self,
+        work: impl Future<Output = T>,
+    ) -> Result<T, Failure> {
+        let done = self.until_phase(Phase::AbortingTransactions, work).await;
+        done.ok_or_else(stopping_failure)
+    }
+
+    /// Whether the shutdown refuses requests that no database has yet.
+    pub(crate) fn refuses_requests(&self) -> bool {
+        self.phase() >= Phase::AbortingTransactions
+    }
+
     /// Waits until a session that is between two requests should close. With an open transaction,
     /// that is late in the shutdown; without one, as soon as the process shuts down or is isolated,
     /// or when `moved` completes because another process now serves the route.
@@ -277,7 +321,9 @@
         let start = Instant::now();
         let name = connection.member().clone();
         self.update_load(&name, MemberLoad::begin);
-        let result = exchange(connection, variables, prepared, statement, deadline).await;
+        let exchange = exchange(connection, variables, prepared, statement, deadline);
+        let result = self.until_phase(Phase::Ending, exchange).await;
+        let result = result.unwrap_or_else(|| Err(ConnectionError(STOPPING.to_owned())));
         let now = Instant::now();
         let took = now.saturating_duration_since(start);
         self.update_load(&name, |load| load.end(result.is_ok().then_some(took), now));
@@ -311,11 +357,13 @@
         }
     }
 
-    /// Waits for a jittered pause before a retry, at most until the deadline.
+    /// Waits for a jittered pause before a retry, at most until the deadline or until the shutdown
+    /// refuses requests.
     pub(crate) async fn pause_before_retry(&self, deadline: Instant) {
         let jitter = rand::rng().random_range(0.5..1.5);
         let until = Instant::now() + RETRY_PAUSE.mul_f64(jitter);
-        compio::time::sleep_until(until.min(deadline)).await;
+        let pause = compio::time::sleep_until(until.min(deadline));
+        let _refused = self.until_phase(Phase::AbortingTransactions, pause).await;
     }
 }
 
@@ -372,11 +420,10 @@
     /// Waits until it is certain that `term` was in force, so that responses of its primary may be
     /// returned to callers.
     pub(crate) async fn confirm_term(&self, term: Term, deadline: Instant) -> Result<(), String> {
-        let confirmed = self
-            .shared
-            .network
-            .verify_term(&self.group, term, deadline)
-            .await;
+        let network = &self.shared.network;
+        let verify = network.verify_term(&self.group, term, deadline);
+        let confirmed = self.shared.until_phase(Phase::Ending, verify).await;
+        let confirmed = confirmed.ok_or_else(|| STOPPING.to_owned())?;
         confirmed.map_err(|refusal| refusal.to_string())
     }
 }
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -17,7 +17,7 @@
     caller::Caller,
     command::StatementKind,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute},
+    shared::{DEADLINE_PASSED, ResolvedRoute, stopping_failure},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, StatementClient, TransactionState,
     },
@@ -68,7 +68,7 @@
         let mut last_failure = Failure::new(Code::Busy, "no database could take it in time");
         // Failure of an attempt that may have run.
         let mut ran = None;
-        while Instant::now() < deadline {
+        while Instant::now() < deadline && !self.shared.refuses_requests() {
             self.context.attempts += 1;
             let attempt = match pending.kind {
                 StatementKind::Read => {
@@ -95,6 +95,9 @@
                 }
             }
         }
+        if self.shared.refuses_requests() {
+            last_failure = ran.unwrap_or_else(stopping_failure);
+        }
         Reply::failed(last_failure, TransactionState::Idle)
     }
 
@@ -176,7 +179,7 @@
             // A former primary may have returned stale data.
             if let Err(cause) = target.confirm_term(term, deadline).await {
                 operation.note_run();
-                return Attempt::Retry(Failure::new(Code::Busy, cause));
+                return Attempt::Retry(Failure::new(Code::Failed, cause));
             }
             target.record_position(sent, response.position);
         }
@@ -192,13 +195,10 @@
     ) -> Attempt {
         let deadline = terms.deadline;
         let shared = &self.shared;
-        let mut connection = match shared.network.acquire_primary(&target.service, terms).await {
+        let mut connection = match target.acquire_for_write(terms).await {
             Ok(connection) => connection,
-            Err(refusal) => {
-                return Attempt::Done(Reply::failed(
-                    refusal_failure(&refusal),
-                    TransactionState::Idle,
-                ));
+            Err(failure) => {
+                return Attempt::Done(Reply::failed(failure, TransactionState::Idle));
             }
         };
         if let Err(cause) = target.confirm_owner() {
@@ -277,12 +277,22 @@
     }
 
     /// Acquires a connection for a read: to a replica that may be fresh enough and was not tried
-    /// yet, or else to the primary.
+    /// yet, or else to the primary. The shutdown ends the wait.
     pub(crate) async fn acquire_for_read(
         &self,
         target: &ResolvedRoute<D>,
         tried: &Set<MemberName>,
         terms: &Terms,
+    ) -> Result<ReadConnection<D>, Failure> {
+        let finding = self.find_for_read(target, tried, terms);
+        self.shared.until_refused(finding).await?
+    }
+
+    async fn find_for_read(
+        &self,
+        target: &ResolvedRoute<D>,
+        tried: &Set<MemberName>,
+        terms: &Terms,
     ) -> Result<ReadConnection<D>, Failure> {
         let deadline = terms.deadline;
         let network = &self.shared.network;
@@ -351,6 +361,18 @@
     }
 }
 
+impl<D: Dialect> ResolvedRoute<D>
+where
+    D::Client: StatementClient,
+{
+    /// Acquires a connection to the primary in force. The shutdown ends the wait.
+    pub(crate) async fn acquire_for_write(&self, terms: &Terms) -> Result<PooledConn<D>, Failure> {
+        let acquiring = self.shared.network.acquire_primary(&self.service, terms);
+        let acquired = self.shared.until_refused(acquiring).await?;
+        acquired.map_err(|refusal| refusal_failure(&refusal))
+    }
+}
+
 /// What was known when a commit was sent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct SentCommit {
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -202,7 +202,8 @@
             let busy = |failure: &Failure| failure.code == Code::Busy;
             let retry = response.outcome.as_ref().is_err_and(busy)
                 && response.state == TransactionState::Open
-                && self.context.attempts < MAX_ATTEMPTS;
+                && self.context.attempts < MAX_ATTEMPTS
+                && !self.shared.refuses_requests();
             if !retry {
                 return Ok(response);
             }
@@ -257,13 +258,8 @@
             let acquired = if replica_allowed {
                 self.acquire_for_read(target, &tried, &terms).await?
             } else {
-                let connection = self
-                    .shared
-                    .network
-                    .acquire_primary(&target.service, &terms)
-                    .await;
                 ReadConnection {
-                    connection: connection.map_err(|refusal| refusal_failure(&refusal))?,
+                    connection: target.acquire_for_write(&terms).await?,
                     min_position: None,
                 }
             };
--- a/crates/wire/src/reader.rs
+++ b/crates/wire/src/reader.rs
@@ -185,6 +185,16 @@
         }
     }
 
+    /// Removes the next complete line from the buffer, without waiting and without its terminator;
+    /// `None` if there is none.
+    pub fn buffered_line(&mut self) -> Option<Bytes> {
+        let mut pairs = self.buffer.windows(LINE_END.len());
+        let end = pairs.position(|pair| pair == LINE_END)?;
+        let line = self.take(end);
+        self.buffer.advance(LINE_END.len());
+        Some(line)
+    }
+
     /// Waits for the next line and returns it without its terminator, CR LF; `None` when the peer
     /// closed the connection between lines. A CR or LF alone belongs to the line.
     ///
