Answer the requests that are in progress when a PostgreSQL stop ends

Callers of the PostgreSQL protocol saw their connection end without an answer when a request or transaction was in progress 30 s after the signal. Requests have 30 s by default, so that any request sent after the signal may be cut.

Waits inside a request ended by its deadline only, and the end of the stop dropped all sessions.

Evidence: with a short limit of the stop, the new tests got no answer.

Change: Shared::end_requests, 30 s after the signal. What waits for admission or a connection is refused (ZN004); what a database has, or what is not confirmed, is unknown (ZU001); sessions are closed with 57P01, which says that what was not answered has not run. The process exits a second later.

Tests: stop_refuses_requests_that_wait (2 cases), stop_ends_idle_transactions and stop_reports_unanswered_requests_as_unknown within a transaction failed before; the case outside a transaction was ended by its deadline.

--- a/crates/entry/src/lease.rs
+++ b/crates/entry/src/lease.rs
@@ -1,6 +1,9 @@
 //! Connections for the requests of a session, and the caller's right to them.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use base::document::Service;
 
@@ -47,8 +50,13 @@
         deadline: Instant,
     ) -> Result<F::Lease, RequestError> {
         let organisation = self.owner.as_deref();
-        let mut operation = self.shared.fleet.admit(organisation, deadline).await?;
-        let lease = self.acquire(service, primary, deadline).await?;
+        let shared = Rc::clone(&self.shared);
+        let admitting = shared.fleet.admit(organisation, deadline);
+        let admitted = shared.until_ending(admitting).await;
+        let mut operation = admitted.ok_or(Refusal::Stopping)??;
+        let acquiring = self.acquire(service, primary, deadline);
+        let acquired = shared.until_ending(acquiring).await;
+        let lease = acquired.ok_or(Refusal::Stopping)??;
         let confirmed = self.confirm_owner();
         if let Err(cause) = confirmed.and_then(|()| operation.count()) {
             lease.release();
--- a/crates/entry/src/listener.rs
+++ b/crates/entry/src/listener.rs
@@ -1,6 +1,10 @@
 //! Accepts connections of callers.
 
-use std::{pin::pin, rc::Rc, time::Duration};
+use std::{
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use compio::{
     net::{SocketOpts, TcpListener, TcpStream},
@@ -25,19 +29,30 @@
 /// Serves callers until the process stops and all sessions have ended.
 ///
 /// While the process is stopping, new callers are refused (57P03), transactions may finish, and
-/// idle sessions are closed (57P01). A limit on the duration is up to the caller of this function.
+/// idle sessions are closed (57P01). After [`Options::stop_limit`] the requests in progress are
+/// answered with an error and all sessions are closed. A limit on the time that callers take to read
+/// that is up to the caller of this function.
 pub async fn serve<F: Fleet>(listener: TcpListener, fleet: Rc<F>, options: Options) {
     let shared = Rc::new(Shared::new(fleet, options));
     let stop = async {
         shared.fleet.stopping().await;
+        let end = Instant::now() + shared.options.stop_limit;
         sleep(shared.options.drain_delay).await;
+        end
+    };
+    let end = match select(pin!(accept(&listener, &shared)), pin!(stop)).await {
+        Either::Left(((), _)) => return,
+        Either::Right((end, _)) => end,
     };
-    select(pin!(accept(&listener, &shared)), pin!(stop)).await;
     shared.drain();
     info!(shared.options.log, "draining"; "callers" => shared.registry.len());
     let sessions_ended = async {
         while !shared.registry.is_empty() {
             sleep(DRAIN_POLL_INTERVAL).await;
+            if Instant::now() >= end && !shared.is_ending() {
+                warn!(shared.options.log, "ending requests"; "callers" => shared.registry.len());
+                shared.end_requests();
+            }
         }
     };
     match select(pin!(accept(&listener, &shared)), pin!(sessions_ended)).await {
--- a/crates/entry/src/options.rs
+++ b/crates/entry/src/options.rs
@@ -33,6 +33,8 @@
     pub stall_timeout: Duration,
     /// Time between the order to stop and the first refusal, in which load balancers notice it.
     pub drain_delay: Duration,
+    /// Time between the order to stop and the end of the requests that are still in progress.
+    pub stop_limit: Duration,
     /// Sessions by the process id and secret key that a cancel request carries.
     pub registry: Rc<Registry>,
     /// Log of events.
@@ -52,6 +54,7 @@
             max_held_bytes: 16 << 20,
             stall_timeout: Duration::from_mins(1),
             drain_delay: Duration::from_secs(1),
+            stop_limit: Duration::from_secs(30),
             registry: Rc::default(),
             log,
             meter: None,
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -19,8 +19,10 @@
     settings::{Method, Settings},
 };
 
-/// Longest duration of a graceful stop. Requests still running after that are aborted.
+/// Longest duration of a graceful stop. Requests still running after that get a final answer.
 const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time to send the last answers before the process exits.
+const ANSWER_RESERVE: Duration = Duration::from_secs(1);
 /// Longest duration of a stop. A process whose event loop is blocked is ended after it.
 const STOP_LIMIT: Duration = STOP_TIMEOUT.saturating_add(Duration::from_secs(3));
 
@@ -80,6 +82,7 @@
     info!(network.log, "process started"; "address" => %settings.address, "http" => %settings.http);
     let mut options = Options::new(auth(settings), network.log.clone());
     options.registry = Rc::clone(&network.registry);
+    options.stop_limit = STOP_TIMEOUT;
     // Leaves descriptors for logins that are refused.
     let callers = meter.limits.callers;
     options.max_callers = options.max_callers.min(callers - callers / 16);
@@ -98,7 +101,7 @@
         info!(network.log, "process stops");
         network.stop();
         let second = signals.next().fuse();
-        let limit = compio::time::sleep(STOP_TIMEOUT).fuse();
+        let limit = compio::time::sleep(STOP_TIMEOUT + ANSWER_RESERVE).fuse();
         pin_mut!(second, limit);
         select! {
             () = second => {},
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -187,6 +187,10 @@
         &mut self,
         stop: Pin<&mut impl FusedFuture<Output = ()>>,
     ) -> Result<Option<Frame>, WireError> {
+        if self.shared.is_ending() {
+            self.end_for_shutdown().await;
+            return Ok(None);
+        }
         if let Some(frame) = self.lookahead.take() {
             return Ok(Some(frame));
         }
@@ -213,8 +217,11 @@
             let mut next = pin!(self.reader.next());
             while Instant::now() < end {
                 let until = end.min(Instant::now() + KEEPALIVE_INTERVAL);
-                if let Ok(frame) = timeout_at(until, next.as_mut()).await {
-                    return frame;
+                let received = timeout_at(until, next.as_mut());
+                match self.shared.until_ending(received).await {
+                    Some(Ok(frame)) => return frame,
+                    Some(Err(_elapsed)) => {}
+                    None => break,
                 }
                 if let State::Open(open) = &mut self.state
                     && keep_alive(open).await.is_err()
@@ -223,16 +230,20 @@
                 }
             }
         }
+        if self.shared.is_ending() {
+            self.end_for_shutdown().await;
+            return Ok(None);
+        }
         let _closing = self
             .fatal("25P03", "the transaction was idle for too long")
             .await;
         Ok(None)
     }
 
+    /// Ends the session between two requests. Closing the connection rolls back an open transaction.
     async fn end_for_shutdown(&mut self) {
-        let _closing = self
-            .fatal("57P01", "this process is stopping; connect again")
-            .await;
+        let message = "this process is stopping; what was not answered has not run; connect again";
+        let _closing = self.fatal("57P01", message).await;
     }
 
     /// Ends the session with the error that belongs to `cause`, if the caller can still receive
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,9 +2,13 @@
 
 use std::{
     cell::{Cell, RefCell},
+    pin::pin,
     rc::Rc,
 };
 
+use event_listener::Event;
+use futures_util::future::{Either, select};
+
 use route::RetryBudget;
 use sql::Cache;
 
@@ -34,6 +38,8 @@
     script_cache: RefCell<Cache>,
     retries: RefCell<RetryBudget>,
     draining: Cell<bool>,
+    ending: Cell<bool>,
+    end: Event,
     connected: Rc<Cell<usize>>,
     keyed_requests: Cell<u32>,
 }
@@ -59,6 +65,8 @@
             script_cache: RefCell::new(Cache::new(SCRIPT_CACHE_SIZE)),
             retries: RefCell::new(RetryBudget::full(RETRY_BURST)),
             draining: Cell::new(false),
+            ending: Cell::new(false),
+            end: Event::new(),
             connected: Rc::default(),
             keyed_requests: Cell::new(0),
         }
@@ -90,6 +98,29 @@
         self.draining.set(true);
     }
 
+    /// Whether requests that are still in progress end because the process is about to exit.
+    pub fn is_ending(&self) -> bool {
+        self.ending.get()
+    }
+
+    /// Ends the requests in progress. Each gets a final answer.
+    pub fn end_requests(&self) {
+        self.ending.set(true);
+        self.end.notify(usize::MAX);
+    }
+
+    /// Runs `work` until the requests in progress end; `None` if that was first. `work` must be safe
+    /// to drop.
+    pub async fn until_ending<T>(&self, work: impl Future<Output = T>) -> Option<T> {
+        if self.is_ending() {
+            return None;
+        }
+        match select(pin!(work), pin!(self.end.listen())).await {
+            Either::Left((done, _)) => Some(done),
+            Either::Right(((), _)) => None,
+        }
+    }
+
     /// Counts a request with an idempotency key. Returns true when expired keys should be deleted
     /// after it.
     pub fn count_keyed(&self) -> bool {
--- a/crates/entry/tests/common/upstream.rs
+++ b/crates/entry/tests/common/upstream.rs
@@ -93,6 +93,11 @@
         self.fault.replace(Some((text.to_owned(), fault)));
     }
 
+    /// Whether the injected fault has happened.
+    pub fn has_failed(&self) -> bool {
+        self.fault.borrow().is_none()
+    }
+
     /// Number of statements run so far that contain `text`.
     pub fn times_run(&self, text: &str) -> usize {
         let log = self.log.borrow();
--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -10,7 +10,7 @@
     io::{AsyncRead as _, AsyncWriteExt as _},
     time::{sleep, timeout},
 };
-use entry::registry::Registry;
+use entry::{options::Options, registry::Registry};
 use rstest::rstest;
 
 const STOP_PAUSE: Duration = Duration::from_millis(50);
@@ -271,6 +271,91 @@
     });
 }
 
+/// Options of a stop that ends soon.
+fn short_stop() -> Options {
+    Options {
+        stop_limit: STOP_PAUSE,
+        ..options()
+    }
+}
+
+/// Guards against a request that waits for a connection and is cut off by the end of a stop. It has not
+/// run.
+#[rstest]
+#[case::read("SELECT 1")]
+#[case::write("INSERT INTO t VALUES ('a', '1')")]
+fn stop_refuses_requests_that_wait(#[case] text: &str) {
+    run(async {
+        let harness = Harness::with(short_stop()).await;
+        let mut caller = harness.caller().await;
+        harness.fleet.hold_connections.set(true);
+        caller.send(text).await;
+        caller.send(text).await;
+        until(|| harness.fleet.was_held.get()).await;
+
+        harness.fleet.stop();
+        let refused = caller.reply().await;
+        let end = caller.reply().await;
+
+        assert_eq!(
+            (refused.sqlstate(), refused.status()),
+            ("ZN004".into(), 'I')
+        );
+        assert_eq!(end.sqlstate(), "57P01");
+        assert!(end.message().contains("has not run"), "{}", end.message());
+        assert_eq!(harness.fleet.primary.times_run("INSERT"), 0);
+    });
+}
+
+/// Guards against a request that a stop cuts off while a database runs it, or while its commit is not
+/// confirmed yet, and against one that is reported as not run.
+#[rstest]
+#[case::write("", "INSERT INTO t VALUES ('a', '1')", 'I')]
+#[case::within_a_transaction("BEGIN", "INSERT INTO t VALUES ('a', '1')", 'E')]
+fn stop_reports_unanswered_requests_as_unknown(
+    #[case] before: &str,
+    #[case] text: &str,
+    #[case] status: char,
+) {
+    run(async {
+        let harness = Harness::with(short_stop()).await;
+        let mut caller = harness.caller().await;
+        if !before.is_empty() {
+            caller.query(before).await;
+        }
+        harness.fleet.primary.fail("INSERT", Fault::NoAnswer);
+        caller.send(text).await;
+        until(|| harness.fleet.primary.has_failed()).await;
+
+        harness.fleet.stop();
+        let unknown = caller.reply().await;
+        let end = caller.reply().await;
+
+        assert_eq!(
+            (unknown.sqlstate(), unknown.status()),
+            ("ZU001".into(), status)
+        );
+        assert_eq!(end.sqlstate(), "57P01");
+    });
+}
+
+/// Guards against a stop that waits for the caller of an open transaction until the process is killed,
+/// and closes its connection without a word.
+#[test]
+fn stop_ends_idle_transactions() {
+    run(async {
+        let harness = Harness::with(short_stop()).await;
+        let mut caller = harness.caller().await;
+        caller.query("BEGIN").await;
+        caller.query("INSERT INTO t VALUES ('a', '1')").await;
+
+        harness.fleet.stop();
+        let end = caller.reply().await;
+
+        assert_eq!(end.sqlstate(), "57P01");
+    });
+}
+
 /// Guards against parameters of one session that affect another session on the same connection.
 #[test]
 fn parameters_stay_with_their_session() {
