Send a statement only after its connection has the session's values

Callers' statements ran with the values of another session when a database failed the SET in front of them.

Cause: setup statements (RESET, SET, PREPARE) and the caller's statement were sent in one batch, and their answers were read when it had run.

Change: session::shared::set_up sends the setup statements alone and waits for all of them.

Round trips: none where the values match already; otherwise one more to the database.

--- a/crates/entry/tests/failures.rs
+++ b/crates/entry/tests/failures.rs
@@ -377,6 +377,35 @@
     });
 }
 
+/// Guards against a statement that runs with the parameters of another session because a database refused
+/// those of its own, and against the reuse of that connection.
+#[rstest]
+#[case::reset("RESET ALL", "SELECT 1")]
+#[case::set("SET search_path", "SELECT 1")]
+#[case::before_a_transaction("SET search_path", "BEGIN")]
+fn refused_parameters_run_no_statement(#[case] refused: &str, #[case] text: &str) {
+    run(async {
+        let harness = Harness::new().await;
+        harness.fleet.replica_reads.set(false);
+        let mut caller = harness.caller().await;
+        caller.query("SELECT 0").await;
+        caller.query("SET search_path TO a, b").await;
+        let mut other = harness.caller().await;
+        other.query("SELECT 0").await;
+        let (ran, closed) = (
+            harness.fleet.primary.times_run(text),
+            harness.fleet.dropped.get(),
+        );
+        harness.fleet.primary.fail(refused, Fault::Refuse("55000"));
+
+        let answer = caller.query(text).await;
+
+        assert_eq!((answer.sqlstate(), answer.status()), ("55000".into(), 'I'));
+        assert_eq!(harness.fleet.primary.times_run(text), ran);
+        assert_eq!(harness.fleet.dropped.get(), closed + 1);
+    });
+}
+
 /// Guards against a parameter of the entry process that is sent to the databases, or that changes
 /// the routing of the statements after it.
 #[test]
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -17,7 +17,7 @@
     caller::Caller,
     command::StatementKind,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute, stopping_failure},
+    shared::{DEADLINE_PASSED, ResolvedRoute, RunError, stopping_failure},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, StatementClient, TransactionState,
     },
@@ -149,7 +149,11 @@
             .await;
         let response = match result {
             Ok(response) => response,
-            Err(error) => {
+            Err(RunError::NotSent(cause)) => {
+                tried.insert(connection.member().clone());
+                return Attempt::Retry(Failure::new(Code::Busy, cause));
+            }
+            Err(RunError::Unanswered(error)) => {
                 tried.insert(connection.member().clone());
                 operation.note_run();
                 return Attempt::Retry(unanswered_failure(&error, StatementKind::Read));
@@ -223,7 +227,12 @@
             .await;
         let response = match result {
             Ok(response) => response,
-            Err(error) => {
+            Err(RunError::NotSent(cause)) => {
+                drop(connection);
+                shared.pause_before_retry(deadline).await;
+                return Attempt::Retry(Failure::new(Code::Busy, cause));
+            }
+            Err(RunError::Unanswered(error)) => {
                 return Attempt::Done(Reply::failed(
                     unanswered_failure(&error, StatementKind::Write),
                     TransactionState::Idle,
