Drop log lines that come after the flush instead of failing on them

A task that is dropped with the runtime may still log after the writer of the lines has ended; the drain would end the process then. Found by reading; no run shows it. Test: planned_stop_logs_its_end still passes.

--- a/crates/base/src/log.rs
+++ b/crates/base/src/log.rs
@@ -24,7 +24,8 @@
     let (drain, guard) = slog_async::Async::new(Mutex::new(json).fuse())
         .chan_size(QUEUE_LINES)
         .build_with_guard();
-    let drain = drain.fuse().filter_level(slog::Level::Info).fuse();
+    // Lines that are logged after the flush are dropped.
+    let drain = drain.filter_level(slog::Level::Info).ignore_res();
     let logger = Logger::root(drain, o!("program" => program, "name" => name.to_owned()));
     (logger, Flush(Some(guard)))
 }
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -126,8 +126,8 @@
     }
 }
 
-/// Closes idle sessions, then aborts transactions, then ends all requests; returns when no session is left or at the end of
-/// the schedule.
+/// Closes idle sessions, then aborts transactions, then ends all requests; returns when no session is
+/// left or at the end of the schedule.
 async fn shut_down<D: Dialect>(shared: &Shared<D>, schedule: ShutdownSchedule)
 where
     D::Client: StatementClient,
