Leave the reset after a rollback to the next session

Requests waited longer for connections: after a rollback the connection was held for a further round trip, while most sessions have values of their own and need a setup anyway.

Change: the connection is marked as unknown and released, as before.

--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -9,10 +9,7 @@
 use base::{Set, document::ReadConsistency};
 use bstr::BString;
 use compio::time::timeout;
-use entry::{
-    dialect::{Client as _, Dialect},
-    pool::PooledConn,
-};
+use entry::{dialect::Dialect, pool::PooledConn};
 
 use crate::{
     caller::Caller,
@@ -125,12 +122,9 @@
                     .iter()
                     .all(|response| response.state == TransactionState::Idle)
             {
-                // The rollback may have reverted variables that were set within the transaction. The
-                // check resets them, so that the next session need not.
-                let reset = timeout(ROLLBACK_TIMEOUT, connection.client().check()).await;
-                if reset == Ok(true) {
-                    connection.release();
-                }
+                // The rollback may have reverted variables that were set within the transaction.
+                connection.client().connection_state().invalidate();
+                connection.release();
             }
         })
         .detach();
