Take back the separate setup of connections

Callers waited longer for connections, and more requests were refused: the setup of a pooled connection in an exchange of its own costs more than a landing may.

Requests queue for the connections of databases of the other region, which a setup of 60 ms holds nearly twice as long.

Change: session::shared, single and transaction are as before.

--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -18,7 +18,7 @@
 use identity::Refused;
 use order::Terms;
 use place::{Candidate, queue_time};
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts};
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
 use route::load::MemberLoad;
 
@@ -48,8 +48,6 @@
     pub requests: IntCounterVec,
     /// Histogram of request latencies.
     pub request_seconds: Histogram,
-    /// Counter of connections that could not be given the state of a session.
-    failed_setups: IntCounter,
     /// Location of this process.
     location: route::Location,
     /// Placement of reads.
@@ -150,16 +148,10 @@
         let requests = IntCounterVec::new(opts, &["outcome"]).expect("the name is valid");
         let opts = HistogramOpts::new("goldcrestrail_request_seconds", "Time to answer a request.");
         let request_seconds = Histogram::with_opts(opts).expect("the name is valid");
-        let failed_setups = IntCounter::new(
-            "goldcrestrail_failed_setups_total",
-            "Connections closed because they did not take over the values of a session.",
-        );
-        let failed_setups = failed_setups.expect("the name is valid");
         let registry = &network.metrics.registry;
         let registered = registry
             .register(Box::new(requests.clone()))
-            .and_then(|()| registry.register(Box::new(request_seconds.clone())))
-            .and_then(|()| registry.register(Box::new(failed_setups.clone())));
+            .and_then(|()| registry.register(Box::new(request_seconds.clone())));
         registered.expect("the names are distinct");
         Rc::new(Self {
             request_log: RequestLog::new(network.log.clone()),
@@ -168,7 +160,6 @@
             network,
             requests,
             request_seconds,
-            failed_setups,
             loads: RefCell::default(),
             sessions: Cell::new(0),
             phase: Cell::new(Phase::Serving),
@@ -318,11 +309,7 @@
         }
     }
 
-    /// Gives the connection the session variables and the prepared statement, and then runs one
-    /// statement on it.
-    ///
-    /// # Errors
-    /// There is no response. The connection must not be used again.
+    /// Applies the session variables to the connection and runs one statement on it.
     pub(crate) async fn run(
         &self,
         connection: &mut PooledConn<D>,
@@ -330,18 +317,11 @@
         prepared: Option<&PreparedStatement>,
         statement: Statement<'_>,
         deadline: Instant,
-    ) -> Result<Response, RunError> {
+    ) -> Result<Response, ConnectionError> {
+        let start = Instant::now();
         let name = connection.member().clone();
         self.update_load(&name, MemberLoad::begin);
-        let set_up = set_up(connection, variables, prepared, deadline);
-        let set_up = self.until_phase(Phase::Ending, set_up).await;
-        if let Err(cause) = set_up.unwrap_or_else(|| Err(STOPPING.to_owned())) {
-            self.update_load(&name, |load| load.end(None, Instant::now()));
-            self.failed_setups.inc();
-            return Err(RunError::NotSent(cause));
-        }
-        let start = Instant::now();
-        let exchange = exchange(connection, statement, deadline);
+        let exchange = exchange(connection, variables, prepared, statement, deadline);
         let result = self.until_phase(Phase::Ending, exchange).await;
         let result = result.unwrap_or_else(|| Err(ConnectionError(STOPPING.to_owned())));
         let now = Instant::now();
@@ -358,7 +338,7 @@
         {
             member.record_response(response.position, now);
         }
-        result.map_err(RunError::Unanswered)
+        result
     }
 
     fn load(&self, member: &str) -> MemberLoad {
@@ -387,62 +367,39 @@
     }
 }
 
-/// Why a statement has no response.
-#[derive(Debug)]
-pub(crate) enum RunError {
-    /// The connection could not be given the state of the session, so that the statement was not
-    /// sent.
-    NotSent(String),
-    /// The statement was sent and may have run.
-    Unanswered(ConnectionError),
-}
-
-/// Sends the setup statements that the connection needs, and waits until all of them succeeded. A
-/// statement that is sent together with them would run even if one of them failed.
-async fn set_up<D: Dialect>(
+/// Sends the setup statements that the connection needs, followed by `statement`, in one batch.
+async fn exchange<D: Dialect>(
     connection: &mut PooledConn<D>,
     variables: &SessionVariables,
     prepared: Option<&PreparedStatement>,
+    statement: Statement<'_>,
     deadline: Instant,
-) -> Result<(), String>
+) -> Result<Response, ConnectionError>
 where
     D::Client: StatementClient,
 {
     let client = connection.client();
-    let state = client.connection_state();
-    let batch = state.setup_statements(variables, prepared);
-    if batch.is_empty() {
-        return Ok(());
-    }
+    let mut batch = client
+        .connection_state()
+        .setup_statements(variables, prepared);
+    let setup_len = batch.len();
+    batch.push(statement);
     let exchange = compio::time::timeout_at(deadline, client.exchange(&batch)).await;
-    let responses = exchange.map_err(|_elapsed| DEADLINE_PASSED.to_owned())?;
-    let responses = responses.map_err(|error| error.0)?;
-    for (statement, response) in batch.iter().zip(&responses) {
-        if let Err(failure) = &response.outcome {
-            let cause = &failure.message;
-            return Err(format!("a session value was not taken over: {cause}"));
+    let mut responses =
+        exchange.map_err(|_elapsed| ConnectionError(DEADLINE_PASSED.to_owned()))??;
+    let last_response = responses
+        .pop()
+        .ok_or_else(|| ConnectionError("no answer".to_owned()))?;
+    for (setup, response) in batch[..setup_len].iter().zip(&responses) {
+        match &response.outcome {
+            Ok(_) => client.connection_state().apply(setup),
+            Err(failure) => {
+                let cause = format!("a session value was not taken over: {}", failure.message);
+                return Err(ConnectionError(cause));
+            }
         }
-        client.connection_state().apply(statement);
     }
-    Ok(())
-}
-
-/// Sends a statement and waits for its response.
-async fn exchange<D: Dialect>(
-    connection: &mut PooledConn<D>,
-    statement: Statement<'_>,
-    deadline: Instant,
-) -> Result<Response, ConnectionError>
-where
-    D::Client: StatementClient,
-{
-    let statement = [statement];
-    let exchange = connection.client().exchange(&statement);
-    let responses = compio::time::timeout_at(deadline, exchange).await;
-    let responses = responses.map_err(|_elapsed| ConnectionError(DEADLINE_PASSED.to_owned()))?;
-    responses?
-        .pop()
-        .ok_or_else(|| ConnectionError("no answer".to_owned()))
+    Ok(last_response)
 }
 
 /// Cause reported for a statement that got no response before its deadline.
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -17,7 +17,7 @@
     caller::Caller,
     command::StatementKind,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute, RunError, stopping_failure},
+    shared::{DEADLINE_PASSED, ResolvedRoute, stopping_failure},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, StatementClient, TransactionState,
     },
@@ -149,11 +149,7 @@
             .await;
         let response = match result {
             Ok(response) => response,
-            Err(RunError::NotSent(cause)) => {
-                tried.insert(connection.member().clone());
-                return Attempt::Retry(Failure::new(Code::Busy, cause));
-            }
-            Err(RunError::Unanswered(error)) => {
+            Err(error) => {
                 tried.insert(connection.member().clone());
                 operation.note_run();
                 return Attempt::Retry(unanswered_failure(&error, StatementKind::Read));
@@ -227,12 +223,7 @@
             .await;
         let response = match result {
             Ok(response) => response,
-            Err(RunError::NotSent(cause)) => {
-                drop(connection);
-                shared.pause_before_retry(deadline).await;
-                return Attempt::Retry(Failure::new(Code::Busy, cause));
-            }
-            Err(RunError::Unanswered(error)) => {
+            Err(error) => {
                 return Attempt::Done(Reply::failed(
                     unanswered_failure(&error, StatementKind::Write),
                     TransactionState::Idle,
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -16,7 +16,7 @@
     command::{Request, StatementKind},
     connection_state::PreparedStatement,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute, RunError},
+    shared::{DEADLINE_PASSED, ResolvedRoute},
     single::{ReadConnection, SentCommit, into_reply, refusal_failure},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, Statement, StatementClient,
@@ -149,22 +149,19 @@
         if transaction.read_only && pending.kind == StatementKind::Write {
             return self.fail(Failure::new(Code::ReadOnly, "the transaction only reads"));
         }
-        let prepared = pending.prepared();
-        let confirmed = self.confirmed_connection(&target, prepared, start, deadline);
-        let mut connection = match confirmed.await {
+        let mut connection = match self.confirmed_connection(&target, start, deadline).await {
             Ok(connection) => connection,
             Err(failure) => return self.fail(failure),
         };
         self.context.member.clone_from(connection.member());
         let sent = base::clock::now();
         let statement = pending.statement(None);
-        let result = self.run_with_retries(&mut connection, prepared, statement, deadline);
+        let result =
+            self.run_with_retries(&mut connection, pending.prepared(), statement, deadline);
         let response = match result.await {
             Ok(response) => response,
             // Closing the connection rolls the transaction back.
-            Err(RunError::NotSent(cause) | RunError::Unanswered(ConnectionError(cause))) => {
-                return self.fail(Failure::new(Code::Aborted, cause));
-            }
+            Err(ConnectionError(cause)) => return self.fail(Failure::new(Code::Aborted, cause)),
         };
         let term = connection.primary();
         if let Some(transaction) = &mut self.transaction {
@@ -194,7 +191,7 @@
         prepared: Option<&PreparedStatement>,
         statement: Statement<'_>,
         deadline: Instant,
-    ) -> Result<Response, RunError> {
+    ) -> Result<Response, ConnectionError> {
         loop {
             self.context.attempts += 1;
             let statement = statement.clone();
@@ -219,15 +216,12 @@
     async fn confirmed_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
-        prepared: Option<&PreparedStatement>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
         // A caller that is refused needs no connection, and may lose its key while it waits for one.
         confirm_owner(target)?;
-        let connection = self
-            .pinned_connection(target, prepared, start, deadline)
-            .await?;
+        let connection = self.pinned_connection(target, start, deadline).await?;
         let Err(failure) = confirm_owner(target) else {
             return Ok(connection);
         };
@@ -239,12 +233,10 @@
     }
 
     /// Takes the connection of the transaction; if it has none yet, acquires one and begins the
-    /// transaction on it. `prepared` is the prepared statement that runs first: it is created before
-    /// the transaction begins, together with the session variables.
+    /// transaction on it.
     async fn pinned_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
-        prepared: Option<&PreparedStatement>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
@@ -291,7 +283,7 @@
             let variables = &self.variables;
             let result = self
                 .shared
-                .run(&mut connection, variables, prepared, begin, deadline)
+                .run(&mut connection, variables, None, begin, deadline)
                 .await;
             tried.insert(connection.member().clone());
             match result {
@@ -310,11 +302,7 @@
                     }
                 },
                 // Only BEGIN was sent, so a retry is safe.
-                Err(RunError::NotSent(cause) | RunError::Unanswered(ConnectionError(cause))) => {
-                    error = Failure::new(Code::Busy, cause);
-                    drop(connection);
-                    self.shared.pause_before_retry(deadline).await;
-                }
+                Err(ConnectionError(cause)) => error = Failure::new(Code::Busy, cause),
             }
         }
         Err(error)
@@ -328,9 +316,7 @@
         let target = Rc::clone(&transaction.target);
         let wrote = transaction.wrote;
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
-        let confirmed = self
-            .confirmed_connection(&target, None, start, deadline)
-            .await;
+        let confirmed = self.confirmed_connection(&target, start, deadline).await;
         let reply = match confirmed {
             Ok(connection) => {
                 self.commit_on(connection, &target, request, wrote, deadline)
@@ -366,12 +352,7 @@
         let result = self.run_with_retries(&mut connection, None, statement, deadline);
         let response = match result.await {
             Ok(response) => response,
-            // Closing the connection rolls the transaction back.
-            Err(RunError::NotSent(cause)) => {
-                let failure = Failure::new(Code::Aborted, cause);
-                return Reply::failed(failure, TransactionState::Idle);
-            }
-            Err(RunError::Unanswered(ConnectionError(cause))) => {
+            Err(ConnectionError(cause)) => {
                 return Reply::failed(unanswered_commit(wrote, &cause), TransactionState::Idle);
             }
         };
