Keep what a stop ends in one file of each crate

Readers had to look into four files to learn what a stop refuses and what it reports as in doubt. Nothing of that changes behaviour.

One change does: a read that ran, failed, and waits for a database once more when the stop comes is reported as failed, no longer as not run. Found by reading; no run or test shows it.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod config;
 pub mod dialect;
 mod dump;
+mod ending;
 mod extended;
 pub mod fleet;
 mod forward;
--- a/crates/entry/src/request.rs
+++ b/crates/entry/src/request.rs
@@ -225,37 +225,6 @@
         self.flush().await
     }
 
-    /// Runs a request like [`Session::run_request`], or ends it when the process is about to exit.
-    async fn run_until_ending(
-        &mut self,
-        request: &Request<'_>,
-        info: &RequestInfo,
-    ) -> Result<bool, RequestError> {
-        let shared = Rc::clone(&self.shared);
-        let was_idle = matches!(self.state, State::Idle);
-        if shared.is_ending() {
-            if !was_idle {
-                self.state = State::Aborted;
-            }
-            return Err(Refusal::Stopping.into());
-        }
-        let (sent, output_start) = (self.writer.sent(), self.writer.pending_len());
-        let running = self.run_request(request, info);
-        if let Some(outcome) = shared.until_ending(running).await {
-            return outcome;
-        }
-        // What the request held was dropped with it, which rolled its transaction back.
-        if !was_idle {
-            self.state = State::Aborted;
-        }
-        if self.writer.sent() != sent || self.writer.pending_len() < output_start {
-            // An error would be read as a part of the answer that is cut off.
-            return Err(RequestError::Disconnected);
-        }
-        self.writer.truncate(output_start);
-        Err(Refusal::OutcomeUnknown("this process is stopping".to_owned()).into())
-    }
-
     /// Runs a request in the current transaction state. Returns whether the answer is an error.
     pub(crate) async fn run_request(
         &mut self,
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -240,12 +240,6 @@
         Ok(None)
     }
 
-    /// Ends the session between two requests. Closing the connection rolls back an open transaction.
-    async fn end_for_shutdown(&mut self) {
-        let message = "this process is stopping; what was not answered has not run; connect again";
-        let _closing = self.fatal("57P01", message).await;
-    }
-
     /// Ends the session with the error that belongs to `cause`, if the caller can still receive
     /// one.
     async fn end_with_error(&mut self, cause: &WireError) {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -2,13 +2,10 @@
 
 use std::{
     cell::{Cell, RefCell},
-    pin::pin,
     rc::Rc,
 };
 
 use event_listener::Event;
-use futures_util::future::{Either, select};
-
 use route::RetryBudget;
 use sql::Cache;
 
@@ -38,8 +35,8 @@
     script_cache: RefCell<Cache>,
     retries: RefCell<RetryBudget>,
     draining: Cell<bool>,
-    ending: Cell<bool>,
-    end: Event,
+    pub(crate) ending: Cell<bool>,
+    pub(crate) end: Event,
     connected: Rc<Cell<usize>>,
     keyed_requests: Cell<u32>,
 }
@@ -98,29 +95,6 @@
         self.draining.set(true);
     }
 
-    /// Whether requests that are still in progress end because the process is about to exit.
-    pub fn is_ending(&self) -> bool {
-        self.ending.get()
-    }
-
-    /// Ends the requests in progress. Each gets a final answer.
-    pub fn end_requests(&self) {
-        self.ending.set(true);
-        self.end.notify(usize::MAX);
-    }
-
-    /// Runs `work` until the requests in progress end; `None` if that was first. `work` must be safe
-    /// to drop.
-    pub async fn until_ending<T>(&self, work: impl Future<Output = T>) -> Option<T> {
-        if self.is_ending() {
-            return None;
-        }
-        match select(pin!(work), pin!(self.end.listen())).await {
-            Either::Left((done, _)) => Some(done),
-            Either::Right(((), _)) => None,
-        }
-    }
-
     /// Counts a request with an idempotency key. Returns true when expired keys should be deleted
     /// after it.
     pub fn count_keyed(&self) -> bool {
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -22,9 +22,10 @@
     command::{Command, Request, StatementKind},
     request_log::RequestContext,
     session::{MAX_NAMES, outcome_label, reply_in_failed_transaction},
-    shared::{Phase, STOPPING, Shared, stopping_failure},
+    shared::Shared,
     single::into_reply,
     statement::{Code, Failure, Reply, Response, Statement, StatementClient, TransactionState},
+    stop::{Phase, STOPPING, stopping_failure},
 };
 
 /// The serving process is probed after it sent no response to any session for this long, so that
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod shared;
 mod single;
 pub mod statement;
+pub mod stop;
 mod transaction;
 pub mod watch;
 
--- a/crates/session/src/serve.rs
+++ b/crates/session/src/serve.rs
@@ -19,8 +19,9 @@
 use crate::{
     caller::{Caller, Peer},
     session::Session,
-    shared::{Phase, Shared},
+    shared::Shared,
     statement::StatementClient,
+    stop::Phase,
 };
 
 /// Pause after a failed accept. Without it, accept would fail in a busy loop while the process is
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -18,8 +18,9 @@
     connection_state::{PreparedStatement, SessionVariables},
     forward::ForwardedSession,
     request_log::RequestContext,
-    shared::{Phase, ResolvedRoute, STOPPING, SessionGuard, Shared, stopping_failure},
+    shared::{ResolvedRoute, SessionGuard, Shared},
     statement::{Code, Failure, Reply, Statement, StatementClient, TransactionState},
+    stop::{Phase, STOPPING, stopping_failure},
     transaction::Transaction,
 };
 
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -17,10 +17,11 @@
     caller::Caller,
     command::StatementKind,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute, stopping_failure},
+    shared::{DEADLINE_PASSED, ResolvedRoute},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, StatementClient, TransactionState,
     },
+    stop::stopping_failure,
 };
 
 /// Longest wait for a change before routing is evaluated again: the age of positions, leases and
@@ -112,11 +113,9 @@
         let deadline = terms.deadline;
         let acquired = match self.acquire_for_read(target, tried, terms).await {
             Ok(acquired) => acquired,
-            Err(failure) if tried.is_empty() => {
-                return Attempt::Done(Reply::failed(failure, TransactionState::Idle));
-            }
+            Err(failure) if tried.is_empty() => return Attempt::Refused(failure),
             Err(failure) => {
-                // A lagging replica may have caught up.
+                // A lagging replica may have caught up by the next attempt.
                 tried.clear();
                 self.shared.pause_before_retry(deadline).await;
                 return Attempt::Retry(failure);
