Send a statement only after its connection has the session's values

Callers' statements ran with the values of another session when a database failed the SET in front of them.

Cause: setup statements (RESET, SET, PREPARE) and the caller's statement were sent in one batch, and their answers were read when it had run.

Change: the type says what may follow an unanswered setup statement. A session::Setup (RESET, SET, PREPARE, BEGIN) is sent in a batch, a session::Statement alone, when all of its setup succeeded. If one fails, nothing of the caller was sent: the connection is closed and the request goes to another one; an open transaction is aborted, also in front of a COMMIT, whatever state the database reports. BEGIN uses no value and changes nothing. It goes out as the product's own statement, since the product answers the caller itself, so its id and text are no longer kept.

On the same path: after a COMMIT that failed, values set within the transaction are unknown, as after a rollback. Where none was set within it, a rollback no longer resets the connection.

--- a/crates/session/src/connection_state.rs
+++ b/crates/session/src/connection_state.rs
@@ -5,7 +5,7 @@
 use base::{Set, document::digest_bytes};
 use bstr::{BStr, BString};
 
-use crate::{command::StatementKind, statement::Statement};
+use crate::{command::StatementKind, statement::Setup};
 
 /// Session variables by name.
 pub type SessionVariables = BTreeMap<BString, BString>;
@@ -87,9 +87,29 @@
     prepared: Set<BString>,
     /// Whether the variables on the connection may differ from `variables`.
     invalidated: bool,
+    transaction: TransactionEffect,
+}
+
+/// What the end of a connection's transaction does to its session variables.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum TransactionEffect {
+    /// No transaction is open.
+    #[default]
+    None,
+    /// Nothing: all were set before the transaction.
+    Unchanged,
+    /// A rollback may revert some that were set within the transaction.
+    Revertible,
 }
 
 impl ConnectionState {
+    /// Records the end of a transaction, if one was open. After a rollback, the variables that were set
+    /// within it are unknown.
+    pub fn end_transaction(&mut self, committed: bool) {
+        let effect = std::mem::take(&mut self.transaction);
+        self.invalidated |= !committed && effect == TransactionEffect::Revertible;
+    }
+
     /// Marks the session variables as unknown, so that the next statement resets the connection.
     pub const fn invalidate(&mut self) {
         self.invalidated = true;
@@ -101,19 +121,19 @@
         &self,
         variables: &'a SessionVariables,
         prepared: Option<&'a PreparedStatement>,
-    ) -> Vec<Statement<'a>> {
+    ) -> Vec<Setup<'a>> {
         let mut statements = Vec::new();
         let is_known = |name: &&BString| self.variables.contains_key(&*shortened(name));
         let has_extra = variables.keys().filter(is_known).count() < self.variables.len();
         let is_full = prepared.is_none() && self.prepared.len() >= MAX_PREPARED;
         let reset = has_extra || is_full || self.invalidated;
         if reset {
-            statements.push(Statement::Reset);
+            statements.push(Setup::Reset);
         }
         for (name, value) in variables {
             let known = self.variables.get(&*shortened(name));
             if reset || known.is_none_or(|known| BStr::new(known) != &*shortened(value)) {
-                statements.push(Statement::Set {
+                statements.push(Setup::Set {
                     name: name.as_ref(),
                     value: value.as_ref(),
                 });
@@ -122,7 +142,7 @@
         if let Some(prepared) = prepared
             && (reset || !self.prepared.contains(&prepared.name))
         {
-            statements.push(Statement::Prepare {
+            statements.push(Setup::Prepare {
                 name: prepared.name.as_ref(),
                 kind: prepared.kind,
                 template: prepared.template.as_ref(),
@@ -132,18 +152,27 @@
     }
 
     /// Records the effect of a setup statement that succeeded.
-    pub fn apply(&mut self, statement: &Statement<'_>) {
+    pub fn apply(&mut self, statement: &Setup<'_>) {
+        if self.transaction == TransactionEffect::Unchanged {
+            self.transaction = TransactionEffect::Revertible;
+        }
         match statement {
-            Statement::Reset => *self = Self::default(),
-            Statement::Set { name, value } => {
+            Setup::Reset => {
+                let transaction = self.transaction;
+                *self = Self {
+                    transaction,
+                    ..Self::default()
+                };
+            }
+            Setup::Set { name, value } => {
                 let (name, value) = ((*name).to_owned(), (*value).to_owned());
                 let value = shortened(&value).into_owned();
                 self.variables.insert(shortened(&name).into_owned(), value);
             }
-            Statement::Prepare { name, .. } => {
+            Setup::Prepare { name, .. } => {
                 self.prepared.insert((*name).to_owned());
             }
-            _ => {}
+            Setup::Begin(_) => self.transaction = TransactionEffect::Unchanged,
         }
     }
 
--- a/crates/session/src/forward.rs
+++ b/crates/session/src/forward.rs
@@ -310,12 +310,12 @@
 where
     D::Client: StatementClient,
 {
-    let statement = [Statement::Forward {
+    let statement = Statement::Forward {
         id: request.id.as_ref(),
         min_position: None,
         text: request.text.as_ref(),
-    }];
-    let mut responses = pin!(client.exchange(&statement));
+    };
+    let mut response = pin!(client.run(&statement));
     loop {
         let now = Instant::now();
         if now >= deadline {
@@ -326,10 +326,10 @@
             sleep(wait).await;
             peer.answered_within(PROBE_AFTER, Instant::now()) || is_alive(shared, peer).await
         });
-        match select(responses.as_mut(), liveness).await {
-            Either::Left((Ok(mut responses), _)) => {
+        match select(response.as_mut(), liveness).await {
+            Either::Left((Ok(response), _)) => {
                 peer.record_answer(Instant::now());
-                return responses.pop().ok_or_else(|| "no answer".to_owned());
+                return Ok(response);
             }
             Either::Left((Err(error), _)) => return Err(error.0),
             Either::Right((true, _)) => {}
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -27,5 +27,6 @@
 pub use session::Session;
 pub use shared::Shared;
 pub use statement::{
-    Code, ConnectionError, Failure, Reply, Response, Statement, StatementClient, Status,
+    Begin, Code, ConnectionError, Failure, Reply, Response, Setup, Statement, StatementClient,
+    Status,
 };
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -328,7 +328,7 @@
             }
             Command::Begin { read_only } => match self.resolve_route() {
                 Ok(target) => {
-                    self.transaction = Some(Transaction::new(target, request, *read_only));
+                    self.transaction = Some(Transaction::new(target, *read_only));
                     Reply::done(TransactionState::Open)
                 }
                 Err(failure) => Reply::failed(failure, TransactionState::Idle),
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -17,7 +17,7 @@
     caller::Caller,
     command::StatementKind,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute},
+    shared::{DEADLINE_PASSED, ResolvedRoute, RunError},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, StatementClient, TransactionState,
     },
@@ -148,7 +148,15 @@
             .await;
         let response = match result {
             Ok(response) => response,
-            Err(error) => {
+            Err(RunError::NotSent(ConnectionError(cause))) => {
+                let name = connection.member().clone();
+                drop(connection);
+                if primary.is_some() || !tried.insert(name) {
+                    shared.pause_before_retry(deadline).await;
+                }
+                return Attempt::Retry(Failure::new(Code::Busy, cause));
+            }
+            Err(RunError::Unanswered(error)) => {
                 tried.insert(connection.member().clone());
                 operation.note_run();
                 return Attempt::Retry(unanswered_failure(&error, StatementKind::Read));
@@ -222,7 +230,12 @@
             .await;
         let response = match result {
             Ok(response) => response,
-            Err(error) => {
+            Err(RunError::NotSent(ConnectionError(cause))) => {
+                drop(connection);
+                shared.pause_before_retry(deadline).await;
+                return Attempt::Retry(Failure::new(Code::Busy, cause));
+            }
+            Err(RunError::Unanswered(error)) => {
                 return Attempt::Done(Reply::failed(
                     unanswered_failure(&error, StatementKind::Write),
                     TransactionState::Idle,
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -7,7 +7,7 @@
 
 use crate::{command::StatementKind, connection_state::ConnectionState};
 
-/// A statement sent to a database.
+/// A statement that is sent by itself, when the connection has the state that it needs.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Statement<'a> {
     /// A caller's statement, forwarded unchanged.
@@ -30,17 +30,19 @@
         /// Arguments as received; `None` if not even a blank follows the name.
         arguments: Option<&'a BStr>,
     },
-    /// Starts a caller's transaction.
-    Begin {
-        /// Request id assigned by the caller.
-        id: &'a BStr,
-        /// Position that the database must have reached.
-        min_position: Option<Position>,
-        /// Statement text.
-        text: &'a BStr,
-    },
     /// Rolls the transaction back.
     Rollback,
+    /// Queries the status of the database.
+    Status,
+}
+
+/// A statement of the product that gives a connection the state that a caller's statement needs.
+///
+/// Only these may be sent before the responses to earlier ones have arrived. A database runs each of
+/// them even if the one before it failed, which no caller notices: none uses a session variable or
+/// changes data, and a connection on which one of them failed is closed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Setup<'a> {
     /// Drops the connection's session variables and prepared statements.
     Reset,
     /// Sets a session variable on the connection.
@@ -59,8 +61,17 @@
         /// Statement template.
         template: &'a BStr,
     },
-    /// Queries the status of the database.
-    Status,
+    /// Starts a transaction.
+    Begin(Begin),
+}
+
+/// How a transaction is started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Begin {
+    /// Position that the database must have reached.
+    pub min_position: Option<Position>,
+    /// Whether the transaction is read-only.
+    pub read_only: bool,
 }
 
 /// Transaction state of a connection or session.
@@ -229,11 +240,17 @@
 
 /// A database connection that runs statements.
 pub trait StatementClient: Client {
-    /// Sends statements in one batch and waits for all responses. After an error, or if the future
-    /// is dropped before it completes, the connection must not be used again.
-    fn exchange(
+    /// Sends a statement and waits for its response. After an error, or if the future is dropped
+    /// before it completes, the connection must not be used again.
+    fn run(
+        &mut self,
+        statement: &Statement<'_>,
+    ) -> impl Future<Output = Result<Response, ConnectionError>>;
+    /// Sends setup statements in one batch and waits for all responses. After an error, or if the
+    /// future is dropped before it completes, the connection must not be used again.
+    fn set_up(
         &mut self,
-        batch: &[Statement<'_>],
+        batch: &[Setup<'_>],
     ) -> impl Future<Output = Result<Vec<Response>, ConnectionError>>;
     /// Waits until input is available or the peer closes the connection.
     fn readable(&self) -> impl Future<Output = ()>;
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -7,7 +7,6 @@
 };
 
 use base::{Set, document::ReadConsistency};
-use bstr::BString;
 use compio::time::timeout;
 use entry::{dialect::Dialect, pool::PooledConn};
 
@@ -16,10 +15,10 @@
     command::{Request, StatementKind},
     connection_state::PreparedStatement,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute},
+    shared::{DEADLINE_PASSED, ResolvedRoute, RunError},
     single::{ReadConnection, SentCommit, into_reply, refusal_failure},
     statement::{
-        Code, ConnectionError, Failure, Reply, Response, Statement, StatementClient,
+        Begin, Code, ConnectionError, Failure, Reply, Response, Statement, StatementClient,
         TransactionState,
     },
 };
@@ -33,10 +32,6 @@
 #[derive(Debug)]
 pub struct Transaction<D: Dialect> {
     target: Rc<ResolvedRoute<D>>,
-    /// Id of the request that started the transaction.
-    request_id: BString,
-    /// Text of that request.
-    begin: BString,
     read_only: bool,
     /// Connection that the transaction is bound to; `None` before the first statement.
     connection: Option<PooledConn<D>>,
@@ -58,11 +53,9 @@
     D::Client: StatementClient,
 {
     /// Creates a transaction that has no connection yet.
-    pub(crate) fn new(target: ResolvedRoute<D>, request: &Request, read_only: bool) -> Self {
+    pub(crate) fn new(target: ResolvedRoute<D>, read_only: bool) -> Self {
         Self {
             target: Rc::new(target),
-            request_id: request.id.clone(),
-            begin: request.text.clone(),
             read_only,
             connection: None,
             wrote: false,
@@ -115,15 +108,13 @@
             return;
         };
         compio::runtime::spawn(async move {
-            let rollback = connection.client().exchange(&[Statement::Rollback]);
+            let rollback = connection.client().run(&Statement::Rollback);
             // On an error, dropping the connection closes it, which also rolls back.
-            if let Ok(Ok(responses)) = timeout(ROLLBACK_TIMEOUT, rollback).await
-                && responses
-                    .iter()
-                    .all(|response| response.state == TransactionState::Idle)
+            if let Ok(Ok(response)) = timeout(ROLLBACK_TIMEOUT, rollback).await
+                && response.state == TransactionState::Idle
             {
-                // The rollback may have reverted variables that were set within the transaction.
-                connection.client().connection_state().invalidate();
+                let state = connection.client().connection_state();
+                state.end_transaction(false);
                 connection.release();
             }
         })
@@ -149,19 +140,23 @@
         if transaction.read_only && pending.kind == StatementKind::Write {
             return self.fail(Failure::new(Code::ReadOnly, "the transaction only reads"));
         }
-        let mut connection = match self.confirmed_connection(&target, start, deadline).await {
+        let prepared = pending.prepared();
+        let confirmed = self.confirmed_connection(&target, prepared, start, deadline);
+        let mut connection = match confirmed.await {
             Ok(connection) => connection,
             Err(failure) => return self.fail(failure),
         };
         self.context.member.clone_from(connection.member());
         let sent = base::clock::now();
         let statement = pending.statement(None);
-        let result =
-            self.run_with_retries(&mut connection, pending.prepared(), statement, deadline);
+        let result = self.run_with_retries(&mut connection, prepared, statement, deadline);
         let response = match result.await {
             Ok(response) => response,
             // Closing the connection rolls the transaction back.
-            Err(ConnectionError(cause)) => return self.fail(Failure::new(Code::Aborted, cause)),
+            Err(
+                RunError::NotSent(ConnectionError(cause))
+                | RunError::Unanswered(ConnectionError(cause)),
+            ) => return self.fail(Failure::new(Code::Aborted, cause)),
         };
         let term = connection.primary();
         if let Some(transaction) = &mut self.transaction {
@@ -191,7 +186,7 @@
         prepared: Option<&PreparedStatement>,
         statement: Statement<'_>,
         deadline: Instant,
-    ) -> Result<Response, ConnectionError> {
+    ) -> Result<Response, RunError> {
         loop {
             self.context.attempts += 1;
             let statement = statement.clone();
@@ -216,12 +211,15 @@
     async fn confirmed_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
+        prepared: Option<&PreparedStatement>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
         // A caller that is refused needs no connection, and may lose its key while it waits for one.
         confirm_owner(target)?;
-        let connection = self.pinned_connection(target, start, deadline).await?;
+        let connection = self
+            .pinned_connection(target, prepared, start, deadline)
+            .await?;
         let Err(failure) = confirm_owner(target) else {
             return Ok(connection);
         };
@@ -233,10 +231,11 @@
     }
 
     /// Takes the connection of the transaction; if it has none yet, acquires one and begins the
-    /// transaction on it.
+    /// transaction on it. `prepared` is the prepared statement that runs first, if one does.
     async fn pinned_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
+        prepared: Option<&PreparedStatement>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
@@ -247,7 +246,6 @@
         if let Some(connection) = transaction.connection.take() {
             return Ok(connection);
         }
-        let (id, text) = (transaction.request_id.clone(), transaction.begin.clone());
         let read_only = transaction.read_only;
         let mut operation = target.admit(deadline).await?;
         let replica_allowed = read_only && target.route.reads != ReadConsistency::Latest;
@@ -275,15 +273,14 @@
                 connection.release();
                 return Err(refusal_failure(&refusal));
             }
-            let begin = Statement::Begin {
-                id: id.as_ref(),
+            let begin = Begin {
                 min_position,
-                text: text.as_ref(),
+                read_only,
             };
             let variables = &self.variables;
             let result = self
                 .shared
-                .run(&mut connection, variables, None, begin, deadline)
+                .begin(&mut connection, variables, prepared, begin, deadline)
                 .await;
             tried.insert(connection.member().clone());
             match result {
@@ -301,8 +298,12 @@
                         self.shared.pause_before_retry(deadline).await;
                     }
                 },
-                // Only BEGIN was sent, so a retry is safe.
-                Err(ConnectionError(cause)) => error = Failure::new(Code::Busy, cause),
+                // Nothing of the caller was sent, so a retry is safe.
+                Err(ConnectionError(cause)) => {
+                    error = Failure::new(Code::Busy, cause);
+                    drop(connection);
+                    self.shared.pause_before_retry(deadline).await;
+                }
             }
         }
         Err(error)
@@ -316,7 +317,9 @@
         let target = Rc::clone(&transaction.target);
         let wrote = transaction.wrote;
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
-        let confirmed = self.confirmed_connection(&target, start, deadline).await;
+        let confirmed = self
+            .confirmed_connection(&target, None, start, deadline)
+            .await;
         let reply = match confirmed {
             Ok(connection) => {
                 self.commit_on(connection, &target, request, wrote, deadline)
@@ -352,11 +355,18 @@
         let result = self.run_with_retries(&mut connection, None, statement, deadline);
         let response = match result.await {
             Ok(response) => response,
-            Err(ConnectionError(cause)) => {
+            // Closing the connection rolls the transaction back.
+            Err(RunError::NotSent(ConnectionError(cause))) => {
+                let failure = Failure::new(Code::Aborted, cause);
+                return Reply::failed(failure, TransactionState::Idle);
+            }
+            Err(RunError::Unanswered(ConnectionError(cause))) => {
                 return Reply::failed(unanswered_commit(wrote, &cause), TransactionState::Idle);
             }
         };
         if response.state == TransactionState::Idle {
+            let state = connection.client().connection_state();
+            state.end_transaction(response.outcome.is_ok());
             connection.release();
         } else if let Some(transaction) = &mut self.transaction {
             transaction.connection = Some(connection);
--- a/crates/session/src/watch.rs
+++ b/crates/session/src/watch.rs
@@ -194,15 +194,12 @@
             Err(_elapsed) => ProbeOutcome::NoResponse,
         };
     }
-    let exchange = connection.client().exchange(&[Statement::Status]);
-    let response = match timeout_at(deadline, exchange).await {
-        Ok(Ok(mut responses)) => responses.pop(),
-        Ok(Err(_error)) => None,
+    let query = connection.client().run(&Statement::Status);
+    let response = match timeout_at(deadline, query).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(_error)) => return ProbeOutcome::ConnectionLost,
         Err(_elapsed) => return ProbeOutcome::NoResponse,
     };
-    let Some(response) = response else {
-        return ProbeOutcome::ConnectionLost;
-    };
     connection.release();
     member.record_response(response.position, Instant::now());
     // A response without a status means that the member is busy, but alive.
