Use the idle connection that needs the least setup

Callers waited a round trip for session values that another idle connection had already, and a session without values reset a connection that others had prepared statements on.

Cause: of several idle connections the one used last was handed out.

Change: a request says what state its session needs, and the idle connection with the smallest setup is taken: none, then the fewest statements, then a reset of the fewest prepared statements.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -49,6 +49,11 @@
 
 /// Client of a connection that a pool keeps.
 pub trait Client: Debug {
+    /// State of a caller's session that its statements need on a connection.
+    type SessionState: Debug;
+    /// Cost of giving the connection the state of a session, to choose among idle connections: 0 if it
+    /// has it.
+    fn setup_cost(&self, state: &Self::SessionState) -> u32;
     /// Whether received data is buffered and unread.
     fn has_bytes(&self) -> bool;
     /// Numbers of bytes sent and received so far.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -22,13 +22,13 @@
 use serde_json::{Value, json};
 
 use self::{
-    idle::{Conn, Idle, Need, Owner},
+    idle::{Conn, Idle, Need, Owner, Wanted},
     limits::LearnedLimits,
     state::{HeldConn, Opening, State, WaitingRequest, count},
 };
 pub use self::{limits::Limits, pooled::PooledConn};
 use crate::{
-    dialect::{Client as _, Dialect, OWN_USER, OpenError, Upstream},
+    dialect::{Client, Dialect, OWN_USER, OpenError, Upstream},
     metrics::Metrics,
     postgres::Postgres,
 };
@@ -54,6 +54,9 @@
     Closed,
 }
 
+/// State of the session that a connection is acquired for.
+pub type SessionState<D> = Rc<<<D as Dialect>::Client as Client>::SessionState>;
+
 /// Channel on which a waiting request gets its connection.
 type GrantSender<D> = oneshot::Sender<Result<PooledConn<D>, PoolError>>;
 
@@ -217,17 +220,22 @@
     ) -> Result<PooledConn<D>, PoolError> {
         let owner = owner.map(Rc::from);
         let terms = Terms::until(deadline);
-        self.acquire_under(Terms { owner, ..terms }).await
+        self.acquire_under(Terms { owner, ..terms }, None).await
     }
 
-    /// Acquires a connection that was opened for the owner in `terms`. It waits in the queue, in the
-    /// order that `terms` ask for, until their deadline.
+    /// Acquires a connection that was opened for the owner in `terms`, of several idle ones that which
+    /// has most of the state of `session`. It waits in the queue, in the order that `terms` ask for,
+    /// until their deadline.
     ///
     /// # Errors
     /// No connection was handed out, and nothing was sent to the member.
-    pub async fn acquire_under(self: &Rc<Self>, terms: Terms) -> Result<PooledConn<D>, PoolError> {
-        self.acquire_needed(Need::Owner(terms.owner.clone()), terms)
-            .await
+    pub async fn acquire_under(
+        self: &Rc<Self>,
+        terms: Terms,
+        session: Option<SessionState<D>>,
+    ) -> Result<PooledConn<D>, PoolError> {
+        let need = Need::Owner(terms.owner.clone());
+        self.acquire_needed(Wanted { need, session }, terms).await
     }
 
     /// Acquires a connection of any owner. Only statements of the deployment itself may be sent on
@@ -239,21 +247,25 @@
         self: &Rc<Self>,
         deadline: Instant,
     ) -> Result<PooledConn<D>, PoolError> {
-        self.acquire_needed(Need::Any, Terms::until(deadline)).await
+        let wanted = Wanted {
+            need: Need::Any,
+            session: None,
+        };
+        self.acquire_needed(wanted, Terms::until(deadline)).await
     }
 
     async fn acquire_needed(
         self: &Rc<Self>,
-        need: Need,
+        wanted: Wanted<D::Client>,
         terms: Terms,
     ) -> Result<PooledConn<D>, PoolError> {
         let now = Instant::now();
-        if let Some(pooled) = self.try_acquire(&need, now) {
+        if let Some(pooled) = self.try_acquire(&wanted, now) {
             self.wait_histogram.observe(0.0);
             return Ok(pooled);
         }
         let deadline = terms.deadline;
-        let mut receiver = self.enqueue(need, terms, now)?;
+        let mut receiver = self.enqueue(wanted, terms, now)?;
         self.dispatch(now);
         if let Ok(Some(granted)) = receiver.try_recv() {
             self.wait_histogram.observe(0.0);
@@ -269,20 +281,24 @@
     }
 
     /// Takes an idle connection if there is one and no request is queued.
-    fn try_acquire(self: &Rc<Self>, need: &Need, now: Instant) -> Option<PooledConn<D>> {
+    fn try_acquire(
+        self: &Rc<Self>,
+        wanted: &Wanted<D::Client>,
+        now: Instant,
+    ) -> Option<PooledConn<D>> {
         let mut state = self.state.borrow_mut();
         let blocked = state.draining || !state.queue.is_empty() || !state.has_free_slot(now);
-        if blocked || !state.idle.has_usable(need) {
+        if blocked || !state.idle.has_usable(wanted) {
             return None;
         }
-        let pooled = self.take_idle(&mut state, need, now)?;
+        let pooled = self.take_idle(&mut state, wanted, now)?;
         state.update_peak();
         Some(pooled)
     }
 
     fn enqueue(
         &self,
-        need: Need,
+        wanted: Wanted<D::Client>,
         terms: Terms,
         now: Instant,
     ) -> Result<oneshot::Receiver<Result<PooledConn<D>, PoolError>>, PoolError> {
@@ -291,7 +307,7 @@
         if state.draining {
             return Err(PoolError::Closed);
         }
-        let request = WaitingRequest { need, sender };
+        let request = WaitingRequest { wanted, sender };
         let displaced = state.queue.push(request, terms, now).map_err(|cause| {
             self.count_refused(match cause {
                 QueueError::Full => "full",
@@ -347,22 +363,22 @@
         let State { queue, idle, .. } = &mut *state;
         let request = queue.pop_if(
             now,
-            |request| idle.has_usable(&request.need),
+            |request| idle.has_usable(&request.wanted),
             |request| expired.push(request.sender),
         )?;
-        let pooled = self.take_idle(&mut state, &request.need, now)?;
+        let pooled = self.take_idle(&mut state, &request.wanted, now)?;
         Some((request.sender, pooled))
     }
 
     fn take_idle(
         self: &Rc<Self>,
         state: &mut State<D>,
-        need: &Need,
+        wanted: &Wanted<D::Client>,
         now: Instant,
     ) -> Option<PooledConn<D>> {
-        let conn = state.idle.take(need)?;
+        let conn = state.idle.take(wanted)?;
         debug_assert!(
-            need.admits(&conn.owner),
+            wanted.need.admits(&conn.owner),
             "a connection serves only its own organisation"
         );
         let id = state.next_id;
--- a/crates/entry/src/pool/idle.rs
+++ b/crates/entry/src/pool/idle.rs
@@ -38,6 +38,21 @@
     }
 }
 
+/// What a request wants of a connection.
+#[derive(Debug)]
+pub(super) struct Wanted<C: Client> {
+    pub(super) need: Need,
+    /// State of its session; connections that have more of it are preferred.
+    pub(super) session: Option<Rc<C::SessionState>>,
+}
+
+impl<C: Client> Wanted<C> {
+    fn setup_cost(&self, conn: &Conn<C>) -> u32 {
+        let session = self.session.as_ref();
+        session.map_or(0, |session| conn.client.setup_cost(session))
+    }
+}
+
 /// An open connection. Its owner never changes.
 #[derive(Debug)]
 pub(super) struct Conn<C> {
@@ -65,9 +80,9 @@
 pub(super) struct Idle<C>(pub(super) Vec<Conn<C>>);
 
 impl<C: Client> Idle<C> {
-    /// Whether a connection is usable for `need`. Drops connections that the member closed.
-    pub(super) fn has_usable(&mut self, need: &Need) -> bool {
-        while let Some(index) = self.position(need) {
+    /// Whether a connection is usable for `wanted`. Drops connections that the member closed.
+    pub(super) fn has_usable(&mut self, wanted: &Wanted<C>) -> bool {
+        while let Some(index) = self.position(wanted) {
             if self.0[index].is_quiet() {
                 return true;
             }
@@ -76,9 +91,10 @@
         false
     }
 
-    /// Takes the connection for `need` that was used last.
-    pub(super) fn take(&mut self, need: &Need) -> Option<Conn<C>> {
-        self.position(need).map(|index| self.0.remove(index))
+    /// Takes the connection for `wanted` with the least setup cost, and among these the one that was
+    /// used last.
+    pub(super) fn take(&mut self, wanted: &Wanted<C>) -> Option<Conn<C>> {
+        self.position(wanted).map(|index| self.0.remove(index))
     }
 
     /// Takes the connection that was unused for longest among those that `replaceable` is true for.
@@ -93,7 +109,10 @@
         Some(self.0.remove(index))
     }
 
-    fn position(&self, need: &Need) -> Option<usize> {
-        self.0.iter().rposition(|conn| need.admits(&conn.owner))
+    fn position(&self, wanted: &Wanted<C>) -> Option<usize> {
+        let last_first = self.0.iter().enumerate().rev();
+        let admitted = last_first.filter(|(_, conn)| wanted.need.admits(&conn.owner));
+        let best = admitted.min_by_key(|(_, conn)| wanted.setup_cost(conn));
+        best.map(|(index, _)| index)
     }
 }
--- a/crates/entry/src/pool/state.rs
+++ b/crates/entry/src/pool/state.rs
@@ -10,7 +10,7 @@
 
 use super::{
     GrantSender,
-    idle::{Conn, Idle, Need, Owner},
+    idle::{Conn, Idle, Need, Owner, Wanted},
     limits::LearnedLimits,
 };
 use crate::dialect::Dialect;
@@ -45,7 +45,7 @@
 /// Request that waits for a connection.
 #[derive(Debug)]
 pub(super) struct WaitingRequest<D: Dialect> {
-    pub(super) need: Need,
+    pub(super) wanted: Wanted<D::Client>,
     pub(super) sender: GrantSender<D>,
 }
 
@@ -164,7 +164,7 @@
         let target = self.target(now);
         let full = self.total() >= target;
         let first = self.queue.iter(now).take(slots as usize);
-        let needs: Vec<Need> = first.map(|request| request.need.clone()).collect();
+        let needs: Vec<Need> = first.map(|request| request.wanted.need.clone()).collect();
         let mut idle: Map<Owner, u32> = Map::default();
         for conn in &self.idle.0 {
             *idle.entry(conn.owner.clone()).or_default() += 1;
@@ -219,7 +219,11 @@
             let free = unclaimed.get(other).is_some_and(|number| *number > 0);
             other != owner && free && !(keep && recent)
         };
-        let waits = |other: &Owner| queue.iter(now).any(|request| request.need.owner() == other);
+        let waits = |other: &Owner| {
+            queue
+                .iter(now)
+                .any(|request| request.wanted.need.owner() == other)
+        };
         let victim = idle
             .take_oldest(|conn| replaceable(conn) && several.contains(&conn.owner))
             .or_else(|| idle.take_oldest(|conn| replaceable(conn) && !waits(&conn.owner)))
--- a/crates/entry/src/postgres.rs
+++ b/crates/entry/src/postgres.rs
@@ -42,6 +42,13 @@
 }
 
 impl Client for wire::Client {
+    // Sessions run their parameters and prepared statements themselves.
+    type SessionState = ();
+
+    fn setup_cost(&self, (): &()) -> u32 {
+        0
+    }
+
     fn has_bytes(&self) -> bool {
         self.reader.has_bytes()
     }
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -25,7 +25,7 @@
     group::{Group, ProbeTarget, Record},
     member::Member,
     network::Network,
-    pool::{PoolError, PooledConn},
+    pool::{PoolError, PooledConn, SessionState},
     postgres::Postgres,
     rates::Operation,
     refusal::Refusal,
@@ -89,7 +89,9 @@
     ) -> Result<PooledConn, Refusal> {
         let owner = owner.map(Rc::from);
         let terms = Terms::until(deadline);
-        let result = self.route_write(service, &Terms { owner, ..terms }).await;
+        let result = self
+            .route_write(service, &Terms { owner, ..terms }, None)
+            .await;
         if result.is_ok() {
             self.metrics.writes.inc();
         }
@@ -333,8 +335,8 @@
         }
     }
 
-    /// Acquires a connection to the primary in force that was opened for the owner in `terms`. It
-    /// waits until their deadline.
+    /// Acquires a connection to the primary in force that was opened for the owner in `terms`, of
+    /// several idle ones that which has most of the state of `session`. It waits until their deadline.
     ///
     /// # Errors
     /// A refusal that is "not run".
@@ -342,12 +344,13 @@
         &self,
         service: &Service,
         terms: &Terms,
+        session: Option<&SessionState<D>>,
     ) -> Result<PooledConn<D>, Refusal> {
         if self.is_isolated(base::clock::now()) {
             // Another entry process may be able to serve the request; waiting here can't help.
             return self.count_refusal(Err(Refusal::NoPrimary));
         }
-        let result = self.route_write(service, terms).await;
+        let result = self.route_write(service, terms, session).await;
         self.count_refusal(result)
     }
 
@@ -355,6 +358,7 @@
         &self,
         service: &Service,
         terms: &Terms,
+        session: Option<&SessionState<D>>,
     ) -> Result<PooledConn<D>, Refusal> {
         let deadline = terms.deadline;
         let start = Instant::now();
@@ -376,7 +380,11 @@
                 let _changed = compio::time::timeout_at(slice, changed).await;
                 continue;
             };
-            match member.pool.acquire_under(terms.clone()).await {
+            match member
+                .pool
+                .acquire_under(terms.clone(), session.cloned())
+                .await
+            {
                 Ok(mut lease) => {
                     // The record or the write lease may have changed while the request was queued.
                     if self.is_in_force(&group, record.term) {
--- a/crates/session/src/connection_state.rs
+++ b/crates/session/src/connection_state.rs
@@ -1,11 +1,11 @@
 //! Session variables and prepared statements of a pooled connection.
 
-use std::{borrow::Cow, collections::BTreeMap, fmt::Write as _};
+use std::{borrow::Cow, collections::BTreeMap, fmt::Write as _, rc::Rc};
 
 use base::{Set, document::digest_bytes};
 use bstr::{BStr, BString};
 
-use crate::{command::StatementKind, statement::Setup};
+use crate::{command::StatementKind, session::MAX_NAMES, statement::Setup};
 
 /// Session variables by name.
 pub type SessionVariables = BTreeMap<BString, BString>;
@@ -80,6 +80,15 @@
     }
 }
 
+/// Session variables and the prepared statement that a statement needs on its connection.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SessionState {
+    /// Variables of the session.
+    pub variables: Rc<SessionVariables>,
+    /// Prepared statement that it runs; `None` for a statement sent as text.
+    pub prepared: Option<Rc<PreparedStatement>>,
+}
+
 /// State of a pooled connection that persists across the sessions that use it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct ConnectionState {
@@ -115,31 +124,36 @@
         self.invalidated = true;
     }
 
-    /// Statements that give the connection the variables of a session and create `prepared`.
+    /// Statements that give the connection the state of a session.
+    ///
+    /// ```
+    /// use std::rc::Rc;
+    /// use session::{ConnectionState, SessionState, Setup};
+    ///
+    /// let variables = Rc::new([("tz".into(), "east".into())].into());
+    /// let session = SessionState { variables, prepared: None };
+    /// let mut connection = ConnectionState::default();
+    /// let set = Setup::Set { name: "tz".into(), value: "east".into() };
+    /// assert_eq!(connection.setup_statements(&session), [set.clone()]);
+    /// connection.apply(&set);
+    /// assert_eq!(connection.setup_statements(&session), []);
+    /// ```
     #[must_use]
-    pub fn setup_statements<'a>(
-        &self,
-        variables: &'a SessionVariables,
-        prepared: Option<&'a PreparedStatement>,
-    ) -> Vec<Setup<'a>> {
+    pub fn setup_statements<'a>(&self, session: &'a SessionState) -> Vec<Setup<'a>> {
         let mut statements = Vec::new();
-        let is_known = |name: &&BString| self.variables.contains_key(&*shortened(name));
-        let has_extra = variables.keys().filter(is_known).count() < self.variables.len();
-        let is_full = prepared.is_none() && self.prepared.len() >= MAX_PREPARED;
-        let reset = has_extra || is_full || self.invalidated;
+        let reset = self.needs_reset(session);
         if reset {
             statements.push(Setup::Reset);
         }
-        for (name, value) in variables {
-            let known = self.variables.get(&*shortened(name));
-            if reset || known.is_none_or(|known| BStr::new(known) != &*shortened(value)) {
+        for (name, value) in &*session.variables {
+            if reset || !self.has_value(name, value) {
                 statements.push(Setup::Set {
                     name: name.as_ref(),
                     value: value.as_ref(),
                 });
             }
         }
-        if let Some(prepared) = prepared
+        if let Some(prepared) = &session.prepared
             && (reset || !self.prepared.contains(&prepared.name))
         {
             statements.push(Setup::Prepare {
@@ -151,6 +165,37 @@
         statements
     }
 
+    /// Cost of giving the connection the state of a session: the number of statements; more for a
+    /// reset, which drops the prepared statements of other sessions.
+    #[must_use]
+    pub fn setup_cost(&self, session: &SessionState) -> u32 {
+        let number = if self.needs_reset(session) {
+            MAX_NAMES + self.prepared.len()
+        } else {
+            let variables = session.variables.iter();
+            let missing = variables.filter(|(name, value)| !self.has_value(name, value));
+            let unprepared = session
+                .prepared
+                .iter()
+                .filter(|prepared| !self.prepared.contains(&prepared.name));
+            missing.count() + unprepared.count()
+        };
+        u32::try_from(number).unwrap_or(u32::MAX)
+    }
+
+    /// Whether only a reset takes the connection to the state of a session.
+    fn needs_reset(&self, session: &SessionState) -> bool {
+        let is_known = |name: &&BString| self.variables.contains_key(&*shortened(name));
+        let known = session.variables.keys().filter(is_known).count();
+        let is_full = session.prepared.is_none() && self.prepared.len() >= MAX_PREPARED;
+        self.invalidated || is_full || known < self.variables.len()
+    }
+
+    fn has_value(&self, name: &BString, value: &BString) -> bool {
+        let known = self.variables.get(&*shortened(name));
+        known.is_some_and(|known| BStr::new(known) == &*shortened(value))
+    }
+
     /// Records the effect of a setup statement that succeeded.
     pub fn apply(&mut self, statement: &Setup<'_>) {
         if self.transaction == TransactionEffect::Unchanged {
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -23,7 +23,7 @@
 
 pub use caller::{Caller, Input, Login, Peer};
 pub use command::{Command, Request, StatementKind};
-pub use connection_state::{ConnectionState, PreparedStatement};
+pub use connection_state::{ConnectionState, PreparedStatement, SessionState};
 pub use session::Session;
 pub use shared::Shared;
 pub use statement::{
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -15,7 +15,7 @@
 use crate::{
     caller::{Caller, Input, Peer},
     command::{Command, Request, StatementKind},
-    connection_state::{PreparedStatement, SessionVariables},
+    connection_state::{PreparedStatement, SessionState, SessionVariables},
     forward::ForwardedSession,
     request_log::RequestContext,
     shared::{ResolvedRoute, SessionGuard, Shared},
@@ -43,7 +43,7 @@
     key: Option<KeyDigest>,
     /// Whether the session may move to another entry process that serves the route.
     may_forward: bool,
-    pub(crate) variables: SessionVariables,
+    variables: Rc<SessionVariables>,
     /// Prepared statements by the name that the caller chose.
     prepared: Map<BString, Rc<PreparedStatement>>,
     /// Position of the last write acknowledged to the caller.
@@ -62,8 +62,8 @@
 }
 
 impl PendingStatement<'_> {
-    pub(crate) fn prepared(&self) -> Option<&PreparedStatement> {
-        self.prepared.as_ref().map(|(prepared, _)| &**prepared)
+    pub(crate) fn prepared(&self) -> Option<&Rc<PreparedStatement>> {
+        self.prepared.as_ref().map(|(prepared, _)| prepared)
     }
 
     /// Statement to send to a database that must have reached `min_position`.
@@ -145,7 +145,7 @@
             route_name: login.route,
             key: login.key,
             may_forward,
-            variables: SessionVariables::new(),
+            variables: Rc::default(),
             prepared: Map::default(),
             last_write: None,
             transaction: None,
@@ -266,6 +266,14 @@
         }
     }
 
+    /// State that a statement needs on its connection.
+    pub(crate) fn state_for(&self, prepared: Option<&Rc<PreparedStatement>>) -> Rc<SessionState> {
+        Rc::new(SessionState {
+            variables: Rc::clone(&self.variables),
+            prepared: prepared.cloned(),
+        })
+    }
+
     fn state(&self) -> TransactionState {
         match &self.transaction {
             None => TransactionState::Idle,
@@ -294,7 +302,8 @@
                 if !self.caller.keep(name.len() + value.len()) {
                     return self.fail(too_much_kept());
                 }
-                if let Some(old) = self.variables.insert(name.clone(), value.clone()) {
+                let variables = Rc::make_mut(&mut self.variables);
+                if let Some(old) = variables.insert(name.clone(), value.clone()) {
                     self.caller.forget(name.len() + old.len());
                 }
                 Reply::done(self.state())
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -21,7 +21,7 @@
 use route::load::MemberLoad;
 
 use crate::{
-    connection_state::{PreparedStatement, SessionVariables},
+    connection_state::SessionState,
     places::Places,
     request_log::RequestLog,
     statement::{
@@ -218,23 +218,19 @@
         }
     }
 
-    /// Gives the connection the session variables and the prepared statement, and then runs a
-    /// statement on it.
+    /// Gives the connection the state of the session, and then runs a statement on it.
     ///
     /// # Errors
     /// There is no response. The connection must not be used again.
     pub(crate) async fn run(
         &self,
         connection: &mut PooledConn<D>,
-        variables: &SessionVariables,
-        prepared: Option<&PreparedStatement>,
+        session: &SessionState,
         statement: Statement<'_>,
         deadline: Instant,
     ) -> Result<Response, RunError> {
         let client = connection.client();
-        let batch = client
-            .connection_state()
-            .setup_statements(variables, prepared);
+        let batch = client.connection_state().setup_statements(session);
         if !batch.is_empty() {
             self.set_up(connection, &batch, deadline)
                 .await
@@ -250,8 +246,8 @@
         result.map_err(RunError::Unanswered)
     }
 
-    /// Gives the connection the session variables and the prepared statement, and begins a
-    /// transaction on it, in one round trip.
+    /// Gives the connection the state of the session and begins a transaction on it, in one round
+    /// trip.
     ///
     /// # Errors
     /// The transaction was not begun, or will be rolled back when the connection is closed. The
@@ -259,14 +255,13 @@
     pub(crate) async fn begin(
         &self,
         connection: &mut PooledConn<D>,
-        variables: &SessionVariables,
-        prepared: Option<&PreparedStatement>,
+        session: &SessionState,
         begin: Begin,
         deadline: Instant,
     ) -> Result<Response, ConnectionError> {
         let name = connection.member().clone();
         let state = connection.client().connection_state();
-        let mut batch = state.setup_statements(variables, prepared);
+        let mut batch = state.setup_statements(session);
         batch.push(Setup::Begin(begin));
         let set_up = self.set_up(connection, &batch, deadline);
         let result = self.measured(&name, set_up).await;
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -1,6 +1,9 @@
 //! Statements outside transactions.
 
-use std::time::{Duration, Instant};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use base::{MemberName, Position, Set, Term, document::ReadConsistency, document::Route};
 use entry::{
@@ -16,6 +19,7 @@
 use crate::{
     caller::Caller,
     command::StatementKind,
+    connection_state::SessionState,
     session::{PendingStatement, Session},
     shared::{DEADLINE_PASSED, ResolvedRoute, RunError},
     statement::{
@@ -61,6 +65,7 @@
     ) -> Reply {
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
         let terms = target.terms(start, deadline);
+        let state = self.state_for(pending.prepared());
         let mut operation = match target.admit(deadline).await {
             Ok(operation) => operation,
             Err(failure) => return Reply::failed(failure, TransactionState::Idle),
@@ -74,11 +79,11 @@
             let attempt = match pending.kind {
                 StatementKind::Read => {
                     let (tried, operation) = (&mut tried, &mut operation);
-                    self.try_read(target, pending, tried, operation, &terms)
+                    self.try_read(target, pending, &state, tried, operation, &terms)
                         .await
                 }
                 StatementKind::Write => {
-                    self.try_write(target, pending, &mut operation, &terms)
+                    self.try_write(target, pending, &state, &mut operation, &terms)
                         .await
                 }
             };
@@ -106,12 +111,13 @@
         &mut self,
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
+        state: &Rc<SessionState>,
         tried: &mut Set<MemberName>,
         operation: &mut Operation<D>,
         terms: &Terms,
     ) -> Attempt {
         let deadline = terms.deadline;
-        let acquired = match self.acquire_for_read(target, tried, terms).await {
+        let acquired = match self.acquire_for_read(target, state, tried, terms).await {
             Ok(acquired) => acquired,
             Err(failure) if tried.is_empty() => return Attempt::Refused(failure),
             Err(failure) => {
@@ -140,8 +146,7 @@
         let result = shared
             .run(
                 &mut connection,
-                &self.variables,
-                pending.prepared(),
+                state,
                 pending.statement(min_position),
                 deadline,
             )
@@ -197,12 +202,13 @@
         &mut self,
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
+        state: &Rc<SessionState>,
         operation: &mut Operation<D>,
         terms: &Terms,
     ) -> Attempt {
         let deadline = terms.deadline;
         let shared = &self.shared;
-        let mut connection = match target.acquire_for_write(terms).await {
+        let mut connection = match target.acquire_for_write(state, terms).await {
             Ok(connection) => connection,
             Err(failure) => {
                 return Attempt::Done(Reply::failed(failure, TransactionState::Idle));
@@ -220,13 +226,7 @@
         }
         let sent = SentCommit::now(target);
         let result = shared
-            .run(
-                &mut connection,
-                &self.variables,
-                pending.prepared(),
-                pending.statement(None),
-                deadline,
-            )
+            .run(&mut connection, state, pending.statement(None), deadline)
             .await;
         let response = match result {
             Ok(response) => response,
@@ -293,16 +293,18 @@
     pub(crate) async fn acquire_for_read(
         &self,
         target: &ResolvedRoute<D>,
+        state: &Rc<SessionState>,
         tried: &Set<MemberName>,
         terms: &Terms,
     ) -> Result<ReadConnection<D>, Failure> {
-        let finding = self.find_for_read(target, tried, terms);
+        let finding = self.find_for_read(target, state, tried, terms);
         self.shared.until_refused(finding).await?
     }
 
     async fn find_for_read(
         &self,
         target: &ResolvedRoute<D>,
+        state: &Rc<SessionState>,
         tried: &Set<MemberName>,
         terms: &Terms,
     ) -> Result<ReadConnection<D>, Failure> {
@@ -331,7 +333,8 @@
                 best.map(|(_, member)| member)
             });
             if let Some(member) = replica {
-                match member.pool.acquire_under(terms.clone()).await {
+                let session = Some(Rc::clone(state));
+                match member.pool.acquire_under(terms.clone(), session).await {
                     Ok(connection) => {
                         self.shared.count_read(connection.member());
                         return Ok(ReadConnection {
@@ -349,7 +352,8 @@
                 }
             }
             if network.primary(&target.group, now).is_ok() {
-                let connection = network.acquire_primary(&target.service, terms).await;
+                let acquiring = network.acquire_primary(&target.service, terms, Some(state));
+                let connection = acquiring.await;
                 return match connection {
                     Ok(connection) => {
                         self.shared.count_read(connection.member());
@@ -378,8 +382,13 @@
     D::Client: StatementClient,
 {
     /// Acquires a connection to the primary in force. The shutdown ends the wait.
-    pub(crate) async fn acquire_for_write(&self, terms: &Terms) -> Result<PooledConn<D>, Failure> {
-        let acquiring = self.shared.network.acquire_primary(&self.service, terms);
+    pub(crate) async fn acquire_for_write(
+        &self,
+        state: &Rc<SessionState>,
+        terms: &Terms,
+    ) -> Result<PooledConn<D>, Failure> {
+        let network = &self.shared.network;
+        let acquiring = network.acquire_primary(&self.service, terms, Some(state));
         let acquired = self.shared.until_refused(acquiring).await?;
         acquired.map_err(|refusal| refusal_failure(&refusal))
     }
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -5,7 +5,10 @@
 use entry::dialect::Client;
 use identity::Refused;
 
-use crate::{command::StatementKind, connection_state::ConnectionState};
+use crate::{
+    command::StatementKind,
+    connection_state::{ConnectionState, SessionState},
+};
 
 /// A statement that is sent by itself, when the connection has the state that it needs.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -239,7 +242,7 @@
 pub struct ConnectionError(pub String);
 
 /// A database connection that runs statements.
-pub trait StatementClient: Client {
+pub trait StatementClient: Client<SessionState = SessionState> {
     /// Sends a statement and waits for its response. After an error, or if the future is dropped
     /// before it completes, the connection must not be used again.
     fn run(
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -13,7 +13,7 @@
 use crate::{
     caller::Caller,
     command::{Request, StatementKind},
-    connection_state::PreparedStatement,
+    connection_state::SessionState,
     session::{PendingStatement, Session},
     shared::{DEADLINE_PASSED, ResolvedRoute, RunError},
     single::{ReadConnection, SentCommit, into_reply, refusal_failure},
@@ -140,8 +140,8 @@
         if transaction.read_only && pending.kind == StatementKind::Write {
             return self.fail(Failure::new(Code::ReadOnly, "the transaction only reads"));
         }
-        let prepared = pending.prepared();
-        let confirmed = self.confirmed_connection(&target, prepared, start, deadline);
+        let state = self.state_for(pending.prepared());
+        let confirmed = self.confirmed_connection(&target, &state, start, deadline);
         let mut connection = match confirmed.await {
             Ok(connection) => connection,
             Err(failure) => return self.fail(failure),
@@ -149,7 +149,7 @@
         self.context.member.clone_from(connection.member());
         let sent = base::clock::now();
         let statement = pending.statement(None);
-        let result = self.run_with_retries(&mut connection, prepared, statement, deadline);
+        let result = self.run_with_retries(&mut connection, &state, statement, deadline);
         let response = match result.await {
             Ok(response) => response,
             // Closing the connection rolls the transaction back.
@@ -183,16 +183,14 @@
     async fn run_with_retries(
         &mut self,
         connection: &mut PooledConn<D>,
-        prepared: Option<&PreparedStatement>,
+        state: &Rc<SessionState>,
         statement: Statement<'_>,
         deadline: Instant,
     ) -> Result<Response, RunError> {
         loop {
             self.context.attempts += 1;
             let statement = statement.clone();
-            let result =
-                self.shared
-                    .run(connection, &self.variables, prepared, statement, deadline);
+            let result = self.shared.run(connection, state, statement, deadline);
             let response = result.await?;
             let busy = |failure: &Failure| failure.code == Code::Busy;
             let retry = response.outcome.as_ref().is_err_and(busy)
@@ -211,14 +209,14 @@
     async fn confirmed_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
-        prepared: Option<&PreparedStatement>,
+        state: &Rc<SessionState>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
         // A caller that is refused needs no connection, and may lose its key while it waits for one.
         confirm_owner(target)?;
         let connection = self
-            .pinned_connection(target, prepared, start, deadline)
+            .pinned_connection(target, state, start, deadline)
             .await?;
         let Err(failure) = confirm_owner(target) else {
             return Ok(connection);
@@ -231,11 +229,11 @@
     }
 
     /// Takes the connection of the transaction; if it has none yet, acquires one and begins the
-    /// transaction on it. `prepared` is the prepared statement that runs first, if one does.
+    /// transaction on it, which gets `state`.
     async fn pinned_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
-        prepared: Option<&PreparedStatement>,
+        state: &Rc<SessionState>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
@@ -254,10 +252,10 @@
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let acquired = if replica_allowed {
-                self.acquire_for_read(target, &tried, &terms).await?
+                self.acquire_for_read(target, state, &tried, &terms).await?
             } else {
                 ReadConnection {
-                    connection: target.acquire_for_write(&terms).await?,
+                    connection: target.acquire_for_write(state, &terms).await?,
                     min_position: None,
                 }
             };
@@ -277,11 +275,8 @@
                 min_position,
                 read_only,
             };
-            let variables = &self.variables;
-            let result = self
-                .shared
-                .begin(&mut connection, variables, prepared, begin, deadline)
-                .await;
+            let shared = &self.shared;
+            let result = shared.begin(&mut connection, state, begin, deadline).await;
             tried.insert(connection.member().clone());
             match result {
                 Ok(response) => match response.outcome {
@@ -317,12 +312,13 @@
         let target = Rc::clone(&transaction.target);
         let wrote = transaction.wrote;
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
+        let state = self.state_for(None);
         let confirmed = self
-            .confirmed_connection(&target, None, start, deadline)
+            .confirmed_connection(&target, &state, start, deadline)
             .await;
         let reply = match confirmed {
             Ok(connection) => {
-                self.commit_on(connection, &target, request, wrote, deadline)
+                self.commit_on(connection, &target, &state, request, wrote, deadline)
                     .await
             }
             Err(failure) => Reply::failed(failure, TransactionState::Idle),
@@ -337,6 +333,7 @@
         &mut self,
         mut connection: PooledConn<D>,
         target: &Rc<ResolvedRoute<D>>,
+        state: &Rc<SessionState>,
         request: &Request,
         wrote: bool,
         deadline: Instant,
@@ -352,7 +349,7 @@
             min_position: None,
             text: request.text.as_ref(),
         };
-        let result = self.run_with_retries(&mut connection, None, statement, deadline);
+        let result = self.run_with_retries(&mut connection, state, statement, deadline);
         let response = match result.await {
             Ok(response) => response,
             // Closing the connection rolls the transaction back.
