Send the setup of the next request behind the running statement

Callers that queue for a connection to a database of another region waited for one round trip more: that of the setup, which the connection was held for.

Cause: the setup of a request began when the request had its connection.

Change: a connection that runs a single statement claims the next waiting request, sends what it lacks for it behind the statement and, after the reply to the caller, reads the answers and hands itself to that request. Requests that begin a transaction are not claimed, since their setup shares the round trip of BEGIN. A claimed request still gets any free connection once the statement takes longer than 100 ms, or if no other request waits. goldcrestrail_setups_total counts setups by kind, in place of goldcrestrail_failed_setups_total. Running statements moved to session::run.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -54,6 +54,8 @@
     /// Cost of giving the connection the state of a session, to choose among idle connections: 0 if it
     /// has it.
     fn setup_cost(&self, state: &Self::SessionState) -> u32;
+    /// Whether a request gains from a connection that has the state before it is handed out.
+    fn gains_from_setup_ahead(state: &Self::SessionState) -> bool;
     /// Whether received data is buffered and unread.
     fn has_bytes(&self) -> bool;
     /// Numbers of bytes sent and received so far.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -24,7 +24,7 @@
 use self::{
     idle::{Conn, Idle, Need, Owner, Wanted},
     limits::LearnedLimits,
-    state::{HeldConn, Opening, State, WaitingRequest, count},
+    state::{Claim, HeldConn, Opening, State, WaitingRequest, count},
 };
 pub use self::{limits::Limits, pooled::PooledConn};
 use crate::{
@@ -307,7 +307,11 @@
         if state.draining {
             return Err(PoolError::Closed);
         }
-        let request = WaitingRequest { wanted, sender };
+        let request = WaitingRequest {
+            wanted,
+            sender,
+            claim: None,
+        };
         let displaced = state.queue.push(request, terms, now).map_err(|cause| {
             self.count_refused(match cause {
                 QueueError::Full => "full",
@@ -325,12 +329,18 @@
 
     /// Hands idle connections to waiting requests, and opens new ones if there are too few.
     fn dispatch(self: &Rc<Self>, now: Instant) {
+        self.dispatch_released(None, now);
+    }
+
+    /// Like [`Self::dispatch`], after the held connection `released` became idle: the request that it
+    /// claimed goes first.
+    fn dispatch_released(self: &Rc<Self>, mut released: Option<u64>, now: Instant) {
         // Before connections are handed out: a request whose owner has none may need the room of an
         // idle one that a later request would take.
         let short = self.open_needed(now);
         loop {
             let mut expired = Vec::new();
-            let next = self.next_waiting(now, &mut expired);
+            let next = self.next_waiting(now, released.take(), &mut expired);
             for sender in expired {
                 self.count_refused("expired");
                 let _receiver_gave_up = sender.send(Err(PoolError::Deadline));
@@ -354,22 +364,38 @@
     fn next_waiting(
         self: &Rc<Self>,
         now: Instant,
+        released: Option<u64>,
         expired: &mut Vec<GrantSender<D>>,
     ) -> Option<(GrantSender<D>, PooledConn<D>)> {
         let mut state = self.state.borrow_mut();
         if state.queue.is_empty() || state.idle.0.is_empty() || !state.has_free_slot(now) {
             return None;
         }
-        let State { queue, idle, .. } = &mut *state;
-        let request = queue.pop_if(
-            now,
-            |request| idle.has_usable(&request.wanted),
-            |request| expired.push(request.sender),
-        )?;
+        let request = state.pop_waiting(now, released, |sender| expired.push(sender))?;
         let pooled = self.take_idle(&mut state, &request.wanted, now)?;
         Some((request.sender, pooled))
     }
 
+    /// Claims for the held connection `id` the next waiting request that gains from a connection with
+    /// the state of its session, and returns that state.
+    fn claim_waiting(&self, id: u64, now: Instant) -> Option<SessionState<D>> {
+        let mut state = self.state.borrow_mut();
+        let State { queue, held, .. } = &mut *state;
+        let owner = &held.get(&id)?.owner;
+        let request = queue.find_mut(now, |request: &WaitingRequest<D>| {
+            let session = request.wanted.session.as_deref();
+            let is_held = |claim: Claim| held.contains_key(&claim.held);
+            session.is_some_and(D::Client::gains_from_setup_ahead)
+                && request.wanted.need.admits(owner)
+                && !request.claim.is_some_and(is_held)
+        })?;
+        request.claim = Some(Claim {
+            held: id,
+            since: now,
+        });
+        request.wanted.session.clone()
+    }
+
     fn take_idle(
         self: &Rc<Self>,
         state: &mut State<D>,
--- a/crates/entry/src/pool/pooled.rs
+++ b/crates/entry/src/pool/pooled.rs
@@ -4,7 +4,7 @@
 
 use base::{MemberName, Set, Term};
 
-use super::{Pool, idle::Conn};
+use super::{Pool, SessionState, idle::Conn};
 use crate::{
     dialect::{Client as _, Dialect},
     fleet::Lease,
@@ -42,6 +42,14 @@
         }
     }
 
+    /// Claims the next waiting request that gains from a connection with the state of its session,
+    /// and returns that state. The request gets this connection once it is released, unless another
+    /// one is free first.
+    #[must_use]
+    pub fn claim_waiting(&self) -> Option<SessionState<D>> {
+        self.pool.claim_waiting(self.id, Instant::now())
+    }
+
     /// Returns the connection to the pool, or closes it, without serving the queue.
     pub(super) fn put_back(&mut self, now: Instant) {
         let Some(mut conn) = self.conn.take() else {
@@ -113,7 +121,7 @@
                 .queue
                 .record_service_time(held_for);
         }
-        self.pool.dispatch(now);
+        self.pool.dispatch_released(Some(self.id), now);
     }
 }
 
--- a/crates/entry/src/pool/state.rs
+++ b/crates/entry/src/pool/state.rs
@@ -47,6 +47,24 @@
 pub(super) struct WaitingRequest<D: Dialect> {
     pub(super) wanted: Wanted<D::Client>,
     pub(super) sender: GrantSender<D>,
+    /// Held connection that is being given the state of its session.
+    pub(super) claim: Option<Claim>,
+}
+
+/// Claim of a held connection on a waiting request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Claim {
+    /// Id of the held connection.
+    pub(super) held: u64,
+    /// When the statement in front of the setup was sent.
+    pub(super) since: Instant,
+}
+
+impl Claim {
+    /// Whether the statement is expected to end soon. Otherwise any connection may serve the request.
+    fn is_recent(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) < MAX_STATEMENT_TIME
+    }
 }
 
 /// Connections to open for waiting requests.
@@ -124,6 +142,31 @@
         count(self.held.len()) < self.statements(now) || self.free_slots(now) > 0
     }
 
+    /// Removes and returns the request that an idle connection serves next: the one that the connection
+    /// `released` claimed, or the first that none is about to serve, or the first. Those that can't
+    /// finish in time are passed to `on_expired`.
+    pub(super) fn pop_waiting(
+        &mut self,
+        now: Instant,
+        released: Option<u64>,
+        mut on_expired: impl FnMut(GrantSender<D>),
+    ) -> Option<WaitingRequest<D>> {
+        let Self {
+            queue, idle, held, ..
+        } = self;
+        let rank = |request: &WaitingRequest<D>| match request.claim {
+            Some(claim) if Some(claim.held) == released => 0,
+            Some(claim) if held.contains_key(&claim.held) && claim.is_recent(now) => 2,
+            _ => 1,
+        };
+        (0..=2).find_map(|wanted| {
+            let usable = |request: &WaitingRequest<D>| {
+                rank(request) == wanted && idle.has_usable(&request.wanted)
+            };
+            queue.pop_if(now, usable, |request| on_expired(request.sender))
+        })
+    }
+
     /// Counts a connection of `owner` that is being opened or checked.
     pub(super) fn add_pending(&mut self, owner: &Owner) {
         *self.pending.entry(owner.clone()).or_default() += 1;
--- a/crates/entry/src/postgres.rs
+++ b/crates/entry/src/postgres.rs
@@ -49,6 +49,10 @@
         0
     }
 
+    fn gains_from_setup_ahead((): &()) -> bool {
+        false
+    }
+
     fn has_bytes(&self) -> bool {
         self.reader.has_bytes()
     }
--- a/crates/order/src/queue.rs
+++ b/crates/order/src/queue.rs
@@ -263,6 +263,30 @@
         order.map(|index| &self.waiting[index].item)
     }
 
+    /// Returns the first request in the order for which `wanted` returns true. It keeps its place.
+    ///
+    /// ```
+    /// use std::time::{Duration, Instant};
+    /// use order::{Queue, Terms};
+    ///
+    /// let now = Instant::now();
+    /// let mut queue = Queue::new(10);
+    /// for item in 1..=3 {
+    ///     queue.push(item, Terms::until(now + Duration::from_secs(1)), now)?;
+    /// }
+    /// assert_eq!(queue.find_mut(now, |item| *item > 1), Some(&mut 2));
+    /// assert_eq!(queue.len(), 3);
+    /// # Ok::<(), order::QueueError>(())
+    /// ```
+    pub fn find_mut(&mut self, now: Instant, wanted: impl Fn(&T) -> bool) -> Option<&mut T> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let mut order = self.order(now).into_iter();
+        let index = order.find(|index| wanted(&self.waiting[*index].item))?;
+        self.waiting.get_mut(index).map(|request| &mut request.item)
+    }
+
     /// Removes and returns all requests, to send them elsewhere.
     pub fn drain(&mut self) -> impl Iterator<Item = T> {
         self.waiting.drain(..).map(|request| request.item)
--- a/crates/session/src/connection_state.rs
+++ b/crates/session/src/connection_state.rs
@@ -87,6 +87,8 @@
     pub variables: Rc<SessionVariables>,
     /// Prepared statement that it runs; `None` for a statement sent as text.
     pub prepared: Option<Rc<PreparedStatement>>,
+    /// Whether it belongs to a transaction, whose start shares the round trip of its setup.
+    pub in_transaction: bool,
 }
 
 /// State of a pooled connection that persists across the sessions that use it.
@@ -131,7 +133,7 @@
     /// use session::{ConnectionState, SessionState, Setup};
     ///
     /// let variables = Rc::new([("tz".into(), "east".into())].into());
-    /// let session = SessionState { variables, prepared: None };
+    /// let session = SessionState { variables, ..SessionState::default() };
     /// let mut connection = ConnectionState::default();
     /// let set = Setup::Set { name: "tz".into(), value: "east".into() };
     /// assert_eq!(connection.setup_statements(&session), [set.clone()]);
--- a/crates/session/src/lib.rs
+++ b/crates/session/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 mod places;
 pub mod request_log;
+mod run;
 pub mod serve;
 mod session;
 pub mod shared;
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -267,8 +267,13 @@
     }
 
     /// State that a statement needs on its connection.
-    pub(crate) fn state_for(&self, prepared: Option<&Rc<PreparedStatement>>) -> Rc<SessionState> {
+    pub(crate) fn state_for(
+        &self,
+        prepared: Option<&Rc<PreparedStatement>>,
+        in_transaction: bool,
+    ) -> Rc<SessionState> {
         Rc::new(SessionState {
+            in_transaction,
             variables: Rc::clone(&self.variables),
             prepared: prepared.cloned(),
         })
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -11,22 +11,19 @@
     document::{Route, Service},
     organisation::{KeyDigest, Organisation},
 };
-use entry::{dialect::Dialect, group::Group, member::Member, network::Network, pool::PooledConn};
+use entry::{dialect::Dialect, group::Group, member::Member, network::Network};
 use event_listener::Event;
 use identity::Refused;
 use order::Terms;
 use place::{Candidate, queue_time};
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts};
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, Opts};
 use rand::RngExt as _;
 use route::load::MemberLoad;
 
 use crate::{
-    connection_state::SessionState,
     places::Places,
     request_log::RequestLog,
-    statement::{
-        Begin, Code, ConnectionError, Failure, Response, Setup, Statement, StatementClient,
-    },
+    statement::StatementClient,
     stop::{Phase, STOPPING},
 };
 
@@ -45,8 +42,8 @@
     pub requests: IntCounterVec,
     /// Histogram of request latencies.
     pub request_seconds: Histogram,
-    /// Counter of connections on which a setup statement failed.
-    failed_setups: IntCounter,
+    /// Counter of setups of connections by kind.
+    pub(crate) setups: IntCounterVec,
     /// Location of this process.
     location: route::Location,
     /// Placement of reads.
@@ -122,16 +119,17 @@
         let requests = IntCounterVec::new(opts, &["outcome"]).expect("the name is valid");
         let opts = HistogramOpts::new("goldcrestrail_request_seconds", "Time to answer a request.");
         let request_seconds = Histogram::with_opts(opts).expect("the name is valid");
-        let failed_setups = IntCounter::new(
-            "goldcrestrail_failed_setups_total",
-            "Connections closed because they did not take over the values of a session.",
+        let opts = Opts::new(
+            "goldcrestrail_setups_total",
+            "Setups of connections for a session, by kind: a statement waited for it, it was sent ahead \
+             of one, or it failed and the connection was closed.",
         );
-        let failed_setups = failed_setups.expect("the name is valid");
+        let setups = IntCounterVec::new(opts, &["kind"]).expect("the name is valid");
         let registry = &network.metrics.registry;
         let registered = registry
             .register(Box::new(requests.clone()))
             .and_then(|()| registry.register(Box::new(request_seconds.clone())))
-            .and_then(|()| registry.register(Box::new(failed_setups.clone())));
+            .and_then(|()| registry.register(Box::new(setups.clone())));
         registered.expect("the names are distinct");
         Rc::new(Self {
             request_log: RequestLog::new(network.log.clone()),
@@ -140,7 +138,7 @@
             network,
             requests,
             request_seconds,
-            failed_setups,
+            setups,
             loads: RefCell::default(),
             sessions: Cell::new(0),
             phase: Cell::new(Phase::Serving),
@@ -218,138 +216,12 @@
         }
     }
 
-    /// Gives the connection the state of the session, and then runs a statement on it.
-    ///
-    /// # Errors
-    /// There is no response. The connection must not be used again.
-    pub(crate) async fn run(
-        &self,
-        connection: &mut PooledConn<D>,
-        session: &SessionState,
-        statement: Statement<'_>,
-        deadline: Instant,
-    ) -> Result<Response, RunError> {
-        let client = connection.client();
-        let batch = client.connection_state().setup_statements(session);
-        if !batch.is_empty() {
-            self.set_up(connection, &batch, deadline)
-                .await
-                .map_err(RunError::NotSent)?;
-        }
-        let name = connection.member().clone();
-        let run = connection.client().run(&statement);
-        let run = self.bounded(Phase::Ending, deadline, run);
-        let result = self.measured(&name, run).await;
-        if let Ok(response) = &result {
-            self.record_response(connection, response);
-        }
-        result.map_err(RunError::Unanswered)
-    }
-
-    /// Gives the connection the state of the session and begins a transaction on it, in one round
-    /// trip.
-    ///
-    /// # Errors
-    /// The transaction was not begun, or will be rolled back when the connection is closed. The
-    /// connection must not be used again.
-    pub(crate) async fn begin(
-        &self,
-        connection: &mut PooledConn<D>,
-        session: &SessionState,
-        begin: Begin,
-        deadline: Instant,
-    ) -> Result<Response, ConnectionError> {
-        let name = connection.member().clone();
-        let state = connection.client().connection_state();
-        let mut batch = state.setup_statements(session);
-        batch.push(Setup::Begin(begin));
-        let set_up = self.set_up(connection, &batch, deadline);
-        let result = self.measured(&name, set_up).await;
-        if let Ok(response) = &result {
-            self.record_response(connection, response);
-        }
-        result
-    }
-
-    /// Sends setup statements in one batch. Returns the response to the last one; a [`Setup::Begin`]
-    /// may have failed.
-    ///
-    /// # Errors
-    /// Not all responses arrived in time, or another setup statement failed.
-    async fn set_up(
-        &self,
-        connection: &mut PooledConn<D>,
-        batch: &[Setup<'_>],
-        deadline: Instant,
-    ) -> Result<Response, ConnectionError> {
-        let client = connection.client();
-        let set_up = client.set_up(batch);
-        let set_up = self.bounded(Phase::AbortingTransactions, deadline, set_up);
-        let mut responses = set_up.await?;
-        for (statement, response) in batch.iter().zip(&responses) {
-            match &response.outcome {
-                Ok(_) => client.connection_state().apply(statement),
-                Err(_) if matches!(statement, Setup::Begin(_)) => {}
-                Err(failure) => {
-                    self.failed_setups.inc();
-                    let cause = &failure.message;
-                    let cause = format!("a session value was not taken over: {cause}");
-                    return Err(ConnectionError(cause));
-                }
-            }
-        }
-        responses
-            .pop()
-            .ok_or_else(|| ConnectionError("no answer".to_owned()))
-    }
-
-    /// Waits for an exchange with a database until the deadline, or until the shutdown has reached
-    /// `phase`.
-    async fn bounded<T>(
-        &self,
-        phase: Phase,
-        deadline: Instant,
-        exchange: impl Future<Output = Result<T, ConnectionError>>,
-    ) -> Result<T, ConnectionError> {
-        let exchange = compio::time::timeout_at(deadline, exchange);
-        let result = self.until_phase(phase, exchange).await;
-        let result = result.ok_or_else(|| ConnectionError(STOPPING.to_owned()))?;
-        result.map_err(|_elapsed| ConnectionError(DEADLINE_PASSED.to_owned()))?
-    }
-
-    /// Counts an exchange in the load of a member, and its duration if it was answered.
-    async fn measured<T, E>(
-        &self,
-        member: &str,
-        exchange: impl Future<Output = Result<T, E>>,
-    ) -> Result<T, E> {
-        let start = Instant::now();
-        self.update_load(member, MemberLoad::begin);
-        let result = exchange.await;
-        let now = Instant::now();
-        let took = now.saturating_duration_since(start);
-        self.update_load(member, |load| load.end(result.is_ok().then_some(took), now));
-        result
-    }
-
-    /// Records what a response tells about its member.
-    fn record_response(&self, connection: &PooledConn<D>, response: &Response) {
-        let now = Instant::now();
-        let is_busy = |failure: &Failure| failure.code == Code::Busy;
-        if response.outcome.as_ref().is_err_and(is_busy) {
-            connection.record_overload(now);
-        }
-        if let Some(member) = self.network.member(connection.member()) {
-            member.record_response(response.position, now);
-        }
-    }
-
     fn load(&self, member: &str) -> MemberLoad {
         let loads = self.loads.borrow();
         loads.get(member).copied().unwrap_or_default()
     }
 
-    fn update_load(&self, member: &str, change: impl FnOnce(&mut MemberLoad)) {
+    pub(crate) fn update_load(&self, member: &str, change: impl FnOnce(&mut MemberLoad)) {
         let mut loads = self.loads.borrow_mut();
         if let Some(load) = loads.get_mut(member) {
             change(load);
@@ -370,15 +242,6 @@
     }
 }
 
-/// Why a statement has no response.
-#[derive(Debug)]
-pub(crate) enum RunError {
-    /// The connection did not get the state that the statement needs, so that it was not sent.
-    NotSent(ConnectionError),
-    /// The statement was sent and may have run.
-    Unanswered(ConnectionError),
-}
-
 /// Cause reported for a statement that got no response before its deadline.
 pub(crate) const DEADLINE_PASSED: &str = "no answer before the deadline";
 
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -20,8 +20,9 @@
     caller::Caller,
     command::StatementKind,
     connection_state::SessionState,
+    run::RunError,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute, RunError},
+    shared::{DEADLINE_PASSED, ResolvedRoute},
     statement::{
         Code, ConnectionError, Failure, Reply, Response, StatementClient, TransactionState,
     },
@@ -65,7 +66,7 @@
     ) -> Reply {
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
         let terms = target.terms(start, deadline);
-        let state = self.state_for(pending.prepared());
+        let state = self.state_for(pending.prepared(), false);
         let mut operation = match target.admit(deadline).await {
             Ok(operation) => operation,
             Err(failure) => return Reply::failed(failure, TransactionState::Idle),
@@ -168,7 +169,7 @@
             }
         };
         let name = connection.member().clone();
-        release_if_idle(connection, &response, pending);
+        shared.release_if_idle(connection, &response, pending.prepared());
         match &response.outcome {
             Ok(_) => {}
             Err(failure) if failure.code.not_run() => {
@@ -242,7 +243,7 @@
                 ));
             }
         };
-        release_if_idle(connection, &response, pending);
+        shared.release_if_idle(connection, &response, pending.prepared());
         match &response.outcome {
             Ok(_) => {}
             Err(failure) if failure.code.not_run() => {
@@ -446,24 +447,6 @@
     }
 }
 
-/// Returns a connection to the pool if no transaction is open on it.
-fn release_if_idle<D: Dialect>(
-    mut connection: PooledConn<D>,
-    response: &Response,
-    pending: &PendingStatement<'_>,
-) where
-    D::Client: StatementClient,
-{
-    if let (Err(failure), Some(prepared)) = (&response.outcome, pending.prepared())
-        && failure.code == Code::UnknownStatement
-    {
-        connection.client().connection_state().forget(prepared);
-    }
-    if response.state == TransactionState::Idle {
-        connection.release();
-    }
-}
-
 /// Converts the response of a database to a reply to the caller.
 pub(crate) fn into_reply(response: Response, state: TransactionState) -> Reply {
     Reply {
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -1,5 +1,7 @@
 //! Statements sent to databases, and their results. Texts are bytes in no particular encoding.
 
+use std::rc::Rc;
+
 use base::{Position, Term};
 use bstr::{BStr, BString};
 use entry::dialect::Client;
@@ -241,6 +243,20 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ConnectionError(pub String);
 
+/// Error of a connection on which a setup statement failed.
+///
+/// ```
+/// use session::{Code, Failure, statement::failed_setup};
+///
+/// let error = failed_setup(&Failure::new(Code::Failed, "disk full"));
+/// assert_eq!(error.0, "a session value was not taken over: disk full");
+/// ```
+#[must_use]
+pub fn failed_setup(failure: &Failure) -> ConnectionError {
+    let cause = &failure.message;
+    ConnectionError(format!("a session value was not taken over: {cause}"))
+}
+
 /// A database connection that runs statements.
 pub trait StatementClient: Client<SessionState = SessionState> {
     /// Sends a statement and waits for its response. After an error, or if the future is dropped
@@ -249,6 +265,19 @@
         &mut self,
         statement: &Statement<'_>,
     ) -> impl Future<Output = Result<Response, ConnectionError>>;
+    /// Like [`Self::run`], and sends behind the statement what the connection lacks of the state
+    /// `next`. [`Self::finish_ahead`] waits for the responses to that.
+    fn run_ahead(
+        &mut self,
+        statement: &Statement<'_>,
+        next: Rc<SessionState>,
+    ) -> impl Future<Output = Result<Response, ConnectionError>>;
+    /// Whether [`Self::finish_ahead`] has to be called before anything else is sent.
+    fn is_ahead(&self) -> bool;
+    /// Waits for the responses to the setup statements that were sent ahead. The connection state must
+    /// be as when they were sent. After an error, also if one of them failed, the connection must not
+    /// be used again.
+    fn finish_ahead(&mut self) -> impl Future<Output = Result<(), ConnectionError>>;
     /// Sends setup statements in one batch and waits for all responses. After an error, or if the
     /// future is dropped before it completes, the connection must not be used again.
     fn set_up(
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -14,8 +14,9 @@
     caller::Caller,
     command::{Request, StatementKind},
     connection_state::SessionState,
+    run::RunError,
     session::{PendingStatement, Session},
-    shared::{DEADLINE_PASSED, ResolvedRoute, RunError},
+    shared::{DEADLINE_PASSED, ResolvedRoute},
     single::{ReadConnection, SentCommit, into_reply, refusal_failure},
     statement::{
         Begin, Code, ConnectionError, Failure, Reply, Response, Statement, StatementClient,
@@ -140,7 +141,7 @@
         if transaction.read_only && pending.kind == StatementKind::Write {
             return self.fail(Failure::new(Code::ReadOnly, "the transaction only reads"));
         }
-        let state = self.state_for(pending.prepared());
+        let state = self.state_for(pending.prepared(), true);
         let confirmed = self.confirmed_connection(&target, &state, start, deadline);
         let mut connection = match confirmed.await {
             Ok(connection) => connection,
@@ -312,7 +313,7 @@
         let target = Rc::clone(&transaction.target);
         let wrote = transaction.wrote;
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
-        let state = self.state_for(None);
+        let state = self.state_for(None, true);
         let confirmed = self
             .confirmed_connection(&target, &state, start, deadline)
             .await;
