Name early setups and reservations, and say who gets a connection

Readers met three words for one thing (ahead, claimed, wanted), of which "sent ahead" and "unclaimed" had other meanings in the same crates. A setup behind a running statement is an early setup now, a connection kept for a waiting request a reservation, and what a request asks of a connection its criteria. A session state is `session` in every crate.

The failure of a setup speaks of the state of the session, since it may be a prepared statement that failed. goldcrestrail_setups_total has the kinds awaited, early and failed. Nothing else of the behaviour changes.

--- a/crates/entry/src/dialect.rs
+++ b/crates/entry/src/dialect.rs
@@ -53,9 +53,10 @@
     type SessionState: Debug;
     /// Cost of giving the connection the state of a session, to choose among idle connections: 0 if it
     /// has it.
-    fn setup_cost(&self, state: &Self::SessionState) -> u32;
-    /// Whether a request gains from a connection that has the state before it is handed out.
-    fn gains_from_setup_ahead(state: &Self::SessionState) -> bool;
+    fn setup_cost(&self, session: &Self::SessionState) -> u32;
+    /// Whether a waiting request gains from an early setup: a connection that is given the state while
+    /// it still runs another statement.
+    fn gains_from_early_setup(session: &Self::SessionState) -> bool;
     /// Whether received data is buffered and unread.
     fn has_bytes(&self) -> bool;
     /// Numbers of bytes sent and received so far.
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -22,9 +22,9 @@
 use serde_json::{Value, json};
 
 use self::{
-    idle::{Conn, Idle, Need, Owner, Wanted},
+    idle::{Conn, Criteria, Idle, Need, Owner},
     limits::LearnedLimits,
-    state::{Claim, HeldConn, Opening, State, WaitingRequest, count},
+    state::{HeldConn, Opening, Reservation, State, WaitingRequest, count},
 };
 pub use self::{limits::Limits, pooled::PooledConn};
 use crate::{
@@ -223,9 +223,9 @@
         self.acquire_under(Terms { owner, ..terms }, None).await
     }
 
-    /// Acquires a connection that was opened for the owner in `terms`, of several idle ones that which
-    /// has most of the state of `session`. It waits in the queue, in the order that `terms` ask for,
-    /// until their deadline.
+    /// Acquires a connection that was opened for the owner in `terms`, preferably an idle one that has
+    /// most of the state of `session`. It waits in the queue, in the order that `terms` ask for, until
+    /// their deadline.
     ///
     /// # Errors
     /// No connection was handed out, and nothing was sent to the member.
@@ -235,7 +235,7 @@
         session: Option<SessionState<D>>,
     ) -> Result<PooledConn<D>, PoolError> {
         let need = Need::Owner(terms.owner.clone());
-        self.acquire_needed(Wanted { need, session }, terms).await
+        self.acquire_needed(Criteria { need, session }, terms).await
     }
 
     /// Acquires a connection of any owner. Only statements of the deployment itself may be sent on
@@ -247,25 +247,25 @@
         self: &Rc<Self>,
         deadline: Instant,
     ) -> Result<PooledConn<D>, PoolError> {
-        let wanted = Wanted {
+        let criteria = Criteria {
             need: Need::Any,
             session: None,
         };
-        self.acquire_needed(wanted, Terms::until(deadline)).await
+        self.acquire_needed(criteria, Terms::until(deadline)).await
     }
 
     async fn acquire_needed(
         self: &Rc<Self>,
-        wanted: Wanted<D::Client>,
+        criteria: Criteria<D::Client>,
         terms: Terms,
     ) -> Result<PooledConn<D>, PoolError> {
         let now = Instant::now();
-        if let Some(pooled) = self.try_acquire(&wanted, now) {
+        if let Some(pooled) = self.try_acquire(&criteria, now) {
             self.wait_histogram.observe(0.0);
             return Ok(pooled);
         }
         let deadline = terms.deadline;
-        let mut receiver = self.enqueue(wanted, terms, now)?;
+        let mut receiver = self.enqueue(criteria, terms, now)?;
         self.dispatch(now);
         if let Ok(Some(granted)) = receiver.try_recv() {
             self.wait_histogram.observe(0.0);
@@ -283,22 +283,22 @@
     /// Takes an idle connection if there is one and no request is queued.
     fn try_acquire(
         self: &Rc<Self>,
-        wanted: &Wanted<D::Client>,
+        criteria: &Criteria<D::Client>,
         now: Instant,
     ) -> Option<PooledConn<D>> {
         let mut state = self.state.borrow_mut();
         let blocked = state.draining || !state.queue.is_empty() || !state.has_free_slot(now);
-        if blocked || !state.idle.has_usable(wanted) {
+        if blocked || !state.idle.has_usable(criteria) {
             return None;
         }
-        let pooled = self.take_idle(&mut state, wanted, now)?;
+        let pooled = self.take_idle(&mut state, criteria, now)?;
         state.update_peak();
         Some(pooled)
     }
 
     fn enqueue(
         &self,
-        wanted: Wanted<D::Client>,
+        criteria: Criteria<D::Client>,
         terms: Terms,
         now: Instant,
     ) -> Result<oneshot::Receiver<Result<PooledConn<D>, PoolError>>, PoolError> {
@@ -308,9 +308,9 @@
             return Err(PoolError::Closed);
         }
         let request = WaitingRequest {
-            wanted,
+            criteria,
             sender,
-            claim: None,
+            reservation: None,
         };
         let displaced = state.queue.push(request, terms, now).map_err(|cause| {
             self.count_refused(match cause {
@@ -333,7 +333,7 @@
     }
 
     /// Like [`Self::dispatch`], after the held connection `released` became idle: the request that it
-    /// claimed goes first.
+    /// was reserved for goes first.
     fn dispatch_released(self: &Rc<Self>, mut released: Option<u64>, now: Instant) {
         // Before connections are handed out: a request whose owner has none may need the room of an
         // idle one that a later request would take.
@@ -372,39 +372,39 @@
             return None;
         }
         let request = state.pop_waiting(now, released, |sender| expired.push(sender))?;
-        let pooled = self.take_idle(&mut state, &request.wanted, now)?;
+        let pooled = self.take_idle(&mut state, &request.criteria, now)?;
         Some((request.sender, pooled))
     }
 
-    /// Claims for the held connection `id` the next waiting request that gains from a connection with
-    /// the state of its session, and returns that state.
-    fn claim_waiting(&self, id: u64, now: Instant) -> Option<SessionState<D>> {
+    /// Reserves the held connection `id` for the next waiting request that gains from an early setup,
+    /// and returns the state of its session.
+    fn reserve_for_waiting(&self, id: u64, now: Instant) -> Option<SessionState<D>> {
         let mut state = self.state.borrow_mut();
         let State { queue, held, .. } = &mut *state;
         let owner = &held.get(&id)?.owner;
         let request = queue.find_mut(now, |request: &WaitingRequest<D>| {
-            let session = request.wanted.session.as_deref();
-            let is_held = |claim: Claim| held.contains_key(&claim.held);
-            session.is_some_and(D::Client::gains_from_setup_ahead)
-                && request.wanted.need.admits(owner)
-                && !request.claim.is_some_and(is_held)
+            let session = request.criteria.session.as_deref();
+            let is_held = |other: Reservation| held.contains_key(&other.held);
+            session.is_some_and(D::Client::gains_from_early_setup)
+                && request.criteria.need.admits(owner)
+                && !request.reservation.is_some_and(is_held)
         })?;
-        request.claim = Some(Claim {
+        request.reservation = Some(Reservation {
             held: id,
             since: now,
         });
-        request.wanted.session.clone()
+        request.criteria.session.clone()
     }
 
     fn take_idle(
         self: &Rc<Self>,
         state: &mut State<D>,
-        wanted: &Wanted<D::Client>,
+        criteria: &Criteria<D::Client>,
         now: Instant,
     ) -> Option<PooledConn<D>> {
-        let conn = state.idle.take(wanted)?;
+        let conn = state.idle.take(criteria)?;
         debug_assert!(
-            wanted.need.admits(&conn.owner),
+            criteria.need.admits(&conn.owner),
             "a connection serves only its own organisation"
         );
         let id = state.next_id;
--- a/crates/entry/src/pool/idle.rs
+++ b/crates/entry/src/pool/idle.rs
@@ -40,13 +40,13 @@
 
 /// What a request wants of a connection.
 #[derive(Debug)]
-pub(super) struct Wanted<C: Client> {
+pub(super) struct Criteria<C: Client> {
     pub(super) need: Need,
     /// State of its session; connections that have more of it are preferred.
     pub(super) session: Option<Rc<C::SessionState>>,
 }
 
-impl<C: Client> Wanted<C> {
+impl<C: Client> Criteria<C> {
     fn setup_cost(&self, conn: &Conn<C>) -> u32 {
         let session = self.session.as_ref();
         session.map_or(0, |session| conn.client.setup_cost(session))
@@ -80,9 +80,9 @@
 pub(super) struct Idle<C>(pub(super) Vec<Conn<C>>);
 
 impl<C: Client> Idle<C> {
-    /// Whether a connection is usable for `wanted`. Drops connections that the member closed.
-    pub(super) fn has_usable(&mut self, wanted: &Wanted<C>) -> bool {
-        while let Some(index) = self.position(wanted) {
+    /// Whether a connection is usable for `criteria`. Drops connections that the member closed.
+    pub(super) fn has_usable(&mut self, criteria: &Criteria<C>) -> bool {
+        while let Some(index) = self.position(criteria) {
             if self.0[index].is_quiet() {
                 return true;
             }
@@ -91,10 +91,10 @@
         false
     }
 
-    /// Takes the connection for `wanted` with the least setup cost, and among these the one that was
+    /// Takes the connection for `criteria` with the least setup cost, and among these the one that was
     /// used last.
-    pub(super) fn take(&mut self, wanted: &Wanted<C>) -> Option<Conn<C>> {
-        self.position(wanted).map(|index| self.0.remove(index))
+    pub(super) fn take(&mut self, criteria: &Criteria<C>) -> Option<Conn<C>> {
+        self.position(criteria).map(|index| self.0.remove(index))
     }
 
     /// Takes the connection that was unused for longest among those that `replaceable` is true for.
@@ -109,10 +109,10 @@
         Some(self.0.remove(index))
     }
 
-    fn position(&self, wanted: &Wanted<C>) -> Option<usize> {
+    fn position(&self, criteria: &Criteria<C>) -> Option<usize> {
         let last_first = self.0.iter().enumerate().rev();
-        let admitted = last_first.filter(|(_, conn)| wanted.need.admits(&conn.owner));
-        let best = admitted.min_by_key(|(_, conn)| wanted.setup_cost(conn));
+        let admitted = last_first.filter(|(_, conn)| criteria.need.admits(&conn.owner));
+        let best = admitted.min_by_key(|(_, conn)| criteria.setup_cost(conn));
         best.map(|(index, _)| index)
     }
 }
--- a/crates/entry/src/pool/pooled.rs
+++ b/crates/entry/src/pool/pooled.rs
@@ -42,12 +42,12 @@
         }
     }
 
-    /// Claims the next waiting request that gains from a connection with the state of its session,
-    /// and returns that state. The request gets this connection once it is released, unless another
-    /// one is free first.
+    /// Reserves this connection for the next waiting request that gains from an early setup, and
+    /// returns the state of its session; `None` if there is none. The request gets this connection
+    /// once it is released, unless another one serves it first.
     #[must_use]
-    pub fn claim_waiting(&self) -> Option<SessionState<D>> {
-        self.pool.claim_waiting(self.id, Instant::now())
+    pub fn reserve_for_waiting(&self) -> Option<SessionState<D>> {
+        self.pool.reserve_for_waiting(self.id, Instant::now())
     }
 
     /// Returns the connection to the pool, or closes it, without serving the queue.
--- a/crates/entry/src/pool/state.rs
+++ b/crates/entry/src/pool/state.rs
@@ -10,7 +10,7 @@
 
 use super::{
     GrantSender,
-    idle::{Conn, Idle, Need, Owner, Wanted},
+    idle::{Conn, Criteria, Idle, Need, Owner},
     limits::LearnedLimits,
 };
 use crate::dialect::Dialect;
@@ -45,23 +45,24 @@
 /// Request that waits for a connection.
 #[derive(Debug)]
 pub(super) struct WaitingRequest<D: Dialect> {
-    pub(super) wanted: Wanted<D::Client>,
+    pub(super) criteria: Criteria<D::Client>,
     pub(super) sender: GrantSender<D>,
-    /// Held connection that is being given the state of its session.
-    pub(super) claim: Option<Claim>,
+    /// Held connection that will serve it next and is given the state of its session already.
+    pub(super) reservation: Option<Reservation>,
 }
 
-/// Claim of a held connection on a waiting request.
+/// Reservation of a held connection for a waiting request.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Claim {
+pub(super) struct Reservation {
     /// Id of the held connection.
     pub(super) held: u64,
-    /// When the statement in front of the setup was sent.
+    /// When the statement that the connection runs was sent.
     pub(super) since: Instant,
 }
 
-impl Claim {
-    /// Whether the statement is expected to end soon. Otherwise any connection may serve the request.
+impl Reservation {
+    /// Whether the statement is expected to end soon, so that the request had better wait for this
+    /// connection.
     fn is_recent(&self, now: Instant) -> bool {
         now.saturating_duration_since(self.since) < MAX_STATEMENT_TIME
     }
@@ -142,9 +143,10 @@
         count(self.held.len()) < self.statements(now) || self.free_slots(now) > 0
     }
 
-    /// Removes and returns the request that an idle connection serves next: the one that the connection
-    /// `released` claimed, or the first that none is about to serve, or the first. Those that can't
-    /// finish in time are passed to `on_expired`.
+    /// Removes and returns the request that an idle connection serves next. That is the one that the
+    /// connection `released` was reserved for; otherwise the first in the queue, but those that a held
+    /// connection is about to serve come last. Requests that can't finish in time are passed to
+    /// `on_expired`.
     pub(super) fn pop_waiting(
         &mut self,
         now: Instant,
@@ -154,14 +156,14 @@
         let Self {
             queue, idle, held, ..
         } = self;
-        let rank = |request: &WaitingRequest<D>| match request.claim {
-            Some(claim) if Some(claim.held) == released => 0,
-            Some(claim) if held.contains_key(&claim.held) && claim.is_recent(now) => 2,
+        let rank = |request: &WaitingRequest<D>| match request.reservation {
+            Some(own) if Some(own.held) == released => 0,
+            Some(own) if held.contains_key(&own.held) && own.is_recent(now) => 2,
             _ => 1,
         };
-        (0..=2).find_map(|wanted| {
+        (0..=2).find_map(|current| {
             let usable = |request: &WaitingRequest<D>| {
-                rank(request) == wanted && idle.has_usable(&request.wanted)
+                rank(request) == current && idle.has_usable(&request.criteria)
             };
             queue.pop_if(now, usable, |request| on_expired(request.sender))
         })
@@ -207,7 +209,7 @@
         let target = self.target(now);
         let full = self.total() >= target;
         let first = self.queue.iter(now).take(slots as usize);
-        let needs: Vec<Need> = first.map(|request| request.wanted.need.clone()).collect();
+        let needs: Vec<Need> = first.map(|request| request.criteria.need.clone()).collect();
         let mut idle: Map<Owner, u32> = Map::default();
         for conn in &self.idle.0 {
             *idle.entry(conn.owner.clone()).or_default() += 1;
@@ -265,7 +267,7 @@
         let waits = |other: &Owner| {
             queue
                 .iter(now)
-                .any(|request| request.wanted.need.owner() == other)
+                .any(|request| request.criteria.need.owner() == other)
         };
         let victim = idle
             .take_oldest(|conn| replaceable(conn) && several.contains(&conn.owner))
--- a/crates/entry/src/postgres.rs
+++ b/crates/entry/src/postgres.rs
@@ -42,14 +42,14 @@
 }
 
 impl Client for wire::Client {
-    // Sessions run their parameters and prepared statements themselves.
+    // These sessions set their parameters and prepared statements themselves.
     type SessionState = ();
 
     fn setup_cost(&self, (): &()) -> u32 {
         0
     }
 
-    fn gains_from_setup_ahead((): &()) -> bool {
+    fn gains_from_early_setup((): &()) -> bool {
         false
     }
 
--- a/crates/entry/src/routing.rs
+++ b/crates/entry/src/routing.rs
@@ -335,8 +335,8 @@
         }
     }
 
-    /// Acquires a connection to the primary in force that was opened for the owner in `terms`, of
-    /// several idle ones that which has most of the state of `session`. It waits until their deadline.
+    /// Acquires a connection to the primary in force that was opened for the owner in `terms`, preferably
+    /// an idle one that has most of the state of `session`. It waits until their deadline.
     ///
     /// # Errors
     /// A refusal that is "not run".
--- a/crates/session/src/run.rs
+++ b/crates/session/src/run.rs
@@ -19,8 +19,8 @@
     stop::{Phase, STOPPING},
 };
 
-/// Limit on the wait for the responses to a setup that was sent ahead.
-const AHEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Limit on the wait for the responses to an early setup.
+const SETUP_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why a statement has no response.
 #[derive(Debug)]
@@ -51,19 +51,19 @@
         if !batch.is_empty() {
             let set_up = self.set_up(connection, &batch, deadline);
             set_up.await.map_err(RunError::NotSent)?;
-            self.count_setup("waited");
+            self.count_setup("awaited");
         }
         let name = connection.member().clone();
-        // The setup of the next request then costs it no round trip.
+        // An early setup saves the next request a round trip. A transaction keeps its connection.
         let next = if session.in_transaction {
             None
         } else {
-            connection.claim_waiting()
+            connection.reserve_for_waiting()
         };
         let client = connection.client();
         let run = async {
             match next {
-                Some(next) => client.run_ahead(&statement, next).await,
+                Some(next) => client.run_then_set_up(&statement, next).await,
                 None => client.run(&statement).await,
             }
         };
@@ -130,8 +130,8 @@
             .ok_or_else(|| ConnectionError("no answer".to_owned()))
     }
 
-    /// Returns a connection to the pool if no transaction is open on it. If a setup was sent ahead on
-    /// it, that is finished first, in the background: the caller gets its reply meanwhile.
+    /// Returns a connection to the pool if no transaction is open on it. An early setup is finished
+    /// first, in the background: the caller gets its reply meanwhile.
     pub(crate) fn release_if_idle(
         self: &Rc<Self>,
         mut connection: PooledConn<D>,
@@ -150,14 +150,14 @@
             }
             connection.release();
         };
-        if !connection.client().is_ahead() {
+        if !connection.client().has_pending_setup() {
             return release(connection);
         }
         let shared = Rc::clone(self);
         compio::runtime::spawn(async move {
-            let finish = connection.client().finish_ahead();
-            if timeout(AHEAD_TIMEOUT, finish).await == Ok(Ok(())) {
-                shared.count_setup("ahead");
+            let finish = connection.client().finish_setup();
+            if timeout(SETUP_TIMEOUT, finish).await == Ok(Ok(())) {
+                shared.count_setup("early");
                 release(connection);
             } else {
                 // The connection is closed, and the next request uses another one.
--- a/crates/session/src/session.rs
+++ b/crates/session/src/session.rs
@@ -267,7 +267,7 @@
     }
 
     /// State that a statement needs on its connection.
-    pub(crate) fn state_for(
+    pub(crate) fn session_state(
         &self,
         prepared: Option<&Rc<PreparedStatement>>,
         in_transaction: bool,
--- a/crates/session/src/shared.rs
+++ b/crates/session/src/shared.rs
@@ -121,8 +121,8 @@
         let request_seconds = Histogram::with_opts(opts).expect("the name is valid");
         let opts = Opts::new(
             "goldcrestrail_setups_total",
-            "Setups of connections for a session, by kind: a statement waited for it, it was sent ahead \
-             of one, or it failed and the connection was closed.",
+            "Setups of connections for a session, by kind: a statement waited for it (awaited), it was \
+             sent behind the statement before (early), or the connection was closed (failed).",
         );
         let setups = IntCounterVec::new(opts, &["kind"]).expect("the name is valid");
         let registry = &network.metrics.registry;
--- a/crates/session/src/single.rs
+++ b/crates/session/src/single.rs
@@ -66,7 +66,7 @@
     ) -> Reply {
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
         let terms = target.terms(start, deadline);
-        let state = self.state_for(pending.prepared(), false);
+        let session = self.session_state(pending.prepared(), false);
         let mut operation = match target.admit(deadline).await {
             Ok(operation) => operation,
             Err(failure) => return Reply::failed(failure, TransactionState::Idle),
@@ -80,11 +80,11 @@
             let attempt = match pending.kind {
                 StatementKind::Read => {
                     let (tried, operation) = (&mut tried, &mut operation);
-                    self.try_read(target, pending, &state, tried, operation, &terms)
+                    self.try_read(target, pending, &session, tried, operation, &terms)
                         .await
                 }
                 StatementKind::Write => {
-                    self.try_write(target, pending, &state, &mut operation, &terms)
+                    self.try_write(target, pending, &session, &mut operation, &terms)
                         .await
                 }
             };
@@ -112,13 +112,13 @@
         &mut self,
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         tried: &mut Set<MemberName>,
         operation: &mut Operation<D>,
         terms: &Terms,
     ) -> Attempt {
         let deadline = terms.deadline;
-        let acquired = match self.acquire_for_read(target, state, tried, terms).await {
+        let acquired = match self.acquire_for_read(target, session, tried, terms).await {
             Ok(acquired) => acquired,
             Err(failure) if tried.is_empty() => return Attempt::Refused(failure),
             Err(failure) => {
@@ -147,7 +147,7 @@
         let result = shared
             .run(
                 &mut connection,
-                state,
+                session,
                 pending.statement(min_position),
                 deadline,
             )
@@ -203,13 +203,13 @@
         &mut self,
         target: &ResolvedRoute<D>,
         pending: &PendingStatement<'_>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         operation: &mut Operation<D>,
         terms: &Terms,
     ) -> Attempt {
         let deadline = terms.deadline;
         let shared = &self.shared;
-        let mut connection = match target.acquire_for_write(state, terms).await {
+        let mut connection = match target.acquire_for_write(session, terms).await {
             Ok(connection) => connection,
             Err(failure) => {
                 return Attempt::Done(Reply::failed(failure, TransactionState::Idle));
@@ -227,7 +227,7 @@
         }
         let sent = SentCommit::now(target);
         let result = shared
-            .run(&mut connection, state, pending.statement(None), deadline)
+            .run(&mut connection, session, pending.statement(None), deadline)
             .await;
         let response = match result {
             Ok(response) => response,
@@ -294,18 +294,18 @@
     pub(crate) async fn acquire_for_read(
         &self,
         target: &ResolvedRoute<D>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         tried: &Set<MemberName>,
         terms: &Terms,
     ) -> Result<ReadConnection<D>, Failure> {
-        let finding = self.find_for_read(target, state, tried, terms);
+        let finding = self.find_for_read(target, session, tried, terms);
         self.shared.until_refused(finding).await?
     }
 
     async fn find_for_read(
         &self,
         target: &ResolvedRoute<D>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         tried: &Set<MemberName>,
         terms: &Terms,
     ) -> Result<ReadConnection<D>, Failure> {
@@ -334,7 +334,7 @@
                 best.map(|(_, member)| member)
             });
             if let Some(member) = replica {
-                let session = Some(Rc::clone(state));
+                let session = Some(Rc::clone(session));
                 match member.pool.acquire_under(terms.clone(), session).await {
                     Ok(connection) => {
                         self.shared.count_read(connection.member());
@@ -353,7 +353,7 @@
                 }
             }
             if network.primary(&target.group, now).is_ok() {
-                let acquiring = network.acquire_primary(&target.service, terms, Some(state));
+                let acquiring = network.acquire_primary(&target.service, terms, Some(session));
                 let connection = acquiring.await;
                 return match connection {
                     Ok(connection) => {
@@ -385,11 +385,11 @@
     /// Acquires a connection to the primary in force. The shutdown ends the wait.
     pub(crate) async fn acquire_for_write(
         &self,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         terms: &Terms,
     ) -> Result<PooledConn<D>, Failure> {
         let network = &self.shared.network;
-        let acquiring = network.acquire_primary(&self.service, terms, Some(state));
+        let acquiring = network.acquire_primary(&self.service, terms, Some(session));
         let acquired = self.shared.until_refused(acquiring).await?;
         acquired.map_err(|refusal| refusal_failure(&refusal))
     }
--- a/crates/session/src/statement.rs
+++ b/crates/session/src/statement.rs
@@ -43,9 +43,9 @@
 
 /// A statement of the product that gives a connection the state that a caller's statement needs.
 ///
-/// Only these may be sent before the responses to earlier ones have arrived. A database runs each of
-/// them even if the one before it failed, which no caller notices: none uses a session variable or
-/// changes data, and a connection on which one of them failed is closed.
+/// Only these may be sent before the responses to earlier setup statements have arrived. A database runs
+/// each of them even if the one before it failed, which no caller notices: none uses a session variable
+/// or changes data, and a connection on which one of them failed is closed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Setup<'a> {
     /// Drops the connection's session variables and prepared statements.
@@ -249,12 +249,14 @@
 /// use session::{Code, Failure, statement::failed_setup};
 ///
 /// let error = failed_setup(&Failure::new(Code::Failed, "disk full"));
-/// assert_eq!(error.0, "a session value was not taken over: disk full");
+/// assert_eq!(error.0, "the state of the session was not taken over: disk full");
 /// ```
 #[must_use]
 pub fn failed_setup(failure: &Failure) -> ConnectionError {
     let cause = &failure.message;
-    ConnectionError(format!("a session value was not taken over: {cause}"))
+    ConnectionError(format!(
+        "the state of the session was not taken over: {cause}"
+    ))
 }
 
 /// A database connection that runs statements.
@@ -265,19 +267,19 @@
         &mut self,
         statement: &Statement<'_>,
     ) -> impl Future<Output = Result<Response, ConnectionError>>;
-    /// Like [`Self::run`], and sends behind the statement what the connection lacks of the state
-    /// `next`. [`Self::finish_ahead`] waits for the responses to that.
-    fn run_ahead(
+    /// Like [`Self::run`], with an early setup: sends behind the statement what the connection lacks of
+    /// the state of the next session. [`Self::finish_setup`] waits for the responses to that.
+    fn run_then_set_up(
         &mut self,
         statement: &Statement<'_>,
         next: Rc<SessionState>,
     ) -> impl Future<Output = Result<Response, ConnectionError>>;
-    /// Whether [`Self::finish_ahead`] has to be called before anything else is sent.
-    fn is_ahead(&self) -> bool;
-    /// Waits for the responses to the setup statements that were sent ahead. The connection state must
-    /// be as when they were sent. After an error, also if one of them failed, the connection must not
+    /// Whether [`Self::finish_setup`] has to be called before anything else is sent.
+    fn has_pending_setup(&self) -> bool;
+    /// Waits for the responses to an early setup. The connection state must be as when it was sent.
+    /// After an error, also if one of them failed, the connection must not
     /// be used again.
-    fn finish_ahead(&mut self) -> impl Future<Output = Result<(), ConnectionError>>;
+    fn finish_setup(&mut self) -> impl Future<Output = Result<(), ConnectionError>>;
     /// Sends setup statements in one batch and waits for all responses. After an error, or if the
     /// future is dropped before it completes, the connection must not be used again.
     fn set_up(
--- a/crates/session/src/transaction.rs
+++ b/crates/session/src/transaction.rs
@@ -141,8 +141,8 @@
         if transaction.read_only && pending.kind == StatementKind::Write {
             return self.fail(Failure::new(Code::ReadOnly, "the transaction only reads"));
         }
-        let state = self.state_for(pending.prepared(), true);
-        let confirmed = self.confirmed_connection(&target, &state, start, deadline);
+        let session = self.session_state(pending.prepared(), true);
+        let confirmed = self.confirmed_connection(&target, &session, start, deadline);
         let mut connection = match confirmed.await {
             Ok(connection) => connection,
             Err(failure) => return self.fail(failure),
@@ -150,7 +150,7 @@
         self.context.member.clone_from(connection.member());
         let sent = base::clock::now();
         let statement = pending.statement(None);
-        let result = self.run_with_retries(&mut connection, &state, statement, deadline);
+        let result = self.run_with_retries(&mut connection, &session, statement, deadline);
         let response = match result.await {
             Ok(response) => response,
             // Closing the connection rolls the transaction back.
@@ -184,14 +184,14 @@
     async fn run_with_retries(
         &mut self,
         connection: &mut PooledConn<D>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         statement: Statement<'_>,
         deadline: Instant,
     ) -> Result<Response, RunError> {
         loop {
             self.context.attempts += 1;
             let statement = statement.clone();
-            let result = self.shared.run(connection, state, statement, deadline);
+            let result = self.shared.run(connection, session, statement, deadline);
             let response = result.await?;
             let busy = |failure: &Failure| failure.code == Code::Busy;
             let retry = response.outcome.as_ref().is_err_and(busy)
@@ -210,14 +210,14 @@
     async fn confirmed_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
         // A caller that is refused needs no connection, and may lose its key while it waits for one.
         confirm_owner(target)?;
         let connection = self
-            .pinned_connection(target, state, start, deadline)
+            .pinned_connection(target, session, start, deadline)
             .await?;
         let Err(failure) = confirm_owner(target) else {
             return Ok(connection);
@@ -230,11 +230,11 @@
     }
 
     /// Takes the connection of the transaction; if it has none yet, acquires one and begins the
-    /// transaction on it, which gets `state`.
+    /// transaction on it, which gets the state of the session.
     async fn pinned_connection(
         &mut self,
         target: &Rc<ResolvedRoute<D>>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         start: Instant,
         deadline: Instant,
     ) -> Result<PooledConn<D>, Failure> {
@@ -253,10 +253,11 @@
         while Instant::now() < deadline {
             self.context.attempts += 1;
             let acquired = if replica_allowed {
-                self.acquire_for_read(target, state, &tried, &terms).await?
+                self.acquire_for_read(target, session, &tried, &terms)
+                    .await?
             } else {
                 ReadConnection {
-                    connection: target.acquire_for_write(state, &terms).await?,
+                    connection: target.acquire_for_write(session, &terms).await?,
                     min_position: None,
                 }
             };
@@ -277,7 +278,9 @@
                 read_only,
             };
             let shared = &self.shared;
-            let result = shared.begin(&mut connection, state, begin, deadline).await;
+            let result = shared
+                .begin(&mut connection, session, begin, deadline)
+                .await;
             tried.insert(connection.member().clone());
             match result {
                 Ok(response) => match response.outcome {
@@ -313,13 +316,13 @@
         let target = Rc::clone(&transaction.target);
         let wrote = transaction.wrote;
         let deadline = start + Duration::from_millis(target.route.deadline_ms);
-        let state = self.state_for(None, true);
+        let session = self.session_state(None, true);
         let confirmed = self
-            .confirmed_connection(&target, &state, start, deadline)
+            .confirmed_connection(&target, &session, start, deadline)
             .await;
         let reply = match confirmed {
             Ok(connection) => {
-                self.commit_on(connection, &target, &state, request, wrote, deadline)
+                self.commit_on(connection, &target, &session, request, wrote, deadline)
                     .await
             }
             Err(failure) => Reply::failed(failure, TransactionState::Idle),
@@ -334,7 +337,7 @@
         &mut self,
         mut connection: PooledConn<D>,
         target: &Rc<ResolvedRoute<D>>,
-        state: &Rc<SessionState>,
+        session: &Rc<SessionState>,
         request: &Request,
         wrote: bool,
         deadline: Instant,
@@ -350,7 +353,7 @@
             min_position: None,
             text: request.text.as_ref(),
         };
-        let result = self.run_with_retries(&mut connection, state, statement, deadline);
+        let result = self.run_with_retries(&mut connection, session, statement, deadline);
         let response = match result.await {
             Ok(response) => response,
             // Closing the connection rolls the transaction back.
