Review: planned work ends a group whose replicas were replaced; literal checks

Cause: a planned change of primary ends the term without a look at the quorum, which counts databases that were lost long ago.

Change: case 14, a script for it. The cases on prepared statements and session names are now 15 and 16; the platform's stand-in kills a process over the memory of its machine and starts it again, so that they break the rule by its words.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the cases 13 to 15, after the build of the deploy file.
+# Builds the stand-ins of the cases 13 to 16, after the build of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
--- a/review/standins-3/client.rs
+++ b/review/standins-3/client.rs
@@ -32,6 +32,18 @@
         }
     }
 
+    /// Whether the other side has closed the connection. Nothing else is expected of it.
+    pub fn is_closed(&self) -> bool {
+        let stream = self.lines.get_ref();
+        let _ignored = stream.set_nonblocking(true);
+        let closed = match stream.peek(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(cause) => cause.kind() != std::io::ErrorKind::WouldBlock,
+        };
+        let _ignored = stream.set_nonblocking(false);
+        closed
+    }
+
     /// Sends bytes as they are.
     pub fn send(&mut self, text: &str) -> Result<(), String> {
         let sent = self.lines.get_mut().write_all(text.as_bytes());
